--- /dev/null
+++ b/internal/refusal/refusal.go
@@ -0,0 +1,151 @@
+package refusal
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Ran states what is known about the execution of a request.
+type Ran string
+
+const (
+	// NotRun means that no attempt on any host can have started the request.
+	NotRun Ran = "not_run"
+	// Unknown means that an attempt may have started it.
+	Unknown Ran = "unknown"
+	// Complete means that the request ran to its end.
+	Complete Ran = "complete"
+)
+
+// Code is the stable, machine-readable reason of a refusal.
+type Code string
+
+// The codes, grouped by HTTP status. Each status has one documented meaning.
+const (
+	InvalidRequest Code = "invalid_request"
+
+	Unauthenticated Code = "unauthenticated"
+
+	KeyWithdrawn Code = "key_withdrawn"
+	Forbidden    Code = "forbidden"
+
+	OperationMismatch Code = "operation_mismatch"
+	OperationRunning  Code = "operation_running"
+	OperationUnknown  Code = "operation_unknown"
+	AnswerUnavailable Code = "answer_unavailable"
+
+	TooLarge Code = "too_large"
+
+	WrongHost Code = "wrong_host"
+
+	UnknownModel   Code = "unknown_model"
+	CrashesTargets Code = "crashes_targets"
+
+	RateLimited Code = "rate_limited"
+	Overloaded  Code = "overloaded"
+
+	NoTarget     Code = "no_target"
+	NoQuorum     Code = "no_quorum"
+	Draining     Code = "draining"
+	TargetFailed Code = "target_failed"
+	Loop         Code = "loop"
+
+	Deadline Code = "deadline"
+)
+
+var statuses = map[Code]int{
+	InvalidRequest:    http.StatusBadRequest,
+	Unauthenticated:   http.StatusUnauthorized,
+	KeyWithdrawn:      http.StatusForbidden,
+	Forbidden:         http.StatusForbidden,
+	OperationMismatch: http.StatusConflict,
+	OperationRunning:  http.StatusConflict,
+	OperationUnknown:  http.StatusConflict,
+	AnswerUnavailable: http.StatusConflict,
+	TooLarge:          http.StatusRequestEntityTooLarge,
+	WrongHost:         http.StatusMisdirectedRequest,
+	UnknownModel:      http.StatusUnprocessableEntity,
+	CrashesTargets:    http.StatusUnprocessableEntity,
+	RateLimited:       http.StatusTooManyRequests,
+	Overloaded:        http.StatusTooManyRequests,
+	NoTarget:          http.StatusServiceUnavailable,
+	NoQuorum:          http.StatusServiceUnavailable,
+	Draining:          http.StatusServiceUnavailable,
+	TargetFailed:      http.StatusServiceUnavailable,
+	Loop:              http.StatusServiceUnavailable,
+	Deadline:          http.StatusGatewayTimeout,
+}
+
+// Status returns the HTTP status of the code. An unknown code, which can only
+// come from a newer host, counts as an unavailable service.
+func (c Code) Status() int {
+	if s, ok := statuses[c]; ok {
+		return s
+	}
+	return http.StatusServiceUnavailable
+}
+
+// Error is a refusal on its way to the caller.
+type Error struct {
+	Code       Code
+	Ran        Ran
+	Message    string
+	RetryAfter time.Duration
+	// Hosts are the HTTP addresses of hosts that may serve the request.
+	Hosts []string
+}
+
+// New returns a refusal with a formatted message.
+func New(code Code, ran Ran, format string, args ...any) *Error {
+	return &Error{Code: code, Ran: ran, Message: fmt.Sprintf(format, args...)}
+}
+
+// WithRetry returns e with the time after which another try may succeed.
+func (e *Error) WithRetry(after time.Duration) *Error {
+	e.RetryAfter = after
+	return e
+}
+
+// WithHosts returns e with the hosts that may serve the request.
+func (e *Error) WithHosts(hosts []string) *Error {
+	e.Hosts = hosts
+	return e
+}
+
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s): %s", e.Code, e.Ran, e.Message)
+}
+
+// From returns err as a refusal. An error that is no refusal becomes
+// target_failed with ran unknown, because nothing proves that it did not run.
+func From(err error) *Error {
+	if e, ok := errors.AsType[*Error](err); ok {
+		return e
+	}
+	return New(TargetFailed, Unknown, "%v", err)
+}
+
+// Body is the JSON form of a refusal.
+type Body struct {
+	Error Detail `json:"error"`
+}
+
+// Detail is the content of Body.
+type Detail struct {
+	Code         Code     `json:"code"`
+	Message      string   `json:"message"`
+	Ran          Ran      `json:"ran"`
+	RetryAfterMS int64    `json:"retry_after_ms,omitempty"`
+	Hosts        []string `json:"hosts,omitempty"`
+	RequestID    string   `json:"request_id,omitempty"`
+}
+
+// Body returns the JSON form of e for the request with the given id.
+func (e *Error) Body(requestID string) Body {
+	return Body{Error: Detail{
+		Code: e.Code, Message: e.Message, Ran: e.Ran,
+		RetryAfterMS: e.RetryAfter.Milliseconds(), Hosts: e.Hosts, RequestID: requestID,
+	}}
+}
