Add the thin whole path over separate processes

Cause: nothing served a request yet. Change: settings, rules, keys, a single-host command sequencer, published state pulled by every host, announcements, least-load routing, dispatch with one deadline and one dispatch budget, one forward over drpc, HTTP for callers, targets and operators, the client module, geraniumctl and a simulated target. The re-sent filing runs twice (runs 1, then 2), since no operation record exists yet; state is in memory on one host.

--- /dev/null
+++ b/cmd/geraniumctl/main.go
@@ -0,0 +1,16 @@
+// Command geraniumctl is the command line of operators and testers.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"geraniumturn.example/geraniumturn/internal/ctl"
+)
+
+func main() {
+	if err := ctl.Run(os.Args[1:], os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "geraniumctl:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/ctl/call.go
@@ -0,0 +1,33 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+
+	"geraniumturn.example/geraniumturn/client"
+)
+
+// call sends one request through the public client and copies the answer.
+func (f *flags) call(ctx context.Context, out io.Writer) error {
+	timeout, err := f.timeout()
+	if err != nil {
+		return err
+	}
+	response, err := client.New(f.callerKey, f.hostList()...).Do(ctx, client.Request{
+		Method: f.method, Path: f.path, Body: []byte(f.body), IdempotencyKey: f.operationKey,
+		Header: http.Header{"Content-Type": {"application/json"}}, Timeout: timeout,
+	})
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(out, response.Body); err != nil {
+		return fmt.Errorf("the answer broke off: %w", err)
+	}
+	if response.StatusCode >= 400 {
+		return fmt.Errorf("the target answered with status %d", response.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ctl/commands.go
@@ -0,0 +1,223 @@
+package ctl
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"time"
+
+	"geraniumturn.example/geraniumturn/internal/fleet"
+	"geraniumturn.example/geraniumturn/internal/keys"
+	"geraniumturn.example/geraniumturn/internal/rules"
+	"geraniumturn.example/geraniumturn/internal/timeline"
+)
+
+// ErrNotInForce means that a revision did not reach every host in time.
+var ErrNotInForce = errors.New("not in force on all hosts yet")
+
+const (
+	waitLimit    = 30 * time.Second
+	waitInterval = 100 * time.Millisecond
+)
+
+// Tool runs commands for one operator.
+type Tool struct {
+	Admin    *Admin
+	Operator string
+	Out      io.Writer
+}
+
+// Check parses a rules file and reports its problems.
+func (t *Tool) Check(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	set, err := rules.Parse(string(text))
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(t.Out, "%s: %d workspaces, %d pools, %d models, %d routes\n",
+		path, len(set.Workspaces), len(set.Pools), len(set.Models), len(set.Routes))
+	return nil
+}
+
+// Apply puts a rules file in force. base 0 means the revision in force now;
+// requestID may be empty. With wait it returns when all hosts have it.
+func (t *Tool) Apply(ctx context.Context, path string, base uint64, requestID string, wait bool) error {
+	if err := t.Check(path); err != nil {
+		return err
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	if base == 0 {
+		var current fleet.RulesAnswer
+		if err := t.Admin.Call(ctx, "GET", "/admin/v1/rules", nil, &current); err != nil {
+			return err
+		}
+		base = current.Revision
+	}
+	if requestID == "" {
+		requestID = newID()
+	}
+	in := fleet.ApplyRequest{BaseRevision: base, RequestID: requestID, Text: string(text), Operator: t.Operator}
+	answer, err := t.change(ctx, "POST", "/admin/v1/rules", in)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(t.Out, "revision %d accepted (request id %s)\n", answer.Revision, requestID)
+	if !wait {
+		return nil
+	}
+	return t.awaitIndex(ctx, answer.Index)
+}
+
+func (t *Tool) change(ctx context.Context, method, path string, in any) (fleet.Answer, error) {
+	var answer fleet.Answer
+	if err := t.Admin.Call(ctx, method, path, in, &answer); err != nil {
+		return answer, err
+	}
+	if !answer.Accepted {
+		return answer, fmt.Errorf("%w (%s): %s; in force: revision %d by %s, digest %s",
+			ErrRefused, answer.Reason, answer.Message, answer.Revision, answer.Winner, answer.Digest)
+	}
+	return answer, nil
+}
+
+// awaitIndex waits until every host reports at least the index, and names the
+// hosts that are missing when it gives up.
+func (t *Tool) awaitIndex(ctx context.Context, index uint64) error {
+	missing := map[string]bool{}
+	for _, h := range t.Admin.Hosts {
+		missing[h] = true
+	}
+	deadline := time.Now().Add(waitLimit)
+	for len(missing) > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
+		for _, h := range t.Admin.Hosts {
+			var current fleet.RulesAnswer
+			if missing[h] && t.Admin.CallHost(ctx, h, "GET", "/admin/v1/rules", nil, &current) == nil && current.Index >= index {
+				delete(missing, h)
+				fmt.Fprintf(t.Out, "in force on %s\n", h)
+			}
+		}
+		if len(missing) > 0 {
+			time.Sleep(waitInterval)
+		}
+	}
+	for h := range missing {
+		fmt.Fprintf(t.Out, "not yet reached: %s\n", h)
+	}
+	if len(missing) > 0 {
+		return ErrNotInForce
+	}
+	return nil
+}
+
+// Diff prints what a rules file would change.
+func (t *Tool) Diff(ctx context.Context, path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	var current fleet.RulesAnswer
+	if err := t.Admin.Call(ctx, "GET", "/admin/v1/rules", nil, &current); err != nil {
+		return err
+	}
+	for _, change := range rules.Diff(current.Text, string(text)) {
+		fmt.Fprintln(t.Out, change)
+	}
+	return nil
+}
+
+// Show prints the rules in force.
+func (t *Tool) Show(ctx context.Context) error {
+	var current fleet.RulesAnswer
+	if err := t.Admin.Call(ctx, "GET", "/admin/v1/rules", nil, &current); err != nil {
+		return err
+	}
+	fmt.Fprintf(t.Out, "# revision %d\n%s", current.Revision, current.Text)
+	return nil
+}
+
+// Grant makes a key and prints its token, which is shown only this once.
+func (t *Tool) Grant(ctx context.Context, workspace string, wait bool) error {
+	token, id, hash := keys.Generate()
+	in := fleet.GrantRequest{RequestID: newID(), KeyID: id, Workspace: workspace,
+		SecretHash: hex.EncodeToString(hash), Operator: t.Operator}
+	answer, err := t.change(ctx, "POST", "/admin/v1/keys", in)
+	if err != nil {
+		return err
+	}
+	if wait {
+		quiet := &Tool{Admin: t.Admin, Operator: t.Operator, Out: io.Discard}
+		if err := quiet.awaitIndex(ctx, answer.Index); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintln(t.Out, token)
+	return nil
+}
+
+// Withdraw stops a key everywhere.
+func (t *Tool) Withdraw(ctx context.Context, id string) error {
+	path := "/admin/v1/keys/" + url.PathEscape(id) + "?operator=" + url.QueryEscape(t.Operator)
+	answer, err := t.change(ctx, "DELETE", path, nil)
+	if err != nil {
+		return err
+	}
+	return t.awaitIndex(ctx, answer.Index)
+}
+
+// Print writes the JSON answer of a read-only call, one item a line.
+func (t *Tool) Print(ctx context.Context, path string) error {
+	var out any
+	if err := t.Admin.Call(ctx, "GET", path, nil, &out); err != nil {
+		return err
+	}
+	return printJSON(t.Out, out)
+}
+
+// Status prints the status of every host.
+func (t *Tool) Status(ctx context.Context) error {
+	for _, h := range t.Admin.Hosts {
+		var out any
+		if err := t.Admin.CallHost(ctx, h, "GET", "/admin/v1/status", nil, &out); err != nil {
+			fmt.Fprintf(t.Out, "%s: %v\n", h, err)
+			continue
+		}
+		if err := printJSON(t.Out, out); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Timeline prints the merged events of all hosts that answer.
+func (t *Tool) Timeline(ctx context.Context, query url.Values) error {
+	var lists [][]timeline.Event
+	for _, h := range t.Admin.Hosts {
+		var events []timeline.Event
+		if err := t.Admin.CallHost(ctx, h, "GET", "/admin/v1/timeline?"+query.Encode(), nil, &events); err != nil {
+			fmt.Fprintf(t.Out, "# no events from %s: %v\n", h, err)
+			continue
+		}
+		lists = append(lists, events)
+	}
+	for _, e := range timeline.Merge(lists...) {
+		fmt.Fprintln(t.Out, formatEvent(e))
+	}
+	return nil
+}
+
+func newID() string {
+	raw := make([]byte, 12)
+	_, _ = rand.Read(raw) // never fails since Go 1.24
+	return hex.EncodeToString(raw)
+}
--- /dev/null
+++ b/internal/ctl/doc.go
@@ -0,0 +1,2 @@
+// Package ctl implements the commands of geraniumctl.
+package ctl
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,150 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/run"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/control"
+	"geraniumturn.example/geraniumturn/internal/dispatch"
+	"geraniumturn.example/geraniumturn/internal/entry"
+	"geraniumturn.example/geraniumturn/internal/fleet"
+	"geraniumturn.example/geraniumturn/internal/keys"
+	"geraniumturn.example/geraniumturn/internal/peer"
+	"geraniumturn.example/geraniumturn/internal/settings"
+	"geraniumturn.example/geraniumturn/internal/targets"
+	"geraniumturn.example/geraniumturn/internal/timeline"
+)
+
+const (
+	timelineEvents = 65_536
+	// shutdownLimit bounds a graceful shutdown: after it, open requests are cut.
+	shutdownLimit  = 60 * time.Second
+	minTokenBytes  = 16
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+// Daemon is one process.
+type Daemon struct {
+	settings  *settings.Settings
+	log       *logrus.Logger
+	metrics   metrics.Registry
+	hlc       *clock.HLC
+	events    *timeline.Log
+	transport *peer.Transport
+
+	controlLog control.Log
+	machine    *fleet.Machine
+	copy       *fleet.Copy
+	keys       *keys.Table
+	targets    *targets.Table
+	dispatcher *dispatch.Dispatcher
+	entry      *entry.Server
+	echo       *echo.Echo
+}
+
+// New builds the process from its settings. Nothing runs before Run.
+func New(s *settings.Settings, log *logrus.Logger) (*Daemon, error) {
+	tlsConfig, err := peerTLS(s, log)
+	if err != nil {
+		return nil, err
+	}
+	hlc := &clock.HLC{}
+	d := &Daemon{
+		settings: s, log: log, metrics: metrics.NewRegistry(), hlc: hlc,
+		events:    timeline.New(s.Name, hlc, timelineEvents),
+		transport: peer.New(s.Name, hlc, tlsConfig),
+		copy:      fleet.NewCopy(),
+		keys:      keys.NewTable(),
+		targets:   targets.NewTable(),
+	}
+	for _, build := range []func() error{d.buildControl, d.buildFleet, d.buildTargets, d.buildDispatch, d.buildHTTP} {
+		if err := build(); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+func peerTLS(s *settings.Settings, log *logrus.Logger) (*tls.Config, error) {
+	if s.Security.AllowPlaintextPeers {
+		log.Warn("connections between hosts are not encrypted (allow_plaintext_peers)")
+		return nil, nil
+	}
+	return peer.LoadTLS(s.Security.PeerCert, s.Security.PeerKey, s.Security.PeerCA)
+}
+
+// Run serves until a signal arrives or a component fails. A stop by SIGINT or
+// SIGTERM is graceful and gives no error.
+func (d *Daemon) Run() error {
+	httpListener, err := net.Listen("tcp", d.settings.Listen.HTTP)
+	if err != nil {
+		return fmt.Errorf("daemon: listen.http: %w", err)
+	}
+	peerListener, err := net.Listen("tcp", d.settings.Listen.Peer)
+	if err != nil {
+		return fmt.Errorf("daemon: listen.peer: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var g run.Group
+	g.Add(run.SignalHandler(ctx, os.Interrupt, syscall.SIGTERM))
+	d.addHTTP(&g, httpListener)
+	d.addLoop(&g, func(ctx context.Context) error { return d.transport.Serve(ctx, peerListener) })
+	for _, loop := range d.loops() {
+		d.addLoop(&g, loop)
+	}
+	d.log.WithFields(logrus.Fields{"http": d.settings.Listen.HTTP, "peer": d.settings.Listen.Peer}).Info("serving")
+	err = g.Run()
+	_ = d.transport.Close()
+	if errors.Is(err, run.ErrSignal) {
+		d.log.Info("stopped")
+		return nil
+	}
+	return err
+}
+
+// loops are the background tasks; each returns when its context ends.
+func (d *Daemon) loops() []func(context.Context) error {
+	return []func(context.Context) error{d.pullLoop}
+}
+
+func (d *Daemon) addLoop(g *run.Group, loop func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error {
+		err := loop(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		return err
+	}, func(error) { cancel() })
+}
+
+// addHTTP adds the HTTP server. It is added before the loops, so that its
+// graceful shutdown ends while they still run.
+func (d *Daemon) addHTTP(g *run.Group, listener net.Listener) {
+	server := &http.Server{Handler: d.echo, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	g.Add(func() error { return server.Serve(listener) }, func(error) {
+		d.entry.Drain()
+		d.log.Info("draining")
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
+		defer cancel()
+		if err := server.Shutdown(ctx); err != nil {
+			d.log.WithError(err).Warn("open requests were cut")
+			_ = server.Close()
+		}
+	})
+}
--- /dev/null
+++ b/internal/dispatch/request.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"geraniumturn.example/geraniumturn/internal/rules"
+	"geraniumturn.example/geraniumturn/internal/targets"
+)
+
+// Request is a caller's request after the entry checks. It carries no caller
+// key and only allow-listed headers.
+type Request struct {
+	ID        string
+	Workspace string
+	Method    string
+	Path      string
+	Query     string
+	Header    map[string]string
+	Body      []byte
+
+	Pool   string
+	Kind   rules.PoolKind
+	Model  string
+	Stream bool
+	Class  rules.Class
+	Reach  rules.Reach
+	// Idempotent requests may be dispatched again after a failure.
+	Idempotent bool
+	// Residency lists the data centres that the request may reach; empty means all.
+	Residency []string
+	// Cost is prompt plus maximum output, in tokens.
+	Cost int64
+	// Deadline is absolute; it covers all attempts on all hosts.
+	Deadline time.Time
+	// Budget is how many dispatches are left over all hosts.
+	Budget int
+	// Visited names the hosts that have handled the request.
+	Visited []string
+	// Fingerprint identifies equal requests, see package suspects.
+	Fingerprint string
+	// Prefixes are digests of growing prompt prefixes, shortest first.
+	Prefixes []uint64
+}
+
+// Forwarded reports whether the request came from another host.
+func (r *Request) Forwarded() bool { return len(r.Visited) > 1 }
+
+// Sink receives the answer. Start is called once, before any Write.
+type Sink interface {
+	Start(status int, header map[string]string) error
+	Write(p []byte) error
+}
+
+// Result describes a whole answer.
+type Result struct {
+	Status           int
+	PromptTokens     int64
+	CompletionTokens int64
+	Target           string
+	// SentAway is true when another data centre served the request.
+	SentAway bool
+	// Dispatches counts the attempts on all hosts.
+	Dispatches int
+}
+
+// Choice is where the next attempt goes: a local target or another host.
+type Choice struct {
+	Target *targets.Target
+	Host   *Host
+}
+
+// Host is a host that requests can be forwarded to.
+type Host struct {
+	Name       string
+	DataCentre string
+	Peer       string
+}
+
+// Tried records what earlier attempts of a request used.
+type Tried struct {
+	Targets     map[string]bool
+	DataCentres map[string]bool
+}
+
+// Chooser selects where an attempt goes. It returns a refusal when there is
+// nowhere to go. Choose may wait for room until the context ends.
+type Chooser interface {
+	Choose(ctx context.Context, req *Request, tried Tried) (Choice, error)
+}
+
+// Outcome is how an attempt on a target ended.
+type Outcome struct {
+	Request     *Request
+	Target      string
+	Incarnation uint64
+	// Sent is false when certainly no byte reached the target.
+	Sent bool
+	// Whole is true when a whole answer arrived.
+	Whole bool
+	// Broken is true when the connection failed after the request was sent.
+	Broken bool
+	// Cancelled is true when the caller or the deadline ended the attempt.
+	Cancelled bool
+	// Status is the HTTP status of the answer, 0 without one.
+	Status    int
+	FirstByte time.Duration
+	Duration  time.Duration
+}
+
+// Observer is told about each attempt on a local target.
+type Observer interface {
+	AttemptBegins(req *Request, target *targets.Target)
+	AttemptEnded(o Outcome)
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,453 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rcrowley/go-metrics"
+
+	"geraniumturn.example/geraniumturn/internal/dispatch"
+	"geraniumturn.example/geraniumturn/internal/fleet"
+	"geraniumturn.example/geraniumturn/internal/keys"
+	"geraniumturn.example/geraniumturn/internal/refusal"
+	"geraniumturn.example/geraniumturn/internal/rules"
+	"geraniumturn.example/geraniumturn/internal/timeline"
+)
+
+const (
+	// MaxBodyBytes bounds a caller's request body.
+	MaxBodyBytes = 8 << 20
+	// MaxTimeout bounds the deadline that a caller may ask for.
+	MaxTimeout = time.Hour
+
+	headerTimeout        = "Geraniumturn-Timeout-Ms"
+	headerClass          = "Geraniumturn-Class"
+	headerIdempotencyKey = "Idempotency-Key"
+	headerRequestID      = "X-Request-Id"
+	maxIdempotencyKey    = 256
+)
+
+// Reservation is quota taken for a request.
+type Reservation interface {
+	// Settle returns what was not used. Call it once.
+	Settle(used int64)
+}
+
+// Quota reserves tokens of a workspace. A refusal is a *refusal.Error.
+type Quota interface {
+	Reserve(ctx context.Context, workspace *rules.Workspace, cost int64) (Reservation, error)
+}
+
+// Operation names a non-idempotent request that its caller may send again.
+type Operation struct {
+	Workspace string
+	// Key is the caller's Idempotency-Key.
+	Key  string
+	Body []byte
+	// Path and Method belong to what the key stands for.
+	Path      string
+	Method    string
+	RequestID string
+	Residency []string
+}
+
+// Operations runs an operation at most once over all hosts. Do calls run at
+// most once, and gives a stored answer to the sink when there is one. cost is
+// reserved inside run only.
+type Operations interface {
+	Do(ctx context.Context, op Operation, sink dispatch.Sink, run func(ctx context.Context, sink dispatch.Sink) (dispatch.Result, error)) (dispatch.Result, error)
+}
+
+// Fingerprints gives the fingerprint of a request and whether it is refused
+// because equal requests crashed targets.
+type Fingerprints interface {
+	Fingerprint(workspace, path string, body []byte) string
+	Check(fingerprint string) error
+}
+
+// Placement tells which data centres this host stands in and which others exist.
+type Placement interface {
+	DataCentre() string
+	// HostsFor ranks the entry hosts that may serve the residency, best first.
+	HostsFor(residency []string, home string) []HostEntry
+}
+
+// HostEntry is one host in the answer of discovery.
+type HostEntry struct {
+	Name       string `json:"name"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	Region     string `json:"region"`
+}
+
+// Runner runs a request on targets.
+type Runner interface {
+	Do(ctx context.Context, req *dispatch.Request, sink dispatch.Sink) (dispatch.Result, error)
+}
+
+// Server serves callers. All fields are set before the first request.
+type Server struct {
+	Copy         *fleet.Copy
+	Keys         *keys.Table
+	Quota        Quota
+	Operations   Operations
+	Fingerprints Fingerprints
+	Placement    Placement
+	Runner       Runner
+	Events       *timeline.Log
+	Metrics      metrics.Registry
+	// Ready reports whether the host has rules in force.
+	Ready    func() bool
+	draining atomic.Bool
+}
+
+// Drain stops discovery from naming this host and refuses new requests.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Draining reports whether Drain was called.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
+// call is one caller's request on its way through the checks.
+type call struct {
+	id        string
+	workspace *rules.Workspace
+	key       keys.Key
+	route     *rules.Route
+	request   *dispatch.Request
+	operation string
+}
+
+// Serve handles a caller's request on any path that no other handler has.
+func (s *Server) Serve(c echo.Context) error {
+	s.counter("requests").Inc(1)
+	k := &call{id: newRequestID()}
+	c.Response().Header().Set(headerRequestID, k.id)
+	err := s.serve(c, k)
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, dispatch.ErrBroken) || c.Response().Committed {
+		s.counter("answers.broken").Inc(1)
+		s.Events.Record(timeline.Event{Kind: "answer_broken", Request: k.id})
+		panic(http.ErrAbortHandler) // breaks the connection, so that the answer cannot look whole
+	}
+	return s.refuse(c, k, refusal.From(err))
+}
+
+func (s *Server) serve(c echo.Context, k *call) error {
+	if s.Draining() {
+		return refusal.New(refusal.Draining, refusal.NotRun, "this host is shutting down").WithHosts(s.otherHosts(nil, ""))
+	}
+	view := s.Copy.View()
+	if err := s.identify(c, k, view); err != nil {
+		return err
+	}
+	if err := s.admitPlace(k); err != nil {
+		return err
+	}
+	if err := s.build(c, k, view); err != nil {
+		return err
+	}
+	return s.run(c, k)
+}
+
+// identify determines route and workspace from the headers alone.
+func (s *Server) identify(c echo.Context, k *call, view *fleet.View) error {
+	r := c.Request()
+	k.route = view.Rules.Route(r.URL.Path)
+	token := bearer(r)
+	if k.route != nil && k.route.Open && token == "" {
+		return nil
+	}
+	if token == "" {
+		return refusal.New(refusal.Unauthenticated, refusal.NotRun, "no key: send Authorization: Bearer gt_...")
+	}
+	key, err := s.Keys.Check(token)
+	switch {
+	case errors.Is(err, keys.ErrWithdrawn):
+		return refusal.New(refusal.KeyWithdrawn, refusal.NotRun, "the key was withdrawn")
+	case err != nil:
+		return refusal.New(refusal.Unauthenticated, refusal.NotRun, "unknown key")
+	}
+	k.key = key
+	k.workspace = view.Rules.Workspaces[key.Workspace]
+	if k.workspace == nil {
+		return refusal.New(refusal.Forbidden, refusal.NotRun, "workspace %s has no rule", key.Workspace)
+	}
+	if k.route == nil {
+		return refusal.New(refusal.Forbidden, refusal.NotRun, "no route covers %s", r.URL.Path)
+	}
+	return nil
+}
+
+// admitPlace refuses before the body is read when this host's data centre is
+// outside the workspace's residency.
+func (s *Server) admitPlace(k *call) error {
+	w := k.workspace
+	if w == nil || w.Allows(s.Placement.DataCentre()) {
+		return nil
+	}
+	return refusal.New(refusal.WrongHost, refusal.NotRun,
+		"data of workspace %s may not pass data centre %s", w.Name, s.Placement.DataCentre()).
+		WithHosts(s.otherHosts(w.Residency, w.Home))
+}
+
+func (s *Server) otherHosts(residency []string, home string) []string {
+	var out []string
+	for _, h := range s.Placement.HostsFor(residency, home) {
+		out = append(out, h.Address)
+	}
+	return out
+}
+
+// build reads the body and makes the request for targets.
+func (s *Server) build(c echo.Context, k *call, view *fleet.View) error {
+	r := c.Request()
+	if !k.route.AllowsMethod(r.Method) {
+		return refusal.New(refusal.Forbidden, refusal.NotRun, "method %s is not allowed on %s", r.Method, k.route.Path)
+	}
+	timeout, err := timeoutOf(r, k.route)
+	if err != nil {
+		return err
+	}
+	deadline := time.Now().Add(timeout)
+	body, err := readBody(c, deadline)
+	if err != nil {
+		return err
+	}
+	k.operation = r.Header.Get(headerIdempotencyKey)
+	if len(k.operation) > maxIdempotencyKey {
+		return refusal.New(refusal.InvalidRequest, refusal.NotRun, "Idempotency-Key is longer than %d bytes", maxIdempotencyKey)
+	}
+	k.request = &dispatch.Request{
+		ID: k.id, Method: r.Method, Path: r.URL.EscapedPath(), Query: safeQuery(r.URL.Query()),
+		Header: dispatch.AllowedHeaders(r.Header), Body: body, Pool: k.route.Pool, Kind: rules.Service,
+		Class: k.route.Class, Reach: k.route.Reach, Idempotent: k.route.Idempotent, Cost: k.route.Cost,
+		Deadline: deadline, Budget: 1,
+	}
+	if k.workspace != nil {
+		k.request.Workspace, k.request.Residency = k.workspace.Name, k.workspace.Residency
+	}
+	if k.request.Idempotent {
+		k.request.Budget = dispatch.DefaultBudget
+	}
+	if class := rules.Class(r.Header.Get(headerClass)); class != "" {
+		if class != rules.Interactive && class != rules.Batch {
+			return refusal.New(refusal.InvalidRequest, refusal.NotRun, "%s must be interactive or batch", headerClass)
+		}
+		k.request.Class = class
+	}
+	return s.resolvePool(k, view)
+}
+
+// resolvePool finds the pool by the model in the body when the route has none,
+// and reads what an engine body says about cost.
+func (s *Server) resolvePool(k *call, view *fleet.View) error {
+	if pool := view.Rules.Pools[k.request.Pool]; pool != nil {
+		k.request.Kind = pool.Kind
+	}
+	if k.request.Pool != "" && k.request.Kind == rules.Service {
+		return nil
+	}
+	body, err := parseEngineBody(k.request.Body)
+	if err != nil {
+		return err
+	}
+	if k.request.Pool == "" {
+		model := view.Rules.Models[body.Model]
+		if model == nil {
+			return refusal.New(refusal.UnknownModel, refusal.NotRun, "model %q is not defined", body.Model)
+		}
+		k.request.Pool, k.request.Kind = model.Pool, rules.Engine
+	}
+	k.request.Model, k.request.Stream = body.Model, body.Stream
+	k.request.Cost = body.cost()
+	k.request.Prefixes = body.prefixes()
+	return nil
+}
+
+// run takes quota, runs the request and settles.
+func (s *Server) run(c echo.Context, k *call) error {
+	ctx, cancel := context.WithCancelCause(c.Request().Context())
+	defer cancel(nil)
+	if k.key.ID != "" {
+		release, err := s.Keys.Track(k.key.ID, func() { cancel(keys.ErrWithdrawn) })
+		if err != nil {
+			return refusal.New(refusal.KeyWithdrawn, refusal.NotRun, "the key was withdrawn")
+		}
+		defer release()
+	}
+	if s.Fingerprints != nil {
+		k.request.Fingerprint = s.Fingerprints.Fingerprint(k.request.Workspace, k.request.Path, k.request.Body)
+		if err := s.Fingerprints.Check(k.request.Fingerprint); err != nil {
+			return err
+		}
+	}
+	sink := newSink(c)
+	result, err := s.runOperation(ctx, k, sink)
+	if errors.Is(context.Cause(ctx), keys.ErrWithdrawn) {
+		return s.withdrawn(err)
+	}
+	if err != nil {
+		return err
+	}
+	s.Events.Record(timeline.Event{Kind: "answered", Request: k.id, Workspace: k.request.Workspace, Target: result.Target})
+	s.counter("answers.whole").Inc(1)
+	if result.SentAway {
+		s.counter("sent_away").Inc(1)
+	}
+	return nil
+}
+
+// withdrawn ends a request whose key was withdrawn while it was open.
+func (s *Server) withdrawn(err error) error {
+	s.counter("keys.requests_ended").Inc(1)
+	if err == nil || errors.Is(err, dispatch.ErrBroken) {
+		return err
+	}
+	return refusal.New(refusal.KeyWithdrawn, refusal.From(err).Ran, "the key was withdrawn")
+}
+
+func (s *Server) runOperation(ctx context.Context, k *call, sink dispatch.Sink) (dispatch.Result, error) {
+	if k.request.Idempotent || k.operation == "" || s.Operations == nil || k.workspace == nil {
+		return s.runCharged(ctx, k, sink)
+	}
+	op := Operation{Workspace: k.request.Workspace, Key: k.operation, Body: k.request.Body, Path: k.request.Path,
+		Method: k.request.Method, RequestID: k.id, Residency: k.request.Residency}
+	return s.Operations.Do(ctx, op, sink, func(ctx context.Context, sink dispatch.Sink) (dispatch.Result, error) {
+		return s.runCharged(ctx, k, sink)
+	})
+}
+
+// runCharged reserves the cost, runs the request and returns what it did not use.
+func (s *Server) runCharged(ctx context.Context, k *call, sink dispatch.Sink) (dispatch.Result, error) {
+	if k.workspace == nil || s.Quota == nil {
+		return s.Runner.Do(ctx, k.request, sink)
+	}
+	reservation, err := s.Quota.Reserve(ctx, k.workspace, k.request.Cost)
+	if err != nil {
+		return dispatch.Result{}, err
+	}
+	result, err := s.Runner.Do(ctx, k.request, sink)
+	reservation.Settle(charge(k.request, result, err))
+	return result, err
+}
+
+// charge is what a request costs in the end. Without usage from the target the
+// whole reservation counts, unless the request certainly did not run.
+func charge(req *dispatch.Request, result dispatch.Result, err error) int64 {
+	if err != nil {
+		if refused, ok := errors.AsType[*refusal.Error](err); ok && refused.Ran == refusal.NotRun {
+			return 0
+		}
+		return req.Cost
+	}
+	if used := result.PromptTokens + result.CompletionTokens; req.Kind == rules.Engine && used > 0 {
+		return used
+	}
+	return req.Cost
+}
+
+func (s *Server) refuse(c echo.Context, k *call, e *refusal.Error) error {
+	s.counter("refusals." + string(e.Code)).Inc(1)
+	event := timeline.Event{Kind: "refused", Request: k.id, Detail: string(e.Code) + " " + string(e.Ran)}
+	if k.workspace != nil {
+		event.Workspace = k.workspace.Name
+	}
+	s.Events.Record(event)
+	if e.RetryAfter > 0 {
+		seconds := int64((e.RetryAfter + time.Second - 1) / time.Second)
+		c.Response().Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	if e.Code == refusal.WrongHost || e.Code == refusal.Draining {
+		c.Response().Header().Set("Connection", "close")
+	}
+	return c.JSON(e.Code.Status(), e.Body(k.id))
+}
+
+func (s *Server) counter(name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter("entry."+name, s.Metrics)
+}
+
+func newRequestID() string {
+	raw := make([]byte, 12)
+	_, _ = rand.Read(raw) // never fails since Go 1.24
+	return hex.EncodeToString(raw)
+}
+
+func timeoutOf(r *http.Request, route *rules.Route) (time.Duration, error) {
+	text := r.Header.Get(headerTimeout)
+	if text == "" {
+		return route.Timeout, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 1 || ms > MaxTimeout.Milliseconds() {
+		return 0, refusal.New(refusal.InvalidRequest, refusal.NotRun, "%s must be a number of milliseconds from 1 to %d", headerTimeout, MaxTimeout.Milliseconds())
+	}
+	return min(time.Duration(ms)*time.Millisecond, route.Timeout), nil
+}
+
+// readBody reads the body under the size limit and before the deadline, so
+// that a caller that sends slowly cannot hold the memory for long.
+func readBody(c echo.Context, deadline time.Time) ([]byte, error) {
+	r := c.Request()
+	if r.ContentLength > MaxBodyBytes {
+		return nil, refusal.New(refusal.TooLarge, refusal.NotRun, "body has %d bytes, the limit is %d", r.ContentLength, MaxBodyBytes)
+	}
+	controller := http.NewResponseController(c.Response())
+	_ = controller.SetReadDeadline(deadline) // not supported by test recorders
+	body, err := io.ReadAll(io.LimitReader(r.Body, MaxBodyBytes+1))
+	_ = controller.SetReadDeadline(time.Time{})
+	if err != nil {
+		return nil, refusal.New(refusal.InvalidRequest, refusal.NotRun, "body ended early: %v", err)
+	}
+	if len(body) > MaxBodyBytes {
+		return nil, refusal.New(refusal.TooLarge, refusal.NotRun, "body has more than %d bytes", MaxBodyBytes)
+	}
+	return body, nil
+}
+
+// callerSink writes the answer to the caller. A failed write ends the request.
+type callerSink struct {
+	c          echo.Context
+	controller *http.ResponseController
+	stream     bool
+}
+
+func newSink(c echo.Context) *callerSink {
+	return &callerSink{c: c, controller: http.NewResponseController(c.Response())}
+}
+
+// Start implements dispatch.Sink.
+func (s *callerSink) Start(status int, header map[string]string) error {
+	for name, value := range header {
+		s.c.Response().Header().Set(name, value)
+	}
+	_, whole := header["Content-Length"]
+	s.stream = !whole
+	s.c.Response().WriteHeader(status)
+	if s.stream {
+		return s.controller.Flush()
+	}
+	return nil
+}
+
+// Write implements dispatch.Sink.
+func (s *callerSink) Write(p []byte) error {
+	if _, err := s.c.Response().Write(p); err != nil {
+		return fmt.Errorf("entry: write answer: %w", err)
+	}
+	if s.stream {
+		return s.controller.Flush()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/http.go
@@ -0,0 +1,165 @@
+package fleet
+
+import (
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+	"google.golang.org/protobuf/proto"
+
+	"geraniumturn.example/geraniumturn/internal/control"
+	"geraniumturn.example/geraniumturn/internal/fleet/fleetpb"
+)
+
+// ApplyRequest is the JSON body of POST /admin/v1/rules.
+type ApplyRequest struct {
+	BaseRevision uint64 `json:"base_revision"`
+	RequestID    string `json:"request_id"`
+	Text         string `json:"text"`
+	Operator     string `json:"operator"`
+}
+
+// GrantRequest is the JSON body of POST /admin/v1/keys. The secret itself never
+// leaves the operator's machine.
+type GrantRequest struct {
+	RequestID  string `json:"request_id"`
+	KeyID      string `json:"key_id"`
+	Workspace  string `json:"workspace"`
+	SecretHash string `json:"secret_hash"`
+	Operator   string `json:"operator"`
+}
+
+// Answer is the JSON answer to every change.
+type Answer struct {
+	Accepted bool   `json:"accepted"`
+	Reason   string `json:"reason,omitempty"`
+	Message  string `json:"message,omitempty"`
+	Revision uint64 `json:"revision"`
+	Index    uint64 `json:"index"`
+	Winner   string `json:"winner,omitempty"`
+	Digest   string `json:"digest,omitempty"`
+}
+
+// RulesAnswer is the JSON answer of GET /admin/v1/rules.
+type RulesAnswer struct {
+	Revision uint64 `json:"revision"`
+	Index    uint64 `json:"index"`
+	Text     string `json:"text"`
+}
+
+// Admin serves the operators' calls about rules and keys.
+type Admin struct {
+	Log  control.Log
+	Copy *Copy
+}
+
+// Register adds the handlers to the group for /admin/v1.
+func (a *Admin) Register(g *echo.Group) {
+	g.GET("/rules", a.showRules)
+	g.POST("/rules", a.applyRules)
+	g.GET("/history", a.history)
+	g.GET("/keys", a.listKeys)
+	g.POST("/keys", a.grantKey)
+	g.DELETE("/keys/:id", a.withdrawKey)
+}
+
+func (a *Admin) showRules(c echo.Context) error {
+	v := a.Copy.View()
+	return c.JSON(http.StatusOK, RulesAnswer{Revision: v.Revision, Index: v.Index, Text: v.State.Rules})
+}
+
+func (a *Admin) history(c echo.Context) error {
+	return c.JSON(http.StatusOK, a.Copy.View().State.History)
+}
+
+func (a *Admin) listKeys(c echo.Context) error {
+	state := a.Copy.View().State
+	type row struct {
+		ID        string `json:"id"`
+		Workspace string `json:"workspace"`
+		Operator  string `json:"operator"`
+		Withdrawn bool   `json:"withdrawn"`
+	}
+	withdrawn := map[string]bool{}
+	for _, id := range state.Withdrawn {
+		withdrawn[id] = true
+	}
+	rows := []row{}
+	for _, k := range state.Keys {
+		rows = append(rows, row{k.Id, k.Workspace, k.Operator, withdrawn[k.Id]})
+	}
+	return c.JSON(http.StatusOK, rows)
+}
+
+func (a *Admin) applyRules(c echo.Context) error {
+	var in ApplyRequest
+	if err := c.Bind(&in); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "body is no valid JSON")
+	}
+	if in.RequestID == "" || in.Operator == "" {
+		return echo.NewHTTPError(http.StatusBadRequest, "request_id and operator are required")
+	}
+	return a.propose(c, &fleetpb.Command{Kind: &fleetpb.Command_ApplyRules{ApplyRules: &fleetpb.ApplyRules{
+		BaseRevision: in.BaseRevision, RequestId: in.RequestID, Text: in.Text, Operator: in.Operator,
+	}}})
+}
+
+func (a *Admin) grantKey(c echo.Context) error {
+	var in GrantRequest
+	if err := c.Bind(&in); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "body is no valid JSON")
+	}
+	hash, err := hex.DecodeString(in.SecretHash)
+	if err != nil || len(hash) != 32 || in.KeyID == "" || in.RequestID == "" || in.Operator == "" {
+		return echo.NewHTTPError(http.StatusBadRequest, "request_id, key_id, operator and a SHA-256 secret_hash in hex are required")
+	}
+	if a.Copy.View().Rules.Workspaces[in.Workspace] == nil {
+		return echo.NewHTTPError(http.StatusBadRequest, fmt.Sprintf("workspace %q has no rule", in.Workspace))
+	}
+	return a.propose(c, &fleetpb.Command{Kind: &fleetpb.Command_GrantKey{GrantKey: &fleetpb.GrantKey{
+		RequestId: in.RequestID, KeyId: in.KeyID, Workspace: in.Workspace, SecretHash: hash, Operator: in.Operator,
+	}}})
+}
+
+func (a *Admin) withdrawKey(c echo.Context) error {
+	return a.propose(c, &fleetpb.Command{Kind: &fleetpb.Command_WithdrawKey{WithdrawKey: &fleetpb.WithdrawKey{
+		KeyId: c.Param("id"), Operator: c.QueryParam("operator"),
+	}}})
+}
+
+func (a *Admin) propose(c echo.Context, command *fleetpb.Command) error {
+	result, err := Propose(c, a.Log, command)
+	switch {
+	case errors.Is(err, control.ErrNoQuorum):
+		return echo.NewHTTPError(http.StatusServiceUnavailable, "no quorum: the change was certainly not made")
+	case err != nil:
+		return echo.NewHTTPError(http.StatusServiceUnavailable, "the outcome is uncertain: send the same request_id again ("+err.Error()+")")
+	}
+	status := http.StatusOK
+	if !result.Accepted {
+		status = http.StatusConflict
+	}
+	return c.JSON(status, Answer{
+		Accepted: result.Accepted, Reason: result.Reason, Message: result.Message, Revision: result.Revision,
+		Index: result.Index, Winner: result.Winner, Digest: result.Digest,
+	})
+}
+
+// Propose sends a command through the replicated log.
+func Propose(c echo.Context, log control.Log, command *fleetpb.Command) (*fleetpb.Result, error) {
+	data, err := proto.Marshal(command)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: marshal command: %w", err)
+	}
+	out, err := log.Propose(c.Request().Context(), MachineName, data)
+	if err != nil {
+		return nil, err
+	}
+	var result fleetpb.Result
+	if err := proto.Unmarshal(out, &result); err != nil {
+		return nil, fmt.Errorf("fleet: decode result: %w", err)
+	}
+	return &result, nil
+}
--- /dev/null
+++ b/internal/rules/parse.go
@@ -0,0 +1,323 @@
+package rules
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// ErrInvalid is wrapped by every error that Parse returns.
+var ErrInvalid = errors.New("rules: invalid file")
+
+const (
+	// maxFileBytes bounds a rules file; 2,400 workspaces need about 300 KB.
+	maxFileBytes = 4 << 20
+	// maxTokens bounds rates, bursts and costs, so that sums cannot overflow.
+	maxTokens      = 1 << 40
+	maxWeight      = 1000
+	defaultTimeout = 120 * time.Second
+	maxTimeout     = time.Hour
+)
+
+// Problem is one fault in a rules file.
+type Problem struct {
+	Line    int
+	Message string
+}
+
+func (p Problem) Error() string {
+	if p.Line == 0 {
+		return p.Message
+	}
+	return fmt.Sprintf("line %d: %s", p.Line, p.Message)
+}
+
+// Problems lists all faults of a file in line order.
+type Problems []Problem
+
+func (ps Problems) Error() string {
+	lines := make([]string, len(ps))
+	for i, p := range ps {
+		lines[i] = p.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap makes errors.Is(err, ErrInvalid) true.
+func (ps Problems) Unwrap() error { return ErrInvalid }
+
+type parser struct {
+	set      *Set
+	problems Problems
+	line     int
+	where    map[string]int // rule identity -> line of its first definition
+}
+
+// Parse reads a rules file. On any fault it returns Problems and no set.
+func Parse(text string) (*Set, error) {
+	if len(text) > maxFileBytes {
+		return nil, Problems{{Message: fmt.Sprintf("file has %d bytes, more than the limit of %d", len(text), maxFileBytes)}}
+	}
+	p := &parser{set: EmptySet(), where: map[string]int{}}
+	for i, line := range strings.Split(text, "\n") {
+		p.line = i + 1
+		p.parseLine(strings.TrimSpace(line))
+	}
+	p.checkReferences()
+	if len(p.problems) > 0 {
+		slices.SortStableFunc(p.problems, func(a, b Problem) int { return a.Line - b.Line })
+		return nil, p.problems
+	}
+	return p.set, nil
+}
+
+func (p *parser) fail(format string, args ...any) {
+	p.problems = append(p.problems, Problem{Line: p.line, Message: fmt.Sprintf(format, args...)})
+}
+
+func (p *parser) parseLine(line string) {
+	if line == "" || strings.HasPrefix(line, "#") {
+		return
+	}
+	rule, comment, _ := strings.Cut(line, "#")
+	requester := strings.TrimSpace(comment)
+	if requester == "" {
+		p.fail("the rule has no comment that names who asked for it (add \"# name\")")
+		return
+	}
+	words := strings.Fields(rule)
+	if len(words) < 2 {
+		p.fail("a rule needs a kind and a name")
+		return
+	}
+	options, ok := p.options(words[2:])
+	if !ok {
+		return
+	}
+	p.rule(words[0], words[1], options, requester)
+	p.rejectUnused(words[0], options)
+}
+
+func (p *parser) rule(kind, name string, o *options, requester string) {
+	if first, ok := p.where[kind+" "+name]; ok {
+		p.fail("%s %s is already defined in line %d", kind, name, first)
+		return
+	}
+	p.where[kind+" "+name] = p.line
+	if kind != "route" && !validName(name) {
+		p.fail("%s name %q may only have letters, digits, '.', '_', '-', ':' and '/', at most 128 bytes", kind, name)
+		return
+	}
+	switch kind {
+	case "workspace":
+		p.workspace(name, o, requester)
+	case "pool":
+		p.pool(name, o, requester)
+	case "model":
+		p.set.Models[name] = &Model{Name: name, Pool: o.text("pool", ""), Requester: requester}
+	case "route":
+		p.route(name, o, requester)
+	default:
+		p.fail("unknown rule kind %q (workspace, pool, model or route)", kind)
+		o.values = nil
+	}
+}
+
+func (p *parser) workspace(name string, o *options, requester string) {
+	w := &Workspace{
+		Name:      name,
+		Rate:      o.rate("rate"),
+		Burst:     o.tokens("burst", 0),
+		Weight:    int(o.integer("weight", 1, 1, maxWeight)),
+		Home:      o.text("home", ""),
+		Requester: requester,
+	}
+	if residency := o.text("residency", "any"); residency != "any" {
+		w.Residency = strings.Split(residency, ",")
+		if slices.Contains(w.Residency, "") {
+			p.fail("residency has an empty data centre name")
+		}
+	}
+	if w.Rate <= 0 || w.Burst <= 0 {
+		p.fail("workspace %s needs rate=N/s and burst=N, both above 0 tokens", name)
+	}
+	if w.Home != "" && !w.Allows(w.Home) {
+		p.fail("home %s of workspace %s is outside its residency", w.Home, name)
+	}
+	p.set.Workspaces[name] = w
+}
+
+func (p *parser) pool(name string, o *options, requester string) {
+	kind := PoolKind(o.text("kind", ""))
+	if kind != Engine && kind != Service {
+		p.fail("pool %s needs kind=engine or kind=service", name)
+	}
+	p.set.Pools[name] = &Pool{Name: name, Kind: kind, Requester: requester}
+}
+
+func (p *parser) route(path string, o *options, requester string) {
+	if !strings.HasPrefix(path, "/") || strings.Contains(strings.TrimSuffix(path, "/*"), "*") {
+		p.fail("route path %q must begin with / and may only end in /*", path)
+	}
+	for _, reserved := range []string{"/admin/", "/targets/", "/healthz", "/readyz", "/metrics", "/v1/hosts"} {
+		if strings.HasPrefix(path, reserved) {
+			p.fail("route path %s is reserved for the system", path)
+		}
+	}
+	r := &Route{
+		Path:       path,
+		Pool:       o.text("pool", ""),
+		Idempotent: o.yesNo("idempotent", ""),
+		Open:       o.yesNo("open", "no"),
+		Class:      Class(o.oneOf("class", string(Interactive), string(Interactive), string(Batch))),
+		Reach:      Reach(o.oneOf("reach", string(ReachAny), string(ReachDataCentre), string(ReachRegion), string(ReachAny))),
+		Cost:       o.tokens("cost", 1),
+		Timeout:    o.duration("timeout", defaultTimeout),
+		Requester:  requester,
+	}
+	if methods := o.text("methods", ""); methods != "" {
+		r.Methods = strings.Split(strings.ToUpper(methods), ",")
+	}
+	if r.Open && r.Pool == "" {
+		p.fail("open route %s needs a pool, since there is no workspace to charge for a model", path)
+	}
+	p.set.Routes = append(p.set.Routes, r)
+}
+
+// checkReferences verifies that every pool that is named exists.
+func (p *parser) checkReferences() {
+	for _, m := range p.set.Models {
+		p.line = p.where["model "+m.Name]
+		pool, ok := p.set.Pools[m.Pool]
+		if !ok {
+			p.fail("model %s names pool %q, which is not defined", m.Name, m.Pool)
+		} else if pool.Kind != Engine {
+			p.fail("model %s names pool %s, which is not of kind engine", m.Name, m.Pool)
+		}
+	}
+	for _, r := range p.set.Routes {
+		p.line = p.where["route "+r.Path]
+		if _, ok := p.set.Pools[r.Pool]; r.Pool != "" && !ok {
+			p.fail("route %s names pool %q, which is not defined", r.Path, r.Pool)
+		}
+	}
+}
+
+func validName(name string) bool {
+	if len(name) > 128 {
+		return false
+	}
+	for _, c := range name {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letter && !strings.ContainsRune("._-:/", c) {
+			return false
+		}
+	}
+	return name != ""
+}
+
+// options holds the key=value words of one rule and records faults in the parser.
+type options struct {
+	p      *parser
+	values map[string]string
+}
+
+func (p *parser) options(words []string) (*options, bool) {
+	o := &options{p: p, values: map[string]string{}}
+	for _, word := range words {
+		key, value, ok := strings.Cut(word, "=")
+		if !ok || key == "" || value == "" {
+			p.fail("%q is not of the form option=value", word)
+			return nil, false
+		}
+		if _, twice := o.values[key]; twice {
+			p.fail("option %s is given twice", key)
+			return nil, false
+		}
+		o.values[key] = value
+	}
+	return o, true
+}
+
+func (p *parser) rejectUnused(kind string, o *options) {
+	unused := make([]string, 0, len(o.values))
+	for key := range o.values {
+		unused = append(unused, key)
+	}
+	slices.Sort(unused)
+	for _, key := range unused {
+		p.fail("%s has no option %q", kind, key)
+	}
+}
+
+func (o *options) text(key, fallback string) string {
+	value, ok := o.values[key]
+	delete(o.values, key)
+	if !ok {
+		return fallback
+	}
+	return value
+}
+
+func (o *options) oneOf(key, fallback string, allowed ...string) string {
+	value := o.text(key, fallback)
+	if !slices.Contains(allowed, value) {
+		o.p.fail("%s=%s must be one of %s", key, value, strings.Join(allowed, ", "))
+	}
+	return value
+}
+
+// yesNo reads a required (empty fallback) or optional yes or no.
+func (o *options) yesNo(key, fallback string) bool {
+	value := o.text(key, fallback)
+	if value != "yes" && value != "no" {
+		o.p.fail("%s must be yes or no", key)
+	}
+	return value == "yes"
+}
+
+func (o *options) integer(key string, fallback, low, high int64) int64 {
+	value, ok := o.values[key]
+	delete(o.values, key)
+	if !ok {
+		return fallback
+	}
+	n, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || n < low || n > high {
+		o.p.fail("%s=%s must be a whole number from %d to %d", key, value, low, high)
+		return fallback
+	}
+	return n
+}
+
+func (o *options) tokens(key string, fallback int64) int64 {
+	return o.integer(key, fallback, 1, maxTokens)
+}
+
+func (o *options) rate(key string) int64 {
+	value, ok := o.values[key]
+	if !ok {
+		return 0
+	}
+	number, perSecond := strings.CutSuffix(value, "/s")
+	if !perSecond {
+		delete(o.values, key)
+		o.p.fail("%s=%s needs the unit tokens per second, as in %s=2000/s", key, value, key)
+		return 0
+	}
+	o.values[key] = number
+	return o.tokens(key, 0)
+}
+
+func (o *options) duration(key string, fallback time.Duration) time.Duration {
+	value := o.text(key, fallback.String())
+	d, err := time.ParseDuration(value)
+	if err != nil || d <= 0 || d > maxTimeout {
+		o.p.fail("%s=%s must be a duration with unit from 1ms to 1h, as in 30s", key, value)
+		return fallback
+	}
+	return d
+}
