--- /dev/null
+++ b/internal/proctest/fleet.go
@@ -0,0 +1,441 @@
+package proctest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"geraniumturn.example/geraniumturn/internal/ctl"
+	"geraniumturn.example/geraniumturn/internal/standin"
+)
+
+const (
+	// StartLimit bounds how long a host may take until it answers.
+	StartLimit = 20 * time.Second
+	pollPeriod = 20 * time.Millisecond
+
+	operatorToken = "operator-token-of-the-test"
+	announceToken = "announce-token-of-the-test"
+	digestKey     = "digest-key-of-the-test-fleet"
+)
+
+// Host describes one host of a test fleet.
+type Host struct {
+	Name       string
+	DataCentre string
+	Region     string
+	// Control gives it the control role and a data folder.
+	Control bool
+	// Disk gives it a data folder without the control role.
+	Disk bool
+}
+
+// Cantabrico is the fleet of the first user: four hosts, three data centres.
+func Cantabrico() []Host {
+	return []Host{
+		{Name: "gijon-1", DataCentre: "gijon-a", Region: "asturias", Control: true},
+		{Name: "gijon-2", DataCentre: "gijon-a", Region: "asturias"},
+		{Name: "santander-1", DataCentre: "santander-a", Region: "cantabria", Control: true},
+		{Name: "bilbao-1", DataCentre: "bilbao-a", Region: "euskadi", Control: true},
+	}
+}
+
+// Fleet is a set of running hosts.
+type Fleet struct {
+	t     testing.TB
+	dir   string
+	hosts []*process
+	// relays by "from>to", for the peer connections of each pair of hosts.
+	relays map[string]*Relay
+}
+
+type process struct {
+	Host
+	ip, http, peer string
+	cmd            *exec.Cmd
+	exited         chan struct{}
+	exitErr        error
+	stderr         *os.File
+}
+
+var build struct {
+	sync.Once
+	dir string
+	err error
+}
+
+// Binaries builds both programs once per test process and returns their folder.
+func Binaries(t testing.TB) string {
+	t.Helper()
+	build.Do(func() {
+		build.dir, build.err = os.MkdirTemp("", "geraniumturn-bin-")
+		if build.err != nil {
+			return
+		}
+		cmd := exec.Command("go", "build", "-o", build.dir+"/", "geraniumturn.example/geraniumturn/cmd/...")
+		if out, err := cmd.CombinedOutput(); err != nil {
+			build.err = fmt.Errorf("build: %w: %s", err, out)
+		}
+	})
+	if build.err != nil {
+		t.Fatal(build.err)
+	}
+	return build.dir
+}
+
+var nextNet struct {
+	sync.Mutex
+	n int
+}
+
+// loopback returns an IP number that no other fleet of this process uses. The
+// process id separates test processes that run at the same time.
+func loopback() string {
+	nextNet.Lock()
+	defer nextNet.Unlock()
+	nextNet.n++
+	return fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, nextNet.n/250, 1+nextNet.n%250)
+}
+
+// Start builds the binaries, starts all hosts and waits until they answer. The
+// fleet is stopped and its folder removed when the test ends.
+func Start(t testing.TB, hosts []Host) *Fleet {
+	t.Helper()
+	f := &Fleet{t: t, dir: t.TempDir(), relays: map[string]*Relay{}}
+	for _, h := range hosts {
+		ip := loopback()
+		f.hosts = append(f.hosts, &process{Host: h, ip: ip, http: freeAddress(t, ip), peer: freeAddress(t, ip)})
+	}
+	f.startRelays()
+	f.writeFiles()
+	t.Cleanup(f.stopAll)
+	for _, p := range f.hosts {
+		f.Launch(p.Name)
+	}
+	for _, p := range f.hosts {
+		f.AwaitHealthy(p.Name)
+	}
+	return f
+}
+
+func freeAddress(t testing.TB, ip string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (f *Fleet) startRelays() {
+	for _, from := range f.hosts {
+		for _, to := range f.hosts {
+			if from == to {
+				continue
+			}
+			r, err := NewRelay(from.ip+":0", to.peer)
+			if err != nil {
+				f.t.Fatal(err)
+			}
+			f.relays[from.Name+">"+to.Name] = r
+		}
+	}
+}
+
+func (f *Fleet) writeFiles() {
+	for name, content := range map[string]string{"operator": operatorToken, "announce": announceToken, "digest": digestKey} {
+		f.write(name, content)
+	}
+	for _, p := range f.hosts {
+		f.write(p.Name+".toml", f.settings(p))
+	}
+}
+
+func (f *Fleet) write(name, content string) {
+	if err := os.WriteFile(filepath.Join(f.dir, name), []byte(content), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *Fleet) settings(p *process) string {
+	var b strings.Builder
+	line := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
+	line("name = %q", p.Name)
+	line("data_centre = %q", p.DataCentre)
+	line("region = %q", p.Region)
+	if p.Control {
+		line(`roles = ["entry", "control"]`)
+	}
+	if p.Control || p.Disk {
+		line("data_dir = %q", f.DataDir(p.Name))
+	}
+	line("[listen]\nhttp = %q\npeer = %q", p.http, p.peer)
+	line("[control]\nvoters = [%s]", strings.Join(f.voters(), ", "))
+	line("[security]\noperator_token_file = %q\nannounce_token_file = %q\ndigest_key_file = %q\nallow_plaintext_peers = true",
+		f.dir+"/operator", f.dir+"/announce", f.dir+"/digest")
+	for _, o := range f.hosts {
+		if o != p {
+			line("[[hosts]]\nname = %q\ndata_centre = %q\nregion = %q\nhttp = %q\npeer = %q",
+				o.Name, o.DataCentre, o.Region, o.http, f.relays[p.Name+">"+o.Name].Address())
+		}
+	}
+	return b.String()
+}
+
+func (f *Fleet) voters() []string {
+	var out []string
+	for _, p := range f.hosts {
+		if p.Control {
+			out = append(out, fmt.Sprintf("%q", p.Name))
+		}
+	}
+	return out
+}
+
+func (f *Fleet) process(name string) *process {
+	f.t.Helper()
+	for _, p := range f.hosts {
+		if p.Name == name {
+			return p
+		}
+	}
+	f.t.Fatalf("no host %s", name)
+	return nil
+}
+
+// DataDir is the host's data folder.
+func (f *Fleet) DataDir(name string) string { return filepath.Join(f.dir, name) }
+
+// HTTP is the host's address for callers and operators.
+func (f *Fleet) HTTP(name string) string { return f.process(name).http }
+
+// Addresses lists the HTTP addresses of all hosts.
+func (f *Fleet) Addresses() []string {
+	var out []string
+	for _, p := range f.hosts {
+		out = append(out, p.http)
+	}
+	return out
+}
+
+// Launch starts the process of a host that does not run.
+func (f *Fleet) Launch(name string) {
+	f.t.Helper()
+	p := f.process(name)
+	stderr, err := os.OpenFile(filepath.Join(f.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	cmd := exec.Command(filepath.Join(Binaries(f.t), "geraniumturn"), "--settings", filepath.Join(f.dir, name+".toml"))
+	cmd.Stderr = stderr
+	if err := cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	exited := make(chan struct{})
+	p.cmd, p.exited, p.stderr = cmd, exited, stderr
+	go func() {
+		p.exitErr = cmd.Wait()
+		_ = stderr.Close()
+		close(exited)
+	}()
+}
+
+// AwaitHealthy waits until the host answers /healthz.
+func (f *Fleet) AwaitHealthy(name string) {
+	f.t.Helper()
+	p := f.process(name)
+	Eventually(f.t, StartLimit, func() error {
+		select {
+		case <-p.exited:
+			return fmt.Errorf("%s exited: %v\n%s", name, p.exitErr, f.Log(name))
+		default:
+		}
+		response, err := http.Get("http://" + p.http + "/healthz")
+		if err != nil {
+			return err
+		}
+		return response.Body.Close()
+	})
+}
+
+// Log returns what the host has logged.
+func (f *Fleet) Log(name string) string {
+	data, _ := os.ReadFile(filepath.Join(f.dir, name+".log"))
+	return string(data)
+}
+
+// Kill ends the host with SIGKILL and waits for it.
+func (f *Fleet) Kill(name string) { f.signalAndWait(name, syscall.SIGKILL) }
+
+// Terminate asks the host to stop and returns the error of its exit; nil is exit code 0.
+func (f *Fleet) Terminate(name string) error {
+	f.signalAndWait(name, syscall.SIGTERM)
+	return f.process(name).exitErr
+}
+
+// Signal sends a signal, such as SIGSTOP or SIGCONT, without waiting.
+func (f *Fleet) Signal(name string, signal syscall.Signal) {
+	f.t.Helper()
+	if err := f.process(name).cmd.Process.Signal(signal); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *Fleet) signalAndWait(name string, signal syscall.Signal) {
+	f.t.Helper()
+	p := f.process(name)
+	if err := p.cmd.Process.Signal(signal); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		f.t.Fatal(err)
+	}
+	<-p.exited
+}
+
+// RemoveData deletes the data folder of a stopped host.
+func (f *Fleet) RemoveData(name string) {
+	f.t.Helper()
+	if err := os.RemoveAll(f.DataDir(name)); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// Isolate cuts the peer connections between the named hosts and all others.
+func (f *Fleet) Isolate(names ...string) {
+	inside := map[string]bool{}
+	for _, n := range names {
+		inside[n] = true
+	}
+	f.eachRelay(func(from, to string, r *Relay) {
+		if inside[from] != inside[to] {
+			r.Cut()
+		}
+	})
+}
+
+// Heal restores all peer connections.
+func (f *Fleet) Heal() { f.eachRelay(func(_, _ string, r *Relay) { r.Heal() }) }
+
+// DelayBetweenDataCentres adds a one-way delay to peer traffic between data centres.
+func (f *Fleet) DelayBetweenDataCentres(d time.Duration) {
+	f.eachRelay(func(from, to string, r *Relay) {
+		if f.process(from).DataCentre != f.process(to).DataCentre {
+			r.Delay(d)
+		}
+	})
+}
+
+func (f *Fleet) eachRelay(do func(from, to string, r *Relay)) {
+	for key, r := range f.relays {
+		from, to, _ := strings.Cut(key, ">")
+		do(from, to, r)
+	}
+}
+
+// Admin calls the operators' interface of the named hosts, or of all.
+func (f *Fleet) Admin(names ...string) *ctl.Admin {
+	addresses := f.Addresses()
+	if len(names) > 0 {
+		addresses = nil
+		for _, n := range names {
+			addresses = append(addresses, f.HTTP(n))
+		}
+	}
+	return &ctl.Admin{Hosts: addresses, Token: operatorToken}
+}
+
+// Tool runs geraniumctl commands in this process; its output is discarded into out.
+func (f *Fleet) Tool(out *strings.Builder, names ...string) *ctl.Tool {
+	return &ctl.Tool{Admin: f.Admin(names...), Operator: "test", Out: out}
+}
+
+// Apply puts rules in force and waits until all hosts have them.
+func (f *Fleet) Apply(rules string) {
+	f.t.Helper()
+	f.write("rules", rules)
+	Eventually(f.t, StartLimit, func() error {
+		var out strings.Builder
+		return f.Tool(&out).Apply(context.Background(), filepath.Join(f.dir, "rules"), 0, "", true)
+	})
+}
+
+// Grant returns a caller key of the workspace that all hosts know.
+func (f *Fleet) Grant(workspace string) string {
+	f.t.Helper()
+	var out strings.Builder
+	if err := f.Tool(&out).Grant(context.Background(), workspace, true); err != nil {
+		f.t.Fatal(err)
+	}
+	return strings.TrimSpace(out.String())
+}
+
+// Target starts a simulated target that announces itself to the named hosts.
+// Name, data centre and pool of the config must be set.
+func (f *Fleet) Target(config standin.Config, announceTo ...string) *standin.Target {
+	f.t.Helper()
+	config.Token = announceToken
+	if config.Listen == "" {
+		config.Listen = loopback() + ":0"
+	}
+	if config.Slots == 0 {
+		config.Slots = 8
+	}
+	for _, name := range announceTo {
+		config.AnnounceTo = append(config.AnnounceTo, f.HTTP(name))
+	}
+	target, err := standin.Start(config)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.t.Cleanup(func() {
+		cancel()
+		target.Close()
+	})
+	go target.Run(ctx)
+	return target
+}
+
+func (f *Fleet) stopAll() {
+	for _, p := range f.hosts {
+		if p.cmd != nil {
+			_ = p.cmd.Process.Signal(syscall.SIGCONT)
+			_ = p.cmd.Process.Kill()
+			<-p.exited
+		}
+	}
+	for _, r := range f.relays {
+		r.Close()
+	}
+	if f.t.Failed() {
+		for _, p := range f.hosts {
+			f.t.Logf("log of %s:\n%s", p.Name, f.Log(p.Name))
+		}
+	}
+}
+
+// Eventually repeats the check until it gives no error, and fails the test when
+// the limit has passed.
+func Eventually(t testing.TB, limit time.Duration, check func() error) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for {
+		err := check()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %v", limit, err)
+		}
+		time.Sleep(pollPeriod)
+	}
+}
--- /dev/null
+++ b/internal/proof/doc.go
@@ -0,0 +1,2 @@
+// Package proof holds the tests that run the real binaries under faults.
+package proof
