targets, routing: add health, relay, cache index, summaries and site choice

Cause: the table took every announcement at face value, relayed each one with its load to all hosts without confirmation, and routing forwarded in a fixed order without knowing what other data centres can take. Change: incarnations and sequences, silence with the age of relayed announcements, ejection and probes, slow start, a bounded prefix index fed by cache events, a relay with urgent reports repeated until confirmed, compact load batches and digests for anti-entropy, exclusive leases; target policies behind one interface; summaries of 7 bytes per pool and model exchanged once a second, and a choice of data centre by expected time.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"geraniumturn.example/geraniumturn/internal/fleet"
 	"geraniumturn.example/geraniumturn/internal/keys"
 	"geraniumturn.example/geraniumturn/internal/peer"
+	"geraniumturn.example/geraniumturn/internal/routing"
 	"geraniumturn.example/geraniumturn/internal/settings"
 	"geraniumturn.example/geraniumturn/internal/targets"
 	"geraniumturn.example/geraniumturn/internal/timeline"
@@ -51,6 +52,9 @@
 	copy       *fleet.Copy
 	keys       *keys.Table
 	targets    *targets.Table
+	relay      *targets.Relay
+	relayWake  chan struct{}
+	router     *routing.Router
 	dispatcher *dispatch.Dispatcher
 	entry      *entry.Server
 	echo       *echo.Echo
@@ -69,7 +73,7 @@
 		transport: peer.New(s.Name, hlc, tlsConfig),
 		copy:      fleet.NewCopy(),
 		keys:      keys.NewTable(),
-		targets:   targets.NewTable(),
+		targets:   targets.NewTable(s.Name, s.DataCentre),
 	}
 	for _, build := range []func() error{d.buildControl, d.buildFleet, d.buildTargets, d.buildDispatch, d.buildHTTP} {
 		if err := build(); err != nil {
@@ -119,7 +123,7 @@
 
 // loops are the background tasks; each returns when its context ends.
 func (d *Daemon) loops() []func(context.Context) error {
-	return []func(context.Context) error{d.pullLoop}
+	return []func(context.Context) error{d.pullLoop, d.relayLoop, d.exchangeLoop}
 }
 
 func (d *Daemon) addLoop(g *run.Group, loop func(context.Context) error) {
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -33,7 +33,7 @@
 	(&fleet.Admin{Log: d.controlLog, Copy: d.copy}).Register(admin)
 	d.events.Register(admin)
 	admin.GET("/status", d.status)
-	targets.Register(e.Group("/targets/v1", entry.RequireToken(announceToken)), d.targets, d.relayAnnouncement)
+	targets.Register(e.Group("/targets/v1", entry.RequireToken(announceToken)), d.targets, d.urgentAnnouncement)
 	d.echo = e
 	return nil
 }
--- /dev/null
+++ b/internal/routing/summary.go
@@ -0,0 +1,95 @@
+package routing
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ErrInvalid means that a summary cannot be read.
+var ErrInvalid = errors.New("routing: invalid summary")
+
+const (
+	keyBytes = 3
+	rowBytes = keyBytes + 4
+	// maxRows bounds a summary; the target size has 27 models and a few services.
+	maxRows = 128
+	// stepsPerDoubling is the resolution of quantised figures: 8 steps are 9 % each.
+	stepsPerDoubling = 8
+)
+
+// key names a pool and model in summaries: 24 bits of a digest. At 27 models
+// two of them collide with a probability of 2 in 100,000.
+type key uint32
+
+func keyOf(pool, model string) key {
+	return key(xxhash.Sum64String(pool+"\x00"+model) >> 40)
+}
+
+// Row is what a data centre says about one pool and model.
+type Row struct {
+	// Room is how many more requests it takes from the asker.
+	Room int
+	// Wait is the expected time for a slot, Service that of a whole answer,
+	// Prefill the time per uncached prompt token.
+	Wait, Service, Prefill time.Duration
+}
+
+func appendKey(out []byte, k key) []byte { return append(out, byte(k>>16), byte(k>>8), byte(k)) }
+
+// appendRow packs a row. Room is rounded down, the times to the nearest step.
+func appendRow(out []byte, k key, r Row) []byte {
+	out = appendKey(out, k)
+	return append(out, quantiseDown(r.Room), quantise(r.Wait.Milliseconds()),
+		quantise(r.Service.Milliseconds()), quantise(r.Prefill.Microseconds()))
+}
+
+func quantise(v int64) byte {
+	return byte(min(math.Round(stepsPerDoubling*math.Log2(1+float64(max(v, 0)))), math.MaxUint8))
+}
+
+func quantiseDown(v int) byte {
+	b := quantise(int64(v))
+	if value(b) > int64(v) {
+		b--
+	}
+	return b
+}
+
+// value is the inverse of quantise, rounded to the nearest integer.
+func value(b byte) int64 {
+	return int64(math.Round(math.Exp2(float64(b)/stepsPerDoubling) - 1))
+}
+
+func parseRows(data []byte) (map[key]Row, error) {
+	if len(data)%rowBytes != 0 || len(data) > maxRows*rowBytes {
+		return nil, fmt.Errorf("%w: %d bytes of rows", ErrInvalid, len(data))
+	}
+	out := make(map[key]Row, len(data)/rowBytes)
+	for ; len(data) > 0; data = data[rowBytes:] {
+		out[keyAt(data)] = Row{
+			Room: int(min(value(data[3]), math.MaxInt32)), Wait: time.Duration(value(data[4])) * time.Millisecond,
+			Service: time.Duration(value(data[5])) * time.Millisecond, Prefill: time.Duration(value(data[6])) * time.Microsecond,
+		}
+	}
+	return out, nil
+}
+
+func parseKeys(data []byte) ([]key, error) {
+	if len(data)%keyBytes != 0 || len(data) > maxRows*keyBytes {
+		return nil, fmt.Errorf("%w: %d bytes of keys", ErrInvalid, len(data))
+	}
+	var out []key
+	for ; len(data) > 0; data = data[keyBytes:] {
+		out = append(out, keyAt(data))
+	}
+	return out, nil
+}
+
+func keyAt(data []byte) key {
+	return key(binary.BigEndian.Uint32([]byte{0, data[0], data[1], data[2]}))
+}
--- a/internal/targets/http.go
+++ b/internal/targets/http.go
@@ -2,56 +2,85 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
 	"github.com/labstack/echo/v4"
 
+	"geraniumturn.example/geraniumturn/internal/peer"
 	"geraniumturn.example/geraniumturn/internal/targets/targetspb"
 )
 
 // MaxAnnouncementBytes bounds the body of an announcement.
 const MaxAnnouncementBytes = 256 << 10
 
-// Relay passes an announcement on to the other hosts of the data centre.
-type Relay func(data []byte, urgent bool)
-
-// Register adds POST /announce to the group for /targets/v1.
-func Register(g *echo.Group, table *Table, relay Relay) {
+// Register adds POST /announce and POST /cache-events to the group for
+// /targets/v1. Urgent is told about announcements that other hosts must learn
+// at once.
+func Register(g *echo.Group, table *Table, urgent func(*Announcement)) {
 	g.POST("/announce", func(c echo.Context) error {
-		var a Announcement
-		body := http.MaxBytesReader(c.Response(), c.Request().Body, MaxAnnouncementBytes)
-		if err := json.NewDecoder(body).Decode(&a); err != nil {
-			return echo.NewHTTPError(http.StatusBadRequest, fmt.Sprintf("announcement is no valid JSON: %v", err))
+		data, err := body(c, MaxAnnouncementBytes)
+		if err != nil {
+			return err
 		}
-		urgent, err := table.Announce(time.Now(), a)
-		switch {
-		case errors.Is(err, ErrStale):
-			return echo.NewHTTPError(http.StatusConflict, err.Error())
-		case err != nil:
+		a, err := DecodeAnnouncement(data)
+		if err != nil {
 			return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 		}
-		if data, err := json.Marshal(a); err == nil {
-			relay(data, urgent)
+		isUrgent, err := table.Announce(time.Now(), a)
+		if err != nil {
+			return httpError(err)
+		}
+		if isUrgent {
+			urgent(&a)
+		}
+		return c.NoContent(http.StatusNoContent)
+	})
+	g.POST("/cache-events", func(c echo.Context) error {
+		data, err := body(c, MaxCacheEventBytes)
+		if err != nil {
+			return err
+		}
+		e, err := DecodeCacheEvent(data)
+		if err != nil {
+			return httpError(err)
+		}
+		if err := table.Cache(&e); err != nil {
+			return httpError(err)
 		}
 		return c.NoContent(http.StatusNoContent)
 	})
 }
 
-// Service takes announcements that other hosts pass on.
+func body(c echo.Context, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+	if err != nil {
+		return nil, echo.NewHTTPError(http.StatusBadRequest, fmt.Sprintf("body cannot be read: %v", err))
+	}
+	return data, nil
+}
+
+func httpError(err error) error {
+	switch {
+	case errors.Is(err, ErrStale):
+		return echo.NewHTTPError(http.StatusConflict, err.Error())
+	case errors.Is(err, ErrFull):
+		return echo.NewHTTPError(http.StatusServiceUnavailable, err.Error())
+	}
+	return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+}
+
+// Service takes announcements that other hosts relay.
 type Service struct{ Table *Table }
 
 // Relay implements the drpc service.
-func (s Service) Relay(_ context.Context, in *targetspb.RelayRequest) (*targetspb.RelayResponse, error) {
-	var a Announcement
-	if err := json.Unmarshal(in.GetAnnouncement(), &a); err != nil {
-		return nil, fmt.Errorf("targets: relayed announcement: %w", err)
-	}
-	if _, err := s.Table.Announce(time.Now(), a); err != nil && !errors.Is(err, ErrStale) {
-		return nil, err
+func (s Service) Relay(ctx context.Context, in *targetspb.RelayRequest) (*targetspb.RelayResponse, error) {
+	out, err := s.Table.Receive(time.Now(), peer.Sender(ctx), in)
+	if err != nil {
+		return nil, fmt.Errorf("targets: relay from %s: %w", peer.Sender(ctx), err)
 	}
-	return &targetspb.RelayResponse{}, nil
+	return out, nil
 }
