--- a/internal/routing/estimate.go
+++ b/internal/routing/estimate.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"time"
 
 	"geraniumturn.example/geraniumturn/internal/dispatch"
@@ -50,6 +51,20 @@
 	return w
 }
 
+// ageLoads corrects the counts of other hosts for their age: after several
+// service times the requests that a count stands for have ended, and the
+// average says more about the current load than the count does.
+func ageLoads(candidates []targets.Candidate, service time.Duration) {
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Others == 0 && c.OthersMean < 0.5 {
+			continue
+		}
+		fresh := math.Exp(-float64(c.OthersAge) / float64(max(service, time.Millisecond)))
+		c.Load = c.Own + int(math.Round(fresh*float64(c.Others)+(1-fresh)*c.OthersMean))
+	}
+}
+
 // AttemptBegins implements dispatch.Observer.
 func (r *Router) AttemptBegins(req *dispatch.Request, t *targets.Target) {
 	r.mu.Lock()
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -104,7 +104,7 @@
 }
 
 // DefaultAffinity has the parameters that docs/POLICY.md gives the figures for.
-var DefaultAffinity = Affinity{Bound: 1.25, Spread: 0.05, Contention: 0.3}
+var DefaultAffinity = Affinity{Bound: 1.5, Spread: 0.05, Contention: 0.3}
 
 // Pick implements Policy.
 func (p Affinity) Pick(random *rand.Rand, w *Work, c []targets.Candidate) int {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -141,6 +141,7 @@
 	r.candidates = r.config.Table.Candidates(r.candidates[:0], now, q)
 	r.candidates = slices.DeleteFunc(r.candidates, func(c targets.Candidate) bool { return !r.reaches(req, c.DataCentre) })
 	w := r.work(k, req)
+	ageLoads(r.candidates, w.Service)
 	if s := r.away(now, k, req, tried, w); s != nil {
 		if choice, ok := r.forward(now, k, req, s); ok {
 			return choice, nil
--- a/internal/routing/sites.go
+++ b/internal/routing/sites.go
@@ -247,7 +247,7 @@
 }
 
 // DefaultExpectedTime has the parameters that docs/POLICY.md gives the figures for.
-var DefaultExpectedTime = ExpectedTime{Gain: 0.2, Margin: 20 * time.Millisecond, Return: 1.0 / 16, ReturnStep: 2 * time.Second}
+var DefaultExpectedTime = ExpectedTime{Gain: 0.05, Return: 0.25, ReturnStep: 2 * time.Second}
 
 // Pick implements SitePolicy.
 func (p ExpectedTime) Pick(random *rand.Rand, pool *PoolState, now time.Time, local View, sites []View) int {
--- a/internal/targets/announcement.go
+++ b/internal/targets/announcement.go
@@ -28,6 +28,13 @@
 	// AnnounceInterval is how often a target announces itself.
 	AnnounceInterval = time.Second
 
+	// transitAllowance is how long an announcement may take to a host, and a
+	// relayed one to the next. Work stops that much before SilenceLimit, so that
+	// 3 s after one host learnt that a target leaves, hosts that are cut off
+	// from that host have stopped as well.
+	transitAllowance = 200 * time.Millisecond
+	workLimit        = SilenceLimit - transitAllowance
+
 	maxSlots     = 100_000
 	maxName      = 128
 	maxListItems = 256
--- a/internal/targets/candidates.go
+++ b/internal/targets/candidates.go
@@ -28,6 +28,11 @@
 	Slots, Limit int
 	// Own is what this host has in flight; Load estimates what all hosts have.
 	Own, Load int
+	// Others is the part of Load that is not Own, as of OthersAge ago;
+	// OthersMean is its average over the last reports.
+	Others     int
+	OthersAge  time.Duration
+	OthersMean float64
 	// Reported is the last announced load, uncorrected.
 	Reported int
 	// FreeKV is the estimated free cache room in tokens; -1 when not known.
@@ -62,7 +67,7 @@
 }
 
 func (r *record) available(now time.Time) bool {
-	return !r.Leaving && now.Sub(r.heard) < SilenceLimit
+	return !r.Leaving && now.Sub(r.heard) < workLimit
 }
 
 func (r *record) leased(now time.Time) bool {
@@ -77,21 +82,35 @@
 func (r *record) candidate(now time.Time, prefixes []uint64) Candidate {
 	c := Candidate{
 		Name: r.Name, DataCentre: r.DataCentre, Incarnation: r.Incarnation, Slots: r.Slots,
-		Limit: slowStartLimit(now.Sub(r.slowFrom), r.Slots), Own: r.inFlight, Load: r.load(now),
+		Limit: slowStartLimit(now.Sub(r.slowFrom), r.Slots), Own: r.inFlight,
+		Others: r.others(now), OthersAge: r.othersAge(now), OthersMean: r.othersMean,
 		Reported: r.Running + r.Queued, FreeKV: -1, Cached: r.cache.match(prefixes), Probe: r.health.ejected,
 	}
+	c.Load = c.Own + c.Others
 	if r.hasKV {
 		c.FreeKV = max(r.FreeKVTokens-r.tokensSince, 0)
 	}
 	return c
 }
 
-// load estimates the requests of all hosts on the target: this host's exact
-// count, what the other hosts report, and reported load that no host claims.
-// The last is the least of three reports, because a single lagging report
-// differs from the counts by the requests that came and went meanwhile.
-func (r *record) load(now time.Time) int {
-	return r.inFlight + r.peerLoad(now) + min(r.unexplained[0], r.unexplained[1], r.unexplained[2])
+// load estimates the requests of all hosts on the target.
+func (r *record) load(now time.Time) int { return r.inFlight + r.others(now) }
+
+// others is what the other hosts report, and reported load that no host
+// claims. The latter is the least of three reports, because a single lagging
+// report differs from the counts by the requests that came and went meanwhile.
+func (r *record) others(now time.Time) int {
+	return r.peerLoad(now) + min(r.unexplained[0], r.unexplained[1], r.unexplained[2])
+}
+
+func (r *record) othersAge(now time.Time) time.Duration {
+	last := r.heard.Add(-time.Duration(r.LagMS) * time.Millisecond)
+	for _, p := range r.peers {
+		if p.heard.After(last) {
+			last = p.heard
+		}
+	}
+	return now.Sub(last)
 }
 
 // Claim notes that the candidate was chosen. It fails when the target may not
--- a/internal/targets/table.go
+++ b/internal/targets/table.go
@@ -21,6 +21,8 @@
 	// peerLoadLimit is how long the in-flight counts of another host count
 	// without renewal.
 	peerLoadLimit = 10 * time.Second
+	// othersWeight is the weight of the newest report in othersMean.
+	othersWeight = 0.3
 	// maxPeerHosts bounds the other hosts whose counts are kept per target.
 	maxPeerHosts = 64
 )
@@ -59,6 +61,8 @@
 	ownBefore, ownAtReport int
 	// unexplained holds, for the last reports, the load that no host claims.
 	unexplained [3]int
+	// othersMean is a moving average of the load that is not this host's own.
+	othersMean float64
 	// tokensSince are the tokens of requests begun here since the last report.
 	tokensSince int64
 	peers       map[string]peerLoad
@@ -212,7 +216,7 @@
 		r.earlier[r.Incarnation] = r.inFlight
 	}
 	r.inFlight, r.ownBefore, r.ownAtReport, r.tokensSince, r.hasKV = 0, 0, 0, 0, false
-	r.unexplained = [3]int{}
+	r.unexplained, r.othersMean = [3]int{}, 0
 	r.peers = nil
 	r.slowFrom = now.Add(-time.Duration(min(a.Sequence-1, 3600)) * AnnounceInterval)
 	r.health.reset()
@@ -230,6 +234,7 @@
 	}
 	copy(r.unexplained[1:], r.unexplained[:])
 	r.unexplained[0] = max(r.Running+r.Queued-own-r.peerLoad(now), 0)
+	r.othersMean += othersWeight * (float64(r.others(now)) - r.othersMean)
 	r.tokensSince = 0
 }
 
--- /dev/null
+++ b/internal/targets/table_test.go
@@ -0,0 +1,133 @@
+package targets
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Guards against a table and prefix indexes that grow with what targets send.
+func TestBoundedMemory(t *testing.T) {
+	table, now := NewTable("host", "here"), time.Unix(1000, 0)
+	for i := range MaxTargets + 10 {
+		a := announcement(fmt.Sprint("t", i), fields{})
+		_, err := table.Announce(now, a)
+		if full := errors.Is(err, ErrFull); full != (i >= MaxTargets) {
+			t.Fatalf("target %d: %v", i, err)
+		}
+		e := &CacheEvent{Target: a.Name, Incarnation: 1, Sequence: 1}
+		for k := range 3000 {
+			e.Stored = append(e.Stored, Prefix(i*10_000+k))
+		}
+		_ = table.Cache(e)
+	}
+	e := &CacheEvent{Target: "t5", Incarnation: 1, Sequence: 2}
+	for k := range 3000 {
+		e.Stored = append(e.Stored, Prefix(k))
+	}
+	if err := table.Cache(e); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(table.targets["t5"].cache.ring); n > table.indexLimit() {
+		t.Errorf("one index holds %d prefixes, the bound is %d", n, table.indexLimit())
+	}
+	total := 0
+	for _, r := range table.targets {
+		total += len(r.cache.ring)
+	}
+	if total > maxIndexTotal {
+		t.Errorf("the indexes hold %d prefixes, the bound is %d", total, maxIndexTotal)
+	}
+	if _, err := table.Announce(now.Add(forgetAfter), announcement("later", fields{})); err != nil {
+		t.Errorf("no room although all others are gone: %v", err)
+	}
+}
+
+type twoHosts struct{ other string }
+
+func (p twoHosts) Local() []string    { return []string{p.other} }
+func (p twoHosts) In(string) []string { return nil }
+
+// Guards against new work on a leased target, from this host or another, and
+// against two hosts that both believe to be alone after a lease at one time.
+func TestLease(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, b := NewTable("a", "here"), NewTable("b", "here")
+	toB, toA := NewRelay(a, twoHosts{"b"}), NewRelay(b, twoHosts{"a"})
+	announced := announcement("t1", fields{"seq": "100"})
+	exchange := func() {
+		now = now.Add(BatchInterval)
+		announced.Sequence++
+		if _, err := a.Announce(now, announced); err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range toB.Tick(now) {
+			response, err := b.Receive(now, "a", m.Request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			toB.Done(now, m, response)
+		}
+		for _, m := range toA.Tick(now) {
+			response, err := a.Receive(now, "b", m.Request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			toA.Done(now, m, response)
+		}
+	}
+	if _, err := a.Announce(now, announced); err != nil {
+		t.Fatal(err)
+	}
+	toB.Urgent(&announced)
+	exchange()
+	q := &Query{Pool: "pool", Model: "model"}
+	b.Begin(now, "t1", 1, 0, nil)
+	leaseA, errA := a.Lease(now, q, time.Minute)
+	leaseB, errB := b.Lease(now, q, time.Minute)
+	if errA != nil || errB != nil {
+		t.Fatal(errA, errB)
+	}
+	exchange()
+	if leaseA.Alone(now) || leaseB.Alone(now) {
+		t.Error("alone although b runs a request")
+	}
+	b.End(now, "t1", 1, Worked, false)
+	exchange()
+	if !leaseA.Alone(now) || leaseB.Alone(now) {
+		t.Error("the lease of the host with the lower name must win")
+	}
+	if n := len(a.Candidates(nil, now, q)) + len(b.Candidates(nil, now, q)); n != 0 {
+		t.Error("a leased target may get new work")
+	}
+	leaseA.Release()
+	leaseB.Release()
+	exchange()
+	if len(a.Candidates(nil, now, q)) != 1 || len(b.Candidates(nil, now, q)) != 1 {
+		t.Error("a released target gets no work")
+	}
+}
+
+// Guards against a waiter for room that is not woken.
+func TestChangedAfterEnd(t *testing.T) {
+	table, now := NewTable("host", "here"), time.Unix(1000, 0)
+	if _, err := table.Announce(now, announcement("t1", fields{"slots": "1", "seq": "100"})); err != nil {
+		t.Fatal(err)
+	}
+	q := &Query{Pool: "pool", Model: "model"}
+	table.Begin(now, "t1", 1, 0, nil)
+	if c := table.Capacity(now, q); c.Room != 0 {
+		t.Fatalf("room is %d", c.Room)
+	}
+	changed := table.Changed()
+	table.End(now, "t1", 1, Worked, false)
+	select {
+	case <-changed:
+	default:
+		t.Error("the end of a request does not wake waiters")
+	}
+	if c := table.Capacity(now, q); c.Room != 1 {
+		t.Errorf("room is %d", c.Room)
+	}
+}
