--- a/internal/daemon/targets.go
+++ b/internal/daemon/targets.go
@@ -23,8 +23,6 @@
 	exchangeTimeout = 2 * time.Second
 	// relayTick is how often the relay looks for messages that are due.
 	relayTick = 100 * time.Millisecond
-	// gaugeTicks is the number of relay ticks between updates of the gauges.
-	gaugeTicks = 10
 )
 
 func (d *Daemon) buildTargets() error {
@@ -79,7 +77,7 @@
 	defer ticker.Stop()
 	var sends sync.WaitGroup
 	defer sends.Wait()
-	for n := 0; ; n++ {
+	for {
 		select {
 		case <-ctx.Done():
 			return nil
@@ -90,9 +88,6 @@
 		for _, m := range d.relay.Tick(time.Now()) {
 			sends.Go(func() { d.sendRelay(ctx, m) })
 		}
-		if n%gaugeTicks == 0 {
-			d.targetGauges()
-		}
 	}
 }
 
@@ -143,27 +138,47 @@
 	}
 }
 
-// targetGauges publishes the counters of the table, the relay and the router.
-func (d *Daemon) targetGauges() {
-	t, l, r := d.targets.Stats(), d.relay.Stats(), d.router.Stats()
-	for name, value := range map[string]int64{
-		"targets.known": int64(len(d.targets.All())), "targets.stale": t.Stale, "targets.full": t.Full,
-		"targets.ejections": t.Ejections, "targets.returns": t.Returns, "targets.cache_gaps": t.CacheGaps,
-		"targets.expired": t.Expired, "invariant.negative_in_flight": t.NegativeInFlight, "invariant.leaving": t.LeavingWork,
-		"relay.messages": l.Messages, "relay.failures": l.Failures, "relay.repairs": l.Repairs, "relay.bytes": l.BytesSent,
-		"routing.local": r.Local, "routing.forwarded": r.Forwarded, "routing.forwarded_unknown": r.Unknown,
-		"routing.no_target": r.NoTarget, "routing.no_room": r.NoRoom, "routing.probes": r.Probes,
-		"routing.exchanges": r.Exchanges, "routing.exchanges_failed": r.ExchangesFailed, "routing.summary_bytes": r.BytesAsked,
-		"invariant.residency": r.ResidencyViolations, "invariant.reach": r.ReachViolations,
+// registerTargetGauges exposes the counters of the table, the relay and the
+// router; they are read when /metrics is.
+func (d *Daemon) registerTargetGauges() {
+	gauge := func(name string, value func() int64) {
+		d.metrics.GetOrRegister(name, metrics.NewFunctionalGauge(value))
+	}
+	for name, pick := range map[string]func(targets.Stats) int64{
+		"targets.stale": func(s targets.Stats) int64 { return s.Stale }, "targets.full": func(s targets.Stats) int64 { return s.Full },
+		"targets.ejections": func(s targets.Stats) int64 { return s.Ejections }, "targets.returns": func(s targets.Stats) int64 { return s.Returns },
+		"targets.cache_gaps": func(s targets.Stats) int64 { return s.CacheGaps }, "targets.expired": func(s targets.Stats) int64 { return s.Expired },
+		"invariant.negative_in_flight": func(s targets.Stats) int64 { return s.NegativeInFlight },
+		"invariant.leaving":            func(s targets.Stats) int64 { return s.LeavingWork },
+	} {
+		gauge(name, func() int64 { return pick(d.targets.Stats()) })
+	}
+	for name, pick := range map[string]func(targets.RelayStats) int64{
+		"relay.messages": func(s targets.RelayStats) int64 { return s.Messages }, "relay.failures": func(s targets.RelayStats) int64 { return s.Failures },
+		"relay.repairs": func(s targets.RelayStats) int64 { return s.Repairs }, "relay.bytes": func(s targets.RelayStats) int64 { return s.BytesSent },
+	} {
+		gauge(name, func() int64 { return pick(d.relay.Stats()) })
+	}
+	for name, pick := range map[string]func(routing.Stats) int64{
+		"routing.local": func(s routing.Stats) int64 { return s.Local }, "routing.forwarded": func(s routing.Stats) int64 { return s.Forwarded },
+		"routing.forwarded_unknown": func(s routing.Stats) int64 { return s.Unknown }, "routing.no_target": func(s routing.Stats) int64 { return s.NoTarget },
+		"routing.no_room": func(s routing.Stats) int64 { return s.NoRoom }, "routing.probes": func(s routing.Stats) int64 { return s.Probes },
+		"routing.exchanges":        func(s routing.Stats) int64 { return s.Exchanges },
+		"routing.exchanges_failed": func(s routing.Stats) int64 { return s.ExchangesFailed },
+		"routing.summary_bytes":    func(s routing.Stats) int64 { return s.BytesAsked },
+		"invariant.residency":      func(s routing.Stats) int64 { return s.ResidencyViolations },
+		"invariant.reach":          func(s routing.Stats) int64 { return s.ReachViolations },
 	} {
-		metrics.GetOrRegisterGauge(name, d.metrics).Update(value)
+		gauge(name, func() int64 { return pick(d.router.Stats()) })
 	}
+	gauge("targets.known", func() int64 { return int64(len(d.targets.All())) })
 }
 
 func (d *Daemon) buildDispatch() error {
 	self := d.settings.Self()
 	d.router = routing.New(routing.Config{Host: self.Name, DataCentre: self.DataCentre, Region: self.Region,
 		Table: d.targets, Hosts: routing.HostsFunc(d.sites)})
+	d.registerTargetGauges()
 	if err := d.transport.Register(routing.Service{Router: d.router}, routingpb.DRPCRoutingDescription{}); err != nil {
 		return err
 	}
