--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -387,12 +387,14 @@
 	if !failed {
 		return
 	}
-	f.closed = true
+	// The host failed or refused for load. Other hosts of the data centre are
+	// used meanwhile; without one, nothing is sent until its next summary.
 	if len(u.site.hosts) > 1 {
-		// It may also have refused for load. The only host of a data centre is
-		// judged by the exchange.
 		r.hostFailed(u.host, now)
 	}
+	if _, ok := r.pickHost(r.random, u.site, now); !ok || len(u.site.hosts) == 1 {
+		f.closed = true
+	}
 }
 
 // assert checks residency and reach once more at the moment of the choice, by
