--- a/client/client.go
+++ b/client/client.go
@@ -58,6 +58,10 @@
 	IdempotencyKey string
 	// Timeout bounds the call over all attempts; default 60 s.
 	Timeout time.Duration
+	// MaxAttempts bounds the attempts; default 4.
+	MaxAttempts int
+	// ReturnRefusals returns a refusal at once unless it names other hosts.
+	ReturnRefusals bool
 }
 
 // Client finds entry hosts and calls them. It is safe for concurrent use.
@@ -134,24 +138,31 @@
 	if r.Timeout <= 0 {
 		r.Timeout = time.Minute
 	}
+	if r.MaxAttempts <= 0 {
+		r.MaxAttempts = defaultAttempts
+	}
 	deadline := time.Now().Add(r.Timeout)
 	hosts := c.Hosts(ctx)
 	last := ErrNoHost
-	for i := range defaultAttempts {
+	next := 0
+	for range r.MaxAttempts {
 		if len(hosts) == 0 || time.Now().After(deadline) || ctx.Err() != nil {
 			break
 		}
-		response, err := c.send(ctx, hosts[i%len(hosts)], r, time.Until(deadline))
+		response, err := c.send(ctx, hosts[next%len(hosts)], r, time.Until(deadline))
 		if err == nil {
 			return response, nil
 		}
 		last = err
+		next++
 		if !mayRetry(r, err) {
 			return nil, err
 		}
 		if refused, ok := errors.AsType[*RefusalError](err); ok {
 			if len(refused.Hosts) > 0 {
-				hosts = refused.Hosts
+				hosts, next = refused.Hosts, 0
+			} else if r.ReturnRefusals {
+				return nil, err
 			} else if wait(ctx, min(refused.RetryAfter, time.Until(deadline))) != nil {
 				break
 			}
--- /dev/null
+++ b/internal/bench/scenario_test.go
@@ -0,0 +1,285 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"geraniumturn.example/geraniumturn/internal/proctest"
+	"geraniumturn.example/geraniumturn/internal/rules"
+	"geraniumturn.example/geraniumturn/internal/standin"
+)
+
+var (
+	scenarioFlag = flag.String("scenarios", "smoke", "scenarios to run, separated by commas, or all")
+	policyFlag   = flag.String("policies", "default", "target/data-centre policies to compare, separated by commas")
+	outFlag      = flag.String("out", "", "folder for the report; empty writes none")
+	seedFlag     = flag.Uint64("seed", 1, "seed of the arrivals")
+)
+
+// smoke is a short run for the normal tests: it guards the load generator and
+// the measures themselves, and that a healthy fleet answers everything.
+func smoke() Scenario {
+	s := Cantabrico()
+	s.Name, s.Duration, s.Warmup = "smoke", 6*time.Second, 3*time.Second
+	for i := range s.Streams {
+		s.Streams[i].PerSecond /= 4
+	}
+	return s
+}
+
+// TestScenarios runs scenarios on real processes and reports the measures.
+func TestScenarios(t *testing.T) {
+	var all []Measures
+	for _, s := range chosenScenarios(t) {
+		for policy := range strings.SplitSeq(*policyFlag, ",") {
+			t.Run(s.Name+"/"+policy, func(t *testing.T) {
+				m := runScenario(t, &s, policy)
+				all = append(all, m)
+				check(t, &s, m)
+			})
+		}
+	}
+	t.Log("\n" + Table(all))
+	if *outFlag != "" {
+		if err := Report(*outFlag, all); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func chosenScenarios(t *testing.T) []Scenario {
+	t.Helper()
+	if *scenarioFlag == "smoke" {
+		return []Scenario{smoke()}
+	}
+	names := strings.Split(*scenarioFlag, ",")
+	var out []Scenario
+	for _, s := range Scenarios() {
+		if *scenarioFlag == "all" || slices.Contains(names, s.Name) {
+			out = append(out, s)
+		}
+	}
+	if len(out) == 0 {
+		t.Fatalf("no scenario %q", *scenarioFlag)
+	}
+	return out
+}
+
+func check(t *testing.T, s *Scenario, m Measures) {
+	t.Helper()
+	if m.OperationsRepeated != 0 {
+		t.Errorf("%d operations ran more than once", m.OperationsRepeated)
+	}
+	if s.Name == "smoke" && (m.Requests == 0 || m.Whole != m.Requests) {
+		t.Errorf("%d of %d requests got a whole answer: %v", m.Whole, m.Requests, m.Refusals)
+	}
+}
+
+// deployment is a running scenario.
+type deployment struct {
+	t       *testing.T
+	s       *Scenario
+	fleet   *proctest.Fleet
+	targets []*standin.Target
+}
+
+func runScenario(t *testing.T, s *Scenario, policy string) Measures {
+	d := deploy(t, s, policy)
+	set, err := rules.Parse(s.Rules)
+	if err != nil {
+		t.Fatal(err)
+	}
+	load := &Load{Arrivals: Schedule(*seedFlag, s.Streams, s.Duration), Warmup: s.Warmup, Rules: set,
+		Keys: map[string]string{}, Entry: map[string][]string{}}
+	for name := range set.Workspaces {
+		load.Keys[name] = d.fleet.Grant(name)
+	}
+	for _, site := range s.Sites {
+		for _, h := range site.Hosts {
+			load.Entry[site.DataCentre] = append(load.Entry[site.DataCentre], d.fleet.HTTP(h))
+		}
+	}
+	d.awaitTargets(load)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go d.faults(ctx)
+	recorder := load.Run(ctx)
+	m := Measure(s, recorder, d.totals(), d.sentAway(), d.repeated())
+	m.Policy, m.Seed = policy, *seedFlag
+	return m
+}
+
+func deploy(t *testing.T, s *Scenario, policy string) *deployment {
+	var hosts []proctest.Host
+	for _, site := range s.Sites {
+		for i, name := range site.Hosts {
+			hosts = append(hosts, proctest.Host{Name: name, DataCentre: site.DataCentre, Region: site.Region,
+				Control: i == 0, Extra: policySettings(t, policy)})
+		}
+	}
+	d := &deployment{t: t, s: s, fleet: proctest.Start(t, hosts)}
+	d.fleet.DelayBetweenDataCentres(s.OneWay)
+	d.fleet.Apply(s.Rules)
+	for _, site := range s.Sites {
+		for i := range site.Engines {
+			d.start(s.Engine, site, fmt.Sprintf("engine-%s-%d", site.DataCentre, i))
+		}
+		for i := range site.Services {
+			d.start(s.Service, site, fmt.Sprintf("service-%s-%d", site.DataCentre, i))
+		}
+	}
+	return d
+}
+
+// policySettings turns "default" or "TARGET/DATA_CENTRE" into settings.
+func policySettings(t *testing.T, policy string) string {
+	t.Helper()
+	if policy == "default" {
+		return ""
+	}
+	target, dataCentre, ok := strings.Cut(policy, "/")
+	if !ok {
+		t.Fatalf("policy %q must be default or TARGET/DATA_CENTRE", policy)
+	}
+	return fmt.Sprintf("[policy]\ntarget = %q\ndata_centre = %q", target, dataCentre)
+}
+
+func (d *deployment) start(config standin.Config, site Site, name string) {
+	config.Name, config.DataCentre, config.CrashPause = name, site.DataCentre, 3*time.Second
+	d.targets = append(d.targets, d.fleet.Target(config, site.Hosts...))
+}
+
+// awaitTargets waits until each data centre answers a request of each stream.
+func (d *deployment) awaitTargets(load *Load) {
+	clients := load.clients()
+	for i := range d.s.Streams {
+		s := &d.s.Streams[i]
+		probe := *s
+		probe.Prefixes, probe.QuestionTokens, probe.MaxTokens = 0, 1, 1
+		a := Schedule(uint64(i)+1000, []Stream{probe}, time.Hour)[0]
+		if a.IdempotencyKey != "" {
+			a.IdempotencyKey = "probe-" + a.IdempotencyKey
+		}
+		c := clients[s.Workspace+"/"+s.DataCentre]
+		if c == nil {
+			continue
+		}
+		proctest.Eventually(d.t, proctest.StartLimit, func() error {
+			if o := send(d.t.Context(), c, &a, time.Now()); o.Code != "" {
+				return fmt.Errorf("%s in %s: %s", s.Workspace, s.DataCentre, o.Code)
+			}
+			return nil
+		})
+	}
+}
+
+func (d *deployment) faults(ctx context.Context) {
+	start := time.Now()
+	for _, f := range d.s.Faults {
+		if sleepUntil(ctx, start.Add(f.At)) != nil {
+			return
+		}
+		d.inject(f)
+	}
+}
+
+func (d *deployment) inject(f Fault) {
+	switch f.Kind {
+	case "kill":
+		d.fleet.Kill(f.Name)
+	case "restart":
+		d.fleet.Launch(f.Name)
+	case "isolate":
+		d.fleet.Isolate(d.hostsOf(f.Name)...)
+	case "heal":
+		d.fleet.Heal()
+	case "crash_engines":
+		d.eachEngine(f.Name, (*standin.Target).Crash)
+	case "leave_engines":
+		d.eachEngine(f.Name, (*standin.Target).Leave)
+	default:
+		d.t.Errorf("unknown fault %q", f.Kind)
+	}
+}
+
+func (d *deployment) hostsOf(dataCentre string) []string {
+	for _, site := range d.s.Sites {
+		if site.DataCentre == dataCentre {
+			return site.Hosts
+		}
+	}
+	return nil
+}
+
+func (d *deployment) eachEngine(dataCentre string, do func(*standin.Target)) {
+	for _, target := range d.targets {
+		if target.DataCentre() == dataCentre && strings.HasPrefix(target.Name(), "engine-") {
+			do(target)
+		}
+	}
+}
+
+func (d *deployment) totals() standin.Totals {
+	var sum standin.Totals
+	for _, target := range d.targets {
+		one := target.Totals()
+		sum.Requests += one.Requests
+		sum.PromptTokens += one.PromptTokens
+		sum.CachedTokens += one.CachedTokens
+		sum.OutputTokens += one.OutputTokens
+		sum.BusyMicros += one.BusyMicros
+		sum.Cancelled += one.Cancelled
+		sum.Crashes += one.Crashes
+	}
+	return sum
+}
+
+// repeated counts filings and orders that ran more than once over all targets.
+func (d *deployment) repeated() int64 {
+	runs := map[string]int{}
+	for _, target := range d.targets {
+		if strings.HasPrefix(target.Name(), "service-") {
+			for body, n := range target.AllRuns() {
+				runs[body] += n
+			}
+		}
+	}
+	browsed := map[int]bool{}
+	for i, s := range d.s.Streams {
+		browsed[i] = s.Idempotent
+	}
+	var repeated int64
+	for body, n := range runs {
+		var in struct{ Stream int }
+		if n > 1 && json.Unmarshal([]byte(body), &in) == nil && !browsed[in.Stream] {
+			repeated++
+		}
+	}
+	return repeated
+}
+
+// sentAway adds up the counters of all hosts that still answer. A host that
+// was killed loses its counts, which makes the share an underestimate then.
+func (d *deployment) sentAway() int64 {
+	var sum int64
+	for _, address := range d.fleet.Addresses() {
+		response, err := http.Get("http://" + address + "/metrics")
+		if err != nil {
+			continue
+		}
+		var metrics map[string]struct {
+			Count int64 `json:"count"`
+		}
+		_ = json.NewDecoder(response.Body).Decode(&metrics)
+		response.Body.Close()
+		sum += metrics["entry.sent_away"].Count
+	}
+	return sum
+}
--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -38,6 +38,8 @@
 	Control bool
 	// Disk gives it a data folder without the control role.
 	Disk bool
+	// Extra is appended to the host's settings file, as TOML tables.
+	Extra string
 }
 
 // Cantabrico is the fleet of the first user: four hosts, three data centres.
@@ -190,6 +192,7 @@
 				o.Name, o.DataCentre, o.Region, o.http, f.relays[p.Name+">"+o.Name].Address())
 		}
 	}
+	line("%s", p.Extra)
 	return b.String()
 }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -1,87 +1,117 @@
 package standin
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"geraniumturn.example/geraniumturn/internal/targets"
-)
-
-const (
-	announceInterval = time.Second
-	announceTimeout  = 2 * time.Second
-	bytesPerToken    = 4
-	maxBody          = 16 << 20
 )
 
-// Config describes a simulated target.
-type Config struct {
-	Name       string
-	DataCentre string
-	Pool       string
-	// Models makes it an engine; without models it is a plain service.
-	Models []string
-	// Listen is IP:port; port 0 takes a free one.
-	Listen string
-	// AnnounceTo are HTTP addresses of entry hosts, own data centre first.
-	AnnounceTo []string
-	Token      string
-	Slots      int
-	// PrefillPerToken and TokenInterval set the engine's speed.
-	PrefillPerToken time.Duration
-	TokenInterval   time.Duration
-	Incarnation     uint64
+const maxBody = 16 << 20
+
+// Totals are what a target has done since its start.
+type Totals struct {
+	Requests      int64
+	PromptTokens  int64
+	CachedTokens  int64
+	OutputTokens  int64
+	Cancelled     int64
+	Crashes       int64
+	BusyMicros    int64
+	WaitingMicros int64
 }
 
 // Target is a running simulated target.
 type Target struct {
-	config   Config
-	listener net.Listener
-	server   *http.Server
-	running  atomic.Int64
-	leaving  atomic.Bool
-	sequence atomic.Uint64
-
-	mu sync.Mutex
+	config      Config
+	address     string
+	slots       chan struct{}
+	cache       *prefixCache
+	queued      atomic.Int64
+	running     atomic.Int64
+	leaving     atomic.Bool
+	failing     atomic.Bool
+	silent      atomic.Bool
+	sequence    atomic.Uint64
+	incarnation atomic.Uint64
+
+	mu     sync.Mutex
+	server *http.Server
+	totals Totals
 	// runs counts executions by request body.
 	runs map[string]int
 	// headers keeps the headers of the last request.
 	headers http.Header
+	// loads are past load readings, for reports with a lag.
+	loads  []loadReading
+	closed bool
+}
+
+type loadReading struct {
+	at              time.Time
+	running, queued int
 }
 
 // Start opens the listener and serves. Announce separately with Run.
 func Start(config Config) (*Target, error) {
-	if config.Incarnation == 0 {
-		config.Incarnation = uint64(time.Now().UnixNano())
+	config.setDefaults()
+	t := &Target{
+		config: config, slots: make(chan struct{}, config.Slots),
+		cache: newPrefixCache(config.CacheTokens), runs: map[string]int{},
 	}
-	listener, err := net.Listen("tcp", config.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("standin: %w", err)
+	t.incarnation.Store(config.Incarnation)
+	if err := t.listen(config.Listen); err != nil {
+		return nil, err
 	}
-	t := &Target{config: config, listener: listener, runs: map[string]int{}}
-	t.server = &http.Server{Handler: http.HandlerFunc(t.serve), ReadHeaderTimeout: 10 * time.Second}
-	go func() { _ = t.server.Serve(listener) }()
 	return t, nil
 }
 
+func (t *Target) listen(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("standin: %w", err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(t.serve), ReadHeaderTimeout: 10 * time.Second}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.address, t.server = listener.Addr().String(), server
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
 // Address is the target's IP:port.
-func (t *Target) Address() string { return t.listener.Addr().String() }
+func (t *Target) Address() string { return t.address }
+
+// Name is the target's name.
+func (t *Target) Name() string { return t.config.Name }
+
+// DataCentre is where the target stands.
+func (t *Target) DataCentre() string { return t.config.DataCentre }
 
 // Close cuts all connections.
-func (t *Target) Close() { _ = t.server.Close() }
+func (t *Target) Close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	_ = t.server.Close()
+}
 
 // Leave makes the following announcements ask for no new work.
 func (t *Target) Leave() { t.leaving.Store(true) }
 
+// SetFailing makes the target answer every request with status 500 while it
+// goes on announcing itself.
+func (t *Target) SetFailing(failing bool) { t.failing.Store(failing) }
+
+// SetSilent stops or resumes the announcements.
+func (t *Target) SetSilent(silent bool) { t.silent.Store(silent) }
+
 // Runs returns how often the body was executed.
 func (t *Target) Runs(body string) int {
 	t.mu.Lock()
@@ -89,6 +119,13 @@
 	return t.runs[body]
 }
 
+// AllRuns returns how often each body was executed.
+func (t *Target) AllRuns() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.runs)
+}
+
 // LastHeaders returns the headers of the last request.
 func (t *Target) LastHeaders() http.Header {
 	t.mu.Lock()
@@ -96,56 +133,17 @@
 	return t.headers.Clone()
 }
 
-// Run announces the target each second until ctx ends.
-func (t *Target) Run(ctx context.Context) {
-	ticker := time.NewTicker(announceInterval)
-	defer ticker.Stop()
-	for {
-		t.announce(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-// announce tells the first entry host that answers.
-func (t *Target) announce(ctx context.Context) {
-	body, err := json.Marshal(targets.Announcement{
-		Name: t.config.Name, Incarnation: t.config.Incarnation, Sequence: t.sequence.Add(1),
-		Address: t.Address(), Pool: t.config.Pool, DataCentre: t.config.DataCentre, Models: t.config.Models,
-		Slots: t.config.Slots, Running: int(t.running.Load()), Features: []string{"priority", "cancel", "echo_request_id"},
-		Leaving: t.leaving.Load(),
-	})
-	if err != nil {
-		return
-	}
-	for _, address := range t.config.AnnounceTo {
-		if t.post(ctx, address, body) == nil {
-			return
-		}
-	}
+// Totals returns what the target has done.
+func (t *Target) Totals() Totals {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.totals
 }
 
-func (t *Target) post(ctx context.Context, address string, body []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/targets/v1/announce", bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Authorization", "Bearer "+t.config.Token)
-	req.Header.Set("Content-Type", "application/json")
-	response, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	if response.StatusCode >= 300 {
-		return fmt.Errorf("standin: announcement got status %d", response.StatusCode)
-	}
-	return nil
+func (t *Target) add(change func(*Totals)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	change(&t.totals)
 }
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
@@ -153,14 +151,21 @@
 	if err != nil {
 		return
 	}
-	t.mu.Lock()
-	t.runs[string(body)]++
-	count := t.runs[string(body)]
-	t.headers = r.Header.Clone()
-	t.mu.Unlock()
-	t.running.Add(1)
-	defer t.running.Add(-1)
 	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	if t.failing.Load() {
+		http.Error(w, "simulated failure", http.StatusInternalServerError)
+		return
+	}
+	count := t.noteRun(r, string(body))
+	if t.config.CrashOn != "" && strings.Contains(string(body), t.config.CrashOn) {
+		t.crash()
+		panic(http.ErrAbortHandler)
+	}
+	if !t.takeSlot(r.Context()) {
+		t.add(func(s *Totals) { s.Cancelled++ })
+		return
+	}
+	defer t.freeSlot(time.Now())
 	if len(t.config.Models) == 0 {
 		t.serveService(w, r, count)
 		return
@@ -168,65 +173,67 @@
 	t.serveEngine(w, r, body)
 }
 
-func (t *Target) serveService(w http.ResponseWriter, r *http.Request, count int) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"served_by": t.config.Name, "path": r.URL.Path, "runs": count})
+func (t *Target) noteRun(r *http.Request, body string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.totals.Requests++
+	t.runs[body]++
+	t.headers = r.Header.Clone()
+	return t.runs[body]
 }
 
-type engineRequest struct {
-	Model     string          `json:"model"`
-	MaxTokens int             `json:"max_tokens"`
-	Stream    bool            `json:"stream"`
-	Prompt    json.RawMessage `json:"prompt"`
-	Messages  json.RawMessage `json:"messages"`
+func (t *Target) takeSlot(ctx context.Context) bool {
+	start := time.Now()
+	t.queued.Add(1)
+	defer t.queued.Add(-1)
+	select {
+	case t.slots <- struct{}{}:
+		t.running.Add(1)
+		t.add(func(s *Totals) { s.WaitingMicros += time.Since(start).Microseconds() })
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
-type usage struct {
-	PromptTokens     int `json:"prompt_tokens"`
-	CompletionTokens int `json:"completion_tokens"`
+func (t *Target) freeSlot(start time.Time) {
+	t.running.Add(-1)
+	<-t.slots
+	t.add(func(s *Totals) { s.BusyMicros += time.Since(start).Microseconds() })
 }
 
-func (t *Target) serveEngine(w http.ResponseWriter, r *http.Request, body []byte) {
-	var in engineRequest
-	if err := json.Unmarshal(body, &in); err != nil {
-		http.Error(w, "bad body", http.StatusBadRequest)
-		return
-	}
-	if in.MaxTokens == 0 {
-		in.MaxTokens = 16
-	}
-	used := usage{PromptTokens: (len(in.Prompt)+len(in.Messages))/bytesPerToken + 1, CompletionTokens: in.MaxTokens}
-	if !sleep(r.Context(), time.Duration(used.PromptTokens)*t.config.PrefillPerToken) {
-		return
-	}
-	if in.Stream {
-		t.stream(w, r, used)
+// Crash makes the target crash now.
+func (t *Target) Crash() { t.crash() }
+
+// crash cuts all connections and comes back later on the same address, with a
+// new incarnation and an empty cache.
+func (t *Target) crash() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
 		return
 	}
-	if !sleep(r.Context(), time.Duration(in.MaxTokens)*t.config.TokenInterval) {
+	t.totals.Crashes++
+	_ = t.server.Close()
+	t.silent.Store(true)
+	time.AfterFunc(t.config.CrashPause, t.comeBack)
+}
+
+func (t *Target) comeBack() {
+	t.mu.Lock()
+	closed := t.closed
+	t.mu.Unlock()
+	if closed {
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{
-		"model": in.Model, "usage": used,
-		"choices": []any{map[string]any{"message": map[string]any{"role": "assistant", "content": strings.Repeat("word ", in.MaxTokens)}}},
-	})
-}
-
-func (t *Target) stream(w http.ResponseWriter, r *http.Request, used usage) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	controller := http.NewResponseController(w)
-	for i := range used.CompletionTokens {
-		if !sleep(r.Context(), t.config.TokenInterval) {
-			return
-		}
-		fmt.Fprintf(w, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word%d \"}}]}\n\n", i)
-		_ = controller.Flush()
+	t.cache.clear()
+	t.incarnation.Add(1)
+	if t.listen(t.address) == nil {
+		t.silent.Store(false)
 	}
-	final, _ := json.Marshal(map[string]any{"choices": []any{}, "usage": used})
-	fmt.Fprintf(w, "data: %s\n\ndata: [DONE]\n\n", final)
 }
 
+// sleep waits for d; it reports false when the context ends first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return ctx.Err() == nil
