--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -49,16 +49,16 @@
 	// accelerator: 10,000 prompt tokens and 100 output tokens a second.
 	prefillPerToken = 100 * time.Microsecond
 	tokenInterval   = 10 * time.Millisecond
-	engineCache     = 48_000
+	engineCache     = 30_000
 	reportLag       = time.Second
 	runTime         = 40 * time.Second
 	warmupTime      = 8 * time.Second
 )
 
 const cantabricoRules = `
-workspace hoteles rate=60000/s burst=400000 weight=2 home=gijon-a           # Lucía Prieto
-workspace turismo rate=60000/s burst=400000 weight=2 home=santander-a       # Ana Ruiz
-workspace euskadi rate=40000/s burst=300000 residency=bilbao-a home=bilbao-a # Iker Etxeberria
+workspace hoteles rate=200000/s burst=1200000 weight=2 home=gijon-a           # Lucía Prieto
+workspace turismo rate=200000/s burst=1200000 weight=2 home=santander-a       # Ana Ruiz
+workspace euskadi rate=100000/s burst=600000 residency=bilbao-a home=bilbao-a # Iker Etxeberria
 workspace ferris rate=20000/s burst=150000                                  # Marta Solís
 workspace boletin rate=20000/s burst=150000                                 # Grupo Norvela
 pool llegadas kind=engine                                                   # platform team
@@ -69,11 +69,11 @@
 `
 
 const tanoaRules = `
-workspace counter-suva rate=50000/s burst=400000 weight=2 home=suva-a  # Tanoa
-workspace counter-akl rate=50000/s burst=400000 weight=2 home=akl-a    # Tanoa
+workspace counter-suva rate=200000/s burst=1200000 weight=2 home=suva-a  # Tanoa
+workspace counter-akl rate=200000/s burst=1200000 weight=2 home=akl-a    # Tanoa
 workspace catalogue rate=90000/s burst=600000 home=syd-a               # Tanoa
 workspace samples rate=9000/s burst=90000                              # Tanoa
-workspace suva-only rate=20000/s burst=200000 residency=suva-a         # Tanoa
+workspace suva-only rate=50000/s burst=300000 residency=suva-a         # Tanoa
 pool geranium-pool kind=engine                                         # platform team
 model shade-match pool=geranium-pool                                   # platform team
 pool shop-api kind=service                                             # platform team
@@ -85,7 +85,7 @@
 // question is a short interactive request over shared text.
 func question(workspace, dataCentre, model string, perSecond, phase float64) Stream {
 	return Stream{Workspace: workspace, DataCentre: dataCentre, Path: "/v1/completions", Model: model, Class: "interactive",
-		PerSecond: perSecond, Swing: 0.8, Period: runTime, Phase: phase, Prefixes: 12, PrefixTokens: 2048,
+		PerSecond: perSecond, Swing: 0.8, Period: runTime, Phase: phase, Prefixes: 20, PrefixTokens: 2048,
 		QuestionTokens: 64, MaxTokens: 24, Streamed: true, Idempotent: true, Timeout: 10 * time.Second}
 }
 
@@ -115,9 +115,9 @@
 		Rules:  cantabricoRules,
 		Engine: engineOf("llegadas", model), Service: serviceOf("registro"),
 		Streams: []Stream{
-			question("hoteles", "gijon-a", model, 14, 0.25),
-			question("turismo", "santander-a", model, 14, 0.55),
-			question("euskadi", "bilbao-a", model, 10, 0.85),
+			question("hoteles", "gijon-a", model, 30, 0.25),
+			question("turismo", "santander-a", model, 30, 0.55),
+			question("euskadi", "bilbao-a", model, 14, 0.85),
 			question("ferris", "gijon-a", model, 3, 0.25),
 			question("ferris", "santander-a", model, 3, 0.55),
 			digest("boletin", "santander-a", model, 0.5),
@@ -144,9 +144,9 @@
 		Rules:  tanoaRules,
 		Engine: engineOf("geranium-pool", model), Service: serviceOf("shop-api"),
 		Streams: []Stream{
-			question("counter-suva", "suva-a", model, 14, 0.25),
-			question("counter-akl", "akl-a", model, 16, 0.6),
-			question("suva-only", "suva-a", model, 4, 0.25),
+			question("counter-suva", "suva-a", model, 28, 0.25),
+			question("counter-akl", "akl-a", model, 36, 0.6),
+			question("suva-only", "suva-a", model, 6, 0.25),
 			digest("catalogue", "syd-a", model, 1),
 			digest("catalogue", "akl-a", model, 0.5),
 			filing("samples", "akl-a", "/shop/order", 2),
--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -25,7 +25,8 @@
 	pollPeriod = 20 * time.Millisecond
 
 	operatorToken = "operator-token-of-the-test"
-	announceToken = "announce-token-of-the-test"
+	// AnnounceToken is the token with which targets of a test fleet announce themselves.
+	AnnounceToken = "announce-token-of-the-test"
 	digestKey     = "digest-key-of-the-test-fleet"
 )
 
@@ -156,7 +157,7 @@
 }
 
 func (f *Fleet) writeFiles() {
-	for name, content := range map[string]string{"operator": operatorToken, "announce": announceToken, "digest": digestKey} {
+	for name, content := range map[string]string{"operator": operatorToken, "announce": AnnounceToken, "digest": digestKey} {
 		f.write(name, content)
 	}
 	for _, p := range f.hosts {
@@ -385,7 +386,7 @@
 // Name, data centre and pool of the config must be set.
 func (f *Fleet) Target(config standin.Config, announceTo ...string) *standin.Target {
 	f.t.Helper()
-	config.Token = announceToken
+	config.Token = AnnounceToken
 	if config.Listen == "" {
 		config.Listen = loopback() + ":0"
 	}
