--- /dev/null
+++ b/internal/bench/overhead_test.go
@@ -0,0 +1,197 @@
+package bench
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"geraniumturn.example/geraniumturn/internal/proctest"
+	"geraniumturn.example/geraniumturn/internal/standin"
+)
+
+var overheadFlag = flag.Bool("overhead", false, "measure at full size instead of a short check")
+
+const overheadRules = `
+workspace w rate=1000000000/s burst=1000000000 # benchmark
+pool llegadas kind=engine                      # benchmark
+pool registro kind=service                     # benchmark
+model m pool=llegadas                          # benchmark
+route /v1/completions idempotent=yes           # benchmark
+route /registro/* pool=registro idempotent=yes # benchmark
+`
+
+// place is one way to reach the same target.
+type place struct{ name, address, key string }
+
+// TestOverhead measures what the gateway adds to a call of the same target, in
+// one run: latency through one host and through a forward, saturation, and
+// memory of open streams. It guards that no request is lost on the way.
+func TestOverhead(t *testing.T) {
+	requests, streams, seconds, tokens := 200, 50, 1, 4
+	if *overheadFlag {
+		requests, streams, seconds, tokens = 20_000, 5_000, 10, 20
+	}
+	hosts := []proctest.Host{
+		{Name: "a1", DataCentre: "a", Region: "a", Control: true},
+		{Name: "b1", DataCentre: "b", Region: "b"},
+	}
+	f := proctest.Start(t, hosts)
+	f.Apply(overheadRules)
+	service := f.Target(standin.Config{Name: "s", DataCentre: "a", Pool: "registro", Slots: 1000}, "a1")
+	engine := f.Target(standin.Config{Name: "e", DataCentre: "a", Pool: "llegadas", Models: []string{"m"},
+		Slots: 10_000, TokenInterval: 500 * time.Millisecond}, "a1")
+	key := f.Grant("w")
+	places := []place{
+		{"direct", service.Address(), ""},
+		{"one host", f.HTTP("a1"), key},
+		{"forwarded", f.HTTP("b1"), key},
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
+	for _, p := range places[1:] {
+		proctest.Eventually(t, proctest.StartLimit, func() error { return call(client, p, io.Discard) })
+	}
+	for _, p := range places {
+		latency(t, client, p, requests)
+	}
+	for _, p := range places {
+		saturate(t, client, p, seconds)
+	}
+	openStreams(t, f, engine, place{"one host", f.HTTP("a1"), key}, streams, tokens)
+}
+
+func request(p place, path, body string) *http.Request {
+	req, err := http.NewRequest(http.MethodPost, "http://"+p.address+path, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if p.key != "" {
+		req.Header.Set("Authorization", "Bearer "+p.key)
+	}
+	return req
+}
+
+func call(client *http.Client, p place, out io.Writer) error {
+	response, err := client.Do(request(p, "/registro/x", `{"a":1}`))
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(out, response.Body); err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", response.StatusCode)
+	}
+	return nil
+}
+
+// latency calls from a few connections, far from saturation.
+func latency(t *testing.T, client *http.Client, p place, requests int) {
+	t.Helper()
+	const callers = 4
+	var mu sync.Mutex
+	histogram := hdrhistogram.New(1, histogramMaxMicros*1000, histogramDigits)
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() {
+			for range requests / callers {
+				start := time.Now()
+				if err := call(client, p, io.Discard); err != nil {
+					t.Errorf("%s: %v", p.name, err)
+					return
+				}
+				mu.Lock()
+				_ = histogram.RecordValue(time.Since(start).Nanoseconds())
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	t.Logf("latency %-10s p50 %6.0f us  p99 %6.0f us  (%d requests, %d callers)", p.name,
+		float64(histogram.ValueAtQuantile(50))/1000, float64(histogram.ValueAtQuantile(99))/1000, histogram.TotalCount(), callers)
+}
+
+// saturate calls from many connections for the given time.
+func saturate(t *testing.T, client *http.Client, p place, seconds int) {
+	t.Helper()
+	const callers = 128
+	var done, failed atomic.Int64
+	end := time.Now().Add(time.Duration(seconds) * time.Second)
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() {
+			for time.Now().Before(end) {
+				if call(client, p, io.Discard) != nil {
+					failed.Add(1)
+				} else {
+					done.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	if failed.Load() > 0 {
+		t.Errorf("%s: %d requests failed", p.name, failed.Load())
+	}
+	t.Logf("saturation %-10s %6d requests/s (%d callers)", p.name, done.Load()/int64(seconds), callers)
+}
+
+// openStreams opens streams until all are open, and reads each to its end.
+func openStreams(t *testing.T, f *proctest.Fleet, engine *standin.Target, p place, streams, tokens int) {
+	t.Helper()
+	before := f.Memory("a1")
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: streams}}
+	body := fmt.Sprintf(`{"model":"m","max_tokens":%d,"stream":true,"prompt":"x"}`, tokens)
+	var open, whole atomic.Int64
+	var peak int64
+	var group sync.WaitGroup
+	for range streams {
+		group.Go(func() {
+			response, err := client.Do(request(p, "/v1/completions", body))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer response.Body.Close()
+			open.Add(1)
+			if endsWithDone(response.Body) {
+				whole.Add(1)
+			}
+		})
+	}
+	proctest.Eventually(t, 60*time.Second, func() error {
+		peak = max(peak, f.Memory("a1"))
+		if open.Load() < int64(streams) {
+			return fmt.Errorf("%d of %d streams open", open.Load(), streams)
+		}
+		return nil
+	})
+	peak = max(peak, f.Memory("a1"))
+	group.Wait()
+	if whole.Load() != int64(streams) {
+		t.Errorf("%d of %d streams were whole", whole.Load(), streams)
+	}
+	t.Logf("streams: %d open at once, %d whole, %.1f KiB resident memory each (engine served %d)",
+		streams, whole.Load(), float64(peak-before)/float64(streams)/1024, engine.Totals().Requests)
+}
+
+func endsWithDone(body io.Reader) bool {
+	last := ""
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		if scanner.Text() != "" {
+			last = scanner.Text()
+		}
+	}
+	return scanner.Err() == nil && last == "data: [DONE]"
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"strings"
 	"testing"
 )
@@ -64,3 +65,17 @@
 		})
 	}
 }
+
+// The documented example must stay a valid settings file.
+func TestDocumentedExample(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators/settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(page), "```toml\n")
+	example, _, _ := strings.Cut(rest, "```")
+	example = strings.Replace(example, `voters = ["gijon-1", "santander-1", "bilbao-1"]`, `voters = ["gijon-1"]`, 1)
+	if _, err := Parse([]byte(example)); err != nil {
+		t.Error(err)
+	}
+}
