--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -11,6 +11,12 @@
 	ErrNoQuorum = errors.New("control: no quorum")
 	// ErrUncertain means that the command may still be committed.
 	ErrUncertain = errors.New("control: outcome uncertain")
+	// ErrUnknownMachine means that the leader has no machine of that name; the
+	// command was not appended.
+	ErrUnknownMachine = errors.New("control: unknown machine")
+	// ErrTooLarge means that the command is above the limit of 4 MiB; it was not
+	// appended.
+	ErrTooLarge = errors.New("control: command is too large")
 )
 
 // Log is what other packages see of the replicated log.
--- /dev/null
+++ b/internal/control/core/election.go
@@ -0,0 +1,130 @@
+package core
+
+import (
+	"fmt"
+	"time"
+)
+
+func (c *Core) resetElection() {
+	spread := int64(ElectionTimeoutMax - ElectionTimeoutMin)
+	c.electionDue = c.now + ElectionTimeoutMin + time.Duration(c.rand.Int64N(spread))
+	if c.soleVoter() {
+		c.electionDue = c.now // no other voter can lead or hold a lease
+	}
+}
+
+// quiet reports whether votes must be refused because a leader may hold a lease.
+func (c *Core) quiet() bool {
+	if c.role == Leader {
+		return c.leaseHolds()
+	}
+	return c.now-c.heardAt < QuietPeriod && !c.soleVoter()
+}
+
+func (c *Core) upToDate(m Message) bool {
+	own := c.log.lastTerm()
+	return m.LogTerm > own || m.LogTerm == own && m.Index >= c.log.last()
+}
+
+func (c *Core) startPreVote() {
+	c.resetElection()
+	if !c.isVoter(c.id) {
+		return
+	}
+	c.role, c.leader = PreCandidate, ""
+	c.votes = map[string]bool{c.id: true}
+	if c.hasMajority(c.votes) {
+		c.startElection()
+		return
+	}
+	c.requestVotes(PreVoteRequest, c.state.Term+1)
+}
+
+func (c *Core) startElection() {
+	c.role = Candidate
+	c.setState(HardState{Term: c.state.Term + 1, Vote: c.id})
+	c.votes = map[string]bool{c.id: true}
+	c.resetElection()
+	if c.hasMajority(c.votes) {
+		c.becomeLeader()
+		return
+	}
+	c.requestVotes(VoteRequest, c.state.Term)
+}
+
+// requestVotes asks all other voters. The requests of an election wait for the
+// sync of the own vote.
+func (c *Core) requestVotes(kind MessageKind, term uint64) {
+	for _, m := range c.Members() {
+		if m.ID != c.id && !m.Learner {
+			c.afterSync = append(c.afterSync, Message{Kind: kind, From: c.id, To: m.ID, Term: term,
+				Index: c.log.last(), LogTerm: c.log.lastTerm()})
+		}
+	}
+}
+
+func (c *Core) answerVote(kind MessageKind, to string, term uint64, ok bool) {
+	c.afterSync = append(c.afterSync, Message{Kind: kind, From: c.id, To: to, Term: term, OK: ok})
+}
+
+func (c *Core) onPreVoteRequest(m Message) {
+	if m.Term > c.state.Term && !c.quiet() && c.upToDate(m) {
+		c.answerVote(PreVoteResponse, m.From, m.Term, true)
+		return
+	}
+	c.answerVote(PreVoteResponse, m.From, c.state.Term, false)
+}
+
+// onVoteRequest grants at most one vote in a term. A voter also votes when its
+// own log does not yet say that it was promoted, because the candidate may need
+// that vote; its id has one durable vote in each term either way.
+func (c *Core) onVoteRequest(m Message) {
+	if m.Term < c.state.Term || c.quiet() {
+		c.answerVote(VoteResponse, m.From, c.state.Term, false)
+		return
+	}
+	if m.Term > c.state.Term {
+		c.becomeFollower(m.Term)
+	}
+	free := c.state.Vote == "" || c.state.Vote == m.From
+	if !free || !c.upToDate(m) {
+		c.answerVote(VoteResponse, m.From, c.state.Term, false)
+		return
+	}
+	c.setState(HardState{Term: m.Term, Vote: m.From})
+	c.role = Follower
+	c.resetElection()
+	c.answerVote(VoteResponse, m.From, m.Term, true)
+}
+
+func (c *Core) onVoteAnswer(m Message) {
+	if !m.OK {
+		if m.Term > c.state.Term {
+			c.becomeFollower(m.Term)
+		}
+		return
+	}
+	switch {
+	case m.Kind == PreVoteResponse && c.role == PreCandidate && m.Term == c.state.Term+1:
+		if c.votes[m.From] = true; c.hasMajority(c.votes) {
+			c.startElection()
+		}
+	case m.Kind == VoteResponse && c.role == Candidate && m.Term == c.state.Term:
+		if c.votes[m.From] = true; c.hasMajority(c.votes) {
+			c.becomeLeader()
+		}
+	}
+}
+
+func (c *Core) becomeLeader() {
+	if c.termLeader != "" {
+		panic(fmt.Sprintf("control: election safety: %s won term %d, which %s leads", c.id, c.state.Term, c.termLeader))
+	}
+	c.role, c.leader, c.termLeader, c.votes = Leader, c.id, c.id, nil
+	c.progress = map[string]*progress{}
+	c.quorumAt = c.now
+	c.trackMembers()
+	c.termStart = c.log.last() + 1
+	c.appendOwn(Entry{Kind: EntryNoop})
+	c.broadcast()
+}
--- /dev/null
+++ b/internal/control/core/types.go
@@ -0,0 +1,125 @@
+package core
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// ElectionTimeoutMin and ElectionTimeoutMax bound the random election timeout.
+	ElectionTimeoutMin = time.Second
+	ElectionTimeoutMax = 2 * time.Second
+	// HeartbeatInterval is the period of heartbeats of a leader.
+	HeartbeatInterval = 200 * time.Millisecond
+	// LeaseDuration is how long a lease holds from the send time of the
+	// heartbeat round that a majority answered. With clocks that drift by up to
+	// 1 % it ends within 909 ms, before a voter's quiet period can end (990 ms).
+	LeaseDuration = 900 * time.Millisecond
+	// QuietPeriod is how long a voter grants no vote after it heard from a
+	// leader or started.
+	QuietPeriod = time.Second
+
+	// maxAppendBytes bounds the entries of one message.
+	maxAppendBytes = 1 << 20
+	// snapshotRetry is the time after which an unanswered snapshot is sent again.
+	snapshotRetry = 5 * time.Second
+	// tailEntries are kept behind a snapshot, so that a follower that is a
+	// little behind does not need the snapshot.
+	tailEntries = 1024
+)
+
+// EntryKind tells the content of an entry.
+type EntryKind uint8
+
+// The kinds of entries.
+const (
+	EntryNoop EntryKind = iota
+	EntryCommand
+	EntryMembers
+)
+
+// Member is a voter or learner, by its random id and the name of its host.
+type Member struct {
+	ID      string `json:"id"`
+	Host    string `json:"host"`
+	Learner bool   `json:"learner"`
+}
+
+// Entry is one position of the log.
+type Entry struct {
+	Index, Term uint64
+	Kind        EntryKind
+	Data        []byte
+	Members     []Member
+}
+
+// HardState must be synced before any message that depends on it.
+type HardState struct {
+	Term uint64
+	Vote string
+}
+
+// Snapshot replaces the log up to Index.
+type Snapshot struct {
+	Index, Term uint64
+	Members     []Member
+	// Data is the state of the machines. A message that the core emits has no
+	// data: the driver attaches its latest snapshot.
+	Data []byte
+}
+
+// MessageKind tells the purpose of a message.
+type MessageKind uint8
+
+// The kinds of messages.
+const (
+	PreVoteRequest MessageKind = iota + 1
+	PreVoteResponse
+	VoteRequest
+	VoteResponse
+	AppendRequest
+	AppendResponse
+	SnapshotRequest
+)
+
+// Message is exchanged between voters.
+type Message struct {
+	Kind     MessageKind
+	From, To string
+	Term     uint64
+	// Index and LogTerm name the last entry of a candidate, the entry before
+	// Entries in an append, and in a response the last matching entry or, when
+	// refused, where the leader should try.
+	Index, LogTerm uint64
+	Commit         uint64
+	// OK is a granted vote or an accepted append.
+	OK bool
+	// SentAt is on the leader's clock and echoed in the response.
+	SentAt   time.Duration
+	Entries  []Entry
+	Snapshot *Snapshot
+}
+
+// Output is what the driver must do, in the order of the fields.
+type Output struct {
+	// Messages may be sent before the sync.
+	Messages []Message
+	// Install replaces the log up to its index.
+	Install *Snapshot
+	// State and Append must be synced. The first entry of Append replaces all
+	// entries from its index.
+	State  *HardState
+	Append []Entry
+	// AfterSync must be sent only after the sync.
+	AfterSync []Message
+	// Committed entries are to be applied in order.
+	Committed []Entry
+}
+
+// Empty reports whether there is nothing to do.
+func (o Output) Empty() bool {
+	return len(o.Messages) == 0 && o.Install == nil && o.State == nil &&
+		len(o.Append) == 0 && len(o.AfterSync) == 0 && len(o.Committed) == 0
+}
+
+func cloneMembers(members []Member) []Member { return slices.Clone(members) }
--- /dev/null
+++ b/internal/control/node.go
@@ -0,0 +1,441 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+
+	"geraniumturn.example/geraniumturn/internal/control/controlpb"
+	"geraniumturn.example/geraniumturn/internal/control/core"
+	"geraniumturn.example/geraniumturn/internal/control/storage"
+)
+
+const (
+	// snapshotEntries is the number of applied entries after which a snapshot is taken.
+	snapshotEntries = 4096
+	// maxCommandBytes bounds one command, so that each append fits in a message.
+	maxCommandBytes = 4 << 20
+	// eventQueue is how many events may wait for the loop. Events that arrive
+	// during a sync are handled together, which gives group commit.
+	eventQueue = 1024
+	joinPeriod = time.Second
+)
+
+// Voter names a host that is to vote, and its peer address.
+type Voter struct {
+	Host    string
+	Address string
+}
+
+// Config of a host's part in the replicated log.
+type Config struct {
+	// Host is the name of this host.
+	Host string
+	// Dir is the folder of the log; unused on a host that is no voter.
+	Dir string
+	// Voters are all voters of the settings.
+	Voters []Voter
+	// Dial returns a connection to a peer address.
+	Dial    func(address string) drpc.Conn
+	Logger  *logrus.Logger
+	Metrics metrics.Registry
+}
+
+func (c Config) address(host string) (string, bool) {
+	for _, v := range c.Voters {
+		if v.Host == host {
+			return v.Address, true
+		}
+	}
+	return "", false
+}
+
+// Node is one voter: it connects the core to the clock, the disk, the network
+// and the machines.
+type Node struct {
+	config   Config
+	forward  *forwarder
+	start    time.Time
+	events   chan func()
+	stopped  chan struct{}
+	machines map[string]Machine
+
+	storage *storage.Storage
+	core    *core.Core
+	id      string
+	senders map[string]*sender
+	hosts   map[string]string // host names of the ids that sent messages
+
+	// waiters are the proposals of this host that are appended and not applied.
+	waiters      map[uint64]*waiter
+	applied      uint64
+	snapshotted  uint64
+	snapshotting core.Snapshot // the stored snapshot, with data
+	joinDue      time.Duration
+
+	status atomic.Pointer[core.Status]
+	lease  atomic.Pointer[lease]
+	logged core.Status
+
+	elections, commits, snapshots metrics.Counter
+	syncTime, proposeTime         metrics.Timer
+
+	closing sync.Once
+}
+
+type lease struct {
+	term  uint64
+	until time.Duration
+}
+
+// waiter is a proposal between its append and its result.
+type waiter struct {
+	term   uint64
+	result chan outcome // one element
+}
+
+type outcome struct {
+	result []byte
+	err    error
+}
+
+// NewNode opens the voter's folder. Register the machines before Run.
+func NewNode(config Config) (*Node, error) {
+	disk, loaded, err := storage.Open(config.Dir)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		config: config, start: time.Now(), events: make(chan func(), eventQueue), stopped: make(chan struct{}),
+		machines: map[string]Machine{}, storage: disk, id: loaded.ID, senders: map[string]*sender{}, hosts: map[string]string{},
+		waiters: map[uint64]*waiter{}, applied: loaded.Snapshot.Index, snapshotted: loaded.Snapshot.Index,
+		snapshotting: loaded.Snapshot,
+		elections:    metrics.GetOrRegisterCounter("control.elections", config.Metrics),
+		commits:      metrics.GetOrRegisterCounter("control.commits", config.Metrics),
+		snapshots:    metrics.GetOrRegisterCounter("control.snapshots", config.Metrics),
+		syncTime:     metrics.GetOrRegisterTimer("control.sync_time", config.Metrics),
+		proposeTime:  metrics.GetOrRegisterTimer("control.propose_time", config.Metrics),
+	}
+	if loaded.Removed > 0 {
+		config.Logger.WithField("bytes", loaded.Removed).Warn("removed an incomplete record at the end of the control log")
+	}
+	n.core = core.New(core.Config{
+		ID: loaded.ID, Host: config.Host, State: loaded.State, Snapshot: loaded.Snapshot,
+		Base: loaded.Base, BaseTerm: loaded.BaseTerm, Entries: loaded.Entries,
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}, 0)
+	n.forward = newForwarder(config, n)
+	n.publish()
+	return n, nil
+}
+
+// Register adds a machine under a name that is the same on all voters.
+func (n *Node) Register(name string, m Machine) { n.machines[name] = m }
+
+func (n *Node) now() time.Duration { return time.Since(n.start) }
+
+// Run drives the voter until ctx ends or its disk fails.
+func (n *Node) Run(ctx context.Context) error {
+	defer n.close()
+	if n.snapshotting.Index > 0 {
+		if err := n.restore(n.snapshotting.Data); err != nil {
+			return err
+		}
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case event := <-n.events:
+			event()
+			n.drainEvents()
+		case <-timer.C:
+		}
+		n.core.Tick(n.now())
+		n.askToJoin(ctx)
+		if err := n.flush(ctx); err != nil {
+			return err
+		}
+		timer.Reset(max(time.Millisecond, min(n.core.Deadline()-n.now(), core.HeartbeatInterval)))
+	}
+}
+
+func (n *Node) drainEvents() {
+	for range eventQueue {
+		select {
+		case event := <-n.events:
+			event()
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) close() {
+	n.closing.Do(func() {
+		close(n.stopped)
+		n.lease.Store(nil)
+		for _, w := range n.waiters {
+			w.result <- outcome{err: fmt.Errorf("%w: the host stops", ErrUncertain)}
+		}
+		for _, s := range n.senders {
+			s.close()
+		}
+		_ = n.storage.Close()
+	})
+}
+
+// do runs f on the loop. It reports false, and f certainly does not run, when
+// the loop has ended or ctx ends first.
+func (n *Node) do(ctx context.Context, f func()) bool {
+	select {
+	case n.events <- f:
+		return true
+	case <-n.stopped:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// flush carries out what the core asks for until there is nothing left.
+func (n *Node) flush(ctx context.Context) error {
+	for {
+		out := n.core.Output()
+		// The lease is published before any message that could end it elsewhere.
+		n.publish()
+		if out.Empty() {
+			return nil
+		}
+		n.send(ctx, out.Messages)
+		if err := n.save(out); err != nil {
+			return err
+		}
+		n.core.Synced()
+		n.send(ctx, out.AfterSync)
+		if err := n.apply(out.Committed); err != nil {
+			return err
+		}
+	}
+}
+
+func (n *Node) save(out core.Output) error {
+	if out.Install == nil && out.State == nil && len(out.Append) == 0 {
+		return nil
+	}
+	defer n.syncTime.UpdateSince(time.Now())
+	if out.Install != nil {
+		return n.install(out)
+	}
+	return n.storage.Append(out.State, out.Append)
+}
+
+func (n *Node) install(out core.Output) error {
+	if err := n.storage.SaveSnapshot(*out.Install); err != nil {
+		return err
+	}
+	if err := n.storage.Rewrite(n.id, n.core.State(), out.Install.Index, out.Install.Term, out.Append); err != nil {
+		return err
+	}
+	n.snapshotting, n.snapshotted = *out.Install, out.Install.Index
+	if err := n.restore(out.Install.Data); err != nil {
+		return err
+	}
+	n.applied = out.Install.Index
+	for index, w := range n.waiters {
+		if index <= n.applied {
+			w.result <- outcome{err: fmt.Errorf("%w: replaced by a snapshot", ErrUncertain)}
+			delete(n.waiters, index)
+		}
+	}
+	return nil
+}
+
+func (n *Node) restore(data []byte) error {
+	var all controlpb.MachineSnapshots
+	if err := proto.Unmarshal(data, &all); err != nil {
+		return fmt.Errorf("control: snapshot: %w", err)
+	}
+	for name, state := range all.GetMachines() {
+		m, ok := n.machines[name]
+		if !ok {
+			return fmt.Errorf("control: snapshot has state of machine %q, which this program does not know", name)
+		}
+		if err := m.Restore(state); err != nil {
+			return fmt.Errorf("control: restore %s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+func (n *Node) apply(entries []core.Entry) error {
+	for _, e := range entries {
+		if e.Index != n.applied+1 {
+			panic(fmt.Sprintf("control: entry %d applied after %d", e.Index, n.applied))
+		}
+		n.applied = e.Index
+		var result []byte
+		if e.Kind == core.EntryCommand {
+			name, command, err := decodeCommand(e.Data)
+			if err != nil {
+				return err
+			}
+			m, ok := n.machines[name]
+			if !ok {
+				return fmt.Errorf("control: entry %d is for machine %q, which this program does not know", e.Index, name)
+			}
+			result = m.Apply(e.Index, command)
+			n.commits.Inc(1)
+		}
+		n.answer(e, result)
+	}
+	if n.applied >= n.snapshotted+snapshotEntries {
+		return n.takeSnapshot()
+	}
+	return nil
+}
+
+// answer completes the proposal at the index. When the entry there is of another
+// term, the proposal was replaced and can never commit.
+func (n *Node) answer(e core.Entry, result []byte) {
+	w := n.waiters[e.Index]
+	if w == nil {
+		return
+	}
+	delete(n.waiters, e.Index)
+	if w.term != e.Term {
+		w.result <- outcome{err: errDropped}
+		return
+	}
+	w.result <- outcome{result: result}
+}
+
+func (n *Node) takeSnapshot() error {
+	all := &controlpb.MachineSnapshots{Machines: map[string][]byte{}}
+	for _, name := range slices.Sorted(maps.Keys(n.machines)) {
+		state, err := n.machines[name].Snapshot()
+		if err != nil {
+			return fmt.Errorf("control: snapshot of %s: %w", name, err)
+		}
+		all.Machines[name] = state
+	}
+	data, err := proto.Marshal(all)
+	if err != nil {
+		return fmt.Errorf("control: snapshot: %w", err)
+	}
+	base, baseTerm, kept := n.core.Compact(n.applied)
+	s := n.core.Snapshot()
+	s.Data = data
+	if err := n.storage.SaveSnapshot(s); err != nil {
+		return err
+	}
+	if err := n.storage.Rewrite(n.id, n.core.State(), base, baseTerm, kept); err != nil {
+		return err
+	}
+	n.snapshotting, n.snapshotted = s, s.Index
+	n.snapshots.Inc(1)
+	return nil
+}
+
+// publish makes the lease and the status visible to other goroutines.
+func (n *Node) publish() {
+	if term, until, ok := n.core.Lease(); ok && term > 0 {
+		n.lease.Store(&lease{term, until})
+	} else {
+		n.lease.Store(nil)
+	}
+	s := n.core.Status()
+	n.status.Store(&s)
+	if s.Term != n.logged.Term || s.Leader != n.logged.Leader {
+		if s.Role == core.Leader {
+			n.elections.Inc(1)
+		}
+		n.config.Logger.WithFields(logrus.Fields{"term": s.Term, "leader": hostOf(s, s.Leader)}).Info("control term")
+		n.logged = s
+	}
+}
+
+func hostOf(s core.Status, id string) string {
+	for _, m := range s.Members {
+		if m.ID == id {
+			return m.Host
+		}
+	}
+	return ""
+}
+
+// Lease implements Log.
+func (n *Node) Lease() (uint64, bool) {
+	l := n.lease.Load()
+	if l == nil || n.now() >= l.until {
+		return 0, false
+	}
+	return l.term, true
+}
+
+// LeaseRemaining implements Log.
+func (n *Node) LeaseRemaining() time.Duration {
+	l := n.lease.Load()
+	if l == nil {
+		return 0
+	}
+	return max(0, l.until-n.now())
+}
+
+// leaderHost is the host that this voter believes to lead, or "".
+func (n *Node) leaderHost() string {
+	s := n.status.Load()
+	return hostOf(*s, s.Leader)
+}
+
+// proposeLocal appends the command here, if this voter leads, and waits for the result.
+func (n *Node) proposeLocal(ctx context.Context, machine string, command []byte) ([]byte, error) {
+	if _, ok := n.machines[machine]; !ok {
+		return nil, fmt.Errorf("%w: %q", ErrUnknownMachine, machine)
+	}
+	if len(command) > maxCommandBytes {
+		return nil, fmt.Errorf("%w: %d bytes", ErrTooLarge, len(command))
+	}
+	defer n.proposeTime.UpdateSince(time.Now())
+	w := &waiter{result: make(chan outcome, 1)}
+	queued := n.do(ctx, func() {
+		index, term, err := n.core.Propose(n.now(), encodeCommand(machine, command))
+		if err != nil {
+			w.result <- outcome{err: fmt.Errorf("%w: %w", errDropped, err)}
+			return
+		}
+		if old := n.waiters[index]; old != nil { // of an entry that was replaced
+			old.result <- outcome{err: errDropped}
+		}
+		w.term = term
+		n.waiters[index] = w
+	})
+	if !queued {
+		return nil, errDropped
+	}
+	select {
+	case o := <-w.result:
+		return o.result, o.err
+	case <-n.stopped:
+		return nil, fmt.Errorf("%w: the host stops", ErrUncertain)
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%w: %v", ErrUncertain, ctx.Err())
+	}
+}
+
+// errDropped means inside this package that the command is certainly not in the
+// log and can be proposed again.
+var errDropped = errors.New("not appended")
--- /dev/null
+++ b/internal/control/storage/storage.go
@@ -0,0 +1,298 @@
+package storage
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"geraniumturn.example/geraniumturn/internal/control/controlpb"
+	"geraniumturn.example/geraniumturn/internal/control/core"
+)
+
+const (
+	idFile       = "id"
+	logFile      = "log"
+	snapshotFile = "snapshot"
+	temporary    = ".tmp"
+	idBytes      = 16
+)
+
+// Loaded is the state of a voter as found on disk.
+type Loaded struct {
+	ID       string
+	State    core.HardState
+	Snapshot core.Snapshot
+	// Base and BaseTerm name the entry before the first of Entries.
+	Base, BaseTerm uint64
+	Entries        []core.Entry
+	// Removed is the size in bytes of the incomplete end that was removed.
+	Removed int64
+
+	replaced bool
+}
+
+// Storage is the open folder of one voter. It is not safe for concurrent use.
+// After an error it must not be used again, because what is on disk is unknown.
+type Storage struct {
+	dir  string
+	log  *os.File
+	salt []byte
+}
+
+// Open reads the folder, and creates it with a new random id if it is empty.
+func Open(dir string) (*Storage, *Loaded, error) {
+	s := &Storage{dir: dir}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, nil, fmt.Errorf("control: storage: %w", err)
+	}
+	if err := syncDir(filepath.Dir(dir)); err != nil {
+		return nil, nil, err
+	}
+	id, err := os.ReadFile(s.path(idFile))
+	if errors.Is(err, os.ErrNotExist) {
+		return s.create()
+	}
+	if err != nil {
+		return nil, nil, fmt.Errorf("control: storage: %w", err)
+	}
+	loaded := &Loaded{ID: strings.TrimSpace(string(id))}
+	if len(loaded.ID) != 2*idBytes {
+		return nil, nil, fmt.Errorf("%w: %s: no voter id", ErrDamaged, s.path(idFile))
+	}
+	if err := s.load(loaded); err != nil {
+		return nil, nil, err
+	}
+	return s, loaded, nil
+}
+
+func (s *Storage) path(name string) string { return filepath.Join(s.dir, name) }
+
+// create makes the files of a new voter. The id is written last: a folder
+// without it was never used.
+func (s *Storage) create() (*Storage, *Loaded, error) {
+	if _, err := os.Stat(s.path(snapshotFile)); err == nil {
+		return nil, nil, fmt.Errorf("%w: %s is missing beside a snapshot", ErrDamaged, s.path(idFile))
+	}
+	if data, err := os.ReadFile(s.path(logFile)); err == nil && len(data) > fileHeaderBytes {
+		if payloads, _, err := decodeLog(data); err != nil || len(payloads) > 1 {
+			return nil, nil, fmt.Errorf("%w: %s is missing beside a log", ErrDamaged, s.path(idFile))
+		}
+	}
+	loaded := &Loaded{ID: randomHex(idBytes)}
+	if err := s.Rewrite(loaded.ID, core.HardState{}, 0, 0, nil); err != nil {
+		return nil, nil, err
+	}
+	if err := s.replace(idFile, []byte(loaded.ID+"\n")); err != nil {
+		return nil, nil, err
+	}
+	return s, loaded, nil
+}
+
+func randomHex(n int) string {
+	raw := make([]byte, n)
+	_, _ = rand.Read(raw) // never fails since Go 1.24
+	return hex.EncodeToString(raw)
+}
+
+func (s *Storage) load(loaded *Loaded) error {
+	if err := s.loadSnapshot(loaded); err != nil {
+		return err
+	}
+	path := s.path(logFile)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("%w: %s: %v", ErrDamaged, path, err)
+	}
+	payloads, end, err := decodeLog(data)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	if err := replay(loaded, payloads); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	s.salt = append([]byte(nil), data[len(magic):fileHeaderBytes]...)
+	if s.log, err = os.OpenFile(path, os.O_WRONLY, 0); err != nil {
+		return fmt.Errorf("control: storage: %w", err)
+	}
+	loaded.Removed = int64(len(data) - end)
+	if loaded.replaced {
+		return s.Rewrite(loaded.ID, loaded.State, loaded.Base, loaded.BaseTerm, nil)
+	}
+	return s.truncate(int64(end), loaded.Removed > 0)
+}
+
+func (s *Storage) truncate(end int64, needed bool) error {
+	if needed {
+		if err := s.log.Truncate(end); err != nil {
+			return fmt.Errorf("control: storage: %w", err)
+		}
+		if err := s.log.Sync(); err != nil {
+			return fmt.Errorf("control: storage: %w", err)
+		}
+	}
+	if _, err := s.log.Seek(end, 0); err != nil {
+		return fmt.Errorf("control: storage: %w", err)
+	}
+	return nil
+}
+
+// replay applies the frames of a log. The first frame names the voter and the
+// entry before the log.
+func replay(loaded *Loaded, payloads [][]byte) error {
+	if len(payloads) == 0 {
+		return fmt.Errorf("%w: no first record at offset %d", ErrDamaged, fileHeaderBytes)
+	}
+	for i, payload := range payloads {
+		var b controlpb.Batch
+		if err := proto.Unmarshal(payload, &b); err != nil {
+			return fmt.Errorf("%w: record %d: %v", ErrDamaged, i, err)
+		}
+		if i == 0 {
+			if b.GetId() != loaded.ID {
+				return fmt.Errorf("%w: the log belongs to voter %q, not %q", ErrDamaged, b.GetId(), loaded.ID)
+			}
+			loaded.Base, loaded.BaseTerm = b.GetBase(), b.GetBaseTerm()
+		}
+		if err := replayBatch(loaded, &b, i); err != nil {
+			return err
+		}
+	}
+	return fitSnapshot(loaded)
+}
+
+// fitSnapshot drops a log that a received snapshot has replaced: the snapshot is
+// written first, so a crash may leave the old log beside it.
+func fitSnapshot(loaded *Loaded) error {
+	at := loaded.Snapshot.Index
+	if loaded.Base > at {
+		return fmt.Errorf("%w: the log starts after entry %d, the snapshot ends at %d", ErrDamaged, loaded.Base, at)
+	}
+	term := loaded.BaseTerm
+	if at > loaded.Base {
+		term = 0
+		if n := at - loaded.Base; n <= uint64(len(loaded.Entries)) {
+			term = loaded.Entries[n-1].Term
+		}
+	}
+	if term != loaded.Snapshot.Term {
+		loaded.Base, loaded.BaseTerm, loaded.Entries = at, loaded.Snapshot.Term, nil
+		loaded.replaced = true
+	}
+	return nil
+}
+
+func replayBatch(loaded *Loaded, b *controlpb.Batch, i int) error {
+	if b.GetState() != nil {
+		loaded.State = core.HardState{Term: b.GetState().GetTerm(), Vote: b.GetState().GetVote()}
+	}
+	for _, e := range EntriesFromProto(b.GetEntries()) {
+		next := loaded.Base + uint64(len(loaded.Entries)) + 1
+		if e.Index <= loaded.Base || e.Index > next {
+			return fmt.Errorf("%w: record %d: entry %d after entry %d", ErrDamaged, i, e.Index, next-1)
+		}
+		loaded.Entries = append(loaded.Entries[:e.Index-loaded.Base-1], e)
+	}
+	return nil
+}
+
+// Append writes a state, which may be nil, and entries as one record and syncs
+// it. The first entry replaces all entries from its index.
+func (s *Storage) Append(state *core.HardState, entries []core.Entry) error {
+	frame, err := encodeBatch(s.salt, &controlpb.Batch{State: stateToProto(state), Entries: EntriesToProto(entries)})
+	if err != nil {
+		return err
+	}
+	if _, err := s.log.Write(frame); err != nil {
+		return fmt.Errorf("control: storage: %w", err)
+	}
+	if err := s.log.Sync(); err != nil {
+		return fmt.Errorf("control: storage: %w", err)
+	}
+	return nil
+}
+
+func stateToProto(state *core.HardState) *controlpb.HardState {
+	if state == nil {
+		return nil
+	}
+	return &controlpb.HardState{Term: state.Term, Vote: state.Vote}
+}
+
+func encodeBatch(salt []byte, b *controlpb.Batch) ([]byte, error) {
+	payload, err := proto.Marshal(b)
+	if err != nil {
+		return nil, fmt.Errorf("control: storage: %w", err)
+	}
+	if len(payload) > maxFrameBytes {
+		return nil, fmt.Errorf("control: storage: record of %d bytes", len(payload))
+	}
+	return appendFrame(nil, salt, payload), nil
+}
+
+// Rewrite replaces the whole log.
+func (s *Storage) Rewrite(id string, state core.HardState, base, baseTerm uint64, entries []core.Entry) error {
+	salt := make([]byte, saltBytes)
+	_, _ = rand.Read(salt)
+	frame, err := encodeBatch(salt, &controlpb.Batch{
+		Id: id, Base: base, BaseTerm: baseTerm, State: stateToProto(&state), Entries: EntriesToProto(entries),
+	})
+	if err != nil {
+		return err
+	}
+	if err := s.replace(logFile, append(append([]byte(magic), salt...), frame...)); err != nil {
+		return err
+	}
+	if s.log != nil {
+		_ = s.log.Close()
+	}
+	s.salt = salt
+	if s.log, err = os.OpenFile(s.path(logFile), os.O_WRONLY|os.O_APPEND, 0); err != nil {
+		return fmt.Errorf("control: storage: %w", err)
+	}
+	return nil
+}
+
+// replace writes a file under another name, syncs it, renames it and syncs the
+// folder, so that a crash leaves the old or the new content.
+func (s *Storage) replace(name string, data []byte) error {
+	path := s.path(name)
+	f, err := os.OpenFile(path+temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("control: storage: %w", err)
+	}
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if err == nil {
+		err = os.Rename(path+temporary, path)
+	}
+	if err != nil {
+		return fmt.Errorf("control: storage: %w", err)
+	}
+	return syncDir(s.dir)
+}
+
+func syncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return fmt.Errorf("control: storage: %w", err)
+	}
+	defer d.Close()
+	if err := d.Sync(); err != nil {
+		return fmt.Errorf("control: storage: sync %s: %w", dir, err)
+	}
+	return nil
+}
+
+// Close closes the files.
+func (s *Storage) Close() error { return s.log.Close() }
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -120,6 +120,22 @@
 	return nil
 }
 
+// Init gives all voters of a new fleet the same initial membership. It fails if
+// any of them already has a log or cannot be reached.
+func (t *Tool) Init(ctx context.Context) error {
+	var members []struct {
+		ID   string `json:"id"`
+		Host string `json:"host"`
+	}
+	if err := t.Admin.Call(ctx, "POST", "/admin/v1/control/init", nil, &members); err != nil {
+		return err
+	}
+	for _, m := range members {
+		fmt.Fprintf(t.Out, "voter %s on %s\n", m.ID, m.Host)
+	}
+	return nil
+}
+
 // Diff prints what a rules file would change.
 func (t *Tool) Diff(ctx context.Context, path string) error {
 	text, err := os.ReadFile(path)
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -91,6 +91,7 @@
 			return run(ctx, tool)
 		}
 	}
+	add("init", "give all voters of a new fleet their initial membership", withTool(func(ctx context.Context, t *Tool) error { return t.Init(ctx) }))
 	c := add("check", "check a rules file", func(context.Context) error { return (&Tool{Out: out}).Check(f.file) })
 	c.AddPositionalValue(&f.file, "file", 1, true, "rules file")
 	c = add("apply", "put a rules file in force", withTool(func(ctx context.Context, t *Tool) error {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -1,20 +1,72 @@
 package daemon
 
 import (
+	"context"
+	"net/http"
+	"path/filepath"
+
+	"github.com/labstack/echo/v4"
+
 	"geraniumturn.example/geraniumturn/internal/control"
 	"geraniumturn.example/geraniumturn/internal/control/controlpb"
 	"geraniumturn.example/geraniumturn/internal/fleet"
-	"storj.io/drpc"
+	"geraniumturn.example/geraniumturn/internal/settings"
 )
 
+const controlFolder = "control"
+
+func (d *Daemon) controlConfig() control.Config {
+	c := control.Config{Host: d.settings.Name, Dial: d.transport.Dial, Logger: d.log, Metrics: d.metrics}
+	for _, name := range d.settings.Control.Voters {
+		voter, _ := d.settings.Host(name)
+		c.Voters = append(c.Voters, control.Voter{Host: name, Address: voter.Peer})
+	}
+	return c
+}
+
 func (d *Daemon) buildControl() error {
-	first := d.settings.Control.Voters[0]
-	if first != d.settings.Name {
-		voter, _ := d.settings.Host(first)
-		d.controlLog = control.Remote{Dial: func() drpc.Conn { return d.transport.Dial(voter.Peer) }}
+	config := d.controlConfig()
+	if !d.settings.HasRole(settings.RoleControl) {
+		d.controlLog = control.NewRemote(config)
 		return nil
 	}
+	config.Dir = filepath.Join(d.settings.DataDir, controlFolder)
+	node, err := control.NewNode(config)
+	if err != nil {
+		return err
+	}
 	d.machine = fleet.NewMachine()
-	d.controlLog = control.NewSequencer(map[string]control.Machine{fleet.MachineName: d.machine})
-	return d.transport.Register(control.Service{Log: d.controlLog}, controlpb.DRPCControlDescription{})
+	node.Register(fleet.MachineName, d.machine)
+	d.controlNode, d.controlLog = node, node
+	return d.transport.Register(node.Service(), controlpb.DRPCControlDescription{})
+}
+
+// controlLoop runs the voter; a failure of its disk ends the process.
+func (d *Daemon) controlLoop(ctx context.Context) error {
+	if d.controlNode == nil {
+		<-ctx.Done()
+		return nil
+	}
+	return d.controlNode.Run(ctx)
+}
+
+func (d *Daemon) registerControl(admin *echo.Group) {
+	admin.GET("/control", d.showControl)
+	admin.POST("/control/init", d.initControl)
+}
+
+func (d *Daemon) showControl(c echo.Context) error {
+	if d.controlNode == nil {
+		return c.JSON(http.StatusOK, control.Report{Host: d.settings.Name, Role: "none", Members: []control.Member{}})
+	}
+	return c.JSON(http.StatusOK, d.controlNode.Report())
+}
+
+func (d *Daemon) initControl(c echo.Context) error {
+	members, err := control.Initialise(c.Request().Context(), d.controlConfig())
+	if err != nil {
+		return echo.NewHTTPError(http.StatusPreconditionFailed, err.Error())
+	}
+	d.log.WithField("members", len(members)).Info("control log initialised")
+	return c.JSON(http.StatusOK, members)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,13 +47,15 @@
 	transport *peer.Transport
 
 	controlLog control.Log
-	machine    *fleet.Machine
-	copy       *fleet.Copy
-	keys       *keys.Table
-	targets    *targets.Table
-	dispatcher *dispatch.Dispatcher
-	entry      *entry.Server
-	echo       *echo.Echo
+	// controlNode is nil on a host that is no voter.
+	controlNode *control.Node
+	machine     *fleet.Machine
+	copy        *fleet.Copy
+	keys        *keys.Table
+	targets     *targets.Table
+	dispatcher  *dispatch.Dispatcher
+	entry       *entry.Server
+	echo        *echo.Echo
 }
 
 // New builds the process from its settings. Nothing runs before Run.
@@ -119,7 +121,7 @@
 
 // loops are the background tasks; each returns when its context ends.
 func (d *Daemon) loops() []func(context.Context) error {
-	return []func(context.Context) error{d.pullLoop}
+	return []func(context.Context) error{d.controlLoop, d.pullLoop}
 }
 
 func (d *Daemon) addLoop(g *run.Group, loop func(context.Context) error) {
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -33,6 +33,7 @@
 	(&fleet.Admin{Log: d.controlLog, Copy: d.copy}).Register(admin)
 	d.events.Register(admin)
 	admin.GET("/status", d.status)
+	d.registerControl(admin)
 	targets.Register(e.Group("/targets/v1", entry.RequireToken(announceToken)), d.targets, d.relayAnnouncement)
 	d.echo = e
 	return nil
--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"geraniumturn.example/geraniumturn/internal/control"
 	"geraniumturn.example/geraniumturn/internal/ctl"
 	"geraniumturn.example/geraniumturn/internal/standin"
 )
@@ -125,9 +126,23 @@
 	for _, p := range f.hosts {
 		f.AwaitHealthy(p.Name)
 	}
+	f.initialise()
 	return f
 }
 
+// initialise runs geraniumctl init. It is repeated only while a voter cannot be reached.
+func (f *Fleet) initialise() {
+	f.t.Helper()
+	Eventually(f.t, StartLimit, func() error {
+		var out strings.Builder
+		err := f.Tool(&out).Init(context.Background())
+		if err != nil && strings.Contains(err.Error(), control.ErrInitialised.Error()) {
+			return nil
+		}
+		return err
+	})
+}
+
 func freeAddress(t testing.TB, ip string) string {
 	t.Helper()
 	l, err := net.Listen("tcp", ip+":0")
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -81,6 +81,7 @@
 	cat "$dir/out" "$dir"/*.log >&2
 	return 1
 }
+retry ctl init
 retry ctl apply examples/cantabrico.rules --wait
 key=$(ctl grant hoteles-gijon --wait)
 echo "granted key ${key%_*}_..."
