--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"geraniumturn.example/geraniumturn/internal/fleet"
 	"geraniumturn.example/geraniumturn/internal/keys"
 	"geraniumturn.example/geraniumturn/internal/peer"
+	"geraniumturn.example/geraniumturn/internal/routing"
 	"geraniumturn.example/geraniumturn/internal/settings"
 	"geraniumturn.example/geraniumturn/internal/targets"
 	"geraniumturn.example/geraniumturn/internal/timeline"
@@ -49,13 +50,17 @@
 	controlLog control.Log
 	// controlNode is nil on a host that is no voter.
 	controlNode *control.Node
-	machine     *fleet.Machine
-	copy        *fleet.Copy
-	keys        *keys.Table
-	targets     *targets.Table
-	dispatcher  *dispatch.Dispatcher
-	entry       *entry.Server
-	echo        *echo.Echo
+
+	machine    *fleet.Machine
+	copy       *fleet.Copy
+	keys       *keys.Table
+	targets    *targets.Table
+	relay      *targets.Relay
+	relayWake  chan struct{}
+	router     *routing.Router
+	dispatcher *dispatch.Dispatcher
+	entry      *entry.Server
+	echo       *echo.Echo
 }
 
 // New builds the process from its settings. Nothing runs before Run.
@@ -71,7 +76,7 @@
 		transport: peer.New(s.Name, hlc, tlsConfig),
 		copy:      fleet.NewCopy(),
 		keys:      keys.NewTable(),
-		targets:   targets.NewTable(),
+		targets:   targets.NewTable(s.Name, s.DataCentre),
 	}
 	for _, build := range []func() error{d.buildControl, d.buildFleet, d.buildTargets, d.buildDispatch, d.buildHTTP} {
 		if err := build(); err != nil {
@@ -121,7 +126,12 @@
 
 // loops are the background tasks; each returns when its context ends.
 func (d *Daemon) loops() []func(context.Context) error {
-	return []func(context.Context) error{d.controlLoop, d.pullLoop}
+	return []func(context.Context) error{
+		d.controlLoop,
+		d.pullLoop,
+		d.relayLoop,
+		d.exchangeLoop,
+	}
 }
 
 func (d *Daemon) addLoop(g *run.Group, loop func(context.Context) error) {
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -34,7 +34,7 @@
 	d.events.Register(admin)
 	admin.GET("/status", d.status)
 	d.registerControl(admin)
-	targets.Register(e.Group("/targets/v1", entry.RequireToken(announceToken)), d.targets, d.relayAnnouncement)
+	targets.Register(e.Group("/targets/v1", entry.RequireToken(announceToken)), d.targets, d.urgentAnnouncement)
 	d.echo = e
 	return nil
 }
