--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -93,11 +93,13 @@
 	if err != nil {
 		return err
 	}
-	if err := f.withdrawals.Open(filepath.Join(dir, "withdrawals")); errors.Is(err, keys.ErrDamaged) {
+	journal, withdrawn, err := keys.OpenFile(filepath.Join(dir, "withdrawals"))
+	if errors.Is(err, keys.ErrDamaged) {
 		f.d.log.WithError(err).Error("withdrawals file is damaged: set aside, its valid records are in force")
 	} else if err != nil {
 		return err
 	}
+	f.withdrawals.Load(withdrawn, journal)
 	state, err := store.Load()
 	switch {
 	case errors.Is(err, fleet.ErrDamaged):
@@ -182,13 +184,7 @@
 		return true
 	}
 	positions := f.ask(ctx, f.others())
-	best, voter := "", late
-	for name, index := range positions {
-		voter = voter || slices.Contains(voters, name)
-		if index > f.d.copy.View().Index && (best == "" || index > positions[best]) {
-			best = name
-		}
-	}
+	best, voter := fleet.StartChoice(f.d.copy.View().Index, positions, voters, late)
 	if best != "" {
 		if h, ok := f.d.members.Lookup(best); ok && f.pullFrom(ctx, h) != nil && !late {
 			return false
--- /dev/null
+++ b/internal/fleet/change_test.go
@@ -0,0 +1,178 @@
+package fleet
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"geraniumturn.example/geraniumturn/internal/fleet/fleetpb"
+)
+
+// Guards against a delta that gives another text than the operator sent.
+func TestEditsGiveTheText(t *testing.T) {
+	line := rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f", "g", "h", ""})
+	text := rapid.Map(rapid.SliceOfN(line, 0, 30), func(l []string) string { return strings.Join(l, "\n") })
+	rapid.Check(t, func(t *rapid.T) {
+		before, after := text.Draw(t, "before"), text.Draw(t, "after")
+		got, err := applyEdits(before, diffLines(before, after))
+		if err != nil || got != after {
+			t.Fatalf("got %q, %v", got, err)
+		}
+	})
+}
+
+// Guards against a delta as large as the file when two distant lines change.
+func TestEditsAreSmall(t *testing.T) {
+	lines := strings.Split(bigRules(2400, 0), "\n")
+	before := strings.Join(lines, "\n")
+	lines[3], lines[2000] = lines[3]+" x", "new"
+	edits := diffLines(before, strings.Join(lines, "\n"))
+	if size := proto.Size(&fleetpb.RulesChange{Edits: edits}); len(edits) != 2 || size > 300 {
+		t.Errorf("%d edits, %d bytes", len(edits), size)
+	}
+}
+
+// Guards against a stored state that a restart loses or takes although it is damaged.
+func TestStore(t *testing.T) {
+	store, err := OpenStore(t.TempDir() + "/fleet")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if state, err := store.Load(); state != nil || err != nil {
+		t.Fatalf("an empty folder gives %v, %v", state, err)
+	}
+	want := &fleetpb.State{Index: 7, Revision: 2, Rules: "x", Withdrawn: []string{"a"}}
+	if err := store.Save(want); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := store.Load(); err != nil || !proto.Equal(got, want) {
+		t.Fatalf("got %v, %v", got, err)
+	}
+	data, err := os.ReadFile(store.Path())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for at := range data {
+		damaged := append([]byte(nil), data...)
+		damaged[at] ^= 1
+		if _, err := decodeState(damaged); err == nil {
+			t.Errorf("a wrong bit in byte %d is not found", at)
+		}
+		if _, err := decodeState(data[:at]); err == nil {
+			t.Errorf("a file cut at byte %d is not found", at)
+		}
+	}
+	if err := os.WriteFile(store.Path(), data[:len(data)-1], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.Load(); !errors.Is(err, ErrDamaged) || !strings.Contains(err.Error(), store.Path()) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// Guards against a first answer that a snapshot of the machine loses.
+func TestSnapshotKeepsAnswers(t *testing.T) {
+	m := NewMachine()
+	command := func(text string) []byte {
+		data, err := proto.Marshal(&fleetpb.Command{Kind: &fleetpb.Command_ApplyRules{ApplyRules: &fleetpb.ApplyRules{RequestId: "r", Text: text, Operator: "o"}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}
+	first := string(m.Apply(3, command("# a\n")))
+	snapshot, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := NewMachine()
+	if err := restored.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	if again := string(restored.Apply(4, command("# a\n"))); again != first {
+		t.Error("a resend after the restore gets another answer")
+	}
+	var other fleetpb.Result
+	if err := proto.Unmarshal(restored.Apply(5, command("# b\n")), &other); err != nil || other.Reason != ReasonRequestIDReused {
+		t.Errorf("another content under the same id gives %v, %v", &other, err)
+	}
+}
+
+// Guards against hosts that are left out of the tree or get a change twice.
+func TestChildrenReachAllOnce(t *testing.T) {
+	var hosts []Place
+	for i := range 410 {
+		hosts = append(hosts, Place{Name: string(rune('a'+i%10)) + strings.Repeat("x", i/10), DataCentre: string(rune('a' + i%10))})
+	}
+	origin := hosts[17].Name
+	reached, level, depth := map[string]int{origin: 1}, []string{origin}, 0
+	for len(level) > 0 {
+		var next []string
+		for _, name := range level {
+			children := Children(origin, name, hosts)
+			if len(children) > FanOut {
+				t.Fatalf("%s pushes to %d hosts", name, len(children))
+			}
+			for _, c := range children {
+				reached[c]++
+				next = append(next, c)
+			}
+		}
+		if level = next; len(level) > 0 {
+			depth++
+		}
+	}
+	for _, h := range hosts {
+		if reached[h.Name] != 1 {
+			t.Errorf("%s is reached %d times", h.Name, reached[h.Name])
+		}
+	}
+	if depth > 6 {
+		t.Errorf("the tree has depth %d", depth)
+	}
+}
+
+// Guards against messages of other hosts that crash a host or take its state back.
+func FuzzMerge(f *testing.F) {
+	m := NewMachine()
+	command, err := proto.Marshal(&fleetpb.Command{Kind: &fleetpb.Command_ApplyRules{ApplyRules: &fleetpb.ApplyRules{RequestId: "r", Text: "# a\n", Operator: "o"}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(command)
+	m.Apply(3, command)
+	for _, in := range []*fleetpb.PullResponse{m.Since(0), {State: m.State()}} {
+		data, err := proto.Marshal(in)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c := NewCopy()
+		var in fleetpb.PullResponse
+		if proto.Unmarshal(data, &in) == nil {
+			for range 2 {
+				before := c.View()
+				if _, err := c.Merge(&in); err != nil && c.View() != before {
+					t.Error("a refused message changed the state")
+				}
+				if c.View().Index < before.Index {
+					t.Error("the index went back")
+				}
+			}
+			c.Since(c.View().Index - 1)
+		}
+		machine := NewMachine()
+		machine.Apply(1, data)
+		machine.Apply(2, data)
+		if machine.Restore(data) == nil {
+			machine.Apply(machine.Index()+1, data)
+		}
+		_, _ = decodeState(data)
+	})
+}
--- a/internal/fleet/copy.go
+++ b/internal/fleet/copy.go
@@ -119,15 +119,18 @@
 	return true, nil
 }
 
-// ErrOlder means that a newer index came with an older revision or fewer
-// withdrawals, which no correct voter publishes.
+// ErrOlder means that a newer index came with an older revision, or with fewer
+// keys or withdrawals, which no correct voter publishes.
 var ErrOlder = errors.New("fleet: state is older than the one in force")
 
 func (c *Copy) put(state *fleetpb.State) error {
 	old := c.current.Load()
-	if state.Revision < old.Revision || len(state.Withdrawn) < len(old.State.Withdrawn) {
-		return fmt.Errorf("%w: state %d has revision %d and %d withdrawals, in force are revision %d and %d withdrawals",
-			ErrOlder, state.Index, state.Revision, len(state.Withdrawn), old.Revision, len(old.State.Withdrawn))
+	if state.Index <= old.Index {
+		panic(fmt.Sprintf("fleet: index would go from %d to %d", old.Index, state.Index))
+	}
+	if state.Revision < old.Revision || len(state.Keys) < len(old.State.Keys) || len(state.Withdrawn) < len(old.State.Withdrawn) {
+		return fmt.Errorf("%w: state %d has revision %d, %d keys, %d withdrawals; in force are revision %d, %d keys, %d withdrawals", ErrOlder,
+			state.Index, state.Revision, len(state.Keys), len(state.Withdrawn), old.Revision, len(old.State.Keys), len(old.State.Withdrawn))
 	}
 	set := old.Rules
 	if state.Revision != old.Revision {
--- a/internal/keys/conns.go
+++ b/internal/keys/conns.go
@@ -10,7 +10,8 @@
 // connections knows which callers' connections carried which keys, so that
 // kept-alive connections of a withdrawn key are closed. A connection in the
 // middle of a request is closed when that request is over, because its caller
-// is still told whether the request ran.
+// is still told whether the request ran. A connection that also carried a key
+// that holds stays open, because closing it could cut a request of that key.
 type connections struct {
 	mu    sync.Mutex
 	known map[net.Conn]*connection
@@ -18,9 +19,19 @@
 }
 
 type connection struct {
-	keys    map[string]struct{}
-	idle    bool
-	closing bool
+	// withdrawn tells for each key that was used whether it is withdrawn.
+	withdrawn map[string]bool
+	idle      bool
+}
+
+// over reports whether all keys of the connection are withdrawn.
+func (c *connection) over() bool {
+	for _, withdrawn := range c.withdrawn {
+		if !withdrawn {
+			return false
+		}
+	}
+	return len(c.withdrawn) > 0
 }
 
 type connectionKey struct{}
@@ -53,9 +64,11 @@
 		s.known, s.byKey = map[net.Conn]*connection{}, map[string]map[net.Conn]struct{}{}
 	}
 	if s.known[c] == nil {
-		s.known[c] = &connection{keys: map[string]struct{}{}}
+		s.known[c] = &connection{withdrawn: map[string]bool{}}
+	}
+	if _, seen := s.known[c].withdrawn[id]; !seen {
+		s.known[c].withdrawn[id] = false
 	}
-	s.known[c].keys[id] = struct{}{}
 	if s.byKey[id] == nil {
 		s.byKey[id] = map[net.Conn]struct{}{}
 	}
@@ -71,13 +84,13 @@
 	}
 	switch state {
 	case http.StateIdle:
-		if known.idle = true; known.closing {
+		if known.idle = true; known.over() {
 			_ = c.Close()
 		}
 	case http.StateActive:
 		known.idle = false
 	case http.StateClosed, http.StateHijacked:
-		for id := range known.keys {
+		for id := range known.withdrawn {
 			if delete(s.byKey[id], c); len(s.byKey[id]) == 0 {
 				delete(s.byKey, id)
 			}
@@ -91,8 +104,8 @@
 	defer s.mu.Unlock()
 	for c := range s.byKey[id] {
 		known := s.known[c]
-		known.closing = true
-		if known.idle {
+		known.withdrawn[id] = true
+		if known.idle && known.over() {
 			_ = c.Close()
 		}
 	}
--- a/internal/keys/withdrawals.go
+++ b/internal/keys/withdrawals.go
@@ -2,34 +2,22 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"hash/crc32"
-	"io"
-	"os"
-	"path/filepath"
 	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-var (
-	// ErrDamaged means that a record of the withdrawals file fails its check.
-	ErrDamaged = errors.New("keys: withdrawals file is damaged")
-	// ErrInvalidID means that a text cannot be a key id.
-	ErrInvalidID = errors.New("keys: invalid key id")
-)
+// ErrInvalidID means that a text cannot be a key id.
+var ErrInvalidID = errors.New("keys: invalid key id")
 
 const (
 	maxIDBytes       = 64
 	maxOperatorBytes = 256
-	recordHeader     = 8 // length (4), CRC-32C (4)
 )
 
-var castagnoli = crc32.MakeTable(crc32.Castagnoli)
-
 // ValidID reports whether the text can be a key id. The underscore separates
 // id and secret in a token, so an id has letters and digits only.
 func ValidID(id string) bool {
@@ -60,106 +48,35 @@
 	items     map[string]Withdrawal
 	published map[string]bool
 	digest    uint64
-	file      *os.File
-	damaged   bool
-}
 
-// NewWithdrawals returns an empty set without a file, which enforces its
-// members through the table.
-func NewWithdrawals(table *Table) *Withdrawals {
-	return &Withdrawals{table: table, items: map[string]Withdrawal{}, published: map[string]bool{}}
-}
-
-// Open loads the file and keeps it for new members. An incomplete record at
-// the end was never acknowledged and is cut off. A record that fails its check
-// gives ErrDamaged after all records before it are in force; the file is then
-// set aside and a new one holds what could be read.
-func (w *Withdrawals) Open(path string) error {
-	data, err := os.ReadFile(path)
-	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return fmt.Errorf("keys: %w", err)
-	}
-	items, end, damage := readRecords(data)
-	for _, item := range items {
-		w.add(item)
-	}
-	if damage != nil {
-		damage = fmt.Errorf("%w: %s, offset %d: %v", ErrDamaged, path, end, damage)
-		if err := os.Rename(path, path+".damaged"); err != nil {
-			return fmt.Errorf("keys: %w", err)
-		}
-	}
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
-	if err != nil {
-		return fmt.Errorf("keys: %w", err)
-	}
-	if err := w.prepare(f, items, end, damage != nil); err != nil {
-		_ = f.Close()
-		return err
-	}
-	w.file = f
-	return damage
+	// storing orders writes to the journal, which are slow.
+	storing sync.Mutex
+	journal Journal
+	stored  map[string]bool
 }
 
-// prepare makes the file end with its last whole record.
-func (w *Withdrawals) prepare(f *os.File, items []Withdrawal, end int, rewrite bool) error {
-	if rewrite {
-		for _, item := range items {
-			if _, err := f.Write(encodeRecord(item)); err != nil {
-				return fmt.Errorf("keys: %w", err)
-			}
-		}
-	} else {
-		if err := f.Truncate(int64(end)); err != nil {
-			return fmt.Errorf("keys: %w", err)
-		}
-		if _, err := f.Seek(int64(end), io.SeekStart); err != nil {
-			return fmt.Errorf("keys: %w", err)
-		}
-	}
-	if err := f.Sync(); err != nil {
-		return fmt.Errorf("keys: %w", err)
-	}
-	d, err := os.Open(filepath.Dir(f.Name()))
-	if err != nil {
-		return fmt.Errorf("keys: %w", err)
-	}
-	defer d.Close()
-	return d.Sync()
+// Journal stores withdrawals durably.
+type Journal interface {
+	// Append returns after the withdrawal is synced.
+	Append(Withdrawal) error
 }
 
-func encodeRecord(w Withdrawal) []byte {
-	payload := append([]byte{byte(len(w.KeyID))}, w.KeyID...)
-	payload = append(payload, w.Operator...)
-	out := binary.BigEndian.AppendUint32(nil, uint32(len(payload)))
-	out = binary.BigEndian.AppendUint32(out, crc32.Checksum(payload, castagnoli))
-	return append(out, payload...)
+// NewWithdrawals returns an empty set without a journal, which enforces its
+// members through the table.
+func NewWithdrawals(table *Table) *Withdrawals {
+	return &Withdrawals{table: table, items: map[string]Withdrawal{}, published: map[string]bool{}, stored: map[string]bool{}}
 }
 
-// readRecords returns the whole records and the offset after them. The error
-// tells that the record at that offset is there but wrong.
-func readRecords(data []byte) (items []Withdrawal, end int, err error) {
-	for len(data)-end >= recordHeader {
-		length := int(binary.BigEndian.Uint32(data[end:]))
-		sum := binary.BigEndian.Uint32(data[end+4:])
-		if length < 1 || length > 1+maxIDBytes+maxOperatorBytes {
-			return items, end, fmt.Errorf("record has length %d", length)
-		}
-		if len(data)-end-recordHeader < length {
-			return items, end, nil
-		}
-		payload := data[end+recordHeader : end+recordHeader+length]
-		if crc32.Checksum(payload, castagnoli) != sum {
-			return items, end, errors.New("checksum does not match")
-		}
-		n := int(payload[0])
-		if n > length-1 || !ValidID(string(payload[1:1+n])) {
-			return items, end, errors.New("record has no valid key id")
-		}
-		items = append(items, Withdrawal{KeyID: string(payload[1 : 1+n]), Operator: string(payload[1+n:])})
-		end += recordHeader + length
+// Load puts withdrawals in force that were stored before, and stores new ones
+// in the journal from now on.
+func (w *Withdrawals) Load(stored []Withdrawal, journal Journal) {
+	w.storing.Lock()
+	defer w.storing.Unlock()
+	for _, item := range stored {
+		w.add(item)
+		w.stored[item.KeyID] = true
 	}
-	return items, end, nil
+	w.journal = journal
 }
 
 // Add puts withdrawals in force and stores them. They are in force even when
@@ -179,44 +96,34 @@
 	return added, err
 }
 
-func (w *Withdrawals) addAndStore(item Withdrawal) (bool, error) {
-	w.mu.Lock()
-	_, known := w.items[item.KeyID]
-	w.mu.Unlock()
-	if known {
-		return false, nil
-	}
-	w.add(item) // in force before it is stored, since it must never wait for a disk
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.file == nil {
-		return true, nil
-	}
-	if w.damaged {
-		return true, fmt.Errorf("%w: an earlier write failed", ErrDamaged)
+// addAndStore returns only when the item is stored, also when another call
+// added it at the same time or when storing it failed before.
+func (w *Withdrawals) addAndStore(item Withdrawal) (isNew bool, err error) {
+	isNew = w.add(item) // in force before it is stored, since it must not wait for a disk
+	w.storing.Lock()
+	defer w.storing.Unlock()
+	if w.journal == nil || w.stored[item.KeyID] {
+		return isNew, nil
 	}
-	_, err := w.file.Write(encodeRecord(item))
-	if err == nil {
-		err = w.file.Sync()
+	if err := w.journal.Append(item); err != nil {
+		return isNew, err
 	}
-	if err != nil {
-		w.damaged = true
-		return true, fmt.Errorf("keys: store withdrawal: %w", err)
-	}
-	return true, nil
+	w.stored[item.KeyID] = true
+	return isNew, nil
 }
 
-func (w *Withdrawals) add(item Withdrawal) {
+func (w *Withdrawals) add(item Withdrawal) (isNew bool) {
 	w.table.Withdraw(item.KeyID)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if _, known := w.items[item.KeyID]; known {
-		return
+		return false
 	}
 	w.items[item.KeyID] = item
 	if !w.published[item.KeyID] {
 		w.digest ^= xxhash.Sum64String(item.KeyID)
 	}
+	return true
 }
 
 // Published tells which withdrawals the published state holds; they need no
@@ -261,17 +168,7 @@
 
 // Durable reports whether members are stored on a disk.
 func (w *Withdrawals) Durable() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.file != nil && !w.damaged
-}
-
-// Close closes the file.
-func (w *Withdrawals) Close() error {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.file == nil {
-		return nil
-	}
-	return w.file.Close()
+	w.storing.Lock()
+	defer w.storing.Unlock()
+	return w.journal != nil
 }
--- a/internal/membership/detector.go
+++ b/internal/membership/detector.go
@@ -50,8 +50,10 @@
 	// change is sent.
 	retransmit = 4
 	// maxHosts bounds the table against a faulty peer; the target size is 410.
-	maxHosts       = 4096
-	maxFieldBytes  = 256
+	maxHosts      = 4096
+	maxFieldBytes = 256
+	// maxIncarnation leaves room to refute any record that is accepted.
+	maxIncarnation = 1 << 62
 	lostPlaceBurst = 4
 )
 
@@ -314,14 +316,18 @@
 }
 
 func (d *Detector) expireSuspicions(now time.Duration) {
-	for _, name := range sortedKeys(d.members) {
-		m := d.members[name]
+	var expired []string
+	for name, m := range d.members {
 		if m.record.Status == pb.Status_SUSPECT && now-m.suspectedAt >= SuspicionTime {
-			next := proto.CloneOf(m.record)
-			next.Status = pb.Status_DEAD
-			d.set(m, next)
+			expired = append(expired, name)
 		}
 	}
+	slices.Sort(expired)
+	for _, name := range expired {
+		next := proto.CloneOf(d.members[name].record)
+		next.Status = pb.Status_DEAD
+		d.set(d.members[name], next)
+	}
 }
 
 func (d *Detector) startProbes(now time.Duration) []Send {
@@ -340,34 +346,28 @@
 	if names := d.delegates(place); len(names) > 0 {
 		out = append(out, d.probe(now, names[d.random.IntN(len(names))]))
 	}
-	// In a data centre where hosts do not answer, no delegate may be left, so
-	// that more of its hosts are probed at once.
-	for _, p := range places {
-		out = append(out, d.probeLost(now, p)...)
-	}
-	return out
+	return append(out, d.probeLost(now)...)
 }
 
-func (d *Detector) probeLost(now time.Duration, place string) []Send {
-	var healthy, troubled []string
-	for _, name := range sortedKeys(d.members) {
-		r := d.members[name].record
-		if r.DataCentre != place {
-			continue
-		}
-		if r.Status == pb.Status_ALIVE {
-			healthy = append(healthy, name)
-		} else {
-			troubled = append(troubled, name)
+// probeLost probes more hosts of a data centre where several do not answer,
+// because no delegate may be left there.
+func (d *Detector) probeLost(now time.Duration) []Send {
+	troubled := map[string]int{}
+	for _, m := range d.members {
+		if m.record.Status != pb.Status_ALIVE && m.record.DataCentre != d.self.record.DataCentre {
+			troubled[m.record.DataCentre]++
 		}
 	}
-	if len(troubled) < delegatesPerPlace {
-		return nil
-	}
-	d.random.Shuffle(len(healthy), func(i, j int) { healthy[i], healthy[j] = healthy[j], healthy[i] })
 	var out []Send
-	for _, name := range healthy[:min(len(healthy), lostPlaceBurst)] {
-		out = append(out, d.probe(now, name))
+	for _, place := range sortedKeys(troubled) {
+		if troubled[place] < delegatesPerPlace {
+			continue
+		}
+		healthy := d.healthy(place)
+		d.random.Shuffle(len(healthy), func(i, j int) { healthy[i], healthy[j] = healthy[j], healthy[i] })
+		for _, name := range healthy[:min(len(healthy), lostPlaceBurst)] {
+			out = append(out, d.probe(now, name))
+		}
 	}
 	return out
 }
@@ -392,14 +392,15 @@
 // reconnect probes one host believed dead.
 func (d *Detector) reconnect() []Send {
 	var dead []string
-	for _, name := range sortedKeys(d.members) {
-		if d.members[name].record.Status == pb.Status_DEAD {
+	for name, m := range d.members {
+		if m.record.Status == pb.Status_DEAD {
 			dead = append(dead, name)
 		}
 	}
 	if len(dead) == 0 {
 		return nil
 	}
+	slices.Sort(dead)
 	return []Send{d.ping(dead[d.random.IntN(len(dead))])}
 }
 
@@ -547,7 +548,7 @@
 }
 
 func validRecord(r *pb.Record) bool {
-	if r.GetName() == "" || r.GetDataCentre() == "" || r.Status < pb.Status_ALIVE || r.Status > pb.Status_DEAD {
+	if r.GetName() == "" || r.GetDataCentre() == "" || r.Status < pb.Status_ALIVE || r.Status > pb.Status_DEAD || r.Incarnation > maxIncarnation {
 		return false
 	}
 	for _, field := range []string{r.Name, r.DataCentre, r.Region, r.Http, r.Peer} {
@@ -616,11 +617,16 @@
 // Version changes whenever a record changes.
 func (d *Detector) Version() uint64 { return d.version }
 
-// near lists the other hosts of this data centre that are not dead.
+// near lists the other hosts of this data centre that are not dead, by name.
 func (d *Detector) near() []string {
-	return slices.DeleteFunc(d.live(), func(n string) bool {
-		return d.members[n].record.DataCentre != d.self.record.DataCentre
-	})
+	var out []string
+	for name, m := range d.members {
+		if m != d.self && m.record.Status != pb.Status_DEAD && m.record.DataCentre == d.self.record.DataCentre {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
 }
 
 // live lists the other hosts that are not dead, by name.
@@ -650,6 +656,12 @@
 // delegates are the live hosts of a data centre with the lowest names. A
 // suspected host is no delegate, so that the next one takes over at once.
 func (d *Detector) delegates(dataCentre string) []string {
+	names := d.healthy(dataCentre)
+	return names[:min(len(names), delegatesPerPlace)]
+}
+
+// healthy lists the hosts of a data centre that are not even suspected, by name.
+func (d *Detector) healthy(dataCentre string) []string {
 	var out []string
 	for name, m := range d.members {
 		if m.record.DataCentre == dataCentre && m.record.Status == pb.Status_ALIVE {
@@ -657,7 +669,7 @@
 		}
 	}
 	slices.Sort(out)
-	return out[:min(len(out), delegatesPerPlace)]
+	return out
 }
 
 // Hosts lists all known hosts, this one included, by name.
--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -220,6 +220,9 @@
 // HTTP is the host's address for callers and operators.
 func (f *Fleet) HTTP(name string) string { return f.process(name).http }
 
+// Token is the operator token of every test fleet.
+func Token() string { return operatorToken }
+
 // Addresses lists the HTTP addresses of all hosts.
 func (f *Fleet) Addresses() []string {
 	var out []string
--- /dev/null
+++ b/internal/proof/fleet_test.go
@@ -0,0 +1,587 @@
+package proof
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"geraniumturn.example/geraniumturn/client"
+	"geraniumturn.example/geraniumturn/internal/ctl"
+	"geraniumturn.example/geraniumturn/internal/entry"
+	"geraniumturn.example/geraniumturn/internal/fleet"
+	"geraniumturn.example/geraniumturn/internal/keys"
+	"geraniumturn.example/geraniumturn/internal/proctest"
+	"geraniumturn.example/geraniumturn/internal/standin"
+)
+
+const (
+	// forceLimit is the target for a change to be in force everywhere.
+	forceLimit = 14 * time.Second
+	// endLimit is "within seconds" for a withdrawn key (G6).
+	endLimit = 4 * time.Second
+	// discoveryLimit is when discovery stops naming a failed host.
+	discoveryLimit = 4 * time.Second
+)
+
+func applyRequest(base uint64, id, text, operator string) fleet.ApplyRequest {
+	return fleet.ApplyRequest{BaseRevision: base, RequestID: id, Text: text, Operator: operator}
+}
+
+func current(t *testing.T, f *proctest.Fleet, host string) fleet.RulesAnswer {
+	t.Helper()
+	var out fleet.RulesAnswer
+	if err := f.Admin(host).Call(t.Context(), "GET", "/admin/v1/rules", nil, &out); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// Guards against two winners of one revision, and against a loser that is not
+// told who won.
+func TestRacingOperators(t *testing.T) {
+	f := proctest.Start(t, proctest.Cantabrico())
+	f.Apply(exampleRules(t))
+	base := current(t, f, "gijon-1").Revision
+	hosts := []string{"gijon-1", "gijon-2", "santander-1", "bilbao-1"}
+	const operators = 12
+	answers := make([]fleet.Answer, operators)
+	var group sync.WaitGroup
+	for i := range operators {
+		group.Go(func() {
+			in := applyRequest(base, fmt.Sprintf("race-%d", i), exampleRules(t)+fmt.Sprintf("# variant %d\n", i), fmt.Sprintf("operator-%d", i))
+			if err := f.Admin(hosts[i%len(hosts)]).Call(context.Background(), "POST", "/admin/v1/rules", in, &answers[i]); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	group.Wait()
+	winner := slices.IndexFunc(answers, func(a fleet.Answer) bool { return a.Accepted })
+	if winner < 0 {
+		t.Fatalf("no winner: %+v", answers)
+	}
+	for i, a := range answers {
+		if i == winner {
+			continue
+		}
+		if a.Accepted || a.Reason != fleet.ReasonConflict || a.Winner != fmt.Sprintf("operator-%d", winner) || a.Digest != answers[winner].Digest {
+			t.Errorf("operator %d got %+v, the winner is %d with %+v", i, a, winner, answers[winner])
+		}
+	}
+	proctest.Eventually(t, forceLimit, func() error {
+		for _, h := range hosts {
+			if got := current(t, f, h); got.Revision != base+1 || !strings.Contains(got.Text, fmt.Sprintf("# variant %d\n", winner)) {
+				return fmt.Errorf("%s has revision %d", h, got.Revision)
+			}
+		}
+		return nil
+	})
+	var out strings.Builder
+	if err := f.Tool(&out, "bilbao-1").History(t.Context()); err != nil || !strings.Contains(out.String(), fmt.Sprintf("revision %d by operator-%d,", base+1, winner)) {
+		t.Errorf("history does not name who asked: %v\n%s", err, out.String())
+	}
+}
+
+// Guards against a change that is made twice when its answer is lost, and
+// against another change under a used request id.
+func TestResendAfterLostAnswer(t *testing.T) {
+	f := proctest.Start(t, proctest.Cantabrico())
+	f.Apply(exampleRules(t))
+	base := current(t, f, "gijon-1").Revision
+	in := applyRequest(base, "resent-1", exampleRules(t)+"# resent\n", "marta")
+	loseAnswer(t, f.HTTP("gijon-2"), in)
+	var first, second, reused fleet.Answer
+	for _, resend := range []struct {
+		host string
+		out  *fleet.Answer
+	}{{"bilbao-1", &first}, {"santander-1", &second}} {
+		if err := f.Admin(resend.host).Call(t.Context(), "POST", "/admin/v1/rules", in, resend.out); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !first.Accepted || first != second || first.Revision != base+1 {
+		t.Errorf("resends got %+v and %+v", first, second)
+	}
+	in.Text += "# another content\n"
+	if err := f.Admin("gijon-1").Call(t.Context(), "POST", "/admin/v1/rules", in, &reused); err != nil {
+		t.Fatal(err)
+	}
+	if reused.Accepted || reused.Reason != fleet.ReasonRequestIDReused {
+		t.Errorf("another content under the same id got %+v", reused)
+	}
+	proctest.Eventually(t, forceLimit, func() error {
+		if got := current(t, f, "gijon-1"); got.Index < first.Index || got.Revision != base+1 {
+			return fmt.Errorf("revision is %d after one change on %d", got.Revision, base)
+		}
+		return nil
+	})
+}
+
+// loseAnswer sends the request and breaks the connection without reading.
+func loseAnswer(t *testing.T, address string, in fleet.ApplyRequest) {
+	t.Helper()
+	body, err := json.Marshal(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /admin/v1/rules HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", proctest.Token(), len(body), body)
+	if _, err := conn.Read(make([]byte, 1)); err != nil { // the change was made, and its answer is dropped
+		t.Fatal(err)
+	}
+}
+
+func slowEngine(f *proctest.Fleet, dataCentre string, hosts ...string) *standin.Target {
+	return f.Target(standin.Config{Name: "slow-" + dataCentre, DataCentre: dataCentre, Pool: "llegadas",
+		Models: []string{"modelo-llegadas"}, TokenInterval: 20 * time.Millisecond}, hosts...)
+}
+
+const streamBody = `{"model":"modelo-llegadas","max_tokens":%d,"stream":true,"messages":[{"role":"user","content":"hello"}]}`
+
+// stream starts a streamed request and returns after its first bytes.
+func stream(t *testing.T, f *proctest.Fleet, host, key string, tokens int) *http.Response {
+	t.Helper()
+	var response *http.Response
+	proctest.Eventually(t, proctest.StartLimit, func() error {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+f.HTTP(host)+"/v1/chat/completions", strings.NewReader(fmt.Sprintf(streamBody, tokens)))
+		if err != nil {
+			return err
+		}
+		req.Header.Set("Authorization", "Bearer "+key)
+		response, err = http.DefaultClient.Do(req)
+		if err != nil {
+			return err
+		}
+		if response.StatusCode != http.StatusOK {
+			response.Body.Close()
+			return fmt.Errorf("status %d", response.StatusCode)
+		}
+		_, err = response.Body.Read(make([]byte, 16))
+		return err
+	})
+	return response
+}
+
+// keptAlive makes a request on a connection of its own and leaves it idle.
+func keptAlive(t *testing.T, f *proctest.Fleet, host, key string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", f.HTTP(host))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	callOn(t, conn, key)
+	return conn
+}
+
+func callOn(t *testing.T, conn net.Conn, key string) {
+	t.Helper()
+	fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", key, len(chatBody), chatBody)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(response.Body); err != nil || response.StatusCode != http.StatusOK || response.Close {
+		t.Fatalf("request on a kept-alive connection: %d, close %v, %v", response.StatusCode, response.Close, err)
+	}
+}
+
+func awaitClosed(conn net.Conn, limit time.Duration) error {
+	_ = conn.SetReadDeadline(time.Now().Add(limit))
+	_, err := conn.Read(make([]byte, 1))
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return fmt.Errorf("the connection is still open (%v)", err)
+	}
+	return nil
+}
+
+func keyID(t *testing.T, key string) string {
+	t.Helper()
+	id, _, err := keys.Parse(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return id
+}
+
+// Guards G6: a withdrawn key must not go on in an open stream, on a kept-alive
+// connection, or on any host, and the operator must see which hosts confirmed.
+func TestWithdrawWhileConnected(t *testing.T) {
+	f := proctest.Start(t, proctest.Cantabrico())
+	f.Apply(exampleRules(t))
+	slowEngine(f, "gijon-a", "gijon-1")
+	key, other := f.Grant("hoteles-gijon"), f.Grant("ferris")
+	open := stream(t, f, "gijon-1", key, 100_000)
+	defer open.Body.Close()
+	conn, otherConn := keptAlive(t, f, "gijon-1", key), keptAlive(t, f, "gijon-1", other)
+
+	var out strings.Builder
+	start := time.Now()
+	if err := f.Tool(&out, "santander-1").Withdraw(t.Context(), keyID(t, key)); err != nil {
+		t.Fatalf("%v\n%s", err, out.String())
+	}
+	t.Logf("confirmed by all hosts after %v", time.Since(start))
+	for _, h := range []string{"gijon-1", "gijon-2", "santander-1", "bilbao-1"} {
+		if !strings.Contains(out.String(), "in force on "+h+" ") {
+			t.Errorf("the answer does not name %s:\n%s", h, out.String())
+		}
+		if !isWithdrawn(t, f, h, key) {
+			t.Errorf("%s does not refuse the key", h)
+		}
+	}
+	if err := awaitClosed(conn, endLimit); err != nil {
+		t.Error(err)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := io.Copy(io.Discard, open.Body)
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		if err == nil {
+			t.Error("the stream of the withdrawn key looks whole")
+		}
+		t.Logf("the stream ended within %v of the withdrawal", time.Since(start))
+	case <-time.After(endLimit):
+		t.Error("the stream of the withdrawn key goes on")
+	}
+	callOn(t, otherConn, other) // the connection of another key stays usable
+}
+
+// Guards G6 under a partition: an isolated data centre without the log accepts
+// a withdrawal, keeps it over a restart, and passes it on when it is reached.
+func TestWithdrawInIsolatedDataCentre(t *testing.T) {
+	f := proctest.Start(t, proctest.Cantabrico())
+	f.Apply(exampleRules(t))
+	key := f.Grant("ferris")
+	id := keyID(t, key)
+	f.Isolate("bilbao-1")
+	var out strings.Builder
+	err := f.Tool(&out, "bilbao-1").Withdraw(t.Context(), id)
+	if !errors.Is(err, ctl.ErrNotInForce) || !strings.Contains(out.String(), "in force on bilbao-1 ") || !strings.Contains(out.String(), "not yet reached: gijon-1 ") {
+		t.Errorf("got %v\n%s", err, out.String())
+	}
+	refused := func(host string) error {
+		if !isWithdrawn(t, f, host, key) {
+			return fmt.Errorf("%s does not refuse the key", host)
+		}
+		return nil
+	}
+	if err := refused("bilbao-1"); err != nil {
+		t.Error(err)
+	}
+	f.Kill("bilbao-1")
+	f.Launch("bilbao-1")
+	f.AwaitHealthy("bilbao-1")
+	if err := refused("bilbao-1"); err != nil {
+		t.Errorf("after the restart: %v", err)
+	}
+	f.Heal()
+	start := time.Now()
+	proctest.Eventually(t, forceLimit, func() error {
+		return errors.Join(refused("gijon-1"), refused("gijon-2"), refused("santander-1"))
+	})
+	t.Logf("in force on all hosts %v after the partition healed", time.Since(start))
+	proctest.Eventually(t, 2*forceLimit, func() error {
+		var list strings.Builder
+		if err := f.Tool(&list, "gijon-2").Print(t.Context(), "/admin/v1/keys"); err != nil {
+			return err
+		}
+		if !strings.Contains(list.String(), `"withdrawn":true`) {
+			return errors.New("the log does not have the withdrawal:\n" + list.String())
+		}
+		return nil
+	})
+}
+
+// Guards G13: no host may return from a restart with an older state, not even
+// when a peer that missed many changes offers its own.
+func TestRestartAfterManyChanges(t *testing.T) {
+	f := proctest.Start(t, proctest.Cantabrico())
+	f.Apply(exampleRules(t))
+	f.Signal("santander-1", syscall.SIGSTOP) // becomes the stale peer
+	const changes = 500
+	admin := f.Admin("gijon-1")
+	var last fleet.Answer
+	for i := range changes {
+		in := applyRequest(uint64(1+i), fmt.Sprintf("change-%d", i), exampleRules(t)+fmt.Sprintf("# change %d\n", i), "iker")
+		if err := admin.Call(t.Context(), "POST", "/admin/v1/rules", in, &last); err != nil || !last.Accepted {
+			t.Fatalf("change %d: %v %+v", i, err, last)
+		}
+	}
+	inForce := func(host string) error {
+		if got := current(t, f, host); got.Index < last.Index {
+			return fmt.Errorf("%s has index %d, not %d", host, got.Index, last.Index)
+		}
+		return nil
+	}
+	proctest.Eventually(t, forceLimit, func() error { return errors.Join(inForce("gijon-2"), inForce("bilbao-1")) })
+	f.Kill("bilbao-1")
+	f.Kill("gijon-2")
+	f.Isolate("bilbao-1") // only its own disk can help it
+	f.Signal("santander-1", syscall.SIGCONT)
+	for _, h := range []string{"bilbao-1", "gijon-2"} {
+		f.Launch(h)
+		f.AwaitHealthy(h)
+		awaitReady(t, f, h)
+		if err := inForce(h); err != nil {
+			t.Errorf("after the restart: %v", err)
+		}
+	}
+	proctest.Eventually(t, forceLimit, func() error { return inForce("santander-1") })
+}
+
+func awaitReady(t *testing.T, f *proctest.Fleet, host string) {
+	t.Helper()
+	proctest.Eventually(t, proctest.StartLimit, func() error {
+		response, err := http.Get("http://" + f.HTTP(host) + "/readyz")
+		if err != nil {
+			return err
+		}
+		defer response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			return fmt.Errorf("%s is not ready", host)
+		}
+		return nil
+	})
+}
+
+// Guards against a damaged file that is taken for the state.
+func TestDamagedStateIsNotUsed(t *testing.T) {
+	f := proctest.Start(t, proctest.Cantabrico())
+	f.Apply(exampleRules(t))
+	f.Kill("bilbao-1")
+	path := filepath.Join(f.DataDir("bilbao-1"), "fleet", "state")
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data[len(data)/2] ^= 1
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f.Launch("bilbao-1")
+	f.AwaitHealthy("bilbao-1")
+	awaitReady(t, f, "bilbao-1")
+	if !strings.Contains(f.Log("bilbao-1"), "checksum does not match") || !strings.Contains(f.Log("bilbao-1"), path) {
+		t.Error("the log does not name the damaged file")
+	}
+	if got, want := current(t, f, "bilbao-1"), current(t, f, "gijon-1"); got.Text != want.Text {
+		t.Error("the state was not fetched from another host")
+	}
+}
+
+func discovered(t *testing.T, f *proctest.Fleet, host, key string) ([]string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+f.HTTP(host)+"/v1/hosts", nil)
+	if err != nil {
+		return nil, err
+	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	response, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	var list entry.HostList
+	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, h := range list.Hosts {
+		names = append(names, h.Name)
+	}
+	return names, nil
+}
+
+func names(t *testing.T, f *proctest.Fleet, host, key string, want ...string) error {
+	t.Helper()
+	got, err := discovered(t, f, host, key)
+	if err == nil && !slices.Equal(got, want) {
+		err = fmt.Errorf("%s names %v, not %v", host, got, want)
+	}
+	return err
+}
+
+// Guards against discovery that goes on naming a failed host or leaves out one
+// that is back, that names hosts outside residency, or that ranks wrongly.
+func TestKilledHostLeavesDiscovery(t *testing.T) {
+	f := proctest.Start(t, proctest.Cantabrico())
+	f.Apply(exampleRules(t))
+	home, bound := f.Grant("hoteles-gijon"), f.Grant("turismo-euskadi")
+	proctest.Eventually(t, proctest.StartLimit, func() error {
+		return errors.Join(names(t, f, "santander-1", home, "gijon-1", "gijon-2", "santander-1", "bilbao-1"),
+			names(t, f, "gijon-2", "", "gijon-2", "gijon-1", "bilbao-1", "santander-1"),
+			names(t, f, "gijon-1", bound, "bilbao-1"))
+	})
+	f.Kill("gijon-2")
+	start := time.Now()
+	proctest.Eventually(t, discoveryLimit, func() error {
+		return errors.Join(names(t, f, "gijon-1", "", "gijon-1", "bilbao-1", "santander-1"),
+			names(t, f, "santander-1", home, "gijon-1", "santander-1", "bilbao-1"),
+			names(t, f, "bilbao-1", "", "bilbao-1", "gijon-1", "santander-1"))
+	})
+	t.Logf("no host names it %v after SIGKILL", time.Since(start))
+	f.Launch("gijon-2")
+	start = time.Now()
+	proctest.Eventually(t, proctest.StartLimit, func() error {
+		return names(t, f, "bilbao-1", "", "bilbao-1", "gijon-1", "gijon-2", "santander-1")
+	})
+	t.Logf("named again %v after the start", time.Since(start))
+}
+
+// Guards G12: a planned stop under load cuts no request, refuses none without
+// saying where to go, and ends with exit code 0.
+func TestGracefulStopUnderLoad(t *testing.T) {
+	f := proctest.Start(t, proctest.Cantabrico())
+	f.Apply(exampleRules(t))
+	slowEngine(f, "gijon-a", "gijon-1", "gijon-2")
+	key := f.Grant("hoteles-gijon")
+	open := stream(t, f, "gijon-2", key, 100) // 2 s
+	defer open.Body.Close()
+	whole := make(chan error, 1)
+	go func() {
+		data, err := io.ReadAll(open.Body)
+		if err == nil && !strings.Contains(string(data), "[DONE]") {
+			err = errors.New("no end mark")
+		}
+		whole <- err
+	}()
+
+	var stop atomic.Bool
+	var served atomic.Int64
+	var group sync.WaitGroup
+	for i := range 6 {
+		group.Go(func() {
+			c := client.New(key, f.HTTP("gijon-2"), f.HTTP("gijon-1"))
+			for !stop.Load() {
+				// Without Idempotent, the client passes every cut connection on as an error.
+				response, err := c.Do(context.Background(), client.Request{Method: http.MethodPost, Path: "/v1/chat/completions",
+					Body: []byte(chatBody), Timeout: 20 * time.Second})
+				if err != nil {
+					t.Errorf("caller %d: %v", i, err)
+					return
+				}
+				if _, err := io.ReadAll(response.Body); err != nil {
+					t.Errorf("caller %d: answer: %v", i, err)
+				}
+				response.Body.Close()
+				served.Add(1)
+			}
+		})
+	}
+	proctest.Eventually(t, proctest.StartLimit, func() error {
+		if served.Load() < 20 {
+			return errors.New("no load yet")
+		}
+		return nil
+	})
+	if err := f.Terminate("gijon-2"); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	if err := <-whole; err != nil {
+		t.Errorf("the open stream was cut: %v", err)
+	}
+	atStop := served.Load()
+	proctest.Eventually(t, proctest.StartLimit, func() error {
+		if served.Load() < atStop+20 {
+			return errors.New("callers do not go on elsewhere")
+		}
+		return nil
+	})
+	stop.Store(true)
+	group.Wait()
+	if got, err := discovered(t, f, "gijon-1", ""); err != nil || slices.Contains(got, "gijon-2") {
+		t.Errorf("discovery names %v (%v)", got, err)
+	}
+}
+
+// Guards the time until a change is in force on all hosts, on one machine and
+// with 55 ms between data centres. Run it with -v for the figures.
+func TestTimeUntilInForce(t *testing.T) {
+	f := proctest.Start(t, proctest.Cantabrico())
+	f.Apply(exampleRules(t))
+	for _, delay := range []time.Duration{0, 55 * time.Millisecond} {
+		f.DelayBetweenDataCentres(delay)
+		const rounds = 10
+		var applied, withdrawn []time.Duration
+		for i := range rounds {
+			base := current(t, f, "gijon-1").Revision
+			in := applyRequest(base, fmt.Sprintf("t-%v-%d", delay, i), exampleRules(t)+fmt.Sprintf("# round %v %d\n", delay, i), "test")
+			var answer fleet.Answer
+			start := time.Now()
+			if err := f.Admin("gijon-1").Call(t.Context(), "POST", "/admin/v1/rules", in, &answer); err != nil || !answer.Accepted {
+				t.Fatalf("%v %+v", err, answer)
+			}
+			everywhere(t, f, func(host string) bool { return current(t, f, host).Index >= answer.Index })
+			applied = append(applied, time.Since(start))
+
+			key := f.Grant("ferris")
+			start = time.Now()
+			go func() { _ = f.Tool(&strings.Builder{}, "gijon-1").Withdraw(context.Background(), keyID(t, key)) }()
+			everywhere(t, f, func(host string) bool { return isWithdrawn(t, f, host, key) })
+			withdrawn = append(withdrawn, time.Since(start))
+		}
+		slices.Sort(applied)
+		slices.Sort(withdrawn)
+		t.Logf("delay %v: revision in force on all hosts: median %v, max %v; withdrawal: median %v, max %v", delay,
+			applied[rounds/2], applied[rounds-1], withdrawn[rounds/2], withdrawn[rounds-1])
+		if applied[rounds-1] > forceLimit || withdrawn[rounds-1] > endLimit {
+			t.Errorf("too slow: %v, %v", applied, withdrawn)
+		}
+	}
+}
+
+// isWithdrawn asks on a connection of its own, since the host may close
+// kept-alive connections of a withdrawn key at any time.
+func isWithdrawn(t *testing.T, f *proctest.Fleet, host, key string) bool {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+f.HTTP(host)+"/v1/chat/completions", strings.NewReader(chatBody))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Close = true
+	response, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode == http.StatusForbidden && strings.Contains(string(answer), "key_withdrawn")
+}
+
+func everywhere(t *testing.T, f *proctest.Fleet, holds func(host string) bool) {
+	t.Helper()
+	proctest.Eventually(t, forceLimit, func() error {
+		for _, h := range []string{"gijon-1", "gijon-2", "santander-1", "bilbao-1"} {
+			if !holds(h) {
+				return fmt.Errorf("not on %s", h)
+			}
+		}
+		return nil
+	})
+}
