--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"geraniumturn.example/geraniumturn/internal/entry"
 	"geraniumturn.example/geraniumturn/internal/fleet"
 	"geraniumturn.example/geraniumturn/internal/keys"
+	"geraniumturn.example/geraniumturn/internal/membership"
 	"geraniumturn.example/geraniumturn/internal/peer"
 	"geraniumturn.example/geraniumturn/internal/routing"
 	"geraniumturn.example/geraniumturn/internal/settings"
@@ -54,6 +55,8 @@
 	machine    *fleet.Machine
 	copy       *fleet.Copy
 	keys       *keys.Table
+	members    *membership.Members
+	fleet      *fleetDriver
 	targets    *targets.Table
 	relay      *targets.Relay
 	relayWake  chan struct{}
@@ -78,7 +81,7 @@
 		keys:      keys.NewTable(),
 		targets:   targets.NewTable(s.Name, s.DataCentre),
 	}
-	for _, build := range []func() error{d.buildControl, d.buildFleet, d.buildTargets, d.buildDispatch, d.buildHTTP} {
+	for _, build := range []func() error{d.buildControl, d.buildMembership, d.buildFleet, d.buildTargets, d.buildDispatch, d.buildHTTP} {
 		if err := build(); err != nil {
 			return nil, err
 		}
@@ -128,7 +131,12 @@
 func (d *Daemon) loops() []func(context.Context) error {
 	return []func(context.Context) error{
 		d.controlLoop,
-		d.pullLoop,
+		d.membershipLoop,
+		d.fleet.startLoop,
+		d.fleet.commitLoop,
+		d.fleet.pullLoop,
+		d.fleet.proposeLoop,
+		d.fleet.registerLoop,
 		d.relayLoop,
 		d.exchangeLoop,
 	}
@@ -148,10 +156,10 @@
 // addHTTP adds the HTTP server. It is added before the loops, so that its
 // graceful shutdown ends while they still run.
 func (d *Daemon) addHTTP(g *run.Group, listener net.Listener) {
-	server := &http.Server{Handler: d.echo, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{Handler: d.echo, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: d.keys.ConnContext, ConnState: d.keys.ConnState}
 	g.Add(func() error { return server.Serve(listener) }, func(error) {
-		d.entry.Drain()
-		d.log.Info("draining")
+		d.drain()
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
 		defer cancel()
 		if err := server.Shutdown(ctx); err != nil {
--- a/internal/daemon/targets.go
+++ b/internal/daemon/targets.go
@@ -10,10 +10,9 @@
 
 	"geraniumturn.example/geraniumturn/internal/dispatch"
 	"geraniumturn.example/geraniumturn/internal/dispatch/dispatchpb"
-	"geraniumturn.example/geraniumturn/internal/entry"
+	"geraniumturn.example/geraniumturn/internal/membership"
 	"geraniumturn.example/geraniumturn/internal/routing"
 	"geraniumturn.example/geraniumturn/internal/routing/routingpb"
-	"geraniumturn.example/geraniumturn/internal/settings"
 	"geraniumturn.example/geraniumturn/internal/targets"
 	"geraniumturn.example/geraniumturn/internal/targets/targetspb"
 )
@@ -28,20 +27,24 @@
 )
 
 func (d *Daemon) buildTargets() error {
-	d.relay = targets.NewRelay(d.targets, relayPeers{d.settings})
+	d.relay = targets.NewRelay(d.targets, relayPeers{d.settings.Name, d.settings.DataCentre, d.members})
 	d.relayWake = make(chan struct{}, 1)
 	return d.transport.Register(targets.Service{Table: d.targets}, targetspb.DRPCTargetsDescription{})
 }
 
-// relayPeers lists the hosts that announcements are relayed to.
-type relayPeers struct{ settings *settings.Settings }
+// relayPeers lists the live hosts that announcements are relayed to.
+type relayPeers struct {
+	self    string
+	home    string
+	members *membership.Members
+}
 
-func (p relayPeers) Local() []string { return p.In(p.settings.DataCentre) }
+func (p relayPeers) Local() []string { return p.In(p.home) }
 
 func (p relayPeers) In(dataCentre string) []string {
 	var out []string
-	for _, h := range p.settings.AllHosts()[1:] {
-		if h.DataCentre == dataCentre {
+	for _, h := range p.members.Live(dataCentre) {
+		if h.Name != p.self {
 			out = append(out, h.Name)
 		}
 	}
@@ -100,7 +103,7 @@
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	var response *targetspb.RelayResponse
-	if h, ok := d.settings.Host(m.Host); ok {
+	if h, ok := d.members.Lookup(m.Host); ok {
 		client := targetspb.NewDRPCTargetsClient(d.transport.Dial(h.Peer))
 		if out, err := client.Relay(ctx, m.Request); err == nil {
 			response = out
@@ -172,47 +175,3 @@
 	service := dispatch.Service{Dispatcher: d.dispatcher, Draining: func() bool { return d.entry.Draining() }}
 	return d.transport.Register(service, dispatchpb.DRPCDispatchDescription{})
 }
-
-// sites lists the hosts of other data centres.
-func (d *Daemon) sites() []routing.Site {
-	var out []routing.Site
-	for _, h := range d.settings.AllHosts()[1:] {
-		if h.DataCentre != d.settings.DataCentre {
-			out = append(out, routing.Site{Name: h.Name, DataCentre: h.DataCentre, Region: h.Region, Peer: h.Peer})
-		}
-	}
-	return out
-}
-
-// placement implements entry.Placement from the settings.
-type placement struct{ settings *settings.Settings }
-
-func (p placement) DataCentre() string { return p.settings.DataCentre }
-
-func (p placement) HostsFor(residency []string, home string) []entry.HostEntry {
-	var first, rest []entry.HostEntry
-	for _, h := range p.settings.AllHosts() {
-		if !allows(residency, h.DataCentre) {
-			continue
-		}
-		e := entry.HostEntry{Name: h.Name, Address: h.HTTP, DataCentre: h.DataCentre, Region: h.Region}
-		if h.DataCentre == home {
-			first = append(first, e)
-		} else {
-			rest = append(rest, e)
-		}
-	}
-	return append(first, rest...)
-}
-
-func allows(residency []string, dataCentre string) bool {
-	if len(residency) == 0 {
-		return true
-	}
-	for _, dc := range residency {
-		if dc == dataCentre {
-			return true
-		}
-	}
-	return false
-}
