--- a/internal/daemon/targets.go
+++ b/internal/daemon/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -165,8 +166,16 @@
 
 func (d *Daemon) buildDispatch() error {
 	self := d.settings.Self()
+	policy, err := routing.PolicyNamed(d.settings.Policy.Target)
+	if err != nil {
+		return fmt.Errorf("settings: policy.target: %w", err)
+	}
+	sitePolicy, err := routing.SitePolicyNamed(d.settings.Policy.DataCentre)
+	if err != nil {
+		return fmt.Errorf("settings: policy.data_centre: %w", err)
+	}
 	d.router = routing.New(routing.Config{Host: self.Name, DataCentre: self.DataCentre, Region: self.Region,
-		Table: d.targets, Hosts: routing.HostsFunc(d.sites)})
+		Table: d.targets, Hosts: routing.HostsFunc(d.sites), Policy: policy, SitePolicy: sitePolicy})
 	if err := d.transport.Register(routing.Service{Router: d.router}, routingpb.DRPCRoutingDescription{}); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/routing/names.go
@@ -0,0 +1,43 @@
+package routing
+
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrUnknownPolicy means that no policy has the name.
+var ErrUnknownPolicy = errors.New("routing: unknown policy")
+
+// PolicyNamed returns the target policy with the name used in the settings.
+// The empty name is the default.
+func PolicyNamed(name string) (Policy, error) {
+	switch name {
+	case "", "affinity":
+		return DefaultAffinity, nil
+	case "random":
+		return Random{}, nil
+	case "round_robin":
+		return &RoundRobin{}, nil
+	case "least_in_flight":
+		return LeastInFlight{}, nil
+	case "least_reported":
+		return LeastReported{}, nil
+	case "two_choices":
+		return TwoChoices{}, nil
+	}
+	return nil, fmt.Errorf("%w: target policy %q", ErrUnknownPolicy, name)
+}
+
+// SitePolicyNamed returns the data centre policy with the name used in the
+// settings. The empty name is the default.
+func SitePolicyNamed(name string) (SitePolicy, error) {
+	switch name {
+	case "", "expected_time":
+		return DefaultExpectedTime, nil
+	case "always_local":
+		return AlwaysLocal{}, nil
+	case "least_loaded":
+		return LeastLoaded{}, nil
+	}
+	return nil, fmt.Errorf("%w: data centre policy %q", ErrUnknownPolicy, name)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,7 @@
 	Listen   Listen   `toml:"listen"`
 	Control  Control  `toml:"control"`
 	Security Security `toml:"security"`
+	Policy   Policy   `toml:"policy"`
 	// Hosts lists some hosts of the fleet, with which this one starts. The
 	// voters must be among them.
 	Hosts []Host `toml:"hosts"`
@@ -61,6 +62,16 @@
 	Voters []string `toml:"voters"`
 }
 
+// Policy chooses between ways of routing. The defaults are for production; the
+// others are baselines for measurements.
+type Policy struct {
+	// Target is affinity (default), random, round_robin, least_in_flight,
+	// least_reported or two_choices.
+	Target string `toml:"target"`
+	// DataCentre is expected_time (default), always_local or least_loaded.
+	DataCentre string `toml:"data_centre"`
+}
+
 // Security names files with credentials.
 type Security struct {
 	// OperatorTokenFile holds the bearer token for /admin/.
