Enforce workspace rates with floors, an elastic bucket and loans

Cause: entry.Quota had no implementation, so no rate was enforced. Change: internal/quota holds an I/O-free host state (bucket with refundable credits, loans, demand prefetch, bounded wait), a replicated machine for allocations with shrink-before-grow, and a runtime over drpc; internal/daemon wires it to entry and the replicated log.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"geraniumturn.example/geraniumturn/internal/fleet"
 	"geraniumturn.example/geraniumturn/internal/keys"
 	"geraniumturn.example/geraniumturn/internal/peer"
+	"geraniumturn.example/geraniumturn/internal/quota"
 	"geraniumturn.example/geraniumturn/internal/settings"
 	"geraniumturn.example/geraniumturn/internal/targets"
 	"geraniumturn.example/geraniumturn/internal/timeline"
@@ -53,7 +54,10 @@
 	targets    *targets.Table
 	dispatcher *dispatch.Dispatcher
 	entry      *entry.Server
-	echo       *echo.Echo
+
+	quotaMachine *quota.Machine
+	quota        *quota.Runtime
+	echo         *echo.Echo
 }
 
 // New builds the process from its settings. Nothing runs before Run.
@@ -71,7 +75,7 @@
 		keys:      keys.NewTable(),
 		targets:   targets.NewTable(),
 	}
-	for _, build := range []func() error{d.buildControl, d.buildFleet, d.buildTargets, d.buildDispatch, d.buildHTTP} {
+	for _, build := range []func() error{d.buildControl, d.buildFleet, d.buildTargets, d.buildDispatch, d.buildQuota, d.buildHTTP} {
 		if err := build(); err != nil {
 			return nil, err
 		}
@@ -119,7 +123,7 @@
 
 // loops are the background tasks; each returns when its context ends.
 func (d *Daemon) loops() []func(context.Context) error {
-	return []func(context.Context) error{d.pullLoop}
+	return []func(context.Context) error{d.pullLoop, d.quota.Tick, d.quota.Sync}
 }
 
 func (d *Daemon) addLoop(g *run.Group, loop func(context.Context) error) {
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -23,6 +23,7 @@
 	}
 	d.entry = &entry.Server{
 		Copy: d.copy, Keys: d.keys, Placement: placement{d.settings}, Runner: d.dispatcher,
+		Quota:  quotaHook{d.quota},
 		Events: d.events, Metrics: d.metrics,
 		Ready: func() bool { return d.copy.View().Revision > 0 },
 	}
--- /dev/null
+++ b/internal/daemon/quota.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+
+	"storj.io/drpc"
+
+	"geraniumturn.example/geraniumturn/internal/entry"
+	"geraniumturn.example/geraniumturn/internal/quota"
+	"geraniumturn.example/geraniumturn/internal/quota/quotapb"
+	"geraniumturn.example/geraniumturn/internal/rules"
+)
+
+func (d *Daemon) buildQuota() error {
+	d.quota = quota.NewRuntime(quota.Config{
+		Name: d.settings.Name, DataCentre: d.settings.DataCentre,
+		Voters: d.nearestVoters(), Machine: d.quotaMachine, Log: d.controlLog,
+		Dial: d.dialHost, Members: d.quotaMembers, Rules: d.quotaRules, Metrics: d.metrics,
+	})
+	return d.transport.Register(d.quota, quotapb.DRPCQuotaDescription{})
+}
+
+// nearestVoters lists the voters, those of this data centre first.
+func (d *Daemon) nearestVoters() []string {
+	var near, far []string
+	for _, name := range d.settings.Control.Voters {
+		if h, ok := d.settings.Host(name); ok && h.DataCentre == d.settings.DataCentre {
+			near = append(near, name)
+		} else {
+			far = append(far, name)
+		}
+	}
+	return append(near, far...)
+}
+
+func (d *Daemon) dialHost(name string) (drpc.Conn, bool) {
+	h, ok := d.settings.Host(name)
+	if !ok {
+		return nil, false
+	}
+	return d.transport.Dial(h.Peer), true
+}
+
+// quotaMembers is the agreed host list, sorted by name.
+func (d *Daemon) quotaMembers() []quota.Member {
+	var out []quota.Member
+	for _, h := range d.settings.AllHosts() {
+		out = append(out, quota.Member{Name: h.Name, DataCentre: h.DataCentre})
+	}
+	slices.SortFunc(out, func(a, b quota.Member) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func (d *Daemon) quotaRules() (uint64, []quota.Workspace) {
+	view := d.copy.View()
+	out := make([]quota.Workspace, 0, len(view.Rules.Workspaces))
+	for _, w := range view.Rules.Workspaces {
+		out = append(out, quota.Workspace{Name: w.Name, Rate: w.Rate, Burst: w.Burst, Residency: w.Residency})
+	}
+	return view.Revision, out
+}
+
+// quotaHook implements entry.Quota.
+type quotaHook struct{ runtime *quota.Runtime }
+
+// Reserve implements entry.Quota.
+func (q quotaHook) Reserve(ctx context.Context, workspace *rules.Workspace, cost int64) (entry.Reservation, error) {
+	hold, err := q.runtime.Reserve(ctx, workspace.Name, cost)
+	if err != nil {
+		return nil, err
+	}
+	return hold, nil
+}
--- /dev/null
+++ b/internal/quota/experiment_test.go
@@ -0,0 +1,216 @@
+package quota
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+)
+
+var trialLength = flag.Duration("quota.trial", 18*time.Second, "simulated length of each trial")
+
+// trial measures the share of requests refused although one ideal bucket over
+// the whole fleet would admit them.
+type trial struct {
+	w        *world
+	system   string
+	offer    func(h *simHost, workspace string, cost, used Amount, runs time.Duration, done func(bool))
+	bounds   map[string]*idealBucket
+	inside   int
+	refused  int
+	centre   func(now time.Duration) string
+	load     float64
+	measured time.Duration
+}
+
+func trialWorkspaces() []Workspace {
+	var out []Workspace
+	for i, rate := range []int64{4000, 2000, 1000, 500, 500} {
+		out = append(out, Workspace{Name: fmt.Sprintf("w%d", i), Rate: rate, Burst: 4 * rate})
+	}
+	return out
+}
+
+func manyCentres(centres, perCentre int) []Member {
+	var out []Member
+	for i := range perCentre {
+		for c := range centres {
+			out = append(out, Member{fmt.Sprintf("h%02d-%d", c, i), fmt.Sprintf("dc%02d", c)})
+		}
+	}
+	return out
+}
+
+func newTrial(seed uint64, members []Member, system string) *trial {
+	w := newWorld(seed, members, trialWorkspaces(), 0.0001)
+	t := &trial{w: w, system: system, bounds: map[string]*idealBucket{}, load: 0.9, measured: 10 * time.Second}
+	for _, ws := range w.workspaces {
+		share := Share{ws.Rate * TokenUnit, ws.Burst * TokenUnit}
+		t.bounds[ws.Name] = &idealBucket{share: share, level: float64(share.Burst)}
+	}
+	t.offer = w.request
+	switch system {
+	case "equal":
+		t.offer = t.equalShares()
+	case "central":
+		t.offer = t.central()
+	}
+	return t
+}
+
+// equalShares is the baseline in which each host has a fixed part of all rates.
+func (t *trial) equalShares() func(*simHost, string, Amount, Amount, time.Duration, func(bool)) {
+	n := Amount(len(t.w.hosts))
+	buckets := map[string]*Bucket{}
+	return func(h *simHost, workspace string, cost, used Amount, runs time.Duration, done func(bool)) {
+		b := buckets[h.name+workspace]
+		if b == nil {
+			s := t.bounds[workspace].share
+			b = NewBucket(Share{s.Rate / n, s.Burst / n}, 0)
+			buckets[h.name+workspace] = b
+		}
+		c := b.Reserve(t.w.now, cost)
+		done(c != nil)
+		if c != nil {
+			t.w.at(runs, func() { b.Refund(t.w.now, c, cost-used) })
+		}
+	}
+}
+
+// central is the baseline with one bucket at the leader.
+func (t *trial) central() func(*simHost, string, Amount, Amount, time.Duration, func(bool)) {
+	buckets := map[string]*Bucket{}
+	for name, b := range t.bounds {
+		buckets[name] = NewBucket(b.share, 0)
+	}
+	return func(h *simHost, workspace string, cost, used Amount, runs time.Duration, done func(bool)) {
+		l := t.w.leader
+		if !t.w.reachable(h, l) {
+			done(false)
+			return
+		}
+		t.w.at(t.w.delay(h, l), func() {
+			b := buckets[workspace]
+			c := b.Reserve(t.w.now, cost)
+			done(c != nil)
+			if c != nil {
+				t.w.at(runs+2*t.w.delay(h, l), func() { b.Refund(t.w.now, c, cost-used) })
+			}
+		})
+	}
+}
+
+// start offers each workspace its load; centre chooses where requests enter,
+// an empty name spreads them over all hosts.
+func (t *trial) start() {
+	const meanCost = 120
+	for _, ws := range t.w.workspaces {
+		// Three quarters of the cost are used in the mean.
+		gap := time.Duration(float64(time.Second) * meanCost * 0.75 / (t.load * float64(ws.Rate)))
+		var arrive func()
+		arrive = func() {
+			t.one(ws.Name, (40+t.w.rng.Int64N(2*(meanCost-40)))*TokenUnit)
+			t.w.at(time.Duration(t.w.rng.ExpFloat64()*float64(gap)), arrive)
+		}
+		t.w.at(5*time.Second, arrive)
+	}
+}
+
+func (t *trial) one(workspace string, cost Amount) {
+	var candidates []*simHost
+	centre := t.centre(t.w.now)
+	for _, h := range t.w.hosts {
+		if h.alive && (centre == "" || h.dataCentre == centre) {
+			candidates = append(candidates, h)
+		}
+	}
+	if len(candidates) == 0 {
+		return
+	}
+	used := cost/2 + t.w.rng.Int64N(cost/2)
+	runs := time.Duration(t.w.rng.ExpFloat64() * float64(2*time.Second))
+	ideal := t.bounds[workspace]
+	ideal.advance(t.w.now)
+	inside := ideal.level >= float64(cost)
+	if inside {
+		ideal.level -= float64(cost)
+		t.w.at(runs, func() { ideal.level += float64(cost - used) })
+	}
+	count := inside && t.w.now >= t.measured
+	if count {
+		t.inside++
+	}
+	t.offer(candidates[t.w.rng.IntN(len(candidates))], workspace, cost, used, runs, func(admitted bool) {
+		if count && !admitted {
+			t.refused++
+		}
+	})
+}
+
+func (t *trial) share() float64 { return float64(t.refused) / float64(max(1, t.inside)) }
+
+type scenario struct {
+	name  string
+	setup func(t *trial, centres []string)
+}
+
+var scenarios = []scenario{
+	{"moving every 5 s", func(t *trial, centres []string) {
+		t.centre = func(now time.Duration) string { return centres[int(now/(5*time.Second))%len(centres)] }
+	}},
+	{"spread, holder dead", func(t *trial, _ []string) {
+		t.centre = func(time.Duration) string { return "" }
+		last := t.w.hosts[len(t.w.hosts)-1]
+		t.w.at(12*time.Second, func() { last.alive = false })
+	}},
+	{"moving, holder dead", func(t *trial, centres []string) {
+		t.centre = func(now time.Duration) string { return centres[int(now/(5*time.Second))%len(centres)] }
+		last := t.w.hosts[len(t.w.hosts)-1]
+		t.w.at(12*time.Second, func() { last.alive = false })
+	}},
+	{"spread, centre isolated", func(t *trial, centres []string) {
+		t.centre = func(time.Duration) string { return "" }
+		t.w.at(12*time.Second, func() { t.w.partition(centres[len(centres)-1], true) })
+	}},
+}
+
+func runTrial(seed uint64, members []Member, s scenario, system string, length time.Duration) *trial {
+	t := newTrial(seed, members, system)
+	var centres []string
+	seen := map[string]bool{}
+	for _, m := range members {
+		if !seen[m.DataCentre] {
+			centres = append(centres, m.DataCentre)
+		}
+		seen[m.DataCentre] = true
+	}
+	s.setup(t, centres)
+	t.start()
+	t.w.run(length)
+	return t
+}
+
+// Guards against refusals within the rate: the share must stay below that of
+// both baselines when demand moves, a holder is dead or a data centre is
+// isolated. Prints the table: go test ./internal/quota -run TestRefusalsWithinRate -v
+func TestRefusalsWithinRate(t *testing.T) {
+	length := *trialLength
+	fleets := []struct {
+		name    string
+		members []Member
+	}{{"4 hosts, 3 centres", cantabricoMembers()}, {"20 hosts, 10 centres", manyCentres(10, 2)}}
+	for _, fleet := range fleets {
+		for _, s := range scenarios {
+			ours := runTrial(*firstSeed, fleet.members, s, "ours", length)
+			equal := runTrial(*firstSeed, fleet.members, s, "equal", length)
+			central := runTrial(*firstSeed, fleet.members, s, "central", length)
+			seconds := length.Seconds() * float64(len(fleet.members))
+			t.Logf("%-22s %-24s refused within rate: ours %.4f, equal shares %.4f, central %.4f; ours %.1f messages/s and %.0f payload bytes/s per host",
+				fleet.name, s.name, ours.share(), equal.share(), central.share(),
+				float64(ours.w.messages)/seconds, float64(ours.w.bytes)/seconds)
+			if ours.w.failure != "" {
+				t.Errorf("seed %d: %s", *firstSeed, ours.w.failure)
+			}
+		}
+	}
+}
