--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -10,6 +10,7 @@
 	"geraniumturn.example/geraniumturn/internal/control"
 	"geraniumturn.example/geraniumturn/internal/control/controlpb"
 	"geraniumturn.example/geraniumturn/internal/fleet"
+	"geraniumturn.example/geraniumturn/internal/quota"
 	"geraniumturn.example/geraniumturn/internal/settings"
 )
 
@@ -37,6 +38,8 @@
 	}
 	d.machine = fleet.NewMachine()
 	node.Register(fleet.MachineName, d.machine)
+	d.quotaMachine = quota.NewMachine()
+	node.Register(quota.MachineName, d.quotaMachine)
 	d.controlNode, d.controlLog = node, node
 	return d.transport.Register(node.Service(), controlpb.DRPCControlDescription{})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"geraniumturn.example/geraniumturn/internal/keys"
 	"geraniumturn.example/geraniumturn/internal/membership"
 	"geraniumturn.example/geraniumturn/internal/peer"
+	"geraniumturn.example/geraniumturn/internal/quota"
 	"geraniumturn.example/geraniumturn/internal/routing"
 	"geraniumturn.example/geraniumturn/internal/settings"
 	"geraniumturn.example/geraniumturn/internal/targets"
@@ -63,7 +64,10 @@
 	router     *routing.Router
 	dispatcher *dispatch.Dispatcher
 	entry      *entry.Server
-	echo       *echo.Echo
+
+	quotaMachine *quota.Machine
+	quota        *quota.Runtime
+	echo         *echo.Echo
 }
 
 // New builds the process from its settings. Nothing runs before Run.
@@ -81,7 +85,16 @@
 		keys:      keys.NewTable(),
 		targets:   targets.NewTable(s.Name, s.DataCentre),
 	}
-	for _, build := range []func() error{d.buildControl, d.buildMembership, d.buildFleet, d.buildTargets, d.buildDispatch, d.buildHTTP} {
+	builders := []func() error{
+		d.buildControl,
+		d.buildMembership,
+		d.buildFleet,
+		d.buildTargets,
+		d.buildDispatch,
+		d.buildQuota,
+		d.buildHTTP,
+	}
+	for _, build := range builders {
 		if err := build(); err != nil {
 			return nil, err
 		}
@@ -139,6 +152,8 @@
 		d.fleet.registerLoop,
 		d.relayLoop,
 		d.exchangeLoop,
+		d.quota.Tick,
+		d.quota.Sync,
 	}
 }
 
