--- a/internal/control/bootstrap.go
+++ b/internal/control/bootstrap.go
@@ -104,16 +104,14 @@
 	return nil
 }
 
-// askToJoin asks the leader to make this voter a member, while it is none.
+// askToJoin repeats the request for membership while the core wants it.
 func (n *Node) askToJoin(ctx context.Context) {
 	if now := n.now(); now < n.joinDue {
 		return
 	}
 	n.joinDue = n.now() + joinPeriod
-	for _, m := range n.core.Members() {
-		if m.ID == n.id && !m.Learner {
-			return
-		}
+	if !n.core.WantsJoin() {
+		return
 	}
 	in := &controlpb.JoinRequest{Id: n.id, Host: n.config.Host}
 	for _, v := range n.config.Voters {
@@ -137,9 +135,8 @@
 		return nil, fmt.Errorf("control: host %q is no voter in the settings of %s", in.GetHost(), s.n.config.Host)
 	}
 	s.n.do(ctx, func() {
-		if err := s.n.core.Join(in.GetId(), in.GetHost()); err == nil {
-			s.n.hosts[in.GetId()] = in.GetHost()
-		}
+		s.n.hosts[in.GetId()] = in.GetHost()
+		_ = s.n.core.Join(in.GetId(), in.GetHost())
 	})
 	return &controlpb.Empty{}, nil
 }
--- a/internal/control/core/core.go
+++ b/internal/control/core/core.go
@@ -71,7 +71,7 @@
 	heartbeatDue time.Duration
 	termStart    uint64 // index of the first entry of the own leadership
 	quorumAt     time.Duration
-	joins        map[string]string // host name to new id
+	joins        map[string]*join // by host name
 
 	messages, afterSync []Message
 }
@@ -84,7 +84,7 @@
 		snapshot: Snapshot{Index: c.Snapshot.Index, Term: c.Snapshot.Term, Members: c.Snapshot.Members},
 		commit:   c.Snapshot.Index, applied: c.Snapshot.Index,
 		configs: []memberConfig{{c.Snapshot.Index, c.Snapshot.Members}},
-		joins:   map[string]string{},
+		joins:   map[string]*join{},
 	}
 	for _, e := range c.Entries {
 		n.log.append(e)
@@ -209,6 +209,9 @@
 // Synced tells that all records of the last Output are durable.
 func (c *Core) Synced() {
 	c.synced = c.unsaved - 1
+	if c.role == Candidate && c.hasMajority(c.votes) {
+		c.becomeLeader() // a sole voter leads once its own vote is durable
+	}
 	if c.role == Leader {
 		c.advanceCommit()
 	}
--- /dev/null
+++ b/internal/control/core/core_test.go
@@ -0,0 +1,47 @@
+package core
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func follower(term uint64) *Core {
+	return New(Config{ID: "b", Host: "hb", State: HardState{Term: term}, Base: 1, BaseTerm: 1,
+		Snapshot: Snapshot{Index: 1, Term: 1, Members: []Member{{ID: "a", Host: "ha"}, {ID: "b", Host: "hb"}, {ID: "c", Host: "hc"}}},
+		Rand:     rand.New(rand.NewPCG(1, 1))}, 0)
+}
+
+// Guards against a lease from the answer to a heartbeat of an earlier term: the
+// leader may have restarted since, so that the send time is of another clock.
+func TestAnswerToOldTermEchoesNoSendTime(t *testing.T) {
+	c := follower(3)
+	c.Step(time.Second, Message{Kind: AppendRequest, From: "a", To: "b", Term: 2, SentAt: time.Hour})
+	out := c.Output()
+	if len(out.AfterSync) != 1 || out.AfterSync[0].Kind == AppendResponse || out.AfterSync[0].Term != 3 {
+		t.Fatalf("answer to a leader of an old term: %+v", out.AfterSync)
+	}
+}
+
+// Guards against two leaders in one term, of which the second would replace
+// entries of the first.
+func TestSecondLeaderOfATermPanics(t *testing.T) {
+	c := follower(2)
+	c.Step(time.Second, Message{Kind: AppendRequest, From: "a", To: "b", Term: 2, Index: 1, LogTerm: 1})
+	defer func() {
+		if recover() == nil {
+			t.Fatal("a second leader of term 2 was accepted")
+		}
+	}()
+	c.Step(time.Second, Message{Kind: AppendRequest, From: "c", To: "b", Term: 2, Index: 1, LogTerm: 1})
+}
+
+// Guards against a message for the id that this host had before it lost its
+// disk, which must get no vote from the new id.
+func TestMessageForAnotherIDIsDropped(t *testing.T) {
+	c := follower(2)
+	c.Step(time.Hour, Message{Kind: VoteRequest, From: "a", To: "b-old", Term: 9, Index: 9, LogTerm: 9})
+	if out := c.Output(); !out.Empty() {
+		t.Fatalf("answered a message for another id: %+v", out)
+	}
+}
--- a/internal/control/core/election.go
+++ b/internal/control/core/election.go
@@ -45,10 +45,6 @@
 	c.setState(HardState{Term: c.state.Term + 1, Vote: c.id})
 	c.votes = map[string]bool{c.id: true}
 	c.resetElection()
-	if c.hasMajority(c.votes) {
-		c.becomeLeader()
-		return
-	}
 	c.requestVotes(VoteRequest, c.state.Term)
 }
 
@@ -121,7 +117,7 @@
 		panic(fmt.Sprintf("control: election safety: %s won term %d, which %s leads", c.id, c.state.Term, c.termLeader))
 	}
 	c.role, c.leader, c.termLeader, c.votes = Leader, c.id, c.id, nil
-	c.progress = map[string]*progress{}
+	c.progress, c.joins = map[string]*progress{}, map[string]*join{}
 	c.quorumAt = c.now
 	c.trackMembers()
 	c.termStart = c.log.last() + 1
--- a/internal/control/core/members.go
+++ b/internal/control/core/members.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 )
 
 // Members returns the membership in force, which is the latest in the log.
@@ -67,16 +68,55 @@
 	if c.role != Leader {
 		return ErrNotLeader
 	}
-	if host == c.host {
+	if host == c.host || c.isVoter(id) {
 		return nil
 	}
-	if !c.isVoter(id) {
-		c.joins[host] = id
-		c.maintainMembers()
+	j := c.joins[host]
+	if j == nil || j.id != id {
+		j = &join{id: id}
+		c.joins[host] = j
 	}
+	j.until = c.now + joinLife
+	c.probe(j)
 	return nil
 }
 
+// join is a request for membership. It counts only once the id has answered a
+// message of this leader: a request that was delayed may name an id that its
+// host has lost since, and must not replace the present one.
+type join struct {
+	id       string
+	answered bool
+	until    time.Duration
+}
+
+func (c *Core) probe(j *join) {
+	c.messages = append(c.messages, Message{Kind: AppendRequest, From: c.id, To: j.id, Term: c.state.Term, SentAt: c.now})
+}
+
+func (c *Core) onProbeAnswer(id string) {
+	for _, j := range c.joins {
+		if j.id == id {
+			j.answered = true
+		}
+	}
+}
+
+// answeredJoins returns the hosts whose joins count, and forgets joins that are
+// done or were not repeated.
+func (c *Core) answeredJoins() []string {
+	var out []string
+	for _, host := range slices.Sorted(maps.Keys(c.joins)) {
+		j := c.joins[host]
+		if c.isVoter(j.id) || c.now > j.until {
+			delete(c.joins, host)
+		} else if j.answered {
+			out = append(out, host)
+		}
+	}
+	return out
+}
+
 // maintainMembers makes the next membership change that a join needs. There is
 // one change at a time: the next one waits until the last is committed, and the
 // first one until an entry of the own term is, so that a majority of the old and
@@ -86,14 +126,9 @@
 	if c.role != Leader || latest > c.commit || c.commit < c.termStart || !c.leaseHolds() {
 		return
 	}
-	hosts := slices.Sorted(maps.Keys(c.joins))
+	hosts := c.answeredJoins()
 	for _, host := range hosts {
-		id := c.joins[host]
-		if c.isVoter(id) {
-			delete(c.joins, host)
-			continue
-		}
-		if next, ok := c.withoutOld(host, id); ok {
+		if next, ok := c.withoutOld(host, c.joins[host].id); ok {
 			c.changeMembers(next)
 			return
 		}
@@ -105,8 +140,7 @@
 		}
 	}
 	for _, host := range hosts {
-		id, wanted := c.joins[host]
-		if wanted && !c.isMember(id) {
+		if id := c.joins[host].id; !c.isMember(id) {
 			c.changeMembers(append(cloneMembers(c.Members()), Member{ID: id, Host: host, Learner: true}))
 			return
 		}
@@ -147,6 +181,11 @@
 	c.broadcast()
 }
 
+// WantsJoin reports whether the driver should ask the leader for membership:
+// while this voter is none, and while it hears no leader, since it may have been
+// removed without its knowledge.
+func (c *Core) WantsJoin() bool { return !c.isVoter(c.id) || c.leader == "" }
+
 // Status describes a voter for operators and tests.
 type Status struct {
 	ID      string
--- a/internal/control/core/replication.go
+++ b/internal/control/core/replication.go
@@ -132,7 +132,9 @@
 // onLeaderMessage handles appends and snapshots.
 func (c *Core) onLeaderMessage(m Message) {
 	if m.Term < c.state.Term {
-		c.answerAppend(m, false, 0)
+		// No AppendResponse: it would carry the newer term with a send time of the
+		// older one, which the sender, if it leads again, would count for its lease.
+		c.answerVote(VoteResponse, m.From, c.state.Term, false)
 		return
 	}
 	if m.Term == c.state.Term && c.termLeader != "" && c.termLeader != m.From {
@@ -229,8 +231,10 @@
 	if c.role != Leader || m.Term < c.state.Term {
 		return
 	}
+	c.onProbeAnswer(m.From)
 	p := c.progress[m.From]
 	if p == nil {
+		c.maintainMembers()
 		return
 	}
 	p.acked, p.ackedAt = true, max(p.ackedAt, m.SentAt)
--- a/internal/control/core/types.go
+++ b/internal/control/core/types.go
@@ -23,6 +23,8 @@
 	maxAppendBytes = 1 << 20
 	// snapshotRetry is the time after which an unanswered snapshot is sent again.
 	snapshotRetry = 5 * time.Second
+	// joinLife is how long a join counts that is not repeated.
+	joinLife = 5 * time.Second
 	// tailEntries are kept behind a snapshot, so that a follower that is a
 	// little behind does not need the snapshot.
 	tailEntries = 1024
