--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -148,10 +148,10 @@
 
 func (s *Server) serve(c echo.Context, k *call) error {
 	if s.Draining() {
-		return refusal.New(refusal.Draining, refusal.NotRun, "this host is shutting down").WithHosts(s.otherHosts(nil, ""))
+		return refusal.New(refusal.Draining, refusal.NotRun, "this host is shutting down").WithHosts(s.hostsForCaller(c.Request()))
 	}
 	if s.Starting != nil && s.Starting() {
-		return refusal.New(refusal.Draining, refusal.NotRun, "this host is starting").WithHosts(s.otherHosts(nil, ""))
+		return refusal.New(refusal.Draining, refusal.NotRun, "this host is starting").WithHosts(s.hostsForCaller(c.Request()))
 	}
 	view := s.Copy.View()
 	if err := s.identify(c, k, view); err != nil {
@@ -216,6 +216,20 @@
 	return out
 }
 
+// hostsForCaller names the hosts that the caller's workspace may use, as far as
+// this host knows the key.
+func (s *Server) hostsForCaller(r *http.Request) []string {
+	key, err := s.Keys.Check(bearer(r))
+	if err != nil {
+		return s.otherHosts(nil, "")
+	}
+	w := s.Copy.View().Rules.Workspaces[key.Workspace]
+	if w == nil {
+		return s.otherHosts(nil, "")
+	}
+	return s.otherHosts(w.Residency, w.Home)
+}
+
 // build reads the body and makes the request for targets.
 func (s *Server) build(c echo.Context, k *call, view *fleet.View) error {
 	r := c.Request()
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -32,6 +32,10 @@
 // hosts answers which hosts the caller should use. With a key, hosts outside
 // the residency of its workspace are left out.
 func (s *Server) hosts(c echo.Context) error {
+	if s.Starting != nil && s.Starting() {
+		e := refusal.New(refusal.Draining, refusal.NotRun, "this host is starting").WithHosts(s.otherHosts(nil, ""))
+		return c.JSON(e.Code.Status(), e.Body(""))
+	}
 	var residency []string
 	home := ""
 	if token := bearer(c.Request()); token != "" {
--- a/internal/proof/fleet_test.go
+++ b/internal/proof/fleet_test.go
@@ -364,6 +364,40 @@
 	})
 }
 
+// Guards G3: a data centre that is cut off from all voters must be able to
+// restart a host without a disk, with the state that its other hosts hold and
+// without waiting for the voters.
+func TestDisklessRestartInIsolatedDataCentre(t *testing.T) {
+	f := proctest.Start(t, []proctest.Host{
+		{Name: "gijon-1", DataCentre: "gijon-a", Region: "asturias", Control: true},
+		{Name: "bilbao-1", DataCentre: "bilbao-a", Region: "euskadi"},
+		{Name: "bilbao-2", DataCentre: "bilbao-a", Region: "euskadi"},
+	})
+	f.Apply(exampleRules(t))
+	key := f.Grant("ferris")
+	withdrawn := f.Grant("ferris")
+	want := current(t, f, "bilbao-1")
+	f.Isolate("bilbao-1", "bilbao-2")
+	if err := f.Tool(&strings.Builder{}, "bilbao-1").Withdraw(t.Context(), keyID(t, withdrawn)); !errors.Is(err, ctl.ErrNotInForce) {
+		t.Errorf("withdrawal in the isolated data centre: %v", err)
+	}
+	f.Kill("bilbao-2")
+	start := time.Now()
+	f.Launch("bilbao-2")
+	f.AwaitHealthy("bilbao-2")
+	awaitReady(t, f, "bilbao-2")
+	t.Logf("ready after %v", time.Since(start))
+	if got := current(t, f, "bilbao-2"); got.Index < want.Index || got.Text != want.Text {
+		t.Errorf("restarted with index %d, the data centre holds %d", got.Index, want.Index)
+	}
+	if got, err := discovered(t, f, "bilbao-2", key); err != nil || !slices.Contains(got, "bilbao-2") {
+		t.Errorf("with the known key discovery names %v (%v)", got, err)
+	}
+	if !isWithdrawn(t, f, "bilbao-2", withdrawn) {
+		t.Error("the withdrawn key works again after the restart")
+	}
+}
+
 // Guards against a damaged file that is taken for the state.
 func TestDamagedStateIsNotUsed(t *testing.T) {
 	f := proctest.Start(t, proctest.Cantabrico())
@@ -516,6 +550,38 @@
 	}
 }
 
+// Guards G13 under a partition, and an operator who is not told which hosts a
+// change did not reach.
+func TestApplyNamesMissingHosts(t *testing.T) {
+	f := proctest.Start(t, proctest.Cantabrico())
+	f.Apply(exampleRules(t))
+	f.Isolate("bilbao-1")
+	path := filepath.Join(t.TempDir(), "rules")
+	if err := os.WriteFile(path, []byte(exampleRules(t)+"# partitioned\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	err := f.Tool(&out, "santander-1").Apply(t.Context(), path, 0, "", true)
+	if !errors.Is(err, ctl.ErrNotInForce) || !strings.Contains(err.Error(), "missing bilbao-1") || strings.Contains(err.Error(), "\n") {
+		t.Errorf("got %v", err)
+	}
+	for _, want := range []string{"in force on gijon-1 ", "in force on gijon-2 ", "in force on santander-1 ", "not yet reached: bilbao-1 "} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("the answer lacks %q:\n%s", want, out.String())
+		}
+	}
+	want := current(t, f, "santander-1")
+	f.Heal()
+	start := time.Now()
+	proctest.Eventually(t, forceLimit, func() error {
+		if got := current(t, f, "bilbao-1"); got.Index < want.Index {
+			return fmt.Errorf("bilbao-1 has index %d", got.Index)
+		}
+		return nil
+	})
+	t.Logf("in force in the data centre %v after the partition healed", time.Since(start))
+}
+
 // Guards the time until a change is in force on all hosts, on one machine and
 // with 55 ms between data centres. Run it with -v for the figures.
 func TestTimeUntilInForce(t *testing.T) {
