--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -8,6 +8,7 @@
 
 	"geraniumturn.example/geraniumturn/internal/entry"
 	"geraniumturn.example/geraniumturn/internal/fleet"
+	"geraniumturn.example/geraniumturn/internal/peer"
 	"geraniumturn.example/geraniumturn/internal/settings"
 	"geraniumturn.example/geraniumturn/internal/targets"
 )
@@ -38,9 +39,21 @@
 	d.registerControl(admin)
 	targets.Register(e.Group("/targets/v1", entry.RequireToken(announceToken)), d.targets, d.urgentAnnouncement)
 	d.echo = e
+	d.registerTraffic()
 	return nil
 }
 
+// registerTraffic publishes the counters of the connections between hosts.
+func (d *Daemon) registerTraffic() {
+	for name, value := range map[string]func(peer.Traffic) int64{
+		"peer.bytes_sent":     func(t peer.Traffic) int64 { return t.BytesSent },
+		"peer.bytes_received": func(t peer.Traffic) int64 { return t.BytesReceived },
+		"peer.connections":    func(t peer.Traffic) int64 { return t.Connections },
+	} {
+		metrics.NewRegisteredFunctionalGauge(name, d.metrics, func() int64 { return value(d.transport.Traffic()) })
+	}
+}
+
 // Status is the answer of GET /admin/v1/status.
 type Status struct {
 	Host       string           `json:"host"`
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"storj.io/drpc"
@@ -44,6 +45,21 @@
 	pool  *drpcpool.Pool[string, drpcpool.Conn]
 	mux   *drpcmux.Mux
 	serve *drpcserver.Server
+
+	sent, received, connections atomic.Int64
+}
+
+// Traffic is what a transport has carried since its start.
+type Traffic struct {
+	// BytesSent and BytesReceived count the payload of TCP, with TLS framing.
+	BytesSent, BytesReceived int64
+	// Connections is the number of open ones.
+	Connections int64
+}
+
+// Traffic returns the counters.
+func (t *Transport) Traffic() Traffic {
+	return Traffic{BytesSent: t.sent.Load(), BytesReceived: t.received.Load(), Connections: t.connections.Load()}
 }
 
 // New returns a transport for the named host. A nil tlsConfig means plain TCP.
@@ -73,6 +89,7 @@
 
 // Serve accepts connections until ctx ends.
 func (t *Transport) Serve(ctx context.Context, listener net.Listener) error {
+	listener = countingListener{listener, t}
 	if t.tls != nil {
 		listener = tls.NewListener(listener, t.tls)
 	}
@@ -99,12 +116,30 @@
 }
 
 func (t *Transport) dialSocket(ctx context.Context, address string) (net.Conn, error) {
-	if t.tls != nil {
-		d := tls.Dialer{Config: t.tls}
-		return d.DialContext(ctx, "tcp", address)
-	}
 	var d net.Dialer
-	return d.DialContext(ctx, "tcp", address)
+	raw, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	conn := t.counted(raw)
+	if t.tls == nil {
+		return conn, nil
+	}
+	return t.handshake(ctx, conn, address)
+}
+
+func (t *Transport) handshake(ctx context.Context, conn net.Conn, address string) (net.Conn, error) {
+	ip, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	config := t.tls.Clone()
+	config.ServerName = ip
+	secure := tls.Client(conn, config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	return secure, nil
 }
 
 // Sender returns the host name that the caller of the current RPC gave.
