fleet, membership: cover more faults in the simulations and process tests

Cause: with single protections taken out, some tests still passed: the fleet schedules did not compare a restarted disk host with what it had in force, the discovery test ended while the host was only suspected, and spreading of withdrawals without the log and the adoption of a failed host's children had no test. Change: the schedules keep the last index and the confirmed withdrawals of a host with a disk over restarts; the discovery test goes on until the host is dead; tests for both gaps; a stale peer is cut off from all but one host.

--- a/internal/fleet/change_test.go
+++ b/internal/fleet/change_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -136,6 +137,56 @@
 	}
 }
 
+// Guards against hosts that wait for a pull because a host above them in the
+// tree is down: the host that does not reach it serves its children.
+func TestChildrenOfFailedHostsAreReached(t *testing.T) {
+	m := NewMachine()
+	apply(t, m, 0)
+	var places []Place
+	hosts := map[string]*Publisher{}
+	for i := range 40 {
+		p := Place{Name: fmt.Sprintf("h%02d", i), DataCentre: fmt.Sprintf("dc%d", i%3)}
+		places = append(places, p)
+		hosts[p.Name] = &Publisher{Self: p.Name, Copy: NewCopy()}
+		if _, err := hosts[p.Name].Copy.Merge(m.Since(0)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	down := map[string]bool{}
+	for _, name := range Children("h00", "h00", places)[:2] {
+		down[name] = true
+		down[Children("h00", name, places)[0]] = true
+	}
+	apply(t, m, 1)
+	queue, err := hosts["h00"].Committed(m, true, places)
+	senders := make([]string, len(queue))
+	for i := range senders {
+		senders[i] = "h00"
+	}
+	for len(queue) > 0 && err == nil {
+		o, from := queue[0], senders[0]
+		queue, senders = queue[1:], senders[1:]
+		var next []Outgoing
+		sender := o.To
+		if down[o.To] {
+			next, sender = hosts[from].Unreached(o, places), from
+		} else {
+			next, _, err = hosts[o.To].Pushed(o.Push, places)
+		}
+		for _, n := range next {
+			queue, senders = append(queue, n), append(senders, sender)
+		}
+	}
+	if err != nil || len(down) != 4 {
+		t.Fatal(err, down)
+	}
+	for name, h := range hosts {
+		if !down[name] && h.Copy.View().Index != m.Index() {
+			t.Errorf("%s was not reached", name)
+		}
+	}
+}
+
 // Guards against messages of other hosts that crash a host or take its state back.
 func FuzzMerge(f *testing.F) {
 	m := NewMachine()
--- a/internal/fleet/sim_test.go
+++ b/internal/fleet/sim_test.go
@@ -92,7 +92,9 @@
 	table       *keys.Table
 	withdrawals *keys.Withdrawals
 	lastIndex   uint64
-	acked       map[string]bool // withdrawals that this host confirmed since it started
+	// acked are the withdrawals that this host confirmed since it started, or,
+	// with a disk, since it has that disk.
+	acked map[string]bool
 }
 
 type sim struct {
@@ -206,7 +208,9 @@
 	h.copy, h.table = fleet.NewCopy(), keys.NewTable()
 	h.withdrawals = keys.NewWithdrawals(h.table)
 	h.publisher = fleet.Publisher{Self: h.name, Copy: h.copy}
-	h.acked = map[string]bool{}
+	if h.disk == nil || h.acked == nil {
+		h.acked = map[string]bool{}
+	}
 	knownKeys, knownWithdrawn := 0, 0
 	h.copy.OnChange(func(v *fleet.View) {
 		for _, k := range v.State.Keys[knownKeys:] {
@@ -219,24 +223,23 @@
 		knownKeys, knownWithdrawn = len(v.State.Keys), len(v.State.Withdrawn)
 		s.installed(h, v)
 	})
-	floor := uint64(0)
-	if h.disk != nil {
+	floor := h.lastIndex
+	h.lastIndex = 0
+	if h.disk == nil {
+		floor = 0
+	} else {
 		h.withdrawals.Load(h.disk.withdrawals, h.disk)
 		if h.disk.state != nil {
 			state := &fleetpb.State{}
 			if err := proto.Unmarshal(h.disk.state, state); err != nil {
 				s.fatalf("stored state: %v", err)
 			}
-			floor = h.lastIndex
-			h.lastIndex = 0
 			if _, err := h.copy.Install(state); err != nil {
 				s.fatalf("install stored state: %v", err)
 			}
 			h.started = true
 		}
 		h.copy.Keep(h.disk)
-	} else {
-		h.lastIndex = 0
 	}
 	if h.copy.View().Index < floor {
 		s.fatalf("%s restarted with index %d after %d was in force", h.name, h.copy.View().Index, floor)
@@ -583,7 +586,7 @@
 		}
 	case 2: // a lost disk
 		if h.up && h.disk != nil {
-			h.up, h.lastIndex = false, 0
+			h.up, h.lastIndex, h.acked = false, 0, nil
 			s.after(time.Second, func() { h.disk = &disk{}; s.boot(h) })
 		}
 	case 3: // a data centre is cut off
--- a/internal/membership/detector_test.go
+++ b/internal/membership/detector_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -72,17 +73,27 @@
 	})
 }
 
+var (
+	trafficHosts  = flag.Int("traffic.hosts", 0, "measure the traffic of this many hosts only")
+	trafficPlaces = flag.Int("traffic.places", 4, "number of data centres")
+	trafficWarmUp = flag.Duration("traffic.warmup", time.Minute, "time before the measurement")
+)
+
 // Guards the budget of 5 KB/s per node: the bytes of a host must not grow with
 // the fleet. Run it with -v for the figures.
 func TestTrafficAtRest(t *testing.T) {
-	for _, hosts := range []int{4, 8, 16, 32, 64} {
-		s := newSim(t, 1, hosts, 4)
-		s.run(time.Minute) // the news of the common start are spread
+	sizes := []int{4, 8, 16, 32, 64}
+	if *trafficHosts > 0 {
+		sizes = []int{*trafficHosts}
+	}
+	for _, hosts := range sizes {
+		s := newSim(t, 1, hosts, *trafficPlaces)
+		s.run(*trafficWarmUp) // the news of the common start are spread
 		before := s.bytes
 		const measured = 40 * time.Second
 		s.run(s.now + measured)
 		perHost := float64(s.bytes-before) / float64(hosts) / measured.Seconds()
-		t.Logf("%d hosts in 4 data centres: %.0f bytes/s per host", hosts, perHost)
+		t.Logf("%d hosts in %d data centres: %.0f bytes/s per host", hosts, *trafficPlaces, perHost)
 		if perHost > 500 {
 			t.Errorf("%d hosts: %.0f bytes/s per host", hosts, perHost)
 		}
--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -325,6 +325,20 @@
 	})
 }
 
+// Cut cuts the peer connections between two hosts.
+func (f *Fleet) Cut(a, b string) { f.between(a, b, (*Relay).Cut) }
+
+// Mend restores the peer connections between two hosts.
+func (f *Fleet) Mend(a, b string) { f.between(a, b, (*Relay).Heal) }
+
+func (f *Fleet) between(a, b string, do func(*Relay)) {
+	f.eachRelay(func(from, to string, r *Relay) {
+		if (from == a && to == b) || (from == b && to == a) {
+			do(r)
+		}
+	})
+}
+
 // Heal restores all peer connections.
 func (f *Fleet) Heal() { f.eachRelay(func(_, _ string, r *Relay) { r.Heal() }) }
 
--- a/internal/proof/fleet_test.go
+++ b/internal/proof/fleet_test.go
@@ -336,8 +336,12 @@
 	proctest.Eventually(t, forceLimit, func() error { return errors.Join(inForce("gijon-2"), inForce("bilbao-1")) })
 	f.Kill("bilbao-1")
 	f.Kill("gijon-2")
-	f.Isolate("bilbao-1") // only its own disk can help it
+	f.Isolate("bilbao-1")           // only its own disk can help it
+	f.Cut("santander-1", "gijon-1") // stays stale, and can reach gijon-2 only
 	f.Signal("santander-1", syscall.SIGCONT)
+	if err := inForce("santander-1"); err == nil {
+		t.Fatal("santander-1 is not stale")
+	}
 	for _, h := range []string{"bilbao-1", "gijon-2"} {
 		f.Launch(h)
 		f.AwaitHealthy(h)
@@ -398,6 +402,36 @@
 	}
 }
 
+// Guards G6 against a withdrawal that only the log spreads: without any voter,
+// a host that missed the first message learns it from its peers.
+func TestWithdrawalSpreadsWithoutLog(t *testing.T) {
+	f := proctest.Start(t, []proctest.Host{
+		{Name: "gijon-1", DataCentre: "gijon-a", Region: "asturias", Control: true},
+		{Name: "bilbao-1", DataCentre: "bilbao-a", Region: "euskadi"},
+		{Name: "bilbao-2", DataCentre: "bilbao-a", Region: "euskadi"},
+	})
+	f.Apply(exampleRules(t))
+	key := f.Grant("ferris")
+	f.Isolate("bilbao-1", "bilbao-2")
+	f.Cut("bilbao-1", "bilbao-2")
+	var out strings.Builder
+	if err := f.Tool(&out, "bilbao-1").Withdraw(t.Context(), keyID(t, key)); !errors.Is(err, ctl.ErrNotInForce) || !strings.Contains(out.String(), "not yet reached: bilbao-2 ") {
+		t.Fatalf("%v\n%s", err, out.String())
+	}
+	if isWithdrawn(t, f, "bilbao-2", key) {
+		t.Fatal("bilbao-2 is not cut off")
+	}
+	f.Mend("bilbao-1", "bilbao-2")
+	start := time.Now()
+	proctest.Eventually(t, endLimit, func() error {
+		if !isWithdrawn(t, f, "bilbao-2", key) {
+			return errors.New("bilbao-2 does not refuse the key")
+		}
+		return nil
+	})
+	t.Logf("in force %v after the hosts reach each other", time.Since(start))
+}
+
 // Guards against a damaged file that is taken for the state.
 func TestDamagedStateIsNotUsed(t *testing.T) {
 	f := proctest.Start(t, proctest.Cantabrico())
@@ -476,6 +510,16 @@
 			names(t, f, "bilbao-1", "", "bilbao-1", "gijon-1", "santander-1"))
 	})
 	t.Logf("no host names it %v after SIGKILL", time.Since(start))
+	// At first the host is only suspected; it must not come back when it is dead.
+	proctest.Eventually(t, 2*discoveryLimit, func() error {
+		if !strings.Contains(f.Log("gijon-1"), "taken as dead") {
+			return errors.New("gijon-1 does not take it as dead")
+		}
+		return nil
+	})
+	if err := names(t, f, "gijon-1", "", "gijon-1", "bilbao-1", "santander-1"); err != nil {
+		t.Error(err)
+	}
 	f.Launch("gijon-2")
 	start = time.Now()
 	proctest.Eventually(t, proctest.StartLimit, func() error {
