--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,8 @@
 	"geraniumturn.example/geraniumturn/internal/keys"
 	"geraniumturn.example/geraniumturn/internal/membership"
 	"geraniumturn.example/geraniumturn/internal/peer"
+	"geraniumturn.example/geraniumturn/internal/quota"
+	"geraniumturn.example/geraniumturn/internal/routing"
 	"geraniumturn.example/geraniumturn/internal/settings"
 	"geraniumturn.example/geraniumturn/internal/targets"
 	"geraniumturn.example/geraniumturn/internal/timeline"
@@ -48,15 +50,24 @@
 	transport *peer.Transport
 
 	controlLog control.Log
+	// controlNode is nil on a host that is no voter.
+	controlNode *control.Node
+
 	machine    *fleet.Machine
 	copy       *fleet.Copy
 	keys       *keys.Table
 	members    *membership.Members
 	fleet      *fleetDriver
 	targets    *targets.Table
+	relay      *targets.Relay
+	relayWake  chan struct{}
+	router     *routing.Router
 	dispatcher *dispatch.Dispatcher
 	entry      *entry.Server
-	echo       *echo.Echo
+
+	quotaMachine *quota.Machine
+	quota        *quota.Runtime
+	echo         *echo.Echo
 }
 
 // New builds the process from its settings. Nothing runs before Run.
@@ -72,9 +83,18 @@
 		transport: peer.New(s.Name, hlc, tlsConfig),
 		copy:      fleet.NewCopy(),
 		keys:      keys.NewTable(),
-		targets:   targets.NewTable(),
+		targets:   targets.NewTable(s.Name, s.DataCentre),
+	}
+	builders := []func() error{
+		d.buildControl,
+		d.buildMembership,
+		d.buildFleet,
+		d.buildTargets,
+		d.buildDispatch,
+		d.buildQuota,
+		d.buildHTTP,
 	}
-	for _, build := range []func() error{d.buildControl, d.buildMembership, d.buildFleet, d.buildTargets, d.buildDispatch, d.buildHTTP} {
+	for _, build := range builders {
 		if err := build(); err != nil {
 			return nil, err
 		}
@@ -123,7 +143,17 @@
 // loops are the background tasks; each returns when its context ends.
 func (d *Daemon) loops() []func(context.Context) error {
 	return []func(context.Context) error{
-		d.membershipLoop, d.fleet.startLoop, d.fleet.commitLoop, d.fleet.pullLoop, d.fleet.proposeLoop, d.fleet.registerLoop,
+		d.controlLoop,
+		d.membershipLoop,
+		d.fleet.startLoop,
+		d.fleet.commitLoop,
+		d.fleet.pullLoop,
+		d.fleet.proposeLoop,
+		d.fleet.registerLoop,
+		d.relayLoop,
+		d.exchangeLoop,
+		d.quota.Tick,
+		d.quota.Sync,
 	}
 }
 
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -23,6 +23,7 @@
 	}
 	d.entry = &entry.Server{
 		Copy: d.copy, Keys: d.keys, Placement: placement{d.settings.Self(), d.members.All}, Runner: d.dispatcher,
+		Quota:  quotaHook{d.quota},
 		Events: d.events, Metrics: d.metrics,
 		Ready:    func() bool { return d.fleet.started.Load() && d.copy.View().Revision > 0 },
 		Starting: func() bool { return !d.fleet.started.Load() },
@@ -34,7 +35,8 @@
 	(&fleet.Admin{Log: d.controlLog, Copy: d.copy, Spread: d.fleet}).Register(admin)
 	d.events.Register(admin)
 	admin.GET("/status", d.status)
-	targets.Register(e.Group("/targets/v1", entry.RequireToken(announceToken)), d.targets, d.relayAnnouncement)
+	d.registerControl(admin)
+	targets.Register(e.Group("/targets/v1", entry.RequireToken(announceToken)), d.targets, d.urgentAnnouncement)
 	d.echo = e
 	return nil
 }
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -7,7 +7,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"geraniumturn.example/geraniumturn/internal/dispatch"
 	"geraniumturn.example/geraniumturn/internal/entry"
 	"geraniumturn.example/geraniumturn/internal/membership"
 	"geraniumturn.example/geraniumturn/internal/membership/membershippb"
@@ -133,10 +132,7 @@
 		if h.DataCentre == d.settings.DataCentre || h.Dead || h.Suspect || h.Draining {
 			continue
 		}
-		out = append(out, routing.Site{
-			Host:   dispatch.Host{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer},
-			Region: h.Region,
-		})
+		out = append(out, routing.Site{Name: h.Name, DataCentre: h.DataCentre, Region: h.Region, Peer: h.Peer})
 	}
 	return out
 }
