--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"geraniumturn.example/geraniumturn/internal/fleet"
 	"geraniumturn.example/geraniumturn/internal/keys"
 	"geraniumturn.example/geraniumturn/internal/membership"
+	"geraniumturn.example/geraniumturn/internal/operations"
 	"geraniumturn.example/geraniumturn/internal/peer"
 	"geraniumturn.example/geraniumturn/internal/quota"
 	"geraniumturn.example/geraniumturn/internal/routing"
@@ -63,6 +64,7 @@
 	relayWake  chan struct{}
 	router     *routing.Router
 	dispatcher *dispatch.Dispatcher
+	operations *operations.Service
 	entry      *entry.Server
 
 	quotaMachine *quota.Machine
@@ -92,6 +94,7 @@
 		d.buildTargets,
 		d.buildDispatch,
 		d.buildQuota,
+		d.buildOperations,
 		d.buildHTTP,
 	}
 	for _, build := range builders {
@@ -154,6 +157,7 @@
 		d.exchangeLoop,
 		d.quota.Tick,
 		d.quota.Sync,
+		d.operations.Run,
 	}
 }
 
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -24,7 +24,7 @@
 	}
 	d.entry = &entry.Server{
 		Copy: d.copy, Keys: d.keys, Placement: placement{d.settings.Self(), d.members.All}, Runner: d.dispatcher,
-		Quota:  quotaHook{d.quota},
+		Quota: quotaHook{d.quota}, Operations: operationsHook{d.operations},
 		Events: d.events, Metrics: d.metrics,
 		Ready:    func() bool { return d.fleet.started.Load() && d.copy.View().Revision > 0 },
 		Starting: func() bool { return !d.fleet.started.Load() },
@@ -35,6 +35,7 @@
 	admin := e.Group("/admin/v1", entry.RequireToken(operatorToken))
 	(&fleet.Admin{Log: d.controlLog, Copy: d.copy, Spread: d.fleet}).Register(admin)
 	d.events.Register(admin)
+	d.operations.Register(admin)
 	admin.GET("/status", d.status)
 	d.registerControl(admin)
 	targets.Register(e.Group("/targets/v1", entry.RequireToken(announceToken)), d.targets, d.urgentAnnouncement)
