--- /dev/null
+++ b/internal/control/core/members.go
@@ -0,0 +1,205 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Members returns the membership in force, which is the latest in the log.
+func (c *Core) Members() []Member { return c.configs[len(c.configs)-1].members }
+
+// MembersAt returns the membership as of an index that is not compacted away.
+func (c *Core) MembersAt(index uint64) []Member {
+	members := c.configs[0].members
+	for _, m := range c.configs {
+		if m.index <= index {
+			members = m.members
+		}
+	}
+	return cloneMembers(members)
+}
+
+func (c *Core) isVoter(id string) bool {
+	for _, m := range c.Members() {
+		if m.ID == id {
+			return !m.Learner
+		}
+	}
+	return false
+}
+
+func (c *Core) soleVoter() bool { return c.isVoter(c.id) && c.hasMajority(map[string]bool{c.id: true}) }
+
+func (c *Core) hasMajority(votes map[string]bool) bool {
+	voters, have := 0, 0
+	for _, m := range c.Members() {
+		if m.Learner {
+			continue
+		}
+		voters++
+		if votes[m.ID] {
+			have++
+		}
+	}
+	return have > voters/2
+}
+
+// trackMembers keeps one progress for each other member of a leader's membership.
+func (c *Core) trackMembers() {
+	if c.role != Leader {
+		return
+	}
+	current := map[string]*progress{}
+	for _, m := range c.Members() {
+		if m.ID == c.id {
+			continue
+		}
+		if current[m.ID] = c.progress[m.ID]; current[m.ID] == nil {
+			current[m.ID] = &progress{next: c.log.last() + 1}
+		}
+	}
+	c.progress = current
+}
+
+// Join asks the leader to make the id a voter in the place of all other ids of
+// its host name.
+func (c *Core) Join(id, host string) error {
+	if c.role != Leader {
+		return ErrNotLeader
+	}
+	if host == c.host || c.isVoter(id) {
+		return nil
+	}
+	j := c.joins[host]
+	if j == nil || j.id != id {
+		j = &join{id: id}
+		c.joins[host] = j
+	}
+	j.until = c.now + joinLife
+	c.probe(j)
+	return nil
+}
+
+// join is a request for membership. It counts only once the id has answered a
+// message of this leader: a request that was delayed may name an id that its
+// host has lost since, and must not replace the present one.
+type join struct {
+	id       string
+	answered bool
+	until    time.Duration
+}
+
+func (c *Core) probe(j *join) {
+	c.messages = append(c.messages, Message{Kind: AppendRequest, From: c.id, To: j.id, Term: c.state.Term, SentAt: c.now})
+}
+
+func (c *Core) onProbeAnswer(id string) {
+	for _, j := range c.joins {
+		if j.id == id {
+			j.answered = true
+		}
+	}
+}
+
+// answeredJoins returns the hosts whose joins count, and forgets joins that are
+// done or were not repeated.
+func (c *Core) answeredJoins() []string {
+	var out []string
+	for _, host := range slices.Sorted(maps.Keys(c.joins)) {
+		j := c.joins[host]
+		if c.isVoter(j.id) || c.now > j.until {
+			delete(c.joins, host)
+		} else if j.answered {
+			out = append(out, host)
+		}
+	}
+	return out
+}
+
+// maintainMembers makes the next membership change that a join needs. There is
+// one change at a time: the next one waits until the last is committed, and the
+// first one until an entry of the own term is, so that a majority of the old and
+// of the new membership always overlap.
+func (c *Core) maintainMembers() {
+	latest := c.configs[len(c.configs)-1].index
+	if c.role != Leader || latest > c.commit || c.commit < c.termStart || !c.leaseHolds() {
+		return
+	}
+	hosts := c.answeredJoins()
+	for _, host := range hosts {
+		if next, ok := c.withoutOld(host, c.joins[host].id); ok {
+			c.changeMembers(next)
+			return
+		}
+	}
+	for _, m := range c.Members() {
+		if p := c.progress[m.ID]; m.Learner && p != nil && p.match >= c.commit {
+			c.changeMembers(c.promoted(m.ID))
+			return
+		}
+	}
+	for _, host := range hosts {
+		if id := c.joins[host].id; !c.isMember(id) {
+			c.changeMembers(append(cloneMembers(c.Members()), Member{ID: id, Host: host, Learner: true}))
+			return
+		}
+	}
+}
+
+func (c *Core) isMember(id string) bool {
+	for _, m := range c.Members() {
+		if m.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// withoutOld returns the membership without one older id of the host.
+func (c *Core) withoutOld(host, id string) ([]Member, bool) {
+	for i, m := range c.Members() {
+		if m.Host == host && m.ID != id {
+			return append(cloneMembers(c.Members()[:i]), c.Members()[i+1:]...), true
+		}
+	}
+	return nil, false
+}
+
+func (c *Core) promoted(id string) []Member {
+	out := cloneMembers(c.Members())
+	for i := range out {
+		if out[i].ID == id {
+			out[i].Learner = false
+		}
+	}
+	return out
+}
+
+func (c *Core) changeMembers(members []Member) {
+	c.appendOwn(Entry{Kind: EntryMembers, Members: members})
+	c.broadcast()
+}
+
+// WantsJoin reports whether the driver should ask the leader for membership:
+// while this voter is none, and while it hears no leader, since it may have been
+// removed without its knowledge.
+func (c *Core) WantsJoin() bool { return !c.isVoter(c.id) || c.leader == "" }
+
+// Status describes a voter for operators and tests.
+type Status struct {
+	ID      string
+	Role    Role
+	Term    uint64
+	Leader  string
+	Commit  uint64
+	Applied uint64
+	Last    uint64
+	Members []Member
+}
+
+// Status returns the present state.
+func (c *Core) Status() Status {
+	return Status{ID: c.id, Role: c.role, Term: c.state.Term, Leader: c.leader, Commit: c.commit,
+		Applied: c.applied, Last: c.log.last(), Members: cloneMembers(c.Members())}
+}
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -8,6 +8,7 @@
 
 	"geraniumturn.example/geraniumturn/internal/entry"
 	"geraniumturn.example/geraniumturn/internal/fleet"
+	"geraniumturn.example/geraniumturn/internal/peer"
 	"geraniumturn.example/geraniumturn/internal/settings"
 	"geraniumturn.example/geraniumturn/internal/targets"
 )
@@ -22,22 +23,38 @@
 		return err
 	}
 	d.entry = &entry.Server{
-		Copy: d.copy, Keys: d.keys, Placement: placement{d.settings}, Runner: d.dispatcher,
+		Copy: d.copy, Keys: d.keys, Placement: placement{d.settings.Self(), d.members.All}, Runner: d.dispatcher,
+		Quota: quotaHook{d.quota}, Operations: operationsHook{d.operations},
 		Events: d.events, Metrics: d.metrics,
-		Ready: func() bool { return d.copy.View().Revision > 0 },
+		Ready:    func() bool { return d.fleet.started.Load() && d.copy.View().Revision > 0 },
+		Starting: func() bool { return !d.fleet.started.Load() },
 	}
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	d.entry.Register(e)
 	admin := e.Group("/admin/v1", entry.RequireToken(operatorToken))
-	(&fleet.Admin{Log: d.controlLog, Copy: d.copy}).Register(admin)
+	(&fleet.Admin{Log: d.controlLog, Copy: d.copy, Spread: d.fleet}).Register(admin)
 	d.events.Register(admin)
+	d.operations.Register(admin)
 	admin.GET("/status", d.status)
+	d.registerControl(admin)
 	targets.Register(e.Group("/targets/v1", entry.RequireToken(announceToken)), d.targets, d.urgentAnnouncement)
 	d.echo = e
+	d.registerTraffic()
 	return nil
 }
 
+// registerTraffic publishes the counters of the connections between hosts.
+func (d *Daemon) registerTraffic() {
+	for name, value := range map[string]func(peer.Traffic) int64{
+		"peer.bytes_sent":     func(t peer.Traffic) int64 { return t.BytesSent },
+		"peer.bytes_received": func(t peer.Traffic) int64 { return t.BytesReceived },
+		"peer.connections":    func(t peer.Traffic) int64 { return t.Connections },
+	} {
+		metrics.NewRegisteredFunctionalGauge(name, d.metrics, func() int64 { return value(d.transport.Traffic()) })
+	}
+}
+
 // Status is the answer of GET /admin/v1/status.
 type Status struct {
 	Host       string           `json:"host"`
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -338,26 +338,21 @@
 	return dispatch.Choice{Host: &dispatch.Host{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer}}, true
 }
 
-// lastResort handles a request without any known place: a data centre that has
-// said nothing about its pool may have got a target since.
+// lastResort handles a request for which no place with room is known: a data
+// centre that has said nothing about its pool may have got a target since, and
+// one that stated no room may have got some. The host there queues the request
+// or refuses it, and a refusal closes the data centre until its next summary.
 func (r *Router) lastResort(now time.Time, k key, req *dispatch.Request, tried dispatch.Tried) (dispatch.Choice, error) {
 	full := false
-	if !req.Forwarded() && req.Reach != rules.ReachDataCentre {
-		for _, s := range r.sites {
-			if tried.DataCentres[s.name] || !r.permitted(req, s) {
-				continue
-			}
-			if _, _, known := s.room(now, k); known {
-				full = true
-				continue
-			}
-			if f := s.flows[k]; f != nil && f.outstanding >= unknownLimit {
-				continue
-			}
-			if choice, ok := r.forward(now, k, req, s); ok {
-				r.stats.Unknown++
-				return choice, nil
-			}
+	for _, s := range r.untried(req, tried) {
+		_, _, known := s.room(now, k)
+		full = full || known
+		if f := s.flows[k]; f != nil && (f.closed || (!known && f.outstanding >= unknownLimit)) {
+			continue
+		}
+		if choice, ok := r.forward(now, k, req, s); ok {
+			r.stats.Unknown++
+			return choice, nil
 		}
 	}
 	if full {
@@ -370,6 +365,35 @@
 		"no target of pool %s is available", req.Pool).WithRetry(noTargetRetry)
 }
 
+// untried lists the data centres that the request may still be sent to: those
+// that serve its pool first, the shortest stated wait before longer ones.
+func (r *Router) untried(req *dispatch.Request, tried dispatch.Tried) []*site {
+	if req.Forwarded() || req.Reach == rules.ReachDataCentre {
+		return nil
+	}
+	var out []*site
+	for _, s := range r.sites {
+		if !tried.DataCentres[s.name] && r.permitted(req, s) {
+			out = append(out, s)
+		}
+	}
+	k := keyOf(req.Pool, req.Model)
+	slices.SortStableFunc(out, func(a, b *site) int {
+		rowA, knownA := a.rows[k]
+		rowB, knownB := b.rows[k]
+		switch {
+		case knownA && knownB:
+			return int(rowA.Wait - rowB.Wait)
+		case knownA:
+			return -1
+		case knownB:
+			return 1
+		}
+		return 0
+	})
+	return out
+}
+
 // finish ends the current step of a request. A forward that is followed by
 // another choice did not succeed there.
 func (r *Router) finish(now time.Time, id string, failed bool) {
