--- a/internal/control/core/core_test.go
+++ b/internal/control/core/core_test.go
@@ -45,3 +45,48 @@
 		t.Fatalf("answered a message for another id: %+v", out)
 	}
 }
+
+// Guards against a second vote in one term after a restart: the vote must be
+// among the records to sync.
+func TestVoteSurvivesRestart(t *testing.T) {
+	c := follower(2)
+	c.Step(QuietPeriod, Message{Kind: VoteRequest, From: "a", To: "b", Term: 3, Index: 1, LogTerm: 1})
+	out := c.Output()
+	if out.State == nil || len(out.AfterSync) != 1 || !out.AfterSync[0].OK {
+		t.Fatalf("vote: %+v", out)
+	}
+	c = New(Config{ID: "b", Host: "hb", State: *out.State, Snapshot: c.Snapshot(), Base: 1, BaseTerm: 1, Rand: rand.New(rand.NewPCG(1, 1))}, 0)
+	c.Step(QuietPeriod, Message{Kind: VoteRequest, From: "c", To: "b", Term: 3, Index: 1, LogTerm: 1})
+	for _, m := range c.Output().AfterSync {
+		if m.OK {
+			t.Fatalf("second vote in term 3: %+v", m)
+		}
+	}
+}
+
+// Guards against a leader that commits an entry of an earlier term because a
+// majority has it: another candidate could still replace that entry.
+func TestEntryOfOlderTermIsNotCommittedByCount(t *testing.T) {
+	c := follower(2)
+	c.Step(0, Message{Kind: AppendRequest, From: "a", To: "b", Term: 2, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 2, Term: 2, Kind: EntryCommand}}})
+	c.Output()
+	c.Synced()
+	c.Tick(ElectionTimeoutMax)
+	c.Step(ElectionTimeoutMax, Message{Kind: PreVoteResponse, From: "c", To: "b", Term: 3, OK: true})
+	c.Output()
+	c.Synced()
+	c.Step(ElectionTimeoutMax, Message{Kind: VoteResponse, From: "c", To: "b", Term: 3, OK: true})
+	c.Output()
+	c.Synced()
+	if s := c.Status(); s.Role != Leader || s.Last != 3 {
+		t.Fatalf("no leader with an entry of its term: %+v", s)
+	}
+	c.Step(ElectionTimeoutMax, Message{Kind: AppendResponse, From: "c", To: "b", Term: 3, OK: true, Index: 2, SentAt: ElectionTimeoutMax})
+	if s := c.Status(); s.Commit != 1 {
+		t.Fatalf("commit index %d from an entry of term 2", s.Commit)
+	}
+	c.Step(ElectionTimeoutMax, Message{Kind: AppendResponse, From: "c", To: "b", Term: 3, OK: true, Index: 3, SentAt: ElectionTimeoutMax})
+	if s := c.Status(); s.Commit != 3 {
+		t.Fatalf("commit index %d after an entry of the own term", s.Commit)
+	}
+}
--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -337,6 +337,12 @@
 	})
 }
 
+// CutPair cuts the peer connections between two hosts.
+func (f *Fleet) CutPair(a, b string) {
+	f.relays[a+">"+b].Cut()
+	f.relays[b+">"+a].Cut()
+}
+
 // Heal restores all peer connections.
 func (f *Fleet) Heal() { f.eachRelay(func(_, _ string, r *Relay) { r.Heal() }) }
 
