--- a/internal/control/core/replication.go
+++ b/internal/control/core/replication.go
@@ -204,6 +204,9 @@
 
 func (c *Core) onSnapshot(m Message) {
 	s := m.Snapshot
+	if s == nil {
+		return
+	}
 	if s.Index <= c.commit {
 		c.answerAppend(m, true, s.Index)
 		return
--- a/internal/proof/control_test.go
+++ b/internal/proof/control_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,6 +24,8 @@
 // 2 s, further rounds after a split vote, and the race detector.
 const failoverLimit = 15 * time.Second
 
+var controlMeasure = flag.Bool("control-measure", false, "print the time to a new leader over several kills")
+
 var controlHosts = []string{"gijon-1", "santander-1", "bilbao-1"}
 
 func report(f *proctest.Fleet, host string) (control.Report, error) {
@@ -327,3 +331,30 @@
 	})
 	mustPut(t, f, "gijon-2", "two of three", 3, rules)
 }
+
+// TestMeasureControlFailover prints the time from SIGKILL of the leader to the
+// next lease and to the next accepted change; it runs only with -control-measure.
+func TestMeasureControlFailover(t *testing.T) {
+	if !*controlMeasure {
+		t.Skip("prints figures; run with -control-measure")
+	}
+	f := proctest.Start(t, proctest.Cantabrico())
+	rules := exampleRules(t)
+	var leases, changes []time.Duration
+	for i := range uint64(11) {
+		old, _ := leader(t, f, controlHosts...)
+		mustPut(t, f, old, fmt.Sprintf("before-%d", i), 2*i, rules)
+		f.Kill(old)
+		began := time.Now()
+		next, _ := leader(t, f, others(old)...)
+		leases = append(leases, time.Since(began).Round(time.Millisecond))
+		mustPut(t, f, next, fmt.Sprintf("after-%d", i), 2*i+1, rules)
+		changes = append(changes, time.Since(began).Round(time.Millisecond))
+		f.Launch(old)
+		awaitRevision(t, f, old, 2*i+2, fmt.Sprintf("after-%d", i))
+	}
+	slices.Sort(leases)
+	slices.Sort(changes)
+	t.Logf("11 kills: next lease after %v to %v, median %v; next change after %v to %v, median %v",
+		leases[0], leases[10], leases[5], changes[0], changes[10], changes[5])
+}
