membership: test indirect probes, pauses, table exchange and message bounds

Cause: the schedules still passed without any one of these four. Change: one test for each. Conclusion: the schedules show detection, refutation and reconnection; these tests show the rest.

--- a/internal/membership/detector_test.go
+++ b/internal/membership/detector_test.go
@@ -42,6 +42,82 @@
 	}
 }
 
+// Guards against a host that is suspected because one link to it is broken.
+func TestIndirectProbesPreventSuspicion(t *testing.T) {
+	s := newSim(t, 1, 5, 1)
+	s.run(20 * time.Second)
+	a, b := s.hosts[1], s.hosts[3]
+	s.cut[a.Name+"|"+b.Name], s.cut[b.Name+"|"+a.Name] = true, true
+	for range 600 {
+		s.run(s.now + 100*time.Millisecond)
+		for _, h := range s.hosts {
+			for _, o := range h.detector.Hosts() {
+				if o.Suspect || o.Dead {
+					s.fatalf("%s holds %+v", h.Name, o)
+				}
+			}
+		}
+	}
+}
+
+// Guards against a host that was paused itself and declares others dead at once.
+func TestPauseIsForgiven(t *testing.T) {
+	d := NewDetector(member1("a", "x"), []Host{member1("b", "x"), member1("c", "x")}, 1)
+	now := time.Duration(0)
+	for ; !d.Hosts()[1].Suspect && now < time.Minute; now += 100 * time.Millisecond {
+		d.Tick(now) // nobody answers
+	}
+	now += 10 * time.Second
+	d.Tick(now)
+	if b := d.Hosts()[1]; !b.Suspect || b.Dead {
+		t.Errorf("after the pause: %+v", b)
+	}
+	refuted := recordOf(member1("b", "x"))
+	refuted.Incarnation = 1
+	d.Receive(now, &pb.Message{Kind: pb.Kind_PING, Sender: refuted})
+	if b := d.Hosts()[1]; b.Suspect || b.Dead {
+		t.Errorf("after the refutation: %+v", b)
+	}
+}
+
+// Guards against tables that stay different when the news are no longer sent.
+func TestTablesAreExchanged(t *testing.T) {
+	a := NewDetector(member1("a", "x"), []Host{member1("b", "x")}, 1)
+	b := NewDetector(member1("b", "x"), []Host{member1("a", "x")}, 1)
+	a.merge(0, &pb.Record{Name: "z", DataCentre: "y", Incarnation: 3})
+	clear(a.queue)
+	b.lastSync = 0
+	for _, reply := range b.Receive(time.Minute, a.ping("b").Message) {
+		for _, again := range a.Receive(time.Minute, reply.Message) {
+			b.Receive(time.Minute, again.Message)
+		}
+	}
+	if len(b.Hosts()) != 3 || a.digest != b.digest {
+		t.Errorf("b knows %+v", b.Hosts())
+	}
+}
+
+// Guards against messages that grow with the number of changes.
+func TestMessagesAreBounded(t *testing.T) {
+	d := NewDetector(member1("a", "x"), []Host{member1("b", "x")}, 1)
+	for i := range 300 {
+		d.merge(0, recordOf(member1(fmt.Sprintf("host-with-a-long-name-%d", i), "data-centre")))
+	}
+	sent := map[string]bool{}
+	for range 100 {
+		m := d.message(pb.Kind_PING, "b")
+		if size := proto.Size(m); len(m.Records) > maxRecords || size > maxRecordBytes+300 {
+			t.Fatalf("%d records, %d bytes", len(m.Records), size)
+		}
+		for _, r := range m.Records {
+			sent[r.Name] = true
+		}
+	}
+	if len(sent) < 300 {
+		t.Errorf("only %d of 300 changes were sent", len(sent))
+	}
+}
+
 // Guards against messages that crash a host or make it take itself for dead.
 func FuzzReceive(f *testing.F) {
 	for _, kind := range []pb.Kind{pb.Kind_PING, pb.Kind_ACK, pb.Kind_PING_REQ, pb.Kind_SYNC, pb.Kind_SYNC_REPLY} {
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -146,7 +146,7 @@
 }
 
 func (s *sim) connected(a, b *host) bool {
-	return !s.cut[a.DataCentre+">"+b.DataCentre] && !s.cut[a.Name] && !s.cut[b.Name]
+	return !s.cut[a.DataCentre+">"+b.DataCentre] && !s.cut[a.Name] && !s.cut[b.Name] && !s.cut[a.Name+"|"+b.Name]
 }
 
 func (s *sim) send(from *host, out []Send) {
