fleet, ctl: let operators remove hosts, register at once, prove more cases

Change: the state keeps removed names until the host returns; a host registers as soon as it knows the state in force; polls back off to 1 s; the stream of the test lasts 10 s; a test fills every field of the state, so that a field added later cannot be dropped by copies.

--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -27,6 +27,8 @@
 	changeLimit  = 10 * time.Second
 	waitLimit    = 30 * time.Second
 	waitInterval = 100 * time.Millisecond
+	// maxWaitInterval keeps waiting cheap, since each poll asks all hosts.
+	maxWaitInterval = time.Second
 )
 
 // Tool runs commands for one operator.
@@ -122,7 +124,7 @@
 func (t *Tool) awaitIndex(ctx context.Context, index uint64) error {
 	named := map[string]bool{}
 	deadline := time.Now().Add(waitLimit)
-	for {
+	for interval := waitInterval; ; interval = min(2*interval, maxWaitInterval) {
 		var answer fleet.ReachAnswer
 		err := t.Admin.Call(ctx, "GET", fmt.Sprintf("/admin/v1/reach?index=%d", index), nil, &answer)
 		if err != nil && (errors.Is(err, ErrRefused) || time.Now().After(deadline) || ctx.Err() != nil) {
@@ -139,7 +141,7 @@
 		if !pending || time.Now().After(deadline) || ctx.Err() != nil {
 			return t.reportMissing(answer.Hosts)
 		}
-		time.Sleep(waitInterval)
+		time.Sleep(interval)
 	}
 }
 
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -448,11 +448,19 @@
 func (f *fleetDriver) registerLoop(ctx context.Context) error {
 	s := f.d.settings.Self()
 	self := &fleetpb.Host{Name: s.Name, DataCentre: s.DataCentre, Region: s.Region, Http: s.HTTP, Peer: s.Peer}
-	ticker := time.NewTicker(registerInterval)
+	ticker := time.NewTicker(startInterval)
 	defer ticker.Stop()
+	for !f.started.Load() {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+	ticker.Reset(registerInterval)
 	for {
 		listed := slices.ContainsFunc(f.d.copy.View().State.Hosts, func(h *fleetpb.Host) bool { return proto.Equal(h, self) })
-		if f.started.Load() && !listed {
+		if !listed {
 			callCtx, cancel := context.WithTimeout(ctx, proposeTimeout)
 			_, _ = fleet.Propose(callCtx, f.d.controlLog, &fleetpb.Command{Kind: &fleetpb.Command_PutHost{PutHost: self}})
 			cancel()
@@ -485,7 +493,7 @@
 	answer.Hosts = append(answer.Hosts, self)
 	message := withdrawalsMessage([]keys.Withdrawal{w})
 	var mu sync.Mutex
-	f.each(ctx, f.others(), pushTimeout, func(ctx context.Context, h membership.Host) {
+	f.each(ctx, slices.DeleteFunc(f.others(), f.gone), pushTimeout, func(ctx context.Context, h membership.Host) {
 		_, err := f.client(h.Peer).Withdraw(ctx, message)
 		mu.Lock()
 		defer mu.Unlock()
@@ -495,6 +503,12 @@
 	return answer, nil
 }
 
+// gone reports whether a dead host was removed by an operator, so that nobody
+// waits for it.
+func (f *fleetDriver) gone(h membership.Host) bool {
+	return h.Dead && slices.Contains(f.d.copy.View().State.RemovedHosts, h.Name)
+}
+
 func reach(h membership.Host, reached bool) fleet.HostReach {
 	out := fleet.HostReach{Name: h.Name, DataCentre: h.DataCentre, Reached: reached}
 	switch {
@@ -513,6 +527,9 @@
 	positions[f.d.settings.Name] = f.d.copy.View().Index
 	var out []fleet.HostReach
 	for _, h := range f.d.members.All() {
+		if f.gone(h) {
+			continue
+		}
 		at, answered := positions[h.Name]
 		r := reach(h, answered && at >= index)
 		if r.Index = at; answered && at < index {
--- a/internal/fleet/change.go
+++ b/internal/fleet/change.go
@@ -27,7 +27,7 @@
 	}
 	next := &fleetpb.State{
 		Index: c.Index, Revision: s.Revision, Rules: s.Rules, Keys: s.Keys, Withdrawn: s.Withdrawn,
-		History: s.History, Hosts: s.Hosts, QuotaEpoch: s.QuotaEpoch,
+		History: s.History, Hosts: s.Hosts, QuotaEpoch: s.QuotaEpoch, RemovedHosts: s.RemovedHosts,
 	}
 	switch k := c.Kind.(type) {
 	case *fleetpb.Change_Rules:
@@ -40,9 +40,13 @@
 		next.Withdrawn = append(next.Withdrawn, k.Withdrawn)
 	case *fleetpb.Change_Host:
 		next.Hosts = append(withoutHost(s.Hosts, k.Host.GetName()), k.Host)
+		next.RemovedHosts = slices.DeleteFunc(slices.Clone(s.RemovedHosts), func(n string) bool { return n == k.Host.GetName() })
 		next.QuotaEpoch = c.Index
 	case *fleetpb.Change_RemovedHost:
 		next.Hosts = withoutHost(s.Hosts, k.RemovedHost)
+		if !slices.Contains(s.RemovedHosts, k.RemovedHost) {
+			next.RemovedHosts = append(slices.Clone(s.RemovedHosts), k.RemovedHost)
+		}
 		next.QuotaEpoch = c.Index
 	default:
 		return nil, fmt.Errorf("%w: unknown kind at index %d", ErrBadChange, c.Index)
--- a/internal/fleet/copy.go
+++ b/internal/fleet/copy.go
@@ -81,7 +81,7 @@
 func ownLists(s *fleetpb.State) *fleetpb.State {
 	return &fleetpb.State{
 		Index: s.Index, Revision: s.Revision, Rules: s.Rules, Keys: slices.Clip(s.Keys), Withdrawn: slices.Clip(s.Withdrawn),
-		History: slices.Clip(s.History), Hosts: slices.Clip(s.Hosts), QuotaEpoch: s.QuotaEpoch,
+		History: slices.Clip(s.History), Hosts: slices.Clip(s.Hosts), QuotaEpoch: s.QuotaEpoch, RemovedHosts: slices.Clip(s.RemovedHosts),
 	}
 }
 
--- /dev/null
+++ b/internal/fleet/copy_test.go
@@ -0,0 +1,79 @@
+package fleet
+
+import (
+	"errors"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"geraniumturn.example/geraniumturn/internal/fleet/fleetpb"
+)
+
+// fullState has a value in each field, also in those that are added later.
+func fullState(index uint64) *fleetpb.State {
+	s := &fleetpb.State{}
+	m := s.ProtoReflect()
+	fields := m.Descriptor().Fields()
+	for i := range fields.Len() {
+		f := fields.Get(i)
+		switch {
+		case f.IsList() && f.Kind() == protoreflect.MessageKind:
+			m.Mutable(f).List().AppendMutable()
+		case f.IsList():
+			m.Mutable(f).List().Append(protoreflect.ValueOfString("x"))
+		case f.Kind() == protoreflect.StringKind:
+			m.Set(f, protoreflect.ValueOfString("# text\n"))
+		default:
+			m.Set(f, protoreflect.ValueOfUint64(index))
+		}
+	}
+	return s
+}
+
+// Guards against a field of the state that copies drop.
+func TestCopyKeepsAllFields(t *testing.T) {
+	want, c := fullState(7), NewCopy()
+	if _, err := c.Install(want); err != nil {
+		t.Fatal(err)
+	}
+	if got := c.View().State; !proto.Equal(got, want) {
+		t.Errorf("installed %v, got %v", want, got)
+	}
+	next, err := applyChange(want, &fleetpb.Change{Previous: 7, Index: 8, Kind: &fleetpb.Change_Withdrawn{Withdrawn: "k"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want.Index, want.Withdrawn = 8, append(want.Withdrawn, "k")
+	if !proto.Equal(next, want) {
+		t.Errorf("changed to %v, got %v", want, next)
+	}
+}
+
+// Guards against an older revision or a lost withdrawal under a higher index,
+// and against a state that is in force although it could not be stored.
+func TestCopyRefusesOlderContent(t *testing.T) {
+	c := NewCopy()
+	if _, err := c.Install(fullState(7)); err != nil {
+		t.Fatal(err)
+	}
+	for name, spoil := range map[string]func(*fleetpb.State){
+		"revision":    func(s *fleetpb.State) { s.Revision = 6 },
+		"keys":        func(s *fleetpb.State) { s.Keys = nil },
+		"withdrawals": func(s *fleetpb.State) { s.Withdrawn = nil },
+	} {
+		older := fullState(9)
+		spoil(older)
+		if _, err := c.Install(older); !errors.Is(err, ErrOlder) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	c.Keep(failingKeeper{})
+	if _, err := c.Install(fullState(9)); err == nil || c.View().Index != 7 {
+		t.Errorf("index %d is in force, error %v", c.View().Index, err)
+	}
+}
+
+type failingKeeper struct{}
+
+func (failingKeeper) Save(*fleetpb.State) error { return errors.New("disk full") }
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -32,7 +32,8 @@
 	// changes a day this is about two days.
 	maxAnswers = 4096
 	// maxHistory bounds the revisions that are published to every host.
-	maxHistory = 512
+	maxHistory  = 512
+	maxHostName = 256
 )
 
 // Machine applies configuration commands in log order. Invariants: index and
@@ -231,10 +232,15 @@
 	return m.accept(), &fleetpb.Change{Kind: &fleetpb.Change_Host{Host: h}}
 }
 
+// removeHost also takes names that are not listed: a host may have failed
+// before it was.
 func (m *Machine) removeHost(c *fleetpb.RemoveHost) (*fleetpb.Result, *fleetpb.Change) {
-	named := func(h *fleetpb.Host) bool { return h.Name == c.Name }
-	if !slices.ContainsFunc(m.state.Hosts, named) {
-		return m.reject(ReasonInvalid, "no host "+c.Name), nil
+	if c.Name == "" || len(c.Name) > maxHostName {
+		return m.reject(ReasonInvalid, fmt.Sprintf("a host name has 1 to %d bytes", maxHostName)), nil
+	}
+	listed := slices.ContainsFunc(m.state.Hosts, func(h *fleetpb.Host) bool { return h.Name == c.Name })
+	if !listed && slices.Contains(m.state.RemovedHosts, c.Name) {
+		return m.accept(), nil
 	}
 	return m.accept(), &fleetpb.Change{Kind: &fleetpb.Change_RemovedHost{RemovedHost: c.Name}}
 }
--- a/internal/proof/fleet_test.go
+++ b/internal/proof/fleet_test.go
@@ -535,7 +535,7 @@
 	f.Apply(exampleRules(t))
 	slowEngine(f, "gijon-a", "gijon-1", "gijon-2")
 	key := f.Grant("hoteles-gijon")
-	open := stream(t, f, "gijon-2", key, 100) // 2 s
+	open := stream(t, f, "gijon-2", key, 500) // 10 s, longer than the host answers new requests
 	defer open.Body.Close()
 	whole := make(chan error, 1)
 	go func() {
@@ -626,6 +626,29 @@
 	t.Logf("in force in the data centre %v after the partition healed", time.Since(start))
 }
 
+// Guards against operators who are told for ever that a removed host is missing.
+func TestRemovedHostIsNotAwaited(t *testing.T) {
+	f := proctest.Start(t, proctest.Cantabrico())
+	f.Apply(exampleRules(t))
+	f.Kill("gijon-2")
+	path := filepath.Join(t.TempDir(), "rules")
+	if err := os.WriteFile(path, []byte(exampleRules(t)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tool := f.Tool(&strings.Builder{}, "bilbao-1")
+	if err := tool.Apply(t.Context(), path, 0, "", true); !errors.Is(err, ctl.ErrNotInForce) || !strings.Contains(err.Error(), "gijon-2") {
+		t.Errorf("without gijon-2: %v", err)
+	}
+	if err := tool.RemoveHost(t.Context(), "gijon-2"); err != nil {
+		t.Fatal(err)
+	}
+	proctest.Eventually(t, forceLimit, func() error { return tool.Apply(t.Context(), path, 0, "", true) })
+	f.Launch("gijon-2")
+	proctest.Eventually(t, proctest.StartLimit, func() error {
+		return names(t, f, "bilbao-1", "", "bilbao-1", "gijon-1", "gijon-2", "santander-1")
+	})
+}
+
 // Guards the time until a change is in force on all hosts, on one machine and
 // with 55 ms between data centres. Run it with -v for the figures.
 func TestTimeUntilInForce(t *testing.T) {
