Queue requests fairly per pool before they go to local targets

Cause: every dispatch went to a target at once, so one loud workspace filled all slots, and nothing was refused before its deadline. Change: internal/admission wraps the chooser and the observer of dispatch: start-time fair queueing in tokens by workspace weight with a credit of 2 s, batch keeps a tenth, early refusal by the measured service rate, bounds of 256 requests and 64 MiB per workspace. quota: a host that joined after its removal was seen must confirm (Set.as_of). Conclusion: the loud workspace does not raise the others' p99; at the normal load fair queueing has a higher p99 than first-in-first-out.

--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,227 @@
+package admission
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"geraniumturn.example/geraniumturn/internal/dispatch"
+	"geraniumturn.example/geraniumturn/internal/refusal"
+	"geraniumturn.example/geraniumturn/internal/targets"
+)
+
+// SweepInterval is how often waiting requests are checked against their
+// deadlines and against room that appeared without a wake-up.
+const SweepInterval = 50 * time.Millisecond
+
+// waitSample is how many waits the histogram keeps.
+const waitSample = 1028
+
+// Rooms is what routing tells about the local targets.
+type Rooms interface {
+	// Room is how many more requests like this one the targets of this data
+	// centre can take now: slots minus running, corrected for the lag of reports.
+	Room(req *dispatch.Request) int
+}
+
+// Weights gives the weight of a workspace under contention.
+type Weights func(workspace string) int
+
+// Admission is a dispatch.Chooser that lets a request wait in its pool's queue
+// before it goes to a local target. It is also the dispatch.Observer, which
+// tells it when slots become free.
+type Admission struct {
+	inner    dispatch.Chooser
+	observer dispatch.Observer
+	rooms    Rooms
+	weights  Weights
+	metrics  metrics.Registry
+	began    time.Time
+
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+type pool struct {
+	queue *Queue
+	// granted holds requests that may go but have not begun; they use room.
+	granted map[*dispatch.Request]bool
+	waiting map[*Item]*dispatch.Request
+}
+
+// New returns an admission around the chooser and the observer.
+func New(inner dispatch.Chooser, observer dispatch.Observer, rooms Rooms, weights Weights, registry metrics.Registry) *Admission {
+	return &Admission{inner: inner, observer: observer, rooms: rooms, weights: weights, metrics: registry,
+		began: time.Now(), pools: map[string]*pool{}}
+}
+
+func (a *Admission) pool(name string) *pool {
+	p := a.pools[name]
+	if p == nil {
+		p = &pool{queue: NewQueue(), granted: map[*dispatch.Request]bool{}, waiting: map[*Item]*dispatch.Request{}}
+		a.pools[name] = p
+	}
+	return p
+}
+
+// Choose implements dispatch.Chooser. Only an attempt on a local target waits:
+// a forwarded request waits at the host that receives it.
+func (a *Admission) Choose(ctx context.Context, req *dispatch.Request, tried dispatch.Tried) (dispatch.Choice, error) {
+	choice, err := a.inner.Choose(ctx, req, tried)
+	if err != nil || choice.Target == nil {
+		return choice, err
+	}
+	if err := a.wait(ctx, req); err != nil {
+		return dispatch.Choice{}, err
+	}
+	choice, err = a.inner.Choose(ctx, req, tried) // targets may have changed meanwhile
+	if err != nil || choice.Target == nil {
+		a.release(req)
+	}
+	return choice, err
+}
+
+func (a *Admission) wait(ctx context.Context, req *dispatch.Request) error {
+	done := make(chan *Refusal, 1)
+	began := time.Now()
+	item := &Item{Workspace: req.Workspace, Weight: a.weights(req.Workspace), Class: req.Class, Cost: req.Cost,
+		Bytes: int64(len(req.Body)), Deadline: req.Deadline.Sub(a.began)}
+	a.mu.Lock()
+	p := a.pool(req.Pool)
+	item.Done = func(r *Refusal) {
+		delete(p.waiting, item)
+		done <- r
+	}
+	refused := p.queue.Enter(time.Since(a.began), item)
+	if refused == nil {
+		p.waiting[item] = req
+		a.dispatch(p)
+	}
+	a.mu.Unlock()
+	if refused == nil {
+		select {
+		case refused = <-done:
+		case <-ctx.Done():
+			refused = a.leave(p, item, done)
+		}
+	}
+	waits := metrics.GetOrRegisterHistogram("admission.wait_ms."+req.Pool, a.metrics, metrics.NewUniformSample(waitSample))
+	waits.Update(time.Since(began).Milliseconds())
+	if refused == nil {
+		return nil
+	}
+	return a.refuse(req, refused)
+}
+
+// leave ends the wait of a request whose context has ended.
+func (a *Admission) leave(p *pool, item *Item, done chan *Refusal) *Refusal {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if p.queue.Leave(time.Since(a.began), item) {
+		delete(p.waiting, item)
+		return &Refusal{Late: true}
+	}
+	return <-done // decided meanwhile; Done was called under the lock
+}
+
+func (a *Admission) refuse(req *dispatch.Request, why *Refusal) error {
+	if why.Late {
+		metrics.GetOrRegisterCounter("admission.deadline", a.metrics).Inc(1)
+		return refusal.New(refusal.Deadline, refusal.NotRun, "the deadline passed before a target of pool %s was free", req.Pool)
+	}
+	metrics.GetOrRegisterCounter("admission.overloaded", a.metrics).Inc(1)
+	return refusal.New(refusal.Overloaded, refusal.NotRun, "pool %s has no room in the share of workspace %s", req.Pool, req.Workspace).
+		WithRetry(why.Retry)
+}
+
+// dispatch grants waiting requests as long as there is room. It needs mu.
+func (a *Admission) dispatch(p *pool) {
+	now := time.Since(a.began)
+	rooms := map[string]int{} // by what the room depends on; it does not change in this loop
+	fits := func(item *Item) bool {
+		req := p.waiting[item]
+		key := req.Model + "\x00" + strings.Join(req.Residency, ",")
+		room, ok := rooms[key]
+		if !ok {
+			room = a.rooms.Room(req)
+			rooms[key] = room
+		}
+		return room > len(p.granted)
+	}
+	for {
+		item := p.queue.Next(now, fits)
+		if item == nil {
+			return
+		}
+		p.granted[p.waiting[item]] = true
+		item.Done(nil)
+	}
+}
+
+// Wake dispatches waiting requests. Routing calls it when the room of a pool
+// may have grown.
+func (a *Admission) Wake(poolName string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if p := a.pools[poolName]; p != nil {
+		a.dispatch(p)
+	}
+}
+
+// Sweep wakes all pools each SweepInterval until ctx ends.
+func (a *Admission) Sweep(ctx context.Context) error {
+	ticker := time.NewTicker(SweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		a.mu.Lock()
+		for _, p := range a.pools {
+			a.dispatch(p)
+		}
+		a.mu.Unlock()
+	}
+}
+
+// QueueDelay is the expected wait of a new interactive request of the pool.
+func (a *Admission) QueueDelay(poolName string) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := a.pools[poolName]
+	rate := 0.0
+	if p != nil {
+		rate = p.queue.Rate()
+	}
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(p.queue.interactive.tokens) / rate * float64(time.Second))
+}
+
+func (a *Admission) release(req *dispatch.Request) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := a.pool(req.Pool)
+	delete(p.granted, req)
+	a.dispatch(p)
+}
+
+// AttemptBegins implements dispatch.Observer.
+func (a *Admission) AttemptBegins(req *dispatch.Request, target *targets.Target) {
+	a.observer.AttemptBegins(req, target)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.pool(req.Pool).granted, req)
+}
+
+// AttemptEnded implements dispatch.Observer.
+func (a *Admission) AttemptEnded(o dispatch.Outcome) {
+	a.observer.AttemptEnded(o)
+	a.Wake(o.Request.Pool)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"geraniumturn.example/geraniumturn/internal/admission"
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/control"
 	"geraniumturn.example/geraniumturn/internal/dispatch"
@@ -57,6 +58,7 @@
 
 	quotaMachine *quota.Machine
 	quota        *quota.Runtime
+	admission    *admission.Admission
 	echo         *echo.Echo
 }
 
@@ -123,7 +125,7 @@
 
 // loops are the background tasks; each returns when its context ends.
 func (d *Daemon) loops() []func(context.Context) error {
-	return []func(context.Context) error{d.pullLoop, d.quota.Tick, d.quota.Sync}
+	return []func(context.Context) error{d.pullLoop, d.quota.Tick, d.quota.Sync, d.admission.Sweep}
 }
 
 func (d *Daemon) addLoop(g *run.Group, loop func(context.Context) error) {
--- a/internal/daemon/targets.go
+++ b/internal/daemon/targets.go
@@ -41,7 +41,8 @@
 	self := d.settings.Self()
 	router := routing.New(self.DataCentre, self.Region, d.targets, d.sites)
 	host := dispatch.Host{Name: self.Name, DataCentre: self.DataCentre, Peer: self.Peer}
-	d.dispatcher = dispatch.New(host, router, attemptObserver{d.targets}, d.events, d.transport.Dial)
+	admitted := d.admit(router, attemptObserver{d.targets})
+	d.dispatcher = dispatch.New(host, admitted, admitted, d.events, d.transport.Dial)
 	service := dispatch.Service{Dispatcher: d.dispatcher, Draining: func() bool { return d.entry.Draining() }}
 	return d.transport.Register(service, dispatchpb.DRPCDispatchDescription{})
 }
--- a/internal/quota/allocation.go
+++ b/internal/quota/allocation.go
@@ -24,19 +24,21 @@
 // have expired before others may get its share.
 type MemberList struct {
 	stable, latest []Member
+	asOf, changed  uint64
 	since          time.Duration
 }
 
-// Observe takes the list that is known now and returns the newest one that has
-// not changed for LoanHold, or nil when there is none yet.
-func (l *MemberList) Observe(now time.Duration, members []Member) []Member {
+// Observe takes the list that is known now, at the log index. It returns the
+// newest list that has not changed for LoanHold, or nil when there is none yet,
+// and the log index at which that list was first seen.
+func (l *MemberList) Observe(now time.Duration, index uint64, members []Member) ([]Member, uint64) {
 	if l.latest == nil || !slices.Equal(l.latest, members) {
-		l.latest, l.since = slices.Clone(members), now
+		l.latest, l.since, l.changed = slices.Clone(members), now, index
 	}
 	if now-l.since >= LoanHold {
-		l.stable = l.latest
+		l.stable, l.asOf = l.latest, l.changed
 	}
-	return l.stable
+	return l.stable, l.asOf
 }
 
 // Workspace is what the rules say about a workspace, in whole tokens.
@@ -115,14 +117,14 @@
 }
 
 // decreasing lists who must confirm before to may replace from.
-func decreasing(from, to *quotapb.Allocation, hosts map[string]bool) []string {
+func decreasing(from, to *quotapb.Allocation, mustConfirm func(string) bool) []string {
 	var out []string
 	if elasticOf(from).exceeds(elasticOf(to)) {
 		out = append(out, elastic)
 	}
 	for _, site := range from.GetSites() {
 		for _, holder := range site.Holders {
-			if hosts[holder] && floorOf(from, holder).exceeds(floorOf(to, holder)) {
+			if mustConfirm(holder) && floorOf(from, holder).exceeds(floorOf(to, holder)) {
 				out = append(out, holder)
 			}
 		}
--- a/internal/quota/machine.go
+++ b/internal/quota/machine.go
@@ -33,11 +33,15 @@
 	records     map[string]*quotapb.Record
 	elasticTerm uint64
 	revision    uint64
+	// joined is the log index of the last start of each host; asOf is the index
+	// at which the leader first saw the host list in force.
+	joined map[string]uint64
+	asOf   uint64
 }
 
 // NewMachine returns a machine without workspaces.
 func NewMachine() *Machine {
-	return &Machine{hosts: map[string]bool{}, records: map[string]*quotapb.Record{}}
+	return &Machine{hosts: map[string]bool{}, records: map[string]*quotapb.Record{}, joined: map[string]uint64{}}
 }
 
 // Apply implements control.Machine.
@@ -67,6 +71,10 @@
 		m.confirm(k.Confirm, index)
 	case *quotapb.Command_StartElastic:
 		m.elasticTerm = max(m.elasticTerm, k.StartElastic.GetTerm())
+	case *quotapb.Command_Join:
+		if host := k.Join.GetHost(); host != elastic {
+			m.joined[host] = index
+		}
 	}
 }
 
@@ -76,6 +84,7 @@
 	}
 	m.revision = c.Revision
 	if len(c.Hosts) > 0 && len(c.Hosts) <= maxHosts {
+		m.asOf = max(m.asOf, c.AsOf)
 		m.replaceHosts(c.Hosts, index)
 	}
 	for _, wanted := range c.Wanted {
@@ -112,13 +121,19 @@
 	for _, name := range slices.Sorted(maps.Keys(m.records)) {
 		r := m.records[name]
 		before := len(r.Pending)
-		r.Pending = slices.DeleteFunc(r.Pending, func(h string) bool { return h != elastic && !m.hosts[h] })
+		r.Pending = slices.DeleteFunc(r.Pending, func(h string) bool { return h != elastic && !m.mustConfirm(h) })
 		if len(r.Pending) != before {
 			m.advance(r, index)
 		}
 	}
 }
 
+// mustConfirm is false for hosts that an operator removed, unless the host
+// started after the removal was seen.
+func (m *Machine) mustConfirm(host string) bool {
+	return m.hosts[host] || m.joined[host] > m.asOf
+}
+
 func (m *Machine) want(workspace string, a *quotapb.Allocation, index uint64) {
 	r, ok := m.records[workspace]
 	if !ok {
@@ -154,7 +169,7 @@
 			return
 		}
 		r.Next, r.Epoch, r.Queued = r.Queued, r.QueuedEpoch, nil
-		r.Pending = decreasing(r.Settled, r.Next, m.hosts)
+		r.Pending = decreasing(r.Settled, r.Next, m.mustConfirm)
 	}
 }
 
@@ -193,13 +208,13 @@
 
 // Missing returns the command that brings the machine to the wanted state, or
 // nil. It holds at most limit workspaces.
-func (m *Machine) Missing(revision uint64, members []Member, workspaces []Workspace, limit int) *quotapb.Set {
+func (m *Machine) Missing(revision, asOf uint64, members []Member, workspaces []Workspace, limit int) *quotapb.Set {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if revision < m.revision {
 		return nil
 	}
-	out := &quotapb.Set{Revision: revision}
+	out := &quotapb.Set{Revision: revision, AsOf: asOf}
 	wanted := map[string]bool{}
 	for _, w := range workspaces {
 		wanted[w.Name] = true
@@ -213,7 +228,7 @@
 			out.Wanted = append(out.Wanted, &quotapb.Wanted{Workspace: name, Allocation: &quotapb.Allocation{}})
 		}
 	}
-	if !m.sameHosts(members) {
+	if !m.sameHosts(members) || m.asOf < asOf {
 		for _, member := range members {
 			out.Hosts = append(out.Hosts, member.Name)
 		}
@@ -237,6 +252,7 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
 	s := &quotapb.Snapshot{Index: m.index, Records: m.since(0), ElasticTerm: m.elasticTerm, Revision: m.revision,
+		AsOf: m.asOf, Joined: maps.Clone(m.joined),
 		Hosts: slices.Sorted(maps.Keys(m.hosts))}
 	m.mu.Unlock()
 	out, err := proto.Marshal(s)
@@ -254,7 +270,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.index, m.elasticTerm, m.revision = s.Index, s.ElasticTerm, s.Revision
+	m.index, m.elasticTerm, m.revision, m.asOf = s.Index, s.ElasticTerm, s.Revision, s.AsOf
+	m.joined = map[string]uint64{}
+	maps.Copy(m.joined, s.Joined)
 	m.hosts, m.records = map[string]bool{}, map[string]*quotapb.Record{}
 	for _, h := range s.Hosts {
 		m.hosts[h] = true
--- a/internal/quota/runtime.go
+++ b/internal/quota/runtime.go
@@ -391,7 +391,7 @@
 // lead starts the elastic buckets of a new term and proposes allocations.
 func (r *Runtime) lead(ctx context.Context) error {
 	r.mu.Lock()
-	members := r.members.Observe(r.now(), r.config.Members())
+	members, asOf := r.members.Observe(r.now(), r.host.Index(), r.config.Members())
 	elasticTerm := r.host.ElasticTerm()
 	r.mu.Unlock()
 	term, ok := r.config.Log.Lease()
@@ -407,7 +407,7 @@
 	if revision == 0 || members == nil {
 		return nil
 	}
-	set := r.config.Machine.Missing(revision, members, workspaces, setBatch)
+	set := r.config.Machine.Missing(revision, asOf, members, workspaces, setBatch)
 	if set == nil {
 		return nil
 	}
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -325,10 +325,10 @@
 		})
 		w.on(h, time.Second, func() { h.starting = false })
 	}
-	members := h.members.Observe(h.clock(w.now), w.members)
+	members, asOf := h.members.Observe(h.clock(w.now), h.host.Index(), w.members)
 	if term != 0 && members != nil {
 		h.apply(w, len(w.log))
-		if set := h.voter.Missing(1, members, w.workspaces, 100); set != nil {
+		if set := h.voter.Missing(1, asOf, members, w.workspaces, 100); set != nil {
 			w.propose(h, &quotapb.Command{Kind: &quotapb.Command_Set{Set: set}}, nil)
 		}
 	}
