--- /dev/null
+++ b/internal/proof/quota_test.go
@@ -0,0 +1,216 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"geraniumturn.example/geraniumturn/internal/proctest"
+	"geraniumturn.example/geraniumturn/internal/standin"
+)
+
+const (
+	quotaRate    = 1000 // tokens per second
+	quotaBurst   = 2000
+	quotaCost    = 20
+	quotaWorkers = 6 // callers at each host
+	quotaBody    = "ticket"
+	quotaRules   = `
+workspace shop rate=1000/s burst=2000 # test
+pool counter kind=service # test
+route /counter/* pool=counter idempotent=yes reach=dc cost=20 timeout=5s # test
+`
+)
+
+// flood sends requests through all hosts at once, several times the rate.
+type flood struct {
+	t       *testing.T
+	fleet   *proctest.Fleet
+	targets map[string]*standin.Target
+	key     string
+	sent    atomic.Int64
+	samples []sample
+}
+
+// sample is how many tokens all targets have seen at a time.
+type sample struct {
+	at     time.Time
+	tokens int64
+}
+
+func startFlood(t *testing.T) *flood {
+	f := &flood{t: t, fleet: proctest.Start(t, proctest.Cantabrico()), targets: map[string]*standin.Target{}}
+	f.fleet.Apply(quotaRules)
+	f.key = f.fleet.Grant("shop")
+	for centre, hosts := range map[string][]string{"gijon-a": {"gijon-1", "gijon-2"}, "santander-a": {"santander-1"}, "bilbao-a": {"bilbao-1"}} {
+		f.targets[centre] = f.fleet.Target(standin.Config{Name: "counter-" + centre, DataCentre: centre, Pool: "counter", Slots: 64}, hosts...)
+	}
+	return f
+}
+
+// run keeps the flood going until do returns, and samples the targets.
+func (f *flood) run(do func()) {
+	ctx, cancel := context.WithCancel(f.t.Context())
+	var group sync.WaitGroup
+	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: quotaWorkers}}
+	for _, address := range f.fleet.Addresses() {
+		for range quotaWorkers {
+			group.Go(func() {
+				for ctx.Err() == nil {
+					f.call(ctx, client, address)
+				}
+			})
+		}
+	}
+	group.Go(func() {
+		for ctx.Err() == nil {
+			f.samples = append(f.samples, sample{time.Now(), f.tokens()})
+			pause(ctx, 10*time.Millisecond)
+		}
+	})
+	do()
+	cancel()
+	group.Wait()
+	client.CloseIdleConnections()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (f *flood) call(ctx context.Context, client *http.Client, address string) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/counter/x", strings.NewReader(quotaBody))
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	req.Header.Set("Authorization", "Bearer "+f.key)
+	f.sent.Add(1)
+	response, err := client.Do(req)
+	if err == nil {
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+	if err != nil || response.StatusCode != http.StatusOK {
+		pause(ctx, 10*time.Millisecond)
+	}
+}
+
+func (f *flood) tokens() int64 {
+	var sum int64
+	for _, t := range f.targets {
+		sum += int64(t.Runs(quotaBody)) * quotaCost
+	}
+	return sum
+}
+
+// await waits until the targets, or that of one data centre, have seen more tokens.
+func (f *flood) await(centre string, more int64) {
+	f.t.Helper()
+	seen := func() int64 {
+		if centre == "" {
+			return f.tokens()
+		}
+		return int64(f.targets[centre].Runs(quotaBody)) * quotaCost
+	}
+	begin := seen()
+	proctest.Eventually(f.t, 30*time.Second, func() error {
+		if got := seen() - begin; got < more {
+			return fmt.Errorf("targets %s saw %d of %d more tokens", centre, got, more)
+		}
+		return nil
+	})
+}
+
+// check replays the samples against one bucket over the fleet. Requests that
+// were admitted but had not reached their target yet, one for each caller, are
+// the tolerance.
+func (f *flood) check() {
+	f.t.Helper()
+	const tolerance = 4 * quotaWorkers * quotaCost
+	level, lowest := float64(quotaBurst), float64(quotaBurst)
+	for i := 1; i < len(f.samples); i++ {
+		a, b := f.samples[i-1], f.samples[i]
+		level = min(quotaBurst, level+quotaRate*b.at.Sub(a.at).Seconds()) - float64(b.tokens-a.tokens)
+		lowest = min(lowest, level)
+	}
+	first, last := f.samples[0], f.samples[len(f.samples)-1]
+	seconds := last.at.Sub(first.at).Seconds()
+	served := float64(last.tokens - first.tokens)
+	f.t.Logf("%.1f s: offered %.1f times the rate, served %.3f of rate*t, lowest level of the ideal bucket %.0f",
+		seconds, float64(f.sent.Load()*quotaCost)/quotaRate/seconds, served/seconds/quotaRate, lowest)
+	if lowest < -tolerance {
+		f.t.Errorf("targets saw %.0f tokens more than burst + rate*t allows", -lowest)
+	}
+	if offered := float64(f.sent.Load() * quotaCost); offered < 3*quotaRate*seconds {
+		f.t.Errorf("the flood offered only %.1f times the rate", offered/quotaRate/seconds)
+	}
+}
+
+// Guards against a workspace that gets more than its rate and burst because a
+// host is killed, restarts in a loop, or is the leader and is stopped past its
+// lease, and against an isolated data centre that stops serving or spends more
+// than its floor.
+func TestQuotaHoldsOverFaults(t *testing.T) {
+	f := startFlood(t)
+	f.run(func() {
+		f.await("", 3*quotaRate)
+		f.fleet.Kill("bilbao-1")
+		f.await("", quotaRate)
+		f.fleet.Launch("bilbao-1")
+		f.fleet.AwaitHealthy("bilbao-1")
+		for range 4 {
+			f.fleet.Kill("gijon-2")
+			f.fleet.Launch("gijon-2")
+			f.fleet.AwaitHealthy("gijon-2")
+			f.await("", quotaRate/4)
+		}
+		f.await("", quotaRate)
+
+		f.fleet.Isolate("santander-1")
+		f.await("santander-a", quotaBurst/2/3+quotaRate/2)
+		f.fleet.Heal()
+		f.await("", quotaRate)
+
+		f.fleet.Signal("gijon-1", syscall.SIGSTOP)
+		f.await("", quotaRate) // the floors of the others; longer than lease and loans
+		f.fleet.Signal("gijon-1", syscall.SIGCONT)
+		f.await("", 2*quotaRate)
+	})
+	f.check()
+}
+
+// Guards against a request as large as the whole burst that is refused although
+// the fleet is idle, against one above the burst that is not refused with 413,
+// and against a refusal without a retry time.
+func TestWholeBurst(t *testing.T) {
+	f := startFlood(t)
+	rules := strings.Replace(quotaRules, "cost=20", "cost=2000", 1) +
+		"route /above/* pool=counter idempotent=yes reach=dc cost=2001 timeout=5s # test\n"
+	f.fleet.Apply(rules)
+	proctest.Eventually(t, 30*time.Second, func() error {
+		status, answer := post(t, f.fleet, "bilbao-1", f.key, "/counter/x", quotaBody)
+		if status == http.StatusOK {
+			return nil
+		}
+		if status == http.StatusTooManyRequests && !strings.Contains(answer, "retry_after_ms") {
+			t.Errorf("refusal without a retry time: %s", answer)
+		}
+		pause(t.Context(), time.Second) // each try spends demand, which the prefetch would follow
+		return fmt.Errorf("%d %s", status, answer)
+	})
+	status, answer := post(t, f.fleet, "bilbao-1", f.key, "/above/x", quotaBody)
+	if status != http.StatusRequestEntityTooLarge || !strings.Contains(answer, "not_run") {
+		t.Errorf("request above the burst: %d %s", status, answer)
+	}
+}
--- /dev/null
+++ b/internal/quota/bucket_test.go
@@ -0,0 +1,161 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"geraniumturn.example/geraniumturn/internal/quota/quotapb"
+)
+
+// second is one second of refill, lengthened by the drift margin.
+const second = time.Second * 101 / 100
+
+func tokens(n int64) Amount { return n * TokenUnit }
+
+// Guards against a clock that is 1 % fast and so exceeds the rate.
+func TestRefillAllowsForDrift(t *testing.T) {
+	b := NewBucket(Share{tokens(100), tokens(1000)}, 0)
+	for now := time.Duration(0); now <= second; now += 7 * time.Millisecond {
+		b.Advance(now)
+	}
+	b.Advance(second)
+	if b.Level() != tokens(100) {
+		t.Errorf("level after 1.01 s is %d, not one second of the rate", b.Level())
+	}
+}
+
+// Guards against a refund of a credit that the refill has replaced already.
+func TestRefundIsLimitedByCredit(t *testing.T) {
+	b := NewBucket(Share{tokens(100), tokens(100)}, 0)
+	b.Advance(second)
+	c := b.Reserve(second, tokens(100))
+	b.Advance(second + second/2)
+	b.Refund(second+second/2, c, tokens(100))
+	if b.Level() != tokens(100) || b.Spendable() != tokens(100) {
+		t.Errorf("level %d, spendable %d after the refund", b.Level(), b.Spendable())
+	}
+}
+
+// Guards against a request for a loan that is delivered twice and granted
+// twice, and against a settlement that is delivered again after a refund.
+func TestRepeatedMessages(t *testing.T) {
+	b := NewBucket(Share{0, tokens(100)}, 0)
+	b.level = tokens(100)
+	id := LoanID{"h", 1, 1}
+	first := b.Lend(0, id, tokens(60), 0)
+	if again := b.Lend(0, id, tokens(60), 0); first != tokens(60) || again != first || b.Level() != tokens(40) {
+		t.Errorf("grants %d and %d, level %d", first, again, b.Level())
+	}
+	b.SettleLoan(0, id, tokens(10))
+	b.SettleLoan(0, id, tokens(50)) // an older settlement that arrives late
+	b.SettleLoan(0, id, tokens(10))
+	if b.Level() != tokens(90) || b.Spendable() != tokens(100) {
+		t.Errorf("level %d, spendable %d after the settlements", b.Level(), b.Spendable())
+	}
+}
+
+func oneHolder(t *testing.T, name string, start time.Duration) *Host {
+	t.Helper()
+	a := Allocate(Workspace{Name: "w", Rate: 100, Burst: 100}, []Member{{"a", "dc1"}, {"b", "dc2"}})
+	h := NewHost(name, "dc1", 1, start)
+	h.Apply(start, 1, []*quotapb.Record{{Workspace: "w", Epoch: 1, Changed: 1, Settled: a}})
+	return h
+}
+
+func borrow(elasticTokens bool, n uint64) *quotapb.BorrowRequest {
+	return &quotapb.BorrowRequest{Id: &quotapb.LoanID{Host: "b", Sequence: n}, Workspace: "w", Amount: tokens(10), Elastic: elasticTokens}
+}
+
+// Guards against elastic tokens from a host without a valid lease, from a
+// leader of another term, and before the loans of the last leader have expired.
+func TestElasticNeedsLease(t *testing.T) {
+	h := oneHolder(t, "a", 0)
+	h.StartElastic(0, 7)
+	if out := h.Lend(LoanHold, borrow(true, 1), 7); out.Granted != 0 {
+		t.Errorf("granted %d before old loans have expired", out.Granted)
+	}
+	late := LoanHold + 10*second
+	if out := h.Lend(late, borrow(true, 2), 0); out.Granted != 0 || !out.NotLeader {
+		t.Errorf("without a lease: %v", out)
+	}
+	if out := h.Lend(late, borrow(true, 3), 8); out.Granted != 0 {
+		t.Errorf("in another term: %v", out)
+	}
+	if out := h.Lend(late, borrow(true, 4), 7); out.Granted != tokens(10) {
+		t.Errorf("with the lease: %v", out)
+	}
+}
+
+// Guards against a loan that is spent by a process that was stopped past the
+// expiry and has not run its tick yet.
+func TestExpiredLoanIsNotSpent(t *testing.T) {
+	h := oneHolder(t, "c", 0)
+	_, w, _ := h.Reserve(0, "w", tokens(10))
+	message := h.Take()[0]
+	h.Borrowed(time.Millisecond, message.To, message.Borrow, &quotapb.BorrowResponse{Granted: tokens(10)})
+	if w.Reservation == nil {
+		t.Fatal("the loan was not used")
+	}
+	h.Settle(2*time.Millisecond, w.Reservation, 0) // the loan is whole again
+	if r, _, _ := h.Reserve(LoanValidity, "w", tokens(10)); r != nil {
+		t.Error("an expired loan was spent")
+	}
+}
+
+// Guards against a former leader whose confirmation lets others grow while the
+// present leader still grants by the old allocation.
+func TestFormerLeaderCannotConfirm(t *testing.T) {
+	m := NewMachine()
+	index := uint64(0)
+	apply := func(c *quotapb.Command) {
+		data, err := proto.Marshal(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		index++
+		m.Apply(index, data)
+	}
+	set := func(burst int64) {
+		apply(&quotapb.Command{Kind: &quotapb.Command_Set{Set: &quotapb.Set{Hosts: []string{"a"}, Wanted: []*quotapb.Wanted{{
+			Workspace: "w", Allocation: &quotapb.Allocation{Rate: tokens(1), Burst: tokens(burst)}}}}}})
+	}
+	set(100)
+	apply(&quotapb.Command{Kind: &quotapb.Command_StartElastic{StartElastic: &quotapb.StartElastic{Term: 2}}})
+	set(50)
+	confirm := func(term uint64) bool {
+		apply(&quotapb.Command{Kind: &quotapb.Command_Confirm{Confirm: &quotapb.Confirm{Term: term,
+			Confirmed: []*quotapb.Confirmed{{Workspace: "w", Epoch: 3}}}}})
+		_, records := m.Since(0)
+		return records[0].Next == nil
+	}
+	if confirm(1) {
+		t.Error("a confirmation of term 1 counted in term 2")
+	}
+	if !confirm(2) {
+		t.Error("the confirmation of term 2 did not count")
+	}
+}
+
+// Guards against state that a snapshot loses.
+func TestSnapshot(t *testing.T) {
+	w := randomWorld(5)
+	w.run(10 * time.Second)
+	data, err := w.truth.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := NewMachine()
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	again, err := restored.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var a, b quotapb.Snapshot
+	if proto.Unmarshal(data, &a) != nil || proto.Unmarshal(again, &b) != nil || !proto.Equal(&a, &b) {
+		t.Error("the restored machine differs")
+	}
+}
--- a/internal/quota/host.go
+++ b/internal/quota/host.go
@@ -43,11 +43,14 @@
 	// settlements are gathered by lender until settleAt.
 	settlements map[string][]*quotapb.Settlement
 	settleAt    time.Duration
+	sweepAt     time.Duration
 }
 
 const (
 	// settleInterval is how long settlements are gathered.
 	settleInterval = 100 * time.Millisecond
+	// sweepInterval is how often full elastic buckets are dropped.
+	sweepInterval = time.Second
 	// probeInterval is how often a lender is asked against its estimate when
 	// requests wait, since refunds that it received are not known here.
 	probeInterval = 100 * time.Millisecond
@@ -454,6 +457,10 @@
 			delete(h.accounts, name)
 		}
 	}
+	if now < h.sweepAt {
+		return
+	}
+	h.sweepAt = now + sweepInterval
 	for name, b := range h.elastic.buckets {
 		b.Advance(now)
 		if b.droppable() && now-h.elastic.since > h.fillTime(name) {
