quota: test that a host started after its removal must confirm

Change: a test of the machine alone. Result: fails without the rule (pending is empty), passes with it.

--- a/internal/quota/bucket_test.go
+++ b/internal/quota/bucket_test.go
@@ -159,3 +159,43 @@
 		t.Error("the restored machine differs")
 	}
 }
+
+// Guards against a host that was removed, started again and still spends by
+// the old allocation while others already grow.
+func TestStartedHostMustConfirm(t *testing.T) {
+	m := NewMachine()
+	index := uint64(0)
+	apply := func(c *quotapb.Command) {
+		data, err := proto.Marshal(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		index++
+		m.Apply(index, data)
+	}
+	workspace := Workspace{Name: "w", Rate: 100, Burst: 100}
+	set := func(asOf uint64, members ...Member) {
+		c := m.Missing(1, asOf, members, []Workspace{workspace}, 10)
+		apply(&quotapb.Command{Kind: &quotapb.Command_Set{Set: c}})
+	}
+	join := func(host string) {
+		apply(&quotapb.Command{Kind: &quotapb.Command_Join{Join: &quotapb.Join{Host: host}}})
+	}
+	pending := func() []string {
+		_, records := m.Since(0)
+		return records[0].Pending
+	}
+	join("a")
+	join("b")
+	set(index, Member{"a", "dc1"}, Member{"b", "dc2"})
+	removalSeen := index
+	join("b") // after the leader has seen the removal
+	set(removalSeen, Member{"a", "dc1"})
+	if got := pending(); len(got) != 1 || got[0] != "b" {
+		t.Errorf("pending %v, want the host that started again", got)
+	}
+	set(index, Member{"a", "dc1"}, Member{"c", "dc3"}) // removed after its last start
+	if got := pending(); len(got) == 1 && got[0] == "b" {
+		t.Error("a removed host still blocks")
+	}
+}
