--- a/internal/quota/runtime.go
+++ b/internal/quota/runtime.go
@@ -102,6 +102,9 @@
 	if cost > maxCost {
 		return nil, r.refuse(workspace, cost, &Refusal{TooLarge: true})
 	}
+	if err := r.awaitAllocation(ctx, workspace); err != nil {
+		return nil, err
+	}
 	var reservation *Reservation
 	var waiter *Waiter
 	var refused *Refusal
@@ -125,6 +128,32 @@
 	return &Hold{runtime: r, reservation: reservation}, nil
 }
 
+// awaitAllocation waits for the first division of a workspace, so that requests
+// right after the start of a fleet or a new rule are not refused within rate.
+// Without an answer after allocationWait the reservation refuses.
+func (r *Runtime) awaitAllocation(ctx context.Context, workspace string) error {
+	ctx, cancel := context.WithTimeout(ctx, allocationWait)
+	defer cancel()
+	for first := true; ; first = false {
+		known := false
+		r.locked(func(time.Duration) { known = r.host.Known(workspace) })
+		if known {
+			return nil
+		}
+		if first {
+			r.count("awaited_allocation", 1)
+		}
+		timer := time.NewTimer(allocationPoll)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return refusal.New(refusal.RateLimited, refusal.NotRun, "no share of workspace %s is agreed yet", workspace).
+				WithRetry(time.Second)
+		case <-timer.C:
+		}
+	}
+}
+
 func (r *Runtime) refuse(workspace string, cost int64, why *Refusal) error {
 	if why.TooLarge {
 		r.count("too_large", 1)
@@ -300,6 +329,13 @@
 	}
 }
 
+const (
+	// allocationWait covers the first division of a new workspace, which takes
+	// about LoanHold and two commands in the replicated log.
+	allocationWait = 5 * time.Second
+	allocationPoll = 20 * time.Millisecond
+)
+
 // Sync keeps the allocations up to date, confirms decreases, and as leader
 // proposes new allocations, until ctx ends.
 func (r *Runtime) Sync(ctx context.Context) error {
--- a/internal/targets/candidates.go
+++ b/internal/targets/candidates.go
@@ -62,6 +62,19 @@
 	return out
 }
 
+// anyWarm reports whether a target that the query may use is past its slow
+// start. Slow start shifts work to such targets; without any, counting only
+// its limits as room would refuse work after the start of a whole data centre.
+func (t *Table) anyWarm(now time.Time, q *Query) bool {
+	for _, r := range t.pools[q.Pool] {
+		warm := slowStartLimit(now.Sub(r.slowFrom), r.Slots) == r.Slots
+		if warm && r.serves(q) && r.available(now) && !r.health.ejected {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *record) serves(q *Query) bool {
 	return r.Serves(q.Model) && (len(q.Residency) == 0 || slices.Contains(q.Residency, r.DataCentre))
 }
@@ -147,11 +160,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var sum Capacity
+	warm := t.anyWarm(now, q)
 	for _, r := range t.pools[q.Pool] {
-		if !r.serves(q) || !r.available(now) || r.leased(now) || r.health.ejected {
+		if !r.serves(q) || !r.available(now) || r.leased(now) {
 			continue
 		}
-		limit, load := slowStartLimit(now.Sub(r.slowFrom), r.Slots), r.load(now)
+		if r.health.ejected {
+			sum.Room += r.health.claimedRoom(now)
+			continue
+		}
+		limit, load := r.Slots, r.load(now)
+		if warm {
+			limit = slowStartLimit(now.Sub(r.slowFrom), r.Slots)
+		}
 		sum.Targets++
 		sum.Slots += limit
 		sum.Load += load
