quota: report shares; wait for them in process tests

Cause: operators could not see how a rate is divided, and process tests began before the first division was agreed. Change: GET /admin/v1/quota, and proctest.Grant waits until every host knows its share.

--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -36,6 +36,7 @@
 	(&fleet.Admin{Log: d.controlLog, Copy: d.copy, Spread: d.fleet}).Register(admin)
 	d.events.Register(admin)
 	d.operations.Register(admin)
+	d.quota.Register(admin)
 	admin.GET("/status", d.status)
 	d.registerControl(admin)
 	targets.Register(e.Group("/targets/v1", entry.RequireToken(announceToken)), d.targets, d.urgentAnnouncement)
--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -17,6 +17,7 @@
 
 	"geraniumturn.example/geraniumturn/internal/control"
 	"geraniumturn.example/geraniumturn/internal/ctl"
+	"geraniumturn.example/geraniumturn/internal/quota"
 	"geraniumturn.example/geraniumturn/internal/standin"
 )
 
@@ -404,16 +405,33 @@
 	})
 }
 
-// Grant returns a caller key of the workspace that all hosts know.
+// Grant returns a caller key of the workspace that all hosts know, when all
+// hosts also know their share of the workspace's rate.
 func (f *Fleet) Grant(workspace string) string {
 	f.t.Helper()
 	var out strings.Builder
 	if err := f.Tool(&out).Grant(context.Background(), workspace, true); err != nil {
 		f.t.Fatal(err)
 	}
+	for _, p := range f.hosts {
+		Eventually(f.t, StartLimit, func() error { return f.hasShare(p, workspace) })
+	}
 	return strings.TrimSpace(out.String())
 }
 
+func (f *Fleet) hasShare(p *process, workspace string) error {
+	var known []quota.WorkspaceReport
+	if err := f.Admin(p.Name).Call(context.Background(), http.MethodGet, "/admin/v1/quota", nil, &known); err != nil {
+		return err
+	}
+	for _, w := range known {
+		if w.Workspace == workspace && !w.Changing {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s has no share of %s", p.Name, workspace)
+}
+
 // Target starts a simulated target that announces itself to the named hosts.
 // Name, data centre and pool of the config must be set.
 func (f *Fleet) Target(config standin.Config, announceTo ...string) *standin.Target {
