--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"geraniumturn.example/geraniumturn/internal/admission"
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/control"
 	"geraniumturn.example/geraniumturn/internal/dispatch"
@@ -69,6 +70,7 @@
 
 	quotaMachine *quota.Machine
 	quota        *quota.Runtime
+	admission    *admission.Admission
 	echo         *echo.Echo
 }
 
@@ -157,6 +159,7 @@
 		d.exchangeLoop,
 		d.quota.Tick,
 		d.quota.Sync,
+		d.admission.Sweep,
 		d.operations.Run,
 	}
 }
