--- a/internal/daemon/operations.go
+++ b/internal/daemon/operations.go
@@ -54,7 +54,7 @@
 	var out []operations.Host
 	for _, h := range d.members.All() {
 		if h.Name != d.settings.Name {
-			out = append(out, operations.Host{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer})
+			out = append(out, operations.Host{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer, Dead: h.Dead})
 		}
 	}
 	return out
--- a/internal/operations/service.go
+++ b/internal/operations/service.go
@@ -54,6 +54,8 @@
 	maxBeginTries = 3
 )
 
+var errDeadHost = errors.New("operations: host is taken as dead")
+
 // Operation names a non-idempotent request that its caller may send again.
 type Operation struct {
 	Workspace string
@@ -76,6 +78,8 @@
 	Name       string
 	DataCentre string
 	Peer       string
+	// Dead hosts are neither asked nor given copies.
+	Dead bool
 }
 
 // Peers reaches the other hosts.
@@ -317,7 +321,7 @@
 // digest that all hosts compute alike.
 func (s *Service) candidates(id string, residency []string) []Host {
 	hosts := slices.DeleteFunc(slices.Clone(s.Peers.Hosts()), func(h Host) bool {
-		return h.Name == s.Self.Name || !permits(residency, h.DataCentre)
+		return h.Dead || h.Name == s.Self.Name || !permits(residency, h.DataCentre)
 	})
 	slices.SortFunc(hosts, func(a, b Host) int {
 		return cmp.Or(cmp.Compare(s.nearness(a), s.nearness(b)),
@@ -508,6 +512,9 @@
 	if i < 0 {
 		return &pb.StatusResponse{}, nil
 	}
+	if hosts[i].Dead {
+		return nil, errDeadHost
+	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	return s.Peers.Status(ctx, hosts[i], request)
