dispatch: bound retries, resume streams, check forwards; entry: refuse leaked keys

Cause: an outage tripled the load; an interrupted engine stream was lost; what another host said in a forward was taken unchecked; a broken forward counted one dispatch although it may have used all; a caller's key in the query was dropped silently, and in path or headers it reached the target; a caller that does not read held its request without end. Change: retries are at most 10 % of first attempts towards a data centre plus one a second; a forward keeps one dispatch back and costs all it was given when it breaks; messages of a forward are checked for order, bounds and the header allow-list; loop and residency are asserted at the receiver and before each attempt with counters invariant.dispatch.*; a stream goes on at a target with the feature resume by Geraniumturn-Resume-After, which the target confirms; a key outside Authorization is refused with 400; writes to a caller end 5 s after the deadline. TestSafeQueryDropsKeys is replaced by a test of the refusal, which also covers path, headers and percent encoding. Tests fail without: retry budget, crossed check, framing check, one dispatch for non-idempotent requests, confirmation of resume, whole events only, assertion before the attempt. Conclusion: streams are resumed on local targets only, not through a second forward.

--- a/internal/daemon/operations.go
+++ b/internal/daemon/operations.go
@@ -33,6 +33,7 @@
 			store.Enforce(time.Now())
 		}
 	})
+	d.dispatcher.SetCounter(d.count)
 	self := d.settings.Self()
 	d.operations = operations.NewService(operations.Config{
 		Self: operations.Host{Name: self.Name, DataCentre: self.DataCentre, Peer: self.Peer},
--- /dev/null
+++ b/internal/dispatch/assert.go
@@ -0,0 +1,32 @@
+package dispatch
+
+import (
+	"slices"
+
+	"geraniumturn.example/geraniumturn/internal/refusal"
+)
+
+// SetCounter sets the function that increments a counter. Call it before the
+// first request.
+func (d *Dispatcher) SetCounter(count func(name string)) { d.count = count }
+
+// assert checks loop and residency immediately before an attempt. The chooser
+// must not offer such a choice, so a violation is counted as a fault.
+func (r *run) assert(choice Choice) *refusal.Error {
+	dataCentre := r.d.self.DataCentre
+	if choice.Host != nil {
+		dataCentre = choice.Host.DataCentre
+		if r.req.Forwarded() || choice.Host.Name == r.d.self.Name || slices.Contains(r.req.Visited, choice.Host.Name) {
+			r.d.count("invariant.dispatch.loop")
+			return refusal.New(refusal.Loop, r.ran, "request would be forwarded a second time")
+		}
+	}
+	if choice.Target != nil {
+		dataCentre = choice.Target.DataCentre
+	}
+	if len(r.req.Residency) > 0 && !slices.Contains(r.req.Residency, dataCentre) {
+		r.d.count("invariant.dispatch.residency")
+		return refusal.New(refusal.NoTarget, r.ran, "data centre %s is outside the workspace's residency", dataCentre)
+	}
+	return nil
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -112,7 +112,7 @@
 }
 
 // attempt sends req to the target once and copies the answer to the sink.
-func (c *client) attempt(ctx context.Context, req *Request, target *targets.Target, sink Sink) (Result, Outcome, error) {
+func (c *client) attempt(ctx context.Context, req *Request, target *targets.Target, out *answerSink) (Result, Outcome, error) {
 	start := time.Now()
 	outcome := Outcome{Request: req, Target: target.Name, Incarnation: target.Incarnation}
 	var connected atomic.Bool
@@ -120,7 +120,7 @@
 		GotConn:              func(httptrace.GotConnInfo) { connected.Store(true) },
 		GotFirstResponseByte: func() { outcome.FirstByte = time.Since(start) },
 	}
-	response, err := c.send(httptrace.WithClientTrace(ctx, trace), req, target)
+	response, err := c.send(httptrace.WithClientTrace(ctx, trace), req, target, out)
 	outcome.Sent = connected.Load()
 	if err != nil {
 		outcome.Duration = time.Since(start)
@@ -130,7 +130,7 @@
 	}
 	defer response.Body.Close()
 	outcome.Status = response.StatusCode
-	result, err := receive(req, target, response, sink)
+	result, err := receive(req, target, response, out)
 	outcome.Duration = time.Since(start)
 	outcome.Whole = err == nil
 	outcome.Cancelled = err != nil && (ctx.Err() != nil || errors.Is(err, errSink))
@@ -145,7 +145,7 @@
 	return &attemptError{err: fmt.Errorf("%w: %v", errFailed, err), ran: refusal.Unknown, retry: true}
 }
 
-func (c *client) send(ctx context.Context, req *Request, target *targets.Target) (*http.Response, error) {
+func (c *client) send(ctx context.Context, req *Request, target *targets.Target, answer *answerSink) (*http.Response, error) {
 	url := "http://" + target.Address + req.Path
 	if req.Query != "" {
 		url += "?" + req.Query
@@ -166,6 +166,9 @@
 	if target.HasFeature("priority") {
 		out.Header.Set(headerPriority, priority(req.Class))
 	}
+	if answer.started {
+		out.Header.Set(headerResumeAfter, strconv.Itoa(answer.events))
+	}
 	if req.Idempotent {
 		return c.reuse.Do(out)
 	}
@@ -180,18 +183,24 @@
 }
 
 // receive checks the answer and copies it to the sink.
-func receive(req *Request, target *targets.Target, response *http.Response, sink Sink) (Result, error) {
+func receive(req *Request, target *targets.Target, response *http.Response, out *answerSink) (Result, error) {
 	if got := response.Header.Get(headerRequestID); got != req.ID && (got != "" || target.HasFeature("echo_request_id")) {
 		return Result{}, &attemptError{err: fmt.Errorf("%w: %q", errCrossed, got), ran: refusal.Unknown, retry: true}
 	}
 	if err := statusError(req, response); err != nil {
 		return Result{}, err
 	}
+	if out.started {
+		if err := resumed(response, out.events); err != nil {
+			return Result{}, err
+		}
+	}
 	body := &answerReader{reader: response.Body, framed: response.ContentLength >= 0 || slices.Contains(response.TransferEncoding, "chunked")}
 	result := Result{Status: response.StatusCode, Target: target.Name}
 	scan := newScanner(req, response)
+	out.restart(scan.events)
 	header := pick(response.Header, answerHeaders)
-	if err := copyAnswer(body, scan, sink, response.StatusCode, header, req.Stream); err != nil {
+	if err := copyAnswer(body, scan, out, response.StatusCode, header, req.Stream); err != nil {
 		return Result{}, err
 	}
 	result.PromptTokens, result.CompletionTokens = scan.usage()
@@ -233,26 +242,26 @@
 
 // copyAnswer passes a streamed answer on as it arrives. It holds other answers
 // up to holdBytes, so that a truncated one can be retried unseen.
-func copyAnswer(body io.Reader, scan *scanner, sink Sink, status int, header map[string]string, stream bool) error {
-	out := &holdingSink{sink: sink, status: status, header: header, through: stream}
+func copyAnswer(body io.Reader, scan *scanner, answer *answerSink, status int, header map[string]string, stream bool) error {
+	out := &holdingSink{answer: answer, status: status, header: header, through: stream}
 	buffer := make([]byte, copyBytes)
 	for {
 		n, readErr := body.Read(buffer)
 		if n > 0 {
 			scan.feed(buffer[:n])
 			if err := out.write(buffer[:n]); err != nil {
-				return &attemptError{err: fmt.Errorf("%w: %v", errSink, err), ran: refusal.Unknown, started: out.started}
+				return &attemptError{err: fmt.Errorf("%w: %v", errSink, err), ran: refusal.Unknown, started: answer.started}
 			}
 		}
 		if readErr == io.EOF {
 			break
 		}
 		if readErr != nil {
-			return &attemptError{err: readErr, ran: refusal.Unknown, started: out.started, retry: !out.started}
+			return &attemptError{err: readErr, ran: refusal.Unknown, started: answer.started, retry: true}
 		}
 	}
 	if !scan.complete() {
-		return &attemptError{err: fmt.Errorf("%w: no final event", errTruncated), ran: refusal.Unknown, started: out.started, retry: !out.started}
+		return &attemptError{err: fmt.Errorf("%w: no final event", errTruncated), ran: refusal.Unknown, started: answer.started, retry: true}
 	}
 	if err := out.finish(); err != nil {
 		return &attemptError{err: fmt.Errorf("%w: %v", errSink, err), ran: refusal.Complete, started: true}
@@ -261,11 +270,10 @@
 }
 
 type holdingSink struct {
-	sink    Sink
+	answer  *answerSink
 	status  int
 	header  map[string]string
 	through bool
-	started bool
 	held    []byte
 }
 
@@ -277,15 +285,13 @@
 	if err := h.start(); err != nil {
 		return err
 	}
-	return h.sink.Write(p)
+	return h.answer.write(p)
 }
 
+// start passes on what was held, once.
 func (h *holdingSink) start() error {
-	if h.started {
-		return nil
-	}
-	h.started, h.through = true, true
-	if err := h.sink.Start(h.status, h.header); err != nil {
+	h.through = true
+	if err := h.answer.start(h.status, h.header); err != nil {
 		return err
 	}
 	if len(h.held) == 0 {
@@ -293,12 +299,15 @@
 	}
 	held := h.held
 	h.held = nil
-	return h.sink.Write(held)
+	return h.answer.write(held)
 }
 
 func (h *holdingSink) finish() error {
-	if !h.started {
+	if !h.answer.started {
 		h.header["Content-Length"] = strconv.Itoa(len(h.held))
 	}
-	return h.start()
+	if err := h.start(); err != nil {
+		return err
+	}
+	return h.answer.flush()
 }
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,280 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/dispatch/dispatchpb"
+	"geraniumturn.example/geraniumturn/internal/refusal"
+	"geraniumturn.example/geraniumturn/internal/rules"
+	"geraniumturn.example/geraniumturn/internal/targets"
+	"geraniumturn.example/geraniumturn/internal/timeline"
+)
+
+// listChooser offers its targets in order, each once.
+type listChooser []*targets.Target
+
+func (l listChooser) Choose(_ context.Context, _ *Request, tried Tried) (Choice, error) {
+	for _, t := range l {
+		if !tried.Targets[t.Name] {
+			return Choice{Target: t}, nil
+		}
+	}
+	return Choice{}, refusal.New(refusal.NoTarget, refusal.NotRun, "no target is left")
+}
+
+type noObserver struct{}
+
+func (noObserver) AttemptBegins(*Request, *targets.Target) {}
+func (noObserver) AttemptEnded(Outcome)                    {}
+
+type memorySink struct {
+	status int
+	body   strings.Builder
+}
+
+func (s *memorySink) Start(status int, _ map[string]string) error {
+	s.status = status
+	return nil
+}
+
+func (s *memorySink) Write(p []byte) error {
+	s.body.Write(p)
+	return nil
+}
+
+func newTarget(t testing.TB, name string, features []string, serve http.HandlerFunc) *targets.Target {
+	server := httptest.NewServer(serve)
+	t.Cleanup(server.Close)
+	return &targets.Target{Announcement: targets.Announcement{Name: name, DataCentre: "gijon-a", Features: features,
+		Address: strings.TrimPrefix(server.URL, "http://")}}
+}
+
+func newDispatcher(list ...*targets.Target) *Dispatcher {
+	return New(Host{Name: "gijon-1", DataCentre: "gijon-a"}, listChooser(list), noObserver{}, timeline.New("gijon-1", &clock.HLC{}, 64), nil)
+}
+
+func request(method string, idempotent bool) *Request {
+	r := &Request{ID: "r1", Method: method, Path: "/x", Pool: "p", Kind: rules.Service, Idempotent: idempotent,
+		Budget: 1, Deadline: time.Now().Add(10 * time.Second)}
+	if idempotent {
+		r.Budget = DefaultBudget
+	}
+	return r
+}
+
+// breakOff closes the connection without an answer.
+func breakOff(w http.ResponseWriter) {
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		_ = conn.Close()
+	}
+}
+
+// Guards G10 against retransmission below the gateway: a target that closes
+// after reading gets a non-idempotent request once, with and without a body.
+func TestClosingTargetIsSentOnce(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		for _, body := range []string{"", "filing"} {
+			var count atomic.Int64
+			target := newTarget(t, "t1", nil, func(w http.ResponseWriter, _ *http.Request) {
+				count.Add(1)
+				breakOff(w)
+			})
+			spare := newTarget(t, "t2", nil, func(http.ResponseWriter, *http.Request) { count.Add(1) })
+			req := request(method, false)
+			req.Body = []byte(body)
+			_, err := newDispatcher(target, spare).Do(t.Context(), req, &memorySink{})
+			if refused := refusal.From(err); count.Load() != 1 || refused.Ran != refusal.Unknown || refused.Code != refusal.TargetFailed {
+				t.Errorf("%s %q: sent %d times: %v", method, body, count.Load(), err)
+			}
+		}
+	}
+}
+
+// Guards G8: wrong answers are not passed on, and an idempotent request gets
+// the whole one of the next target.
+func TestWrongAnswersAreDiscarded(t *testing.T) {
+	cases := map[string]http.HandlerFunc{
+		"crossed": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Request-Id", "r2")
+			fmt.Fprint(w, "answer of r2")
+		},
+		"without the id that was announced": func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "whose") },
+		"shorter than declared": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+			w.Header().Set("Content-Length", "10")
+			fmt.Fprint(w, "half")
+		},
+		"without length or terminator": func(w http.ResponseWriter, r *http.Request) {
+			// Unread data would make the close a reset, which is another fault.
+			_, _ = io.Copy(io.Discard, r.Body)
+			conn, buffer, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			fmt.Fprint(buffer, "HTTP/1.0 200 OK\r\nX-Request-Id: r1\r\n\r\nperhaps all")
+			_ = buffer.Flush()
+			_ = conn.Close()
+		},
+		"closed": func(w http.ResponseWriter, _ *http.Request) { breakOff(w) },
+	}
+	for name, serve := range cases {
+		t.Run(name, func(t *testing.T) {
+			bad := newTarget(t, "t1", []string{"echo_request_id"}, serve)
+			good := newTarget(t, "t2", nil, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "whole") })
+			sink := &memorySink{}
+			result, err := newDispatcher(bad, good).Do(t.Context(), request("POST", true), sink)
+			if err != nil || sink.body.String() != "whole" || result.Dispatches != 2 {
+				t.Errorf("%q after %d dispatches: %v", sink.body.String(), result.Dispatches, err)
+			}
+			_, err = newDispatcher(bad, good).Do(t.Context(), request("POST", false), &memorySink{})
+			if refused := refusal.From(err); refused.Ran != refusal.Unknown {
+				t.Errorf("non-idempotent: %v", err)
+			}
+		})
+	}
+}
+
+// Guards resumption: a stream that breaks in the middle of an event goes on at
+// another target without gap or repeat, and breaks when no target can resume.
+func TestStreamIsResumed(t *testing.T) {
+	const all = 6
+	stream := func(resumes bool) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			after := 0
+			if value := r.Header.Get(headerResumeAfter); value != "" && resumes {
+				_, _ = fmt.Sscan(value, &after)
+				w.Header().Set(headerResumeAfter, value)
+			}
+			for i := after; i < all; i++ {
+				if i == 3 && after == 0 {
+					fmt.Fprintf(w, "data: {\"n\":")
+					_ = http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				}
+				fmt.Fprintf(w, "data: {\"n\":%d}\n\n", i)
+			}
+			fmt.Fprint(w, "data: [DONE]\n\n")
+		}
+	}
+	run := func(second http.HandlerFunc, features ...string) (string, error) {
+		req := request("POST", true)
+		req.Kind, req.Stream = rules.Engine, true
+		sink := &memorySink{}
+		_, err := newDispatcher(newTarget(t, "t1", nil, stream(true)), newTarget(t, "t2", features, second)).Do(t.Context(), req, sink)
+		return sink.body.String(), err
+	}
+	want := ""
+	for i := range all {
+		want += fmt.Sprintf("data: {\"n\":%d}\n\n", i)
+	}
+	if got, err := run(stream(true), featureResume); err != nil || got != want+"data: [DONE]\n\n" {
+		t.Errorf("resumed stream: %q, %v", got, err)
+	}
+	if got, err := run(stream(true)); !errors.Is(err, ErrBroken) || !strings.HasPrefix(want, got) {
+		t.Errorf("target without the feature: %q, %v", got, err)
+	}
+	if got, err := run(stream(false), featureResume); !errors.Is(err, ErrBroken) || !strings.HasPrefix(want, got) {
+		t.Errorf("target that does not confirm: %q, %v", got, err)
+	}
+}
+
+// Guards an outage against multiplied load: with all targets failing, retries
+// stay near a tenth of the requests. Without the budget each request is sent
+// three times.
+func TestRetryBudgetInOutage(t *testing.T) {
+	const requests = 400
+	var sent atomic.Int64
+	failing := func(w http.ResponseWriter, _ *http.Request) {
+		sent.Add(1)
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	d := newDispatcher(newTarget(t, "t1", nil, failing), newTarget(t, "t2", nil, failing), newTarget(t, "t3", nil, failing))
+	start := time.Now()
+	for range requests {
+		if _, err := d.Do(t.Context(), request("GET", true), &memorySink{}); err == nil {
+			t.Fatal("an answer in an outage")
+		}
+	}
+	limit := requests*(1+retryShare) + maxRetryCredit + retryFloor*time.Since(start).Seconds() + 1
+	t.Logf("%d requests were sent %d times", requests, sent.Load())
+	if float64(sent.Load()) > limit {
+		t.Errorf("%d requests were sent %d times, more than %.0f", requests, sent.Load(), limit)
+	}
+}
+
+// Guards G1 and G2 at the last step: a choice outside the residency and a
+// second forward are refused and counted.
+func TestChoiceIsAsserted(t *testing.T) {
+	counted := map[string]int{}
+	d := newDispatcher(newTarget(t, "t1", nil, func(http.ResponseWriter, *http.Request) { t.Error("sent") }))
+	d.SetCounter(func(name string) { counted[name]++ })
+	req := request("GET", true)
+	req.Residency = []string{"bilbao-a"}
+	if _, err := d.Do(t.Context(), req, &memorySink{}); refusal.From(err).Ran != refusal.NotRun {
+		t.Errorf("outside the residency: %v", err)
+	}
+	r := &run{d: d, req: request("GET", true), ran: refusal.NotRun}
+	r.req.Visited = []string{"a", "b"}
+	if refused := r.assert(Choice{Host: &Host{Name: "c", DataCentre: "bilbao-a"}}); refused == nil || refused.Code != refusal.Loop {
+		t.Errorf("second forward: %v", refused)
+	}
+	if counted["invariant.dispatch.residency"] != 1 || counted["invariant.dispatch.loop"] != 1 {
+		t.Errorf("counted %v", counted)
+	}
+}
+
+// FuzzForwardOpen guards the receiver of a forward: no message may panic it or
+// raise the budget or the deadline over their bounds.
+func FuzzForwardOpen(f *testing.F) {
+	data, err := proto.Marshal(&dispatchpb.Open{RequestId: "r", Method: "POST", Pool: "p", Path: "/x", RemainingMs: 5, Budget: 99, Visited: []string{"a"}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var open dispatchpb.Open
+		if proto.Unmarshal(data, &open) != nil {
+			return
+		}
+		req, refused := requestOf(&open)
+		if refused != nil {
+			return
+		}
+		if req.Budget > DefaultBudget || !req.Idempotent && req.Budget > 1 || time.Until(req.Deadline) > maxTimeout || len(req.Header) > len(requestHeaders) {
+			t.Errorf("accepted %+v", req)
+		}
+	})
+}
+
+// FuzzEvents guards the event scanner: whole events end at an empty line, and
+// the pieces in which a stream arrives do not change what is read of it.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("data: {\"usage\":{\"prompt_tokens\":3}}\r\n\r\ndata: [DONE]\n\n"), 7)
+	f.Fuzz(func(t *testing.T, data []byte, cut int) {
+		cut = min(max(cut, 0), len(data))
+		whole, pieces := &scanner{engine: true, events: true}, &scanner{engine: true, events: true}
+		whole.feed(data)
+		pieces.feed(data[:cut])
+		pieces.feed(data[cut:])
+		if whole.done != pieces.done || whole.deltas != pieces.deltas || whole.prompt != pieces.prompt {
+			t.Errorf("cut at %d changes the reading", cut)
+		}
+		end, events := wholeEvents(data)
+		if end > len(data) || events < 0 || end > 0 && data[end-1] != '\n' {
+			t.Errorf("%d events end at %d of %d", events, end, len(data))
+		}
+	})
+}
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"time"
 
 	"geraniumturn.example/geraniumturn/internal/dispatch/dispatchpb"
@@ -28,7 +29,7 @@
 	}
 	body := &dispatchpb.ForwardUp{Kind: &dispatchpb.ForwardUp_Body{Body: &dispatchpb.Body{Data: r.req.Body}}}
 	if err := stream.Send(body); err != nil {
-		return Result{}, r.cut(err, false)
+		return Result{}, r.cut(err)
 	}
 	return r.relay(stream)
 }
@@ -61,54 +62,88 @@
 		RequestId: q.ID, Workspace: q.Workspace, Method: q.Method, Path: q.Path, Query: q.Query,
 		Header: q.Header, Pool: q.Pool, Kind: string(q.Kind), Model: q.Model, Stream: q.Stream,
 		Class: string(q.Class), Reach: string(q.Reach), Idempotent: q.Idempotent, Residency: q.Residency,
-		Cost: q.Cost, RemainingMs: time.Until(q.Deadline).Milliseconds(), Budget: int32(r.left),
+		Cost: q.Cost, RemainingMs: time.Until(q.Deadline).Milliseconds(), Budget: int32(r.share()),
 		Visited: append(slices.Clone(q.Visited), r.d.self.Name), Fingerprint: q.Fingerprint, Prefixes: q.Prefixes,
 	}
 }
 
+// share is the part of the dispatch budget that a forward may use. One dispatch
+// stays here when there is more than one, for the case that the forward breaks.
+func (r *run) share() int { return max(1, r.left-1) }
+
 func (r *run) relay(stream dispatchpb.DRPCDispatch_ForwardClient) (Result, error) {
 	result := Result{SentAway: true}
-	started := false
 	for {
 		down, err := stream.Recv()
 		if err != nil {
-			return Result{}, r.cut(err, started)
+			return Result{}, r.cut(err)
 		}
 		switch k := down.Kind.(type) {
 		case *dispatchpb.ForwardDown_Ready:
+			err = nil
 		case *dispatchpb.ForwardDown_Head:
-			result.Status, started = int(k.Head.Status), true
-			err = r.sink.Start(result.Status, k.Head.Header)
+			if status := int(k.Head.GetStatus()); r.out.started || status < 200 || status > 999 {
+				return Result{}, r.cut(errProtocol)
+			}
+			result.Status = int(k.Head.Status)
+			err = r.out.start(result.Status, pickMap(k.Head.GetHeader(), relayedHeaders))
 		case *dispatchpb.ForwardDown_Data:
-			err = r.sink.Write(k.Data)
+			if !r.out.started {
+				return Result{}, r.cut(errProtocol)
+			}
+			err = r.out.write(k.Data)
 		case *dispatchpb.ForwardDown_End:
-			r.left -= int(k.End.Dispatches)
-			result.PromptTokens, result.CompletionTokens = k.End.PromptTokens, k.End.CompletionTokens
+			if !r.out.started {
+				return Result{}, r.cut(errProtocol)
+			}
+			r.spend(k.End.GetDispatches(), 1)
+			result.PromptTokens, result.CompletionTokens = max(0, k.End.PromptTokens), max(0, k.End.CompletionTokens)
 			result.Target = k.End.Target
 			return result, nil
 		case *dispatchpb.ForwardDown_Refusal:
+			if r.out.started {
+				return Result{}, r.cut(errProtocol)
+			}
 			return Result{}, r.refused(k.Refusal)
+		default:
+			return Result{}, r.cut(errProtocol)
 		}
 		if err != nil {
-			return Result{}, &attemptError{err: fmt.Errorf("%w: %v", errSink, err), ran: refusal.Unknown, started: started}
+			return Result{}, &attemptError{err: fmt.Errorf("%w: %v", errSink, err), ran: refusal.Unknown, started: r.out.started}
 		}
 	}
 }
 
-// cut is the end of a forward without End: the other host may have used the
-// whole remaining budget, so one dispatch at least is counted.
-func (r *run) cut(err error, started bool) error {
-	r.left--
+// errProtocol means that the other host sent messages in an impossible order.
+var errProtocol = errors.New("dispatch: forward protocol violated")
+
+// spend counts the dispatches of another host. What it says is bounded, so that
+// a wrong number can neither raise the budget nor go below what must have run.
+func (r *run) spend(dispatches int32, least int) {
+	r.left -= min(max(int(dispatches), least), r.share())
+}
+
+// cut is the end of a forward without End: the other host may have used all
+// that it was given, so all of it counts as spent.
+func (r *run) cut(err error) error {
+	r.left -= r.share()
 	if errors.Is(err, io.EOF) {
 		err = errTruncated
 	}
-	return &attemptError{err: fmt.Errorf("%w: %v", errFailed, err), ran: refusal.Unknown, started: started, retry: !started}
+	return &attemptError{err: fmt.Errorf("%w: %v", errFailed, err), ran: refusal.Unknown, started: r.out.started, retry: true}
 }
 
 func (r *run) refused(m *dispatchpb.Refusal) error {
-	r.left -= int(m.Dispatches)
-	ran := refusal.Ran(m.Ran)
-	err := refusal.New(refusal.Code(m.Code), ran, "%s", m.Message).WithRetry(time.Duration(m.RetryAfterMs) * time.Millisecond)
+	ran, least := refusal.Ran(m.Ran), 0
+	if ran != refusal.NotRun {
+		least = 1 // what may have run was dispatched at least once
+	}
+	if least == 1 && ran != refusal.Complete {
+		ran = refusal.Unknown
+	}
+	r.spend(m.GetDispatches(), least)
+	retry := min(max(m.RetryAfterMs, 0), maxTimeout.Milliseconds())
+	err := refusal.New(refusal.Code(m.Code), ran, "%s", m.Message).WithRetry(time.Duration(retry) * time.Millisecond)
 	return &attemptError{err: err, ran: ran, retry: retriable(err.Code)}
 }
 
@@ -138,8 +173,11 @@
 	if open == nil {
 		return sendRefusal(stream, refusal.New(refusal.InvalidRequest, refusal.NotRun, "forward begins without open"), 0)
 	}
-	req := requestOf(open)
-	if refused := s.check(req); refused != nil {
+	req, refused := requestOf(open)
+	if refused == nil {
+		refused = s.check(req)
+	}
+	if refused != nil {
 		return sendRefusal(stream, refused, 0)
 	}
 	if !req.Idempotent {
@@ -147,9 +185,12 @@
 			return fmt.Errorf("dispatch: send ready: %w", err)
 		}
 	}
-	if up, err = stream.Recv(); err != nil || up.GetBody() == nil {
+	if up, err = stream.Recv(); err != nil {
 		return fmt.Errorf("dispatch: receive body: %w", err)
 	}
+	if up.GetBody() == nil {
+		return sendRefusal(stream, refusal.New(refusal.InvalidRequest, refusal.NotRun, "forward has no body"), 0)
+	}
 	req.Body = up.GetBody().GetData()
 	result, err := s.Dispatcher.Do(stream.Context(), req, streamSink{stream})
 	if errors.Is(err, ErrBroken) {
@@ -168,9 +209,11 @@
 func (s Service) check(req *Request) *refusal.Error {
 	self := s.Dispatcher.self
 	switch {
-	case slices.Contains(req.Visited, self.Name):
+	case slices.Contains(req.Visited, self.Name) || len(req.Visited) != 1:
+		s.Dispatcher.count("invariant.dispatch.loop")
 		return refusal.New(refusal.Loop, refusal.NotRun, "host %s has handled this request before", self.Name)
 	case len(req.Residency) > 0 && !slices.Contains(req.Residency, self.DataCentre):
+		s.Dispatcher.count("invariant.dispatch.residency")
 		return refusal.New(refusal.WrongHost, refusal.NotRun, "data centre %s is outside the workspace's residency", self.DataCentre)
 	case s.Draining():
 		return refusal.New(refusal.Draining, refusal.NotRun, "host %s is draining", self.Name)
@@ -181,14 +224,45 @@
 	return nil
 }
 
-func requestOf(o *dispatchpb.Open) *Request {
-	return &Request{
-		ID: o.RequestId, Workspace: o.Workspace, Method: o.Method, Path: o.Path, Query: o.Query,
-		Header: o.Header, Pool: o.Pool, Kind: rules.PoolKind(o.Kind), Model: o.Model, Stream: o.Stream,
-		Class: rules.Class(o.Class), Reach: rules.Reach(o.Reach), Idempotent: o.Idempotent, Residency: o.Residency,
-		Cost: o.Cost, Deadline: time.Now().Add(time.Duration(o.RemainingMs) * time.Millisecond),
-		Budget: int(o.Budget), Visited: o.Visited, Fingerprint: o.Fingerprint, Prefixes: o.Prefixes,
+// maxTimeout bounds the remaining time that another host may give.
+const maxTimeout = time.Hour
+
+// requestOf checks and converts what another host sent. Headers are picked from
+// the allow-list again, and the budget is bounded by what the kind of request may have.
+func requestOf(o *dispatchpb.Open) (*Request, *refusal.Error) {
+	budget := DefaultBudget
+	if !o.GetIdempotent() {
+		budget = 1
+	}
+	req := &Request{
+		ID: o.GetRequestId(), Workspace: o.GetWorkspace(), Method: o.GetMethod(), Path: o.GetPath(), Query: o.GetQuery(),
+		Header: pickMap(o.GetHeader(), requestHeaders), Pool: o.GetPool(), Kind: rules.PoolKind(o.GetKind()), Model: o.GetModel(), Stream: o.GetStream(),
+		Class: rules.Class(o.GetClass()), Reach: rules.Reach(o.GetReach()), Idempotent: o.GetIdempotent(), Residency: o.GetResidency(),
+		Cost: max(0, o.GetCost()), Budget: min(int(o.GetBudget()), budget), Visited: o.GetVisited(),
+		Fingerprint: o.GetFingerprint(), Prefixes: o.GetPrefixes(),
+	}
+	remaining := min(o.GetRemainingMs(), maxTimeout.Milliseconds())
+	req.Deadline = time.Now().Add(time.Duration(max(remaining, 0)) * time.Millisecond)
+	switch {
+	case remaining <= 0:
+		return nil, refusal.New(refusal.Deadline, refusal.NotRun, "the deadline passed")
+	case req.ID == "" || req.Method == "" || req.Pool == "" || !strings.HasPrefix(req.Path, "/"):
+		return nil, refusal.New(refusal.InvalidRequest, refusal.NotRun, "forward lacks request id, method, pool or path")
+	}
+	return req, nil
+}
+
+// relayedHeaders may pass from the other host to the caller.
+var relayedHeaders = append([]string{"Content-Length"}, answerHeaders...)
+
+func pickMap(h map[string]string, names []string) map[string]string {
+	out := map[string]string{}
+	for _, name := range names {
+		if v := h[name]; v != "" {
+			out[name] = v
+		}
 	}
+	return out
 }
 
 func sendRefusal(stream dispatchpb.DRPCDispatch_ForwardStream, e *refusal.Error, dispatches int) error {
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"geraniumturn.example/geraniumturn/internal/keys"
 	"geraniumturn.example/geraniumturn/internal/refusal"
 )
 
@@ -86,16 +87,43 @@
 	return strings.TrimSpace(token)
 }
 
-// safeQuery drops every parameter whose value looks like a caller's key, since
-// callers sometimes send it there too.
-func safeQuery(values url.Values) string {
-	for name, list := range values {
-		for _, v := range list {
-			if strings.Contains(v, "gt_") {
-				delete(values, name)
-				break
-			}
+// maxEscapes is how many layers of percent encoding are looked through.
+const maxEscapes = 3
+
+// refuseLeak refuses a request that carries the caller's token where it would
+// reach a target: in the path, the query or a header that is passed on. Targets
+// must not see keys, and a caller that sends one there should learn of it.
+func refuseLeak(r *http.Request, token string, header map[string]string) error {
+	if token == "" {
+		return nil
+	}
+	_, secret, err := keys.Parse(token)
+	if err != nil {
+		secret = token
+	}
+	places := []string{r.URL.EscapedPath(), r.URL.RawQuery}
+	for _, value := range header {
+		places = append(places, value)
+	}
+	for _, place := range places {
+		if reveals(place, secret) {
+			return refusal.New(refusal.InvalidRequest, refusal.NotRun, "the key may only be sent in the Authorization header")
+		}
+	}
+	return nil
+}
+
+// reveals reports whether the text holds the secret, also percent-encoded.
+func reveals(text, secret string) bool {
+	for range maxEscapes {
+		if strings.Contains(strings.ToLower(text), strings.ToLower(secret)) {
+			return true
+		}
+		plain, err := url.QueryUnescape(text)
+		if err != nil || plain == text {
+			return false
 		}
+		text = plain
 	}
-	return values.Encode()
+	return strings.Contains(text, secret)
 }
--- a/internal/entry/body_test.go
+++ b/internal/entry/body_test.go
@@ -56,11 +56,36 @@
 	}
 }
 
-// A caller's key in the query must not reach a target.
-func TestSafeQueryDropsKeys(t *testing.T) {
-	got := safeQuery(url.Values{"month": {"12"}, "api_key": {"gt_ab_cd"}, "x": {"1", "gt_ab_cd"}})
-	if got != "month=12" {
-		t.Errorf("query = %q", got)
+// A caller's key in path, query or a header that is passed on must not reach a
+// target: such a request is refused, and one without it is not.
+func TestKeyOutsideAuthorizationIsRefused(t *testing.T) {
+	const token = "gt_ab_0123456789abcdef"
+	cases := []struct {
+		name, url string
+		header    map[string]string
+		refused   bool
+	}{
+		{"clean", "/registro/x?month=12&note=gt_ab", map[string]string{"Accept": "text/plain"}, false},
+		{"query", "/registro/x?api_key=" + token, nil, true},
+		{"secret alone", "/registro/x?k=0123456789abcdef", nil, true},
+		{"upper case", "/registro/x?k=0123456789ABCDEF", nil, true},
+		{"escaped query", "/registro/x?k=gt%5Fab%5F%30123456789abcdef", nil, true},
+		{"escaped twice", "/registro/x?k=%2530123456789abcdef", nil, true},
+		{"path", "/registro/" + token + "/x", nil, true},
+		{"header", "/registro/x", map[string]string{"Accept": "x; t=" + token}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			u, err := url.Parse(c.url)
+			if err != nil {
+				t.Fatal(err)
+			}
+			err = refuseLeak(&http.Request{URL: u}, token, c.header)
+			refused, ok := errors.AsType[*refusal.Error](err)
+			if ok != c.refused || ok && (refused.Code != refusal.InvalidRequest || refused.Ran != refusal.NotRun) {
+				t.Errorf("refused = %v: %v", ok, err)
+			}
+		})
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -248,13 +248,17 @@
 	if err != nil {
 		return err
 	}
+	header := dispatch.AllowedHeaders(r.Header)
+	if err := refuseLeak(r, bearer(r), header); err != nil {
+		return err
+	}
 	k.operation = r.Header.Get(headerIdempotencyKey)
 	if len(k.operation) > maxIdempotencyKey {
 		return refusal.New(refusal.InvalidRequest, refusal.NotRun, "Idempotency-Key is longer than %d bytes", maxIdempotencyKey)
 	}
 	k.request = &dispatch.Request{
-		ID: k.id, Method: r.Method, Path: r.URL.EscapedPath(), Query: safeQuery(r.URL.Query()),
-		Header: dispatch.AllowedHeaders(r.Header), Body: body, Pool: k.route.Pool, Kind: rules.Service,
+		ID: k.id, Method: r.Method, Path: r.URL.EscapedPath(), Query: r.URL.RawQuery,
+		Header: header, Body: body, Pool: k.route.Pool, Kind: rules.Service,
 		Class: k.route.Class, Reach: k.route.Reach, Idempotent: k.route.Idempotent, Cost: k.route.Cost,
 		Deadline: deadline, Budget: 1,
 	}
@@ -317,6 +321,8 @@
 		}
 	}
 	sink := newSink(c)
+	sink.limit(k.request.Deadline.Add(slowCallerGrace))
+	defer sink.limit(time.Time{})
 	result, err := s.runOperation(ctx, k, sink)
 	if errors.Is(context.Cause(ctx), keys.ErrWithdrawn) {
 		return s.withdrawn(err)
@@ -465,6 +471,18 @@
 	return nil
 }
 
+// slowCallerGrace is how long after the deadline a caller may still read.
+const slowCallerGrace = 5 * time.Second
+
+// limit bounds writes to the caller, so that a caller that does not read cannot
+// hold its request for longer. The zero time removes the bound.
+func (s *callerSink) limit(at time.Time) {
+	if at.IsZero() && s.c.Response().Committed {
+		_ = s.controller.Flush() // still under the bound
+	}
+	_ = s.controller.SetWriteDeadline(at) // not supported by test recorders
+}
+
 // Flush sends what is buffered.
 func (s *callerSink) Flush() error { return s.controller.Flush() }
 
