--- a/internal/daemon/targets.go
+++ b/internal/daemon/targets.go
@@ -180,7 +180,8 @@
 		return err
 	}
 	host := dispatch.Host{Name: self.Name, DataCentre: self.DataCentre, Peer: self.Peer}
-	d.dispatcher = dispatch.New(host, d.router, d.router, d.events, d.transport.Dial)
+	admitted := d.admit(d.router, d.router)
+	d.dispatcher = dispatch.New(host, admitted, admitted, d.events, d.transport.Dial)
 	service := dispatch.Service{Dispatcher: d.dispatcher, Draining: func() bool { return d.entry.Draining() }}
 	return d.transport.Register(service, dispatchpb.DRPCDispatchDescription{})
 }
