--- /dev/null
+++ b/internal/control/core/leader_test.go
@@ -0,0 +1,138 @@
+package core
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const electedAt = ElectionTimeoutMax
+
+// elected returns voter b as leader of term 3 in the membership a, b, c. Its
+// first entry, at index 2, is synced and not yet committed.
+func elected(t *testing.T) *Core {
+	t.Helper()
+	c := follower(2)
+	c.Tick(electedAt)
+	c.Step(electedAt, Message{Kind: PreVoteResponse, From: "c", To: "b", Term: 3, OK: true})
+	sync(c)
+	c.Step(electedAt, Message{Kind: VoteResponse, From: "c", To: "b", Term: 3, OK: true})
+	sync(c)
+	if s := c.Status(); s.Role != Leader || s.Last != 2 || s.Commit != 1 {
+		t.Fatalf("no new leader: %+v", s)
+	}
+	return c
+}
+
+func sync(c *Core) Output {
+	out := c.Output()
+	c.Synced()
+	return out
+}
+
+// acknowledge lets a member answer with its last matching index.
+func acknowledge(c *Core, from string, index uint64) {
+	c.Step(electedAt+time.Millisecond, Message{Kind: AppendResponse, From: from, To: "b", Term: 3, OK: true, Index: index, SentAt: electedAt})
+	sync(c)
+}
+
+// Guards against a membership change before an entry of the leader's term is
+// committed, when another leader's change may still be in force elsewhere.
+func TestNoMembershipChangeBeforeOwnCommit(t *testing.T) {
+	c := elected(t)
+	_ = c.Join("a2", "ha")
+	c.Step(electedAt, Message{Kind: AppendResponse, From: "a2", To: "b", Term: 3, OK: true, SentAt: electedAt})
+	acknowledge(c, "c", 1)
+	if s := c.Status(); s.Last != 2 {
+		t.Fatalf("entry %d appended before entry 2 was committed: %+v", s.Last, s.Members)
+	}
+}
+
+// Guards against two membership changes at once, whose majorities need not
+// overlap; against a join that its host did not confirm; and against a learner
+// that votes before it has the committed entries.
+func TestMembershipChangesOneAtATime(t *testing.T) {
+	c := elected(t)
+	acknowledge(c, "c", 2)
+	_ = c.Join("a2", "ha")
+	sync(c)
+	acknowledge(c, "c", 2)
+	if s := c.Status(); s.Last != 2 {
+		t.Fatalf("a join without an answer changed the membership: %+v", s.Members)
+	}
+	acknowledge(c, "a2", 0)
+	if s := c.Status(); s.Last != 3 || len(s.Members) != 2 {
+		t.Fatalf("the old id is not removed first: %+v", s)
+	}
+	c.Tick(electedAt + HeartbeatInterval)
+	if s := c.Status(); s.Last != 3 {
+		t.Fatalf("a second change before the first is committed: %+v", s)
+	}
+	acknowledge(c, "c", 3)
+	if s := c.Status(); s.Last != 4 || len(s.Members) != 3 {
+		t.Fatalf("no learner: %+v", s)
+	}
+	acknowledge(c, "c", 4)
+	c.Tick(electedAt + 2*HeartbeatInterval)
+	if s := c.Status(); s.Commit != 4 || s.Last != 4 {
+		t.Fatalf("a learner without entries was promoted: %+v", s)
+	}
+	acknowledge(c, "a2", 4)
+	if s := c.Status(); s.Last != 5 || !c.isVoter("a2") {
+		t.Fatalf("the learner is not promoted: %+v", s)
+	}
+}
+
+// Guards against a vote right after a restart, while a leader still holds the
+// lease to which this voter agreed before.
+func TestNoVoteRightAfterRestart(t *testing.T) {
+	for _, kind := range []MessageKind{PreVoteRequest, VoteRequest} {
+		c := follower(2)
+		c.Step(QuietPeriod-time.Millisecond, Message{Kind: kind, From: "a", To: "b", Term: 3, Index: 1, LogTerm: 1})
+		for _, m := range sync(c).AfterSync {
+			if m.OK {
+				t.Errorf("vote %d within the quiet period", m.Kind)
+			}
+		}
+	}
+}
+
+// Guards against a snapshot that removes acknowledged entries after it.
+func TestLateSnapshotKeepsLaterEntries(t *testing.T) {
+	c := follower(2)
+	c.Step(0, Message{Kind: AppendRequest, From: "a", To: "b", Term: 2, Index: 1, LogTerm: 1,
+		Entries: []Entry{{Index: 2, Term: 2}, {Index: 3, Term: 2}, {Index: 4, Term: 2}}})
+	sync(c)
+	c.Step(0, Message{Kind: SnapshotRequest, From: "a", To: "b", Term: 2, Snapshot: &Snapshot{Index: 3, Term: 2, Members: c.Members()}})
+	if s := c.Status(); s.Last != 4 || s.Commit != 3 {
+		t.Fatalf("log ends at %d, commit index %d; want 4 and 3", s.Last, s.Commit)
+	}
+}
+
+// Guards against a follower that commits old entries of its own which the leader
+// has not confirmed.
+func TestCommitOnlyMatchingEntries(t *testing.T) {
+	c := New(Config{ID: "b", Host: "hb", State: HardState{Term: 2}, Base: 1, BaseTerm: 1, Entries: []Entry{{Index: 2, Term: 2}, {Index: 3, Term: 2}},
+		Snapshot: follower(1).Snapshot(), Rand: rand.New(rand.NewPCG(1, 1))}, 0)
+	c.Step(0, Message{Kind: AppendRequest, From: "a", To: "b", Term: 3, Index: 1, LogTerm: 1, Commit: 3})
+	if s := c.Status(); s.Commit != 1 {
+		t.Fatalf("commit index %d, while only entry 1 is known to match", s.Commit)
+	}
+}
+
+// Guards against a commit that counts the leader before its own entry is synced.
+func TestLeaderCountsItselfAfterItsSync(t *testing.T) {
+	c := elected(t)
+	acknowledge(c, "c", 2)
+	if _, _, err := c.Propose(electedAt+time.Millisecond, []byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	c.Step(electedAt+time.Millisecond, Message{Kind: AppendResponse, From: "c", To: "b", Term: 3, OK: true, Index: 3, SentAt: electedAt})
+	if s := c.Status(); s.Commit != 2 {
+		t.Fatalf("commit index %d with one synced copy of entry 3", s.Commit)
+	}
+	sync(c)
+	if s := c.Status(); s.Commit != 3 {
+		t.Fatalf("commit index %d after the sync", s.Commit)
+	}
+}
