--- a/internal/targets/table_test.go
+++ b/internal/targets/table_test.go
@@ -131,3 +131,56 @@
 		t.Errorf("room is %d", c.Room)
 	}
 }
+
+// Guards against a host that knows less than the others for longer than 3 s
+// after it missed relayed announcements, or after its restart.
+func TestMissedRelayIsRepaired(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, b := NewTable("a", "here"), NewTable("b", "here")
+	relay := NewRelay(a, twoHosts{"b"})
+	sequence, cut := 0, false
+	step := func(n int) {
+		now = now.Add(100 * time.Millisecond)
+		if n%10 == 0 {
+			sequence++
+			announced := announcement("t1", fields{"seq": fmt.Sprint(sequence), "slots": fmt.Sprint(1 + sequence/5)})
+			urgent, err := a.Announce(now, announced)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if urgent && !cut { // a change during the cut is left to the digests
+				relay.Urgent(&announced)
+			}
+		}
+		for _, m := range relay.Tick(now) {
+			if cut {
+				relay.Done(now, m, nil)
+				continue
+			}
+			response, err := b.Receive(now, "a", m.Request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			relay.Done(now, m, response)
+		}
+	}
+	check := func(what string) {
+		t.Helper()
+		for n := range 30 {
+			step(n + 1)
+		}
+		want, _ := a.Get("t1")
+		if got, ok := b.Get("t1"); !ok || got.Slots != want.Slots || now.Sub(got.Heard) > SilenceLimit {
+			t.Errorf("3 s after %s, b knows %+v", what, got.Announcement)
+		}
+	}
+	check("the start")
+	cut = true
+	for n := range 100 {
+		step(n)
+	}
+	cut = false
+	check("the cut")
+	b = NewTable("b", "here")
+	check("the restart of b")
+}
