--- a/internal/routing/sites_test.go
+++ b/internal/routing/sites_test.go
@@ -15,6 +15,11 @@
 // Guards against a data centre that promises the same room to several hosts,
 // and against hosts that send more than they were told.
 func TestStatedRoomIsSplitAndKept(t *testing.T) {
+	t.Run("own target is full", func(t *testing.T) { statedRoomIsKept(t, true) })
+	t.Run("no own target", func(t *testing.T) { statedRoomIsKept(t, false) })
+}
+
+func statedRoomIsKept(t *testing.T, ownTarget bool) {
 	now := time.Unix(1000, 0)
 	clock := func() time.Time { return now }
 	table := targets.NewTable("there-1", "there")
@@ -34,9 +39,11 @@
 		own := targets.NewTable(fmt.Sprint("h", i), dc)
 		// An own target without room: sending away is the better choice, and
 		// staying is possible.
-		if _, err := own.Announce(now, targets.Announcement{Name: "own", Incarnation: 1, Sequence: 100, Address: "127.0.0.1:9",
-			Pool: "pool", DataCentre: dc, Models: []string{"model"}, Slots: 1, Running: 1, Queued: 20}); err != nil {
-			t.Fatal(err)
+		if ownTarget {
+			if _, err := own.Announce(now, targets.Announcement{Name: "own", Incarnation: 1, Sequence: 100, Address: "127.0.0.1:9",
+				Pool: "pool", DataCentre: dc, Models: []string{"model"}, Slots: 1, Running: 1, Queued: 20}); err != nil {
+				t.Fatal(err)
+			}
 		}
 		hosts = append(hosts, New(Config{Host: fmt.Sprint("h", i), DataCentre: dc, Region: "r", Now: clock, Seed: 1,
 			Table: own, Hosts: HostsFunc(func() []Site { return []Site{{Name: "there-1", DataCentre: "there", Region: "r"}} })}))
