--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -20,11 +21,14 @@
 // waitSample is how many waits the histogram keeps.
 const waitSample = 1028
 
-// Rooms is what routing tells about the local targets.
+// Rooms is what routing tells about the room for a request.
 type Rooms interface {
-	// Room is how many more requests like this one the targets of this data
-	// centre can take now: slots minus running, corrected for the lag of reports.
-	Room(req *dispatch.Request) int
+	// Local returns how many targets of this data centre can serve the request,
+	// and how many more requests like it they can take now: slots minus running,
+	// corrected for the lag of reports. It must not call the chooser.
+	Local(req *dispatch.Request) (targets, room int)
+	// Away is how many requests like it other data centres can take now.
+	Away(req *dispatch.Request) int
 }
 
 // Weights gives the weight of a workspace under contention.
@@ -43,6 +47,22 @@
 
 	mu    sync.Mutex
 	pools map[string]*pool
+	// waiting counts by pool. Routing reads it under its own lock, so it must
+	// not need mu.
+	waiting sync.Map
+}
+
+// Waiting is how many requests wait for the pool on this host.
+func (a *Admission) Waiting(poolName string) int {
+	if n, ok := a.waiting.Load(poolName); ok {
+		return int(n.(*atomic.Int64).Load())
+	}
+	return 0
+}
+
+func (a *Admission) countWaiting(poolName string, n int64) {
+	counter, _ := a.waiting.LoadOrStore(poolName, &atomic.Int64{})
+	counter.(*atomic.Int64).Add(n)
 }
 
 type pool struct {
@@ -68,16 +88,23 @@
 }
 
 // Choose implements dispatch.Chooser. Only an attempt on a local target waits:
-// a forwarded request waits at the host that receives it.
+// a forwarded request waits at the host that receives it. Without a healthy
+// local target the chooser decides alone, since it may probe an ejected one.
 func (a *Admission) Choose(ctx context.Context, req *dispatch.Request, tried dispatch.Tried) (dispatch.Choice, error) {
-	choice, err := a.inner.Choose(ctx, req, tried)
-	if err != nil || choice.Target == nil {
-		return choice, err
+	targets, room := a.rooms.Local(req)
+	if targets == 0 {
+		return a.inner.Choose(ctx, req, tried)
+	}
+	if room == 0 && a.rooms.Away(req) > 0 {
+		choice, err := a.inner.Choose(ctx, req, tried)
+		if err != nil || choice.Target == nil {
+			return choice, err
+		}
 	}
 	if err := a.wait(ctx, req); err != nil {
 		return dispatch.Choice{}, err
 	}
-	choice, err = a.inner.Choose(ctx, req, tried) // targets may have changed meanwhile
+	choice, err := a.inner.Choose(ctx, req, tried)
 	if err != nil || choice.Target == nil {
 		a.release(req)
 	}
@@ -85,6 +112,8 @@
 }
 
 func (a *Admission) wait(ctx context.Context, req *dispatch.Request) error {
+	a.countWaiting(req.Pool, 1)
+	defer a.countWaiting(req.Pool, -1)
 	done := make(chan *Refusal, 1)
 	began := time.Now()
 	item := &Item{Workspace: req.Workspace, Weight: a.weights(req.Workspace), Class: req.Class, Cost: req.Cost,
@@ -146,7 +175,7 @@
 		key := req.Model + "\x00" + strings.Join(req.Residency, ",")
 		room, ok := rooms[key]
 		if !ok {
-			room = a.rooms.Room(req)
+			_, room = a.rooms.Local(req)
 			rooms[key] = room
 		}
 		return room > len(p.granted)
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -32,7 +32,13 @@
 }
 func (s *stub) AttemptBegins(*dispatch.Request, *targets.Target) { s.running++ }
 func (s *stub) AttemptEnded(dispatch.Outcome)                    { s.running-- }
-func (s *stub) Room(*dispatch.Request) int                       { return 1 - s.running }
+func (s *stub) Local(*dispatch.Request) (targets, room int)      { return 1, 1 - s.running }
+func (s *stub) Away(*dispatch.Request) int {
+	if s.remote {
+		return 1
+	}
+	return 0
+}
 
 func request(timeout time.Duration) *dispatch.Request {
 	return &dispatch.Request{Workspace: "a", Pool: "p", Class: rules.Interactive, Cost: 10, Deadline: time.Now().Add(timeout)}
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -91,6 +91,7 @@
 			return run(ctx, tool)
 		}
 	}
+	add("init", "give all voters of a new fleet their initial membership", withTool(func(ctx context.Context, t *Tool) error { return t.Init(ctx) }))
 	c := add("check", "check a rules file", func(context.Context) error { return (&Tool{Out: out}).Check(f.file) })
 	c.AddPositionalValue(&f.file, "file", 1, true, "rules file")
 	c = add("apply", "put a rules file in force", withTool(func(ctx context.Context, t *Tool) error {
@@ -103,12 +104,14 @@
 	c = add("diff", "show what a rules file would change", withTool(func(ctx context.Context, t *Tool) error { return t.Diff(ctx, f.file) }))
 	c.AddPositionalValue(&f.file, "file", 1, true, "rules file")
 	add("show", "print the rules in force", withTool(func(ctx context.Context, t *Tool) error { return t.Show(ctx) }))
-	add("history", "list revisions and who asked", withTool(func(ctx context.Context, t *Tool) error { return t.Print(ctx, "/admin/v1/history") }))
+	add("history", "list revisions and who asked", withTool(func(ctx context.Context, t *Tool) error { return t.History(ctx) }))
 	c = add("grant", "grant a key to a workspace", withTool(func(ctx context.Context, t *Tool) error { return t.Grant(ctx, f.workspace, f.wait) }))
 	c.AddPositionalValue(&f.workspace, "workspace", 1, true, "workspace name")
 	c.Bool(&f.wait, "w", "wait", "wait until all hosts know the key")
 	c = add("withdraw", "withdraw a key everywhere", withTool(func(ctx context.Context, t *Tool) error { return t.Withdraw(ctx, f.key) }))
 	c.AddPositionalValue(&f.key, "key-id", 1, true, "key id")
+	c = add("remove-host", "take a host that will not return out of the fleet", withTool(func(ctx context.Context, t *Tool) error { return t.RemoveHost(ctx, f.name) }))
+	c.AddPositionalValue(&f.name, "host", 1, true, "host name")
 	add("keys", "list keys", withTool(func(ctx context.Context, t *Tool) error { return t.Print(ctx, "/admin/v1/keys") }))
 	add("status", "print the status of all hosts", withTool(func(ctx context.Context, t *Tool) error { return t.Status(ctx) }))
 	c = add("timeline", "print events of all hosts in causal order", withTool(func(ctx context.Context, t *Tool) error {
@@ -119,6 +122,11 @@
 	c.String(&f.target, "", "target", "only this target")
 	c.String(&f.kind, "", "kind", "only this kind of event")
 	c.String(&f.revision, "", "revision", "only this revision")
+	c = add("operations", "list operations or look one up; no bodies are shown", withTool(func(ctx context.Context, t *Tool) error {
+		return t.Print(ctx, "/admin/v1/operations?"+f.operationsQuery().Encode())
+	}))
+	c.String(&f.workspace, "", "workspace", "only this workspace")
+	c.String(&f.operationKey, "", "idempotency-key", "look up this key of the workspace and ask its host for the state")
 	c = add("standin", "run a simulated target", func(ctx context.Context) error { return f.runStandin(ctx) })
 	c.String(&f.name, "", "name", "name of the target")
 	c.String(&f.dataCentre, "", "data-centre", "data centre of the target")
@@ -172,6 +180,17 @@
 	return q
 }
 
+func (f *flags) operationsQuery() url.Values {
+	q := url.Values{}
+	if f.workspace != "" {
+		q.Set("workspace", f.workspace)
+	}
+	if f.operationKey != "" {
+		q.Set("key", f.operationKey)
+	}
+	return q
+}
+
 func (f *flags) runStandin(ctx context.Context) error {
 	token, err := settings.ReadSecret(f.tokenFile, minTokenBytes)
 	if err != nil {
--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -5,13 +5,13 @@
 
 	"geraniumturn.example/geraniumturn/internal/admission"
 	"geraniumturn.example/geraniumturn/internal/dispatch"
+	"geraniumturn.example/geraniumturn/internal/routing"
 	"geraniumturn.example/geraniumturn/internal/targets"
 )
 
-// admit puts the admission queue around routing and the attempt observer.
-func (d *Daemon) admit(router dispatch.Chooser, observer dispatch.Observer) *admission.Admission {
-	d.admission = admission.New(router, observer, localRooms{d.targets}, d.weightOf, d.metrics)
-	return d.admission
+// buildAdmission puts the admission queue around the router.
+func (d *Daemon) buildAdmission() {
+	d.admission = admission.New(d.router, d.router, rooms{d.targets, d.router}, d.weightOf, d.metrics)
 }
 
 func (d *Daemon) weightOf(workspace string) int {
@@ -21,17 +21,21 @@
 	return 1
 }
 
-// localRooms counts the free slots of the local targets as this host knows
-// them: slots minus its own requests in flight.
-type localRooms struct{ table *targets.Table }
+// rooms implements admission.Rooms. Local takes only the table's lock, because
+// the router asks admission while it holds its own.
+type rooms struct {
+	table  *targets.Table
+	router *routing.Router
+}
 
-// Room implements admission.Rooms.
-func (r localRooms) Room(req *dispatch.Request) int {
-	room := 0
-	for _, t := range r.table.Available(time.Now(), req.Pool, req.Model) {
-		if allows(req.Residency, t.DataCentre) {
-			room += max(0, t.Slots-t.InFlight)
-		}
-	}
-	return room
+// Local implements admission.Rooms.
+func (r rooms) Local(req *dispatch.Request) (count, room int) {
+	c := r.table.Capacity(time.Now(), &targets.Query{Pool: req.Pool, Model: req.Model, Residency: req.Residency})
+	return c.Targets, c.Room
+}
+
+// Away implements admission.Rooms.
+func (r rooms) Away(req *dispatch.Request) int {
+	_, away := r.router.Room(req)
+	return away
 }
--- a/internal/daemon/quota.go
+++ b/internal/daemon/quota.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 
 	"storj.io/drpc"
 
@@ -13,10 +14,11 @@
 )
 
 func (d *Daemon) buildQuota() error {
+	hosts := &quotaHosts{d: d, listed: map[string]bool{}}
 	d.quota = quota.NewRuntime(quota.Config{
 		Name: d.settings.Name, DataCentre: d.settings.DataCentre,
 		Voters: d.nearestVoters(), Machine: d.quotaMachine, Log: d.controlLog,
-		Dial: d.dialHost, Members: d.quotaMembers, Rules: d.quotaRules, Metrics: d.metrics,
+		Dial: d.dialHost, Members: hosts.Members, Rules: d.quotaRules, Metrics: d.metrics,
 	})
 	return d.transport.Register(d.quota, quotapb.DRPCQuotaDescription{})
 }
@@ -35,25 +37,34 @@
 }
 
 func (d *Daemon) dialHost(name string) (drpc.Conn, bool) {
-	h, ok := d.settings.Host(name)
+	h, ok := d.members.Lookup(name)
 	if !ok {
 		return nil, false
 	}
 	return d.transport.Dial(h.Peer), true
 }
 
-// quotaMembers is the agreed host list, sorted by name.
-func (d *Daemon) quotaMembers() []quota.Member {
+// quotaHosts is the agreed host list. A host of the settings that was never in
+// the replicated list counts too, because it may hold a share and not have
+// registered yet; only a host that was listed and is not any more was removed.
+type quotaHosts struct {
+	d      *Daemon
+	listed map[string]bool
+}
+
+// Members returns the list sorted by name.
+func (q *quotaHosts) Members() []quota.Member {
 	var out []quota.Member
-	for _, h := range d.settings.AllHosts() {
+	for _, h := range q.d.copy.View().State.Hosts {
+		q.listed[h.Name] = true
 		out = append(out, quota.Member{Name: h.Name, DataCentre: h.DataCentre})
 	}
-	slices.SortFunc(out, func(a, b quota.Member) int {
-		if a.Name < b.Name {
-			return -1
+	for _, h := range q.d.settings.AllHosts() {
+		if !q.listed[h.Name] {
+			out = append(out, quota.Member{Name: h.Name, DataCentre: h.DataCentre})
 		}
-		return 1
-	})
+	}
+	slices.SortFunc(out, func(a, b quota.Member) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,9 +55,12 @@
 	Body []byte
 	// Path and Method belong to what the key stands for.
 	Path      string
+	Query     string
 	Method    string
 	RequestID string
 	Residency []string
+	// Deadline is absolute; the operation is not dispatched after it.
+	Deadline time.Time
 }
 
 // Operations runs an operation at most once over all hosts. Do calls run at
@@ -106,7 +109,10 @@
 	Events       *timeline.Log
 	Metrics      metrics.Registry
 	// Ready reports whether the host has rules in force.
-	Ready    func() bool
+	Ready func() bool
+	// Starting reports whether the host does not yet know which state is in
+	// force, so that it must not decide on keys. Nil means never.
+	Starting func() bool
 	draining atomic.Bool
 }
 
@@ -145,7 +151,10 @@
 
 func (s *Server) serve(c echo.Context, k *call) error {
 	if s.Draining() {
-		return refusal.New(refusal.Draining, refusal.NotRun, "this host is shutting down").WithHosts(s.otherHosts(nil, ""))
+		return refusal.New(refusal.Draining, refusal.NotRun, "this host is shutting down").WithHosts(s.hostsForCaller(c.Request()))
+	}
+	if s.Starting != nil && s.Starting() {
+		return refusal.New(refusal.Draining, refusal.NotRun, "this host is starting").WithHosts(s.hostsForCaller(c.Request()))
 	}
 	view := s.Copy.View()
 	if err := s.identify(c, k, view); err != nil {
@@ -178,6 +187,7 @@
 	case err != nil:
 		return refusal.New(refusal.Unauthenticated, refusal.NotRun, "unknown key")
 	}
+	s.Keys.Use(c.Request().Context(), key.ID)
 	k.key = key
 	k.workspace = view.Rules.Workspaces[key.Workspace]
 	if k.workspace == nil {
@@ -209,6 +219,20 @@
 	return out
 }
 
+// hostsForCaller names the hosts that the caller's workspace may use, as far as
+// this host knows the key.
+func (s *Server) hostsForCaller(r *http.Request) []string {
+	key, err := s.Keys.Check(bearer(r))
+	if err != nil {
+		return s.otherHosts(nil, "")
+	}
+	w := s.Copy.View().Rules.Workspaces[key.Workspace]
+	if w == nil {
+		return s.otherHosts(nil, "")
+	}
+	return s.otherHosts(w.Residency, w.Home)
+}
+
 // build reads the body and makes the request for targets.
 func (s *Server) build(c echo.Context, k *call, view *fleet.View) error {
 	r := c.Request()
@@ -322,7 +346,7 @@
 		return s.runCharged(ctx, k, sink)
 	}
 	op := Operation{Workspace: k.request.Workspace, Key: k.operation, Body: k.request.Body, Path: k.request.Path,
-		Method: k.request.Method, RequestID: k.id, Residency: k.request.Residency}
+		Query: k.request.Query, Method: k.request.Method, RequestID: k.id, Residency: k.request.Residency, Deadline: k.request.Deadline}
 	return s.Operations.Do(ctx, op, sink, func(ctx context.Context, sink dispatch.Sink) (dispatch.Result, error) {
 		return s.runCharged(ctx, k, sink)
 	})
@@ -368,7 +392,7 @@
 		seconds := int64((e.RetryAfter + time.Second - 1) / time.Second)
 		c.Response().Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
-	if e.Code == refusal.WrongHost || e.Code == refusal.Draining {
+	if e.Code == refusal.WrongHost || e.Code == refusal.Draining || e.Code == refusal.KeyWithdrawn {
 		c.Response().Header().Set("Connection", "close")
 	}
 	return c.JSON(e.Code.Status(), e.Body(k.id))
@@ -441,6 +465,9 @@
 	return nil
 }
 
+// Flush sends what is buffered.
+func (s *callerSink) Flush() error { return s.controller.Flush() }
+
 // Write implements dispatch.Sink.
 func (s *callerSink) Write(p []byte) error {
 	if _, err := s.c.Response().Write(p); err != nil {
