--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -9,9 +9,10 @@
 	"geraniumturn.example/geraniumturn/internal/targets"
 )
 
-// buildAdmission puts the admission queue around the router.
-func (d *Daemon) buildAdmission() {
-	d.admission = admission.New(d.router, d.router, rooms{d.targets, d.router}, d.weightOf, d.metrics)
+// admit puts the admission queue around routing and the attempt observer.
+func (d *Daemon) admit(router dispatch.Chooser, observer dispatch.Observer) *admission.Admission {
+	d.admission = admission.New(router, observer, rooms{d.targets, d.router}, d.weightOf, d.metrics)
+	return d.admission
 }
 
 func (d *Daemon) weightOf(workspace string) int {
@@ -21,21 +22,19 @@
 	return 1
 }
 
-// rooms implements admission.Rooms. Local takes only the table's lock, because
-// the router asks admission while it holds its own.
+// rooms tells admission how many requests can start now: on the local targets,
+// or in other data centres when this one has no target of the pool.
 type rooms struct {
 	table  *targets.Table
 	router *routing.Router
 }
 
-// Local implements admission.Rooms.
-func (r rooms) Local(req *dispatch.Request) (count, room int) {
-	c := r.table.Capacity(time.Now(), &targets.Query{Pool: req.Pool, Model: req.Model, Residency: req.Residency})
-	return c.Targets, c.Room
-}
-
-// Away implements admission.Rooms.
-func (r rooms) Away(req *dispatch.Request) int {
+// Room implements admission.Rooms.
+func (r rooms) Room(req *dispatch.Request) int {
+	local := r.table.Capacity(time.Now(), &targets.Query{Pool: req.Pool, Model: req.Model, Residency: req.Residency})
+	if local.Targets > 0 || local.Room > 0 {
+		return local.Room
+	}
 	_, away := r.router.Room(req)
 	return away
 }
--- a/internal/daemon/operations.go
+++ b/internal/daemon/operations.go
@@ -33,6 +33,7 @@
 			store.Enforce(time.Now())
 		}
 	})
+	d.dispatcher.SetCounter(d.count)
 	self := d.settings.Self()
 	d.operations = operations.NewService(operations.Config{
 		Self: operations.Host{Name: self.Name, DataCentre: self.DataCentre, Peer: self.Peer},
@@ -54,7 +55,7 @@
 	var out []operations.Host
 	for _, h := range d.members.All() {
 		if h.Name != d.settings.Name {
-			out = append(out, operations.Host{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer})
+			out = append(out, operations.Host{Name: h.Name, DataCentre: h.DataCentre, Peer: h.Peer, Dead: h.Dead})
 		}
 	}
 	return out
