quota: assert the refusal baselines

Cause: TestRefusalsWithinRate printed the shares and asserted none of them. Change: below equal shares while demand moves or a holder is dead, below one central bucket while a data centre is isolated.

--- a/internal/quota/experiment_test.go
+++ b/internal/quota/experiment_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -208,6 +209,13 @@
 			t.Logf("%-22s %-24s refused within rate: ours %.4f, equal shares %.4f, central %.4f; ours %.1f messages/s and %.0f payload bytes/s per host",
 				fleet.name, s.name, ours.share(), equal.share(), central.share(),
 				float64(ours.w.messages)/seconds, float64(ours.w.bytes)/seconds)
+			baseline := equal
+			if strings.HasSuffix(s.name, "isolated") {
+				baseline = central
+			}
+			if ours.share() >= baseline.share() {
+				t.Errorf("seed %d: %s, %s: refused %.4f, the %s baseline %.4f", *firstSeed, fleet.name, s.name, ours.share(), baseline.system, baseline.share())
+			}
 			if ours.w.failure != "" {
 				t.Errorf("seed %d: %s", *firstSeed, ours.w.failure)
 			}
