--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"strings"
+	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -67,53 +68,88 @@
 	return p
 }
 
-// Choose implements dispatch.Chooser. Only an attempt on a local target waits:
-// a forwarded request waits at the host that receives it.
+// Choose implements dispatch.Chooser. A request waits when it would go to a
+// local target, or when there is no room anywhere. A forwarded request waits at
+// the host that receives it.
 func (a *Admission) Choose(ctx context.Context, req *dispatch.Request, tried dispatch.Tried) (dispatch.Choice, error) {
-	choice, err := a.inner.Choose(ctx, req, tried)
-	if err != nil || choice.Target == nil {
-		return choice, err
-	}
-	if err := a.wait(ctx, req); err != nil {
-		return dispatch.Choice{}, err
-	}
-	choice, err = a.inner.Choose(ctx, req, tried) // targets may have changed meanwhile
-	if err != nil || choice.Target == nil {
+	for {
+		choice, err := a.inner.Choose(ctx, req, tried)
+		if choice.Host != nil || (err != nil && !noRoom(err)) {
+			return choice, err
+		}
+		waited, refused := a.wait(ctx, req)
+		if refused != nil {
+			return dispatch.Choice{}, refused
+		}
+		// After a wait the targets may have changed. Without one the choice
+		// stands, since another would lose the claim on a probe.
+		if waited || choice.Target == nil {
+			choice, err = a.inner.Choose(ctx, req, tried)
+		}
+		if choice.Target != nil {
+			return choice, nil
+		}
 		a.release(req)
+		if !noRoom(err) {
+			return choice, err
+		}
 	}
-	return choice, err
 }
 
-func (a *Admission) wait(ctx context.Context, req *dispatch.Request) error {
+// noRoom reports whether routing found targets, but none with room.
+func noRoom(err error) bool {
+	refused, ok := errors.AsType[*refusal.Error](err)
+	return ok && refused.Code == refusal.Overloaded
+}
+
+// wait queues the request until it may go, and reports whether that was later
+// than at once.
+func (a *Admission) wait(ctx context.Context, req *dispatch.Request) (waited bool, err error) {
 	done := make(chan *Refusal, 1)
 	began := time.Now()
+	p, item, refused := a.enter(req, done)
+	if refused == nil {
+		select {
+		case refused = <-done:
+		default:
+			waited = true
+			refused = a.awaitTurn(ctx, p, item, done)
+		}
+	}
+	waits := metrics.GetOrRegisterHistogram("admission.wait_ms."+req.Pool, a.metrics, metrics.NewUniformSample(waitSample))
+	waits.Update(time.Since(began).Milliseconds())
+	if refused == nil {
+		return waited, nil
+	}
+	return waited, a.refuse(req, refused)
+}
+
+// enter puts the request into the queue of its pool and dispatches the queue.
+func (a *Admission) enter(req *dispatch.Request, done chan *Refusal) (*pool, *Item, *Refusal) {
 	item := &Item{Workspace: req.Workspace, Weight: a.weights(req.Workspace), Class: req.Class, Cost: req.Cost,
 		Bytes: int64(len(req.Body)), Deadline: req.Deadline.Sub(a.began)}
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	p := a.pool(req.Pool)
 	item.Done = func(r *Refusal) {
 		delete(p.waiting, item)
 		done <- r
 	}
-	refused := p.queue.Enter(time.Since(a.began), item)
-	if refused == nil {
-		p.waiting[item] = req
-		a.dispatch(p)
-	}
-	a.mu.Unlock()
-	if refused == nil {
-		select {
-		case refused = <-done:
-		case <-ctx.Done():
-			refused = a.leave(p, item, done)
-		}
+	if refused := p.queue.Enter(time.Since(a.began), item); refused != nil {
+		return p, item, refused
 	}
-	waits := metrics.GetOrRegisterHistogram("admission.wait_ms."+req.Pool, a.metrics, metrics.NewUniformSample(waitSample))
-	waits.Update(time.Since(began).Milliseconds())
-	if refused == nil {
-		return nil
+	p.waiting[item] = req
+	a.dispatch(p)
+	return p, item, nil
+}
+
+func (a *Admission) awaitTurn(ctx context.Context, p *pool, item *Item, done chan *Refusal) *Refusal {
+	select {
+	case refused := <-done:
+		return refused
+	case <-ctx.Done():
+		return a.leave(p, item, done)
 	}
-	return a.refuse(req, refused)
 }
 
 // leave ends the wait of a request whose context has ended.
@@ -143,7 +179,7 @@
 	rooms := map[string]int{} // by what the room depends on; it does not change in this loop
 	fits := func(item *Item) bool {
 		req := p.waiting[item]
-		key := req.Model + "\x00" + strings.Join(req.Residency, ",")
+		key := fmt.Sprint(req.Model, "\x00", req.Residency, req.Reach, req.Forwarded())
 		room, ok := rooms[key]
 		if !ok {
 			room = a.rooms.Room(req)
--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -32,7 +32,7 @@
 // Room implements admission.Rooms.
 func (r rooms) Room(req *dispatch.Request) int {
 	local := r.table.Capacity(time.Now(), &targets.Query{Pool: req.Pool, Model: req.Model, Residency: req.Residency})
-	if local.Targets > 0 {
+	if local.Targets > 0 || local.Room > 0 {
 		return local.Room
 	}
 	_, away := r.router.Room(req)
--- a/internal/proof/control_test.go
+++ b/internal/proof/control_test.go
@@ -318,7 +318,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	data[60] ^= 1
+	data[len(data)/2] ^= 1 // in a record that others follow
 	if err := os.WriteFile(path, data, 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/targets/health.go
+++ b/internal/targets/health.go
@@ -57,6 +57,15 @@
 	return h.ejected && !h.probing && !now.Before(h.probeAt) && now.Sub(h.claimed) >= probeClaim
 }
 
+// claimedRoom is the room of an ejected target: one for a probe that was
+// chosen and has not begun.
+func (h *health) claimedRoom(now time.Time) int {
+	if h.probing || h.claimed.IsZero() || now.Sub(h.claimed) >= probeClaim {
+		return 0
+	}
+	return 1
+}
+
 // record takes an outcome and reports whether the target came back from ejection.
 func (h *health) record(now time.Time, r Result, probe bool) (returned bool) {
 	if h.ejected {
