suspects: refuse requests that crash targets, fleet-wide

Cause: a request that crashes each target that runs it took down one target per attempt and resend, and the other requests on them. Change: fingerprints become suspect on evidence of a crash (broken connection, and a new incarnation or silence within 4 s), run alone under an exclusive lease, are cleared by a whole answer, and are refused with 422 after the second crash; entries are pushed to all hosts and pulled every 5 s. A retry waits for the evidence.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"geraniumturn.example/geraniumturn/internal/quota"
 	"geraniumturn.example/geraniumturn/internal/routing"
 	"geraniumturn.example/geraniumturn/internal/settings"
+	"geraniumturn.example/geraniumturn/internal/suspects"
 	"geraniumturn.example/geraniumturn/internal/targets"
 	"geraniumturn.example/geraniumturn/internal/timeline"
 )
@@ -70,6 +71,7 @@
 
 	quotaMachine *quota.Machine
 	quota        *quota.Runtime
+	suspects     *suspects.Table
 	admission    *admission.Admission
 	echo         *echo.Echo
 }
@@ -161,6 +163,7 @@
 		d.quota.Sync,
 		d.admission.Sweep,
 		d.operations.Run,
+		d.suspectsLoop,
 	}
 }
 
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -24,7 +24,7 @@
 	}
 	d.entry = &entry.Server{
 		Copy: d.copy, Keys: d.keys, Placement: placement{d.settings.Self(), d.members.All}, Runner: d.dispatcher,
-		Quota: quotaHook{d.quota}, Operations: operationsHook{d.operations},
+		Quota: quotaHook{d.quota}, Operations: operationsHook{d.operations}, Fingerprints: fingerprints{d.suspects},
 		Events: d.events, Metrics: d.metrics,
 		Ready:    func() bool { return d.fleet.started.Load() && d.copy.View().Revision > 0 },
 		Starting: func() bool { return !d.fleet.started.Load() },
--- a/internal/daemon/targets.go
+++ b/internal/daemon/targets.go
@@ -196,7 +196,11 @@
 	}
 	host := dispatch.Host{Name: self.Name, DataCentre: self.DataCentre, Peer: self.Peer}
 	admitted := d.admit(d.router, d.router)
-	d.dispatcher = dispatch.New(host, admitted, admitted, d.events, d.transport.Dial)
+	guard, err := d.guardSuspects(admitted, admitted)
+	if err != nil {
+		return err
+	}
+	d.dispatcher = dispatch.New(host, guard, guard, d.events, d.transport.Dial)
 	service := dispatch.Service{Dispatcher: d.dispatcher, Draining: func() bool { return d.entry.Draining() }}
 	return d.transport.Register(service, dispatchpb.DRPCDispatchDescription{})
 }
--- /dev/null
+++ b/internal/proof/suspects_test.go
@@ -0,0 +1,70 @@
+package proof
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"geraniumturn.example/geraniumturn/internal/proctest"
+	"geraniumturn.example/geraniumturn/internal/standin"
+)
+
+// Guards against a request that crashes each target that runs it, sent again
+// and again by its caller through every host: at most two targets crash, then
+// it is refused everywhere, and the other requests of the crashes are answered.
+func TestRequestThatCrashesTargets(t *testing.T) {
+	f := proctest.Start(t, proctest.Cantabrico())
+	f.Apply(exampleRules(t))
+	var engines []*standin.Target
+	for i, place := range [][2]string{{"gijon-a", "gijon-1"}, {"gijon-a", "gijon-1"}, {"gijon-a", "gijon-2"}, {"bilbao-a", "bilbao-1"}, {"santander-a", "santander-1"}} {
+		engines = append(engines, f.Target(standin.Config{Name: fmt.Sprint("e", i), DataCentre: place[0], Pool: "llegadas",
+			Models: []string{"modelo-llegadas"}, CrashOn: "poison", CrashPause: time.Second, TokenInterval: 20 * time.Millisecond}, place[1]))
+	}
+	key := f.Grant("hoteles-gijon")
+	hosts := []string{"gijon-1", "gijon-2", "bilbao-1", "santander-1"}
+	for _, host := range hosts {
+		proctest.Eventually(t, proctest.StartLimit, func() error {
+			if status, answer := post(t, f, host, key, "/v1/chat/completions", chatBody); status != http.StatusOK {
+				return fmt.Errorf("%s: %d %s", host, status, answer)
+			}
+			return nil
+		})
+	}
+	var bystanders sync.WaitGroup
+	for i := range 12 {
+		bystanders.Go(func() {
+			body := strings.Replace(chatBody, "hello", fmt.Sprint("bystander ", i), 1)
+			body = strings.Replace(body, `"max_tokens":8`, `"max_tokens":60`, 1)
+			if status, answer := post(t, f, hosts[i%len(hosts)], key, "/v1/chat/completions", body); status != http.StatusOK {
+				t.Errorf("bystander %d: %d %s", i, status, answer)
+			}
+		})
+	}
+	poison := strings.Replace(chatBody, "hello", "poison", 1)
+	for round := range 2 {
+		for _, host := range hosts {
+			status, answer := post(t, f, host, key, "/v1/chat/completions", poison)
+			if status == http.StatusOK {
+				t.Errorf("round %d through %s: answered", round, host)
+			}
+			t.Logf("round %d through %s: %d %s", round, host, status, answer)
+		}
+	}
+	bystanders.Wait()
+	var crashes int64
+	for _, e := range engines {
+		crashes += e.Totals().Crashes
+	}
+	if crashes == 0 || crashes > 2 {
+		t.Errorf("%d targets crashed", crashes)
+	}
+	for _, host := range hosts {
+		status, answer := post(t, f, host, key, "/v1/chat/completions", poison)
+		if status != http.StatusUnprocessableEntity || !strings.Contains(answer, "crashes_targets") || !strings.Contains(answer, "not_run") {
+			t.Errorf("at last through %s: %d %s", host, status, answer)
+		}
+	}
+}
