daemon: let forwarded requests end at a planned stop

Cause: shutdown waited for this host's own callers only; a request that another host had forwarded here was cut when the peer server stopped. Change: the host counts open forwards and waits for them within the same 60 s.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -44,6 +45,9 @@
 
 	// queued wakes Sweep.
 	queued chan struct{}
+	// backlog counts waiting requests by pool, as *atomic.Int64. It needs no
+	// lock, because routing reads it while admission may wait for routing.
+	backlog sync.Map
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -135,13 +139,14 @@
 	defer a.mu.Unlock()
 	p := a.pool(req.Pool)
 	item.Done = func(r *Refusal) {
-		delete(p.waiting, item)
+		a.forget(p, item)
 		done <- r
 	}
 	if refused := p.queue.Enter(time.Since(a.began), item); refused != nil {
 		return p, item, refused
 	}
 	p.waiting[item] = req
+	a.counter(req.Pool).Add(1)
 	a.dispatch(p)
 	if len(p.waiting) > 0 {
 		select {
@@ -161,12 +166,33 @@
 	}
 }
 
+// forget removes a waiting request. It needs mu.
+func (a *Admission) forget(p *pool, item *Item) {
+	if req, ok := p.waiting[item]; ok {
+		delete(p.waiting, item)
+		a.counter(req.Pool).Add(-1)
+	}
+}
+
+func (a *Admission) counter(poolName string) *atomic.Int64 {
+	c, _ := a.backlog.LoadOrStore(poolName, &atomic.Int64{})
+	return c.(*atomic.Int64)
+}
+
+// Queued is how many requests wait for the pool on this host.
+func (a *Admission) Queued(poolName string) int {
+	if c, ok := a.backlog.Load(poolName); ok {
+		return int(c.(*atomic.Int64).Load())
+	}
+	return 0
+}
+
 // leave ends the wait of a request whose context has ended.
 func (a *Admission) leave(p *pool, item *Item, done chan *Refusal) *Refusal {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if p.queue.Leave(time.Since(a.began), item) {
-		delete(p.waiting, item)
+		a.forget(p, item)
 		return &Refusal{Late: true}
 	}
 	return <-done // decided meanwhile; Done was called under the lock
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,6 +38,7 @@
 	timelineEvents = 65_536
 	// shutdownLimit bounds a graceful shutdown: after it, open requests are cut.
 	shutdownLimit  = 60 * time.Second
+	forwardsPoll   = 50 * time.Millisecond
 	minTokenBytes  = 16
 	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 64 << 10
@@ -66,6 +67,7 @@
 	relayWake  chan struct{}
 	router     *routing.Router
 	dispatcher *dispatch.Dispatcher
+	forwards   *dispatch.Service
 	operations *operations.Service
 	entry      *entry.Server
 
@@ -191,5 +193,22 @@
 			d.log.WithError(err).Warn("open requests were cut")
 			_ = server.Close()
 		}
+		if open := d.awaitForwards(ctx); open > 0 {
+			d.log.WithField("open", open).Warn("forwarded requests were cut")
+		}
 	})
 }
+
+// awaitForwards waits until the requests that other hosts forwarded here have
+// ended, and returns how many are left when ctx ends.
+func (d *Daemon) awaitForwards(ctx context.Context) int64 {
+	ticker := time.NewTicker(forwardsPoll)
+	defer ticker.Stop()
+	for d.forwards.Open() > 0 && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+	return d.forwards.Open()
+}
--- a/internal/daemon/targets.go
+++ b/internal/daemon/targets.go
@@ -189,7 +189,8 @@
 		return fmt.Errorf("settings: policy.data_centre: %w", err)
 	}
 	d.router = routing.New(routing.Config{Host: self.Name, DataCentre: self.DataCentre, Region: self.Region,
-		Table: d.targets, Hosts: routing.HostsFunc(d.sites), Policy: policy, SitePolicy: sitePolicy})
+		Table: d.targets, Hosts: routing.HostsFunc(d.sites), Policy: policy, SitePolicy: sitePolicy,
+		Queued: func(pool string) int { return d.admission.Queued(pool) }})
 	d.registerTargetGauges()
 	if err := d.transport.Register(routing.Service{Router: d.router}, routingpb.DRPCRoutingDescription{}); err != nil {
 		return err
@@ -201,6 +202,6 @@
 		return err
 	}
 	d.dispatcher = dispatch.New(host, guard, guard, d.events, d.transport.Dial)
-	service := dispatch.Service{Dispatcher: d.dispatcher, Draining: func() bool { return d.entry.Draining() }}
-	return d.transport.Register(service, dispatchpb.DRPCDispatchDescription{})
+	d.forwards = &dispatch.Service{Dispatcher: d.dispatcher, Draining: func() bool { return d.entry.Draining() }}
+	return d.transport.Register(d.forwards, dispatchpb.DRPCDispatchDescription{})
 }
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -7,6 +7,7 @@
 	"io"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"geraniumturn.example/geraniumturn/internal/dispatch/dispatchpb"
@@ -161,10 +162,17 @@
 	Dispatcher *Dispatcher
 	// Draining reports whether this host is shutting down.
 	Draining func() bool
+
+	open atomic.Int64
 }
 
+// Open is how many forwarded requests run on this host.
+func (s *Service) Open() int64 { return s.open.Load() }
+
 // Forward implements the drpc service.
-func (s Service) Forward(stream dispatchpb.DRPCDispatch_ForwardStream) error {
+func (s *Service) Forward(stream dispatchpb.DRPCDispatch_ForwardStream) error {
+	s.open.Add(1)
+	defer s.open.Add(-1)
 	up, err := stream.Recv()
 	if err != nil {
 		return fmt.Errorf("dispatch: receive open: %w", err)
@@ -206,7 +214,7 @@
 }
 
 // check asserts the rules for forwarded requests: no loop, and residency.
-func (s Service) check(req *Request) *refusal.Error {
+func (s *Service) check(req *Request) *refusal.Error {
 	self := s.Dispatcher.self
 	switch {
 	case slices.Contains(req.Visited, self.Name) || len(req.Visited) != 1:
--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -103,13 +103,14 @@
 	n int
 }
 
-// loopback returns an IP number that no other fleet of this process uses. The
-// process id separates test processes that run at the same time.
+// loopback returns an IP number that no other fleet uses: the process id gives
+// a range of 1,250 numbers to each test process.
 func loopback() string {
 	nextNet.Lock()
 	defer nextNet.Unlock()
 	nextNet.n++
-	return fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, nextNet.n/250, 1+nextNet.n%250)
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid%250, 5*(pid/250%50)+nextNet.n/250%5, 1+nextNet.n%250)
 }
 
 // Start builds the binaries, starts all hosts and waits until they answer. The
--- /dev/null
+++ b/internal/proof/stop_test.go
@@ -0,0 +1,33 @@
+package proof
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"geraniumturn.example/geraniumturn/internal/proctest"
+)
+
+// Guards G12 for callers of other hosts: a planned stop of the host that a
+// request was forwarded to must not cut the request.
+func TestGracefulStopKeepsForwardedRequests(t *testing.T) {
+	f := proctest.Start(t, proctest.Cantabrico())
+	f.Apply(exampleRules(t))
+	slowEngine(f, "bilbao-a", "bilbao-1")
+	key := f.Grant("hoteles-gijon")
+	const tokens = 400 // 9 s at 22 ms a token, longer than the drain of discovery
+	open := stream(t, f, "gijon-1", key, tokens)
+	defer open.Body.Close()
+	start := time.Now()
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.Terminate("bilbao-1") }()
+	answer, err := io.ReadAll(open.Body)
+	if err != nil || !strings.Contains(string(answer), "data: [DONE]") {
+		t.Errorf("after %v: %v; %d bytes of the answer", time.Since(start), err, len(answer))
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	t.Logf("stopped after %v", time.Since(start))
+}
