--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -26,6 +25,11 @@
 	StartLimit = 20 * time.Second
 	pollPeriod = 20 * time.Millisecond
 
+	// Each host has an IP number of its own, so fixed ports below the range of
+	// chosen ones cannot be taken by a relay.
+	httpPort = ":8080"
+	peerPort = ":7000"
+
 	operatorToken = "operator-token-of-the-test"
 	// AnnounceToken is the token with which targets of a test fleet announce themselves.
 	AnnounceToken = "announce-token-of-the-test"
@@ -120,7 +124,7 @@
 	f := &Fleet{t: t, dir: t.TempDir(), relays: map[string]*Relay{}}
 	for _, h := range hosts {
 		ip := loopback()
-		f.hosts = append(f.hosts, &process{Host: h, ip: ip, http: freeAddress(t, ip), peer: freeAddress(t, ip)})
+		f.hosts = append(f.hosts, &process{Host: h, ip: ip, http: ip + httpPort, peer: ip + peerPort})
 	}
 	f.startRelays()
 	f.writeFiles()
@@ -148,16 +152,6 @@
 	})
 }
 
-func freeAddress(t testing.TB, ip string) string {
-	t.Helper()
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (f *Fleet) startRelays() {
 	for _, from := range f.hosts {
 		for _, to := range f.hosts {
