entry: charge what a request used beyond its reservation; remove unused code

Cause: a prompt with more tokens than bytes/4, or an engine that exceeds max_tokens, used more than was reserved, and the rest was never charged, which breaks the bound on a workspace's rate over time. Change: the overrun is taken from the bucket afterwards, in parts of at most a burst, for up to 30 s. Four functions without a caller are gone.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -274,21 +274,6 @@
 	return waiting
 }
 
-// QueueDelay is the expected wait of a new interactive request of the pool.
-func (a *Admission) QueueDelay(poolName string) time.Duration {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	p := a.pools[poolName]
-	rate := 0.0
-	if p != nil {
-		rate = p.queue.Rate()
-	}
-	if rate <= 0 {
-		return 0
-	}
-	return time.Duration(float64(p.queue.interactive.tokens) / rate * float64(time.Second))
-}
-
 func (a *Admission) release(req *dispatch.Request) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/bench/scenario_test.go
+++ b/internal/bench/scenario_test.go
@@ -153,7 +153,19 @@
 
 func (d *deployment) start(config standin.Config, site Site, name string) {
 	config.Name, config.DataCentre, config.CrashPause = name, site.DataCentre, 3*time.Second
-	d.targets = append(d.targets, d.fleet.Target(config, site.Hosts...))
+	d.targets = append(d.targets, d.fleet.Target(config, d.announceOrder(site)...))
+}
+
+// announceOrder lists the hosts that a target of the site tries: its own data
+// centre's first, then all others.
+func (d *deployment) announceOrder(site Site) []string {
+	order := slices.Clone(site.Hosts)
+	for _, other := range d.s.Sites {
+		if other.DataCentre != site.DataCentre {
+			order = append(order, other.Hosts...)
+		}
+	}
+	return order
 }
 
 // awaitTargets waits until each data centre answers a request of each stream.
@@ -165,7 +177,7 @@
 		probe.Prefixes, probe.QuestionTokens, probe.MaxTokens = 0, 1, 1
 		a := Schedule(uint64(i)+1000, []Stream{probe}, time.Hour)[0]
 		if a.IdempotencyKey != "" {
-			a.IdempotencyKey = "probe-" + a.IdempotencyKey
+			a.IdempotencyKey = fmt.Sprint("probe-", i)
 		}
 		c := clients[s.Workspace+"/"+s.DataCentre]
 		if c == nil {
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -294,11 +294,3 @@
 func (s streamSink) Write(p []byte) error {
 	return s.stream.Send(&dispatchpb.ForwardDown{Kind: &dispatchpb.ForwardDown_Data{Data: p}})
 }
-
-// Remaining is the time until the request's deadline.
-func (r *Request) Remaining(ctx context.Context) time.Duration {
-	if deadline, ok := ctx.Deadline(); ok && deadline.Before(r.Deadline) {
-		return time.Until(deadline)
-	}
-	return time.Until(r.Deadline)
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -368,10 +368,47 @@
 		return dispatch.Result{}, err
 	}
 	result, err := s.Runner.Do(ctx, k.request, sink)
-	reservation.Settle(charge(k.request, result, err))
+	used := charge(k.request, result, err)
+	reservation.Settle(used)
+	if over := used - k.request.Cost; over > 0 {
+		go s.chargeOverrun(k.workspace, over)
+	}
 	return result, err
 }
 
+// overrunWait bounds the wait for tokens that pay for an overrun.
+const overrunWait = 30 * time.Second
+
+// chargeOverrun takes the tokens that a request used beyond its reservation,
+// because its prompt had more tokens than estimated or the engine exceeded
+// max_tokens. The workspace's next requests wait for them.
+func (s *Server) chargeOverrun(workspace *rules.Workspace, tokens int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), overrunWait)
+	defer cancel()
+	for tokens > 0 && ctx.Err() == nil {
+		part := min(tokens, workspace.Burst)
+		reservation, err := s.Quota.Reserve(ctx, workspace, part)
+		if err != nil {
+			refused := refusal.From(err)
+			timer := time.NewTimer(max(refused.RetryAfter, minOverrunRetry))
+			select {
+			case <-ctx.Done():
+			case <-timer.C:
+			}
+			timer.Stop()
+			continue
+		}
+		reservation.Settle(part)
+		tokens -= part
+	}
+	if tokens > 0 {
+		s.counter("quota.overrun_tokens_uncharged").Inc(tokens)
+	}
+}
+
+// minOverrunRetry spaces the tries to pay for an overrun.
+const minOverrunRetry = 100 * time.Millisecond
+
 // charge is what a request costs in the end. Without usage from the target the
 // whole reservation counts, unless the request certainly did not run.
 func charge(req *dispatch.Request, result dispatch.Result, err error) int64 {
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -72,19 +72,6 @@
 	return &Table{keys: map[string]Key{}, withdrawn: map[string]bool{}, open: map[string]map[*openRequest]struct{}{}}
 }
 
-// Replace sets the granted keys and adds withdrawals.
-func (t *Table) Replace(granted []Key, withdrawn []string) {
-	t.mu.Lock()
-	t.keys = make(map[string]Key, len(granted))
-	for _, k := range granted {
-		t.keys[k.ID] = k
-	}
-	t.mu.Unlock()
-	for _, id := range withdrawn {
-		t.Withdraw(id)
-	}
-}
-
 // Grant adds granted keys.
 func (t *Table) Grant(granted ...Key) {
 	t.mu.Lock()
--- a/internal/membership/members.go
+++ b/internal/membership/members.go
@@ -100,13 +100,6 @@
 	return out
 }
 
-// Alive reports whether the host is known and not dead. A suspected host
-// counts as alive.
-func (m *Members) Alive(name string) bool {
-	h, ok := m.Lookup(name)
-	return ok && !h.Dead
-}
-
 // Draining reports whether the host announced that it takes no new work.
 func (m *Members) Draining(name string) bool {
 	h, ok := m.Lookup(name)
