--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -251,6 +251,15 @@
 }
 
 // idle reports whether nothing but a full bucket is lost when the account is dropped.
+// active reports whether the account needs Tick at TickInterval. A floor that
+// only refills does not.
+func (a *account) active(now time.Duration) bool {
+	if len(a.held) > 0 || len(a.waiters) > 0 || now-a.seenAt < prefetchHorizon {
+		return true
+	}
+	return slices.ContainsFunc(a.lenders, func(l *lender) bool { return l.askFor > 0 })
+}
+
 func (a *account) idle(now time.Duration) bool {
 	if len(a.held) > 0 || len(a.waiters) > 0 || now-a.seenAt < idleLimit {
 		return false
--- a/internal/quota/host.go
+++ b/internal/quota/host.go
@@ -44,6 +44,8 @@
 	settlements map[string][]*quotapb.Settlement
 	settleAt    time.Duration
 	sweepAt     time.Duration
+	// active is false when the next Tick may come after idleTick.
+	active bool
 }
 
 const (
@@ -184,6 +186,7 @@
 		return nil, nil, &Refusal{TooLarge: true}
 	}
 	a.note(now, cost)
+	h.active = true
 	if len(a.waiters) == 0 {
 		if r := a.spend(now, cost); r != nil {
 			h.plan(now, a)
@@ -451,8 +454,10 @@
 // Call it every TickInterval.
 func (h *Host) Tick(now time.Duration) {
 	h.sendSettlements(now)
+	h.active = len(h.settlements) > 0
 	for name, a := range h.accounts {
 		h.tickAccount(now, a)
+		h.active = h.active || a.active(now)
 		if a.idle(now) {
 			delete(h.accounts, name)
 		}
@@ -469,8 +474,9 @@
 	}
 }
 
-// Idle reports whether no workspace has waiters, loans or recent demand.
-func (h *Host) Idle() bool { return len(h.accounts) == 0 }
+// Idle reports whether no workspace had waiters, loans or recent demand at the
+// last Tick and none was reserved from since.
+func (h *Host) Idle() bool { return !h.active }
 
 // TickInterval is the longest time between two calls of Tick.
 const TickInterval = 25 * time.Millisecond
