--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -141,7 +141,10 @@
 		if !pending || time.Now().After(deadline) || ctx.Err() != nil {
 			return t.reportMissing(answer.Hosts)
 		}
-		time.Sleep(interval)
+		select {
+		case <-ctx.Done():
+		case <-time.After(interval):
+		}
 	}
 }
 
