--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -32,9 +32,7 @@
 	// whole, so that a truncated one can be retried. Larger answers are passed
 	// through as they arrive.
 	holdBytes = 256 << 10
-	// copyBytes is small, because each open stream holds one buffer; events of a
-	// stream are a few hundred bytes.
-	copyBytes = 8 << 10
+	copyBytes = 32 << 10
 )
 
 // requestHeaders may pass from the caller to a target.
