rules: state the residency rule once

Change: rules.Allows is the one place; every check calls it, and two private copies are gone. Each check stays where it was, so each place still asserts. Result: no behaviour changes; lint, the tests of the packages and three process tests of residency and isolation pass.

--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -11,6 +11,7 @@
 	"geraniumturn.example/geraniumturn/internal/membership"
 	"geraniumturn.example/geraniumturn/internal/membership/membershippb"
 	"geraniumturn.example/geraniumturn/internal/routing"
+	"geraniumturn.example/geraniumturn/internal/rules"
 	"geraniumturn.example/geraniumturn/internal/settings"
 )
 
@@ -152,7 +153,7 @@
 	var good, doubtful []membership.Host
 	for _, h := range p.hosts() {
 		switch {
-		case h.Dead || h.Draining || !allows(residency, h.DataCentre):
+		case h.Dead || h.Draining || !rules.Allows(residency, h.DataCentre):
 		case h.Suspect:
 			doubtful = append(doubtful, h)
 		default:
@@ -185,7 +186,3 @@
 	}
 	return rank
 }
-
-func allows(residency []string, dataCentre string) bool {
-	return len(residency) == 0 || slices.Contains(residency, dataCentre)
-}
--- a/internal/dispatch/assert.go
+++ b/internal/dispatch/assert.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"geraniumturn.example/geraniumturn/internal/refusal"
+	"geraniumturn.example/geraniumturn/internal/rules"
 )
 
 // SetCounter sets the function that increments a counter. Call it before the
@@ -24,7 +25,7 @@
 	if choice.Target != nil {
 		dataCentre = choice.Target.DataCentre
 	}
-	if len(r.req.Residency) > 0 && !slices.Contains(r.req.Residency, dataCentre) {
+	if !rules.Allows(r.req.Residency, dataCentre) {
 		r.d.count("invariant.dispatch.residency")
 		return refusal.New(refusal.NoTarget, r.ran, "data centre %s is outside the workspace's residency", dataCentre)
 	}
--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -220,7 +220,7 @@
 	case slices.Contains(req.Visited, self.Name) || len(req.Visited) != 1:
 		s.Dispatcher.count("invariant.dispatch.loop")
 		return refusal.New(refusal.Loop, refusal.NotRun, "host %s has handled this request before", self.Name)
-	case len(req.Residency) > 0 && !slices.Contains(req.Residency, self.DataCentre):
+	case !rules.Allows(req.Residency, self.DataCentre):
 		s.Dispatcher.count("invariant.dispatch.residency")
 		return refusal.New(refusal.WrongHost, refusal.NotRun, "data centre %s is outside the workspace's residency", self.DataCentre)
 	case s.Draining():
--- a/internal/operations/schedule_test.go
+++ b/internal/operations/schedule_test.go
@@ -19,6 +19,7 @@
 	"geraniumturn.example/geraniumturn/internal/dispatch"
 	pb "geraniumturn.example/geraniumturn/internal/operations/operationspb"
 	"geraniumturn.example/geraniumturn/internal/refusal"
+	"geraniumturn.example/geraniumturn/internal/rules"
 )
 
 var (
@@ -371,7 +372,7 @@
 }
 
 func (s *sim) allowed(key string, host int) bool {
-	return permits(s.residency(key), s.hosts[host].self.DataCentre)
+	return rules.Allows(s.residency(key), s.hosts[host].self.DataCentre)
 }
 
 func newSim(t *testing.T, seed uint64) *sim {
@@ -478,7 +479,7 @@
 		store := h.life.service.Store
 		for _, id := range store.Attempts() {
 			a, err := decodeAnswer(store.memory[id])
-			if err != nil || !permits(a.GetResidency(), h.self.DataCentre) || s.narrowed.Load() && h.self.DataCentre == "b" {
+			if err != nil || !rules.Allows(a.GetResidency(), h.self.DataCentre) || s.narrowed.Load() && h.self.DataCentre == "b" {
 				s.fail("answer %s rests on %s: %v", id, h.self.Name, err)
 			}
 		}
--- a/internal/operations/service.go
+++ b/internal/operations/service.go
@@ -25,6 +25,7 @@
 	"geraniumturn.example/geraniumturn/internal/dispatch"
 	pb "geraniumturn.example/geraniumturn/internal/operations/operationspb"
 	"geraniumturn.example/geraniumturn/internal/refusal"
+	"geraniumturn.example/geraniumturn/internal/rules"
 )
 
 const (
@@ -301,7 +302,7 @@
 	all, cancel := context.WithTimeout(context.Background(), copyLimit)
 	defer cancel()
 	for _, h := range s.candidates(a.GetAttempt(), a.GetResidency()) {
-		if !permits(a.GetResidency(), h.DataCentre) {
+		if !rules.Allows(a.GetResidency(), h.DataCentre) {
 			s.Count("invariant.operations.residency")
 			continue
 		}
@@ -321,7 +322,7 @@
 // digest that all hosts compute alike.
 func (s *Service) candidates(id string, residency []string) []Host {
 	hosts := slices.DeleteFunc(slices.Clone(s.Peers.Hosts()), func(h Host) bool {
-		return h.Dead || h.Name == s.Self.Name || !permits(residency, h.DataCentre)
+		return h.Dead || h.Name == s.Self.Name || !rules.Allows(residency, h.DataCentre)
 	})
 	slices.SortFunc(hosts, func(a, b Host) int {
 		return cmp.Or(cmp.Compare(s.nearness(a), s.nearness(b)),
@@ -545,7 +546,7 @@
 		return &pb.StatusResponse{State: state}
 	case in.GetDataCentre() == "":
 		return &pb.StatusResponse{State: pb.StatusResponse_ANSWERED}
-	case !permits(answer.GetResidency(), in.GetDataCentre()):
+	case !rules.Allows(answer.GetResidency(), in.GetDataCentre()):
 		s.Count("invariant.operations.residency")
 		return &pb.StatusResponse{State: pb.StatusResponse_UNKNOWN}
 	}
--- a/internal/operations/store.go
+++ b/internal/operations/store.go
@@ -13,6 +13,8 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "geraniumturn.example/geraniumturn/internal/operations/operationspb"
+
+	"geraniumturn.example/geraniumturn/internal/rules"
 )
 
 const (
@@ -118,7 +120,7 @@
 	s.prune(now, int64(len(data)))
 	// The check is the last step before the write, so that no answer rests
 	// here that was allowed only when the request came in.
-	if !permits(a.GetResidency(), s.dataCentre) || !s.allowed(a.GetWorkspace()) {
+	if !rules.Allows(a.GetResidency(), s.dataCentre) || !s.allowed(a.GetWorkspace()) {
 		return fmt.Errorf("%w: %s for workspace %s", ErrResidency, s.dataCentre, a.GetWorkspace())
 	}
 	if err := s.write(a.GetAttempt(), data); err != nil {
@@ -128,10 +130,6 @@
 	return nil
 }
 
-func permits(residency []string, dataCentre string) bool {
-	return len(residency) == 0 || slices.Contains(residency, dataCentre)
-}
-
 func (s *Store) write(attempt string, data []byte) error {
 	if s.dir == "" {
 		s.memory[attempt] = data
@@ -186,7 +184,7 @@
 		data, _ = os.ReadFile(s.path(attempt))
 	}
 	a, err := decodeAnswer(data)
-	if err != nil || a.GetAttempt() != attempt || expired(a, now) || !permits(a.GetResidency(), s.dataCentre) {
+	if err != nil || a.GetAttempt() != attempt || expired(a, now) || !rules.Allows(a.GetResidency(), s.dataCentre) {
 		return nil
 	}
 	return proto.CloneOf(a)
--- a/internal/quota/allocation.go
+++ b/internal/quota/allocation.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"geraniumturn.example/geraniumturn/internal/quota/quotapb"
+	"geraniumturn.example/geraniumturn/internal/rules"
 )
 
 // holdersPerDataCentre bounds how many hosts of a data centre share its floor.
@@ -54,7 +55,7 @@
 func Allocate(w Workspace, members []Member) *quotapb.Allocation {
 	byCentre := map[string][]string{}
 	for _, m := range members {
-		if len(w.Residency) == 0 || slices.Contains(w.Residency, m.DataCentre) {
+		if rules.Allows(w.Residency, m.DataCentre) {
 			byCentre[m.DataCentre] = append(byCentre[m.DataCentre], m.Name)
 		}
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -317,7 +317,7 @@
 }
 
 func allowed(req *dispatch.Request, dataCentre string) bool {
-	return len(req.Residency) == 0 || slices.Contains(req.Residency, dataCentre)
+	return rules.Allows(req.Residency, dataCentre)
 }
 
 // forward takes a live host of the site and counts the request as under way.
--- a/internal/rules/types.go
+++ b/internal/rules/types.go
@@ -56,8 +56,12 @@
 }
 
 // Allows reports whether the workspace's data may pass or rest in dataCentre.
-func (w *Workspace) Allows(dataCentre string) bool {
-	return len(w.Residency) == 0 || slices.Contains(w.Residency, dataCentre)
+func (w *Workspace) Allows(dataCentre string) bool { return Allows(w.Residency, dataCentre) }
+
+// Allows reports whether a residency covers the data centre. An empty residency
+// covers all.
+func Allows(residency []string, dataCentre string) bool {
+	return len(residency) == 0 || slices.Contains(residency, dataCentre)
 }
 
 // Pool is a set of interchangeable targets.
--- a/internal/targets/candidates.go
+++ b/internal/targets/candidates.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"geraniumturn.example/geraniumturn/internal/rules"
 )
 
 // Query says which targets a request may use.
@@ -76,7 +78,7 @@
 }
 
 func (r *record) serves(q *Query) bool {
-	return r.Serves(q.Model) && (len(q.Residency) == 0 || slices.Contains(q.Residency, r.DataCentre))
+	return r.Serves(q.Model) && rules.Allows(q.Residency, r.DataCentre)
 }
 
 func (r *record) available(now time.Time) bool {
