--- a/cmd/geraniumturn/main.go
+++ b/cmd/geraniumturn/main.go
@@ -23,7 +23,10 @@
 	log := logrus.New()
 	log.SetOutput(os.Stderr)
 	if path == "" {
-		log.Fatal("--settings is required")
+		path = os.Getenv(settingsVariable)
+	}
+	if path == "" {
+		log.Fatal("--settings is required (or the variable " + settingsVariable + ")")
 	}
 	s, err := settings.Load(path)
 	if err != nil {
@@ -32,11 +35,21 @@
 	if checkOnly {
 		return
 	}
-	d, err := daemon.New(s, log)
-	if err != nil {
+	if err := run(path, s, log); err != nil {
 		log.Fatal(err)
 	}
-	if err := d.Run(); err != nil {
-		log.Fatal(err)
+}
+
+// settingsVariable names the settings file where no flag does.
+const settingsVariable = "GERANIUMTURN_BOOT"
+
+func run(path string, s *settings.Settings, log *logrus.Logger) error {
+	if s.Configuration == settings.DocumentFile {
+		return daemon.RunDeployment(path, s, os.Stdout)
+	}
+	d, err := daemon.New(s, log)
+	if err != nil {
+		return err
 	}
+	return d.Run()
 }
--- a/internal/control/bootstrap.go
+++ b/internal/control/bootstrap.go
@@ -114,7 +114,7 @@
 		return
 	}
 	in := &controlpb.JoinRequest{Id: n.id, Host: n.config.Host}
-	for _, v := range n.config.Voters {
+	for _, v := range n.config.voters() {
 		if v.Host != n.config.Host {
 			go n.join(ctx, v.Address, in)
 		}
--- a/internal/control/core/core.go
+++ b/internal/control/core/core.go
@@ -35,6 +35,12 @@
 	Base, BaseTerm uint64
 	Entries        []Entry
 	Rand           *rand.Rand
+	// Process numbers this process, so that a stamp of an earlier process of the
+	// same voter is not taken for one of its own.
+	Process uint64
+	// VoterTarget is the number of voters; other members stay learners, and one
+	// of them replaces a voter that is silent for long. Zero promotes every learner.
+	VoterTarget int
 }
 
 type memberConfig struct {
@@ -47,6 +53,13 @@
 	id, host string
 	rand     *rand.Rand
 	now      time.Duration
+	process  uint64
+	target   int
+	// current is the time up to which this voter has all committed entries.
+	current   time.Duration
+	isCurrent bool
+	// transfer is set while the votes of an election that the leader asked for are requested.
+	transfer bool
 
 	state      HardState
 	stateDirty bool
@@ -71,6 +84,7 @@
 	heartbeatDue time.Duration
 	termStart    uint64 // index of the first entry of the own leadership
 	quorumAt     time.Duration
+	leadSince    time.Duration
 	joins        map[string]*join // by host name
 
 	messages, afterSync []Message
@@ -80,6 +94,7 @@
 func New(c Config, now time.Duration) *Core {
 	n := &Core{
 		id: c.ID, host: c.Host, rand: c.Rand, now: now, state: c.State, heardAt: now,
+		process: c.Process, target: c.VoterTarget,
 		log:      entryLog{base: c.Base, baseTerm: c.BaseTerm},
 		snapshot: Snapshot{Index: c.Snapshot.Index, Term: c.Snapshot.Term, Members: c.Snapshot.Members},
 		commit:   c.Snapshot.Index, applied: c.Snapshot.Index,
@@ -179,6 +194,8 @@
 		c.onVoteAnswer(m)
 	case AppendRequest, SnapshotRequest:
 		c.onLeaderMessage(m)
+	case TransferRequest:
+		c.onTransfer(m)
 	case AppendResponse:
 		c.onAppendResponse(m)
 	}
@@ -290,12 +307,23 @@
 	}
 	c.snapshot = Snapshot{Index: index, Term: term, Members: c.MembersAt(index)}
 	c.forgetConfigs(index)
-	if index > tailEntries {
-		c.log.compact(max(c.log.base, index-tailEntries))
+	if from := c.tailStart(index); from > c.log.base {
+		c.log.compact(from)
 	}
 	return c.log.base, c.log.baseTerm, c.log.slice(c.log.base+1, c.log.last())
 }
 
+// tailStart returns the position after which entries before the index are kept.
+func (c *Core) tailStart(index uint64) uint64 {
+	size := 0
+	start := index
+	for start > c.log.base && index-start < tailEntries && size < tailBytes {
+		size += len(c.log.entries[start-c.log.base-1].Data)
+		start--
+	}
+	return start
+}
+
 // forgetConfigs drops memberships that a snapshot at the index replaces.
 func (c *Core) forgetConfigs(index uint64) {
 	for len(c.configs) > 1 && c.configs[1].index <= index {
--- a/internal/control/core/election.go
+++ b/internal/control/core/election.go
@@ -40,6 +40,35 @@
 	c.requestVotes(PreVoteRequest, c.state.Term+1)
 }
 
+// Resign gives up the lead and asks the most advanced voter to take it over. The
+// lease ends before the request leaves.
+func (c *Core) Resign(now time.Duration) {
+	c.advance(now)
+	if c.role != Leader {
+		return
+	}
+	best, match := "", uint64(0)
+	for _, m := range c.Members() {
+		if p := c.progress[m.ID]; p != nil && !m.Learner && p.acked && c.now-p.ackedAt < ElectionTimeoutMin && p.match >= match {
+			best, match = m.ID, p.match
+		}
+	}
+	if best == "" {
+		return
+	}
+	c.becomeFollower(c.state.Term)
+	c.heardAt = c.now
+	c.messages = append(c.messages, Message{Kind: TransferRequest, From: c.id, To: best, Term: c.state.Term})
+}
+
+func (c *Core) onTransfer(m Message) {
+	if m.Term == c.state.Term && c.role == Follower && c.isVoter(c.id) {
+		c.transfer = true
+		c.startElection()
+		c.transfer = false
+	}
+}
+
 func (c *Core) startElection() {
 	c.role = Candidate
 	c.setState(HardState{Term: c.state.Term + 1, Vote: c.id})
@@ -48,13 +77,14 @@
 	c.requestVotes(VoteRequest, c.state.Term)
 }
 
-// requestVotes asks all other voters. The requests of an election wait for the
+// requestVotes asks all other voters. OK in a request means that the old leader
+// has given up its lease, so that a voter need not wait for its end. The requests of an election wait for the
 // sync of the own vote.
 func (c *Core) requestVotes(kind MessageKind, term uint64) {
 	for _, m := range c.Members() {
 		if m.ID != c.id && !m.Learner {
 			c.afterSync = append(c.afterSync, Message{Kind: kind, From: c.id, To: m.ID, Term: term,
-				Index: c.log.last(), LogTerm: c.log.lastTerm()})
+				Index: c.log.last(), LogTerm: c.log.lastTerm(), OK: c.transfer})
 		}
 	}
 }
@@ -75,7 +105,7 @@
 // own log does not yet say that it was promoted, because the candidate may need
 // that vote; its id has one durable vote in each term either way.
 func (c *Core) onVoteRequest(m Message) {
-	if m.Term < c.state.Term || c.quiet() {
+	if m.Term < c.state.Term || c.quiet() && !(m.OK && c.role != Leader) {
 		c.answerVote(VoteResponse, m.From, c.state.Term, false)
 		return
 	}
@@ -118,7 +148,7 @@
 	}
 	c.role, c.leader, c.termLeader, c.votes = Leader, c.id, c.id, nil
 	c.progress, c.joins = map[string]*progress{}, map[string]*join{}
-	c.quorumAt = c.now
+	c.quorumAt, c.leadSince = c.now, c.now
 	c.trackMembers()
 	c.termStart = c.log.last() + 1
 	c.appendOwn(Entry{Kind: EntryNoop})
--- a/internal/control/core/members.go
+++ b/internal/control/core/members.go
@@ -133,8 +133,12 @@
 			return
 		}
 	}
+	if next, ok := c.withoutSilent(); ok {
+		c.changeMembers(next)
+		return
+	}
 	for _, m := range c.Members() {
-		if p := c.progress[m.ID]; m.Learner && p != nil && p.match >= c.commit {
+		if p := c.progress[m.ID]; m.Learner && p != nil && p.match >= c.commit && c.wantsVoter() {
 			c.changeMembers(c.promoted(m.ID))
 			return
 		}
@@ -147,6 +151,38 @@
 	}
 }
 
+// wantsVoter reports whether a learner may become a voter.
+func (c *Core) wantsVoter() bool { return c.target == 0 || c.countVoters() < c.target }
+
+func (c *Core) countVoters() int {
+	voters := 0
+	for _, m := range c.Members() {
+		if !m.Learner {
+			voters++
+		}
+	}
+	return voters
+}
+
+// withoutSilent returns the membership without a voter that has been silent for
+// long, when a learner that has all committed entries can take its place.
+func (c *Core) withoutSilent() ([]Member, bool) {
+	if c.target == 0 || c.countVoters() < c.target {
+		return nil, false
+	}
+	ready := slices.ContainsFunc(c.Members(), func(m Member) bool {
+		p := c.progress[m.ID]
+		return m.Learner && p != nil && p.match >= c.commit && c.now-p.ackedAt < ElectionTimeoutMin
+	})
+	for i, m := range c.Members() {
+		p := c.progress[m.ID]
+		if ready && !m.Learner && p != nil && c.now-max(p.ackedAt, c.leadSince) > silentLimit {
+			return append(cloneMembers(c.Members()[:i]), c.Members()[i+1:]...), true
+		}
+	}
+	return nil, false
+}
+
 func (c *Core) isMember(id string) bool {
 	for _, m := range c.Members() {
 		if m.ID == id {
--- a/internal/control/core/replication.go
+++ b/internal/control/core/replication.go
@@ -12,6 +12,9 @@
 	// ackedAt is the largest send time that the member has echoed.
 	ackedAt time.Duration
 	acked   bool
+	// stamp and process are the last that the member sent.
+	stamp   time.Duration
+	process uint64
 	// snapshotUntil is when a snapshot that was sent counts as lost.
 	snapshotUntil time.Duration
 }
@@ -105,7 +108,8 @@
 	entries := c.batchFrom(p.next)
 	p.next += uint64(len(entries))
 	c.messages = append(c.messages, Message{Kind: AppendRequest, From: c.id, To: id, Term: c.state.Term,
-		Index: prev, LogTerm: prevTerm, Commit: c.commit, SentAt: c.now, Entries: entries})
+		Index: prev, LogTerm: prevTerm, Commit: c.commit, SentAt: c.now, Entries: entries,
+		Stamp: p.stamp, Process: p.process, Lease: c.commit >= c.termStart && c.leaseHolds()})
 }
 
 func (c *Core) batchFrom(first uint64) []Entry {
@@ -154,12 +158,13 @@
 
 func (c *Core) answerAppend(m Message, ok bool, index uint64) {
 	c.afterSync = append(c.afterSync, Message{Kind: AppendResponse, From: c.id, To: m.From, Term: c.state.Term,
-		OK: ok, Index: index, SentAt: m.SentAt})
+		OK: ok, Index: index, SentAt: m.SentAt, Stamp: c.now, Process: c.process})
 }
 
 func (c *Core) onAppend(m Message) {
 	if m.Index < c.commit && m.Index+uint64(len(m.Entries)) <= c.commit {
 		// All of it is committed here, so it matches up to its end.
+		c.noteCurrent(m)
 		c.answerAppend(m, true, m.Index+uint64(len(m.Entries)))
 		return
 	}
@@ -183,9 +188,30 @@
 	}
 	match := m.Index + uint64(len(m.Entries))
 	c.commitTo(min(m.Commit, match))
+	c.noteCurrent(m)
 	c.answerAppend(m, true, match)
 }
 
+// noteCurrent moves the time up to which this voter has all committed entries:
+// the leader held its lease after it had received the echoed stamp.
+func (c *Core) noteCurrent(m Message) {
+	if m.Lease && m.Process == c.process && m.Stamp > 0 && m.Stamp <= c.now && c.commit >= m.Commit {
+		c.current, c.isCurrent = max(c.current, m.Stamp), true
+	}
+}
+
+// Current returns the time up to which the committed entries of this voter are
+// all that any leader has acknowledged. A leader is current until its lease ends.
+func (c *Core) Current() (asOf time.Duration, ok bool) {
+	if c.role == Leader && c.commit >= c.termStart && c.leaseHolds() {
+		return c.now, true
+	}
+	return c.current, c.isCurrent
+}
+
+// CommitIndex returns the last index that is known to be committed.
+func (c *Core) CommitIndex() uint64 { return c.commit }
+
 // hint is the last index at which the logs may match, given that they do not at
 // the index: all entries of the conflicting term are passed over.
 func (c *Core) hint(index uint64) uint64 {
@@ -241,6 +267,7 @@
 		return
 	}
 	p.acked, p.ackedAt = true, max(p.ackedAt, m.SentAt)
+	p.stamp, p.process = m.Stamp, m.Process
 	c.refreshQuorum()
 	if !m.OK {
 		p.next = max(p.match+1, min(p.next, m.Index+1))
--- a/internal/control/core/types.go
+++ b/internal/control/core/types.go
@@ -28,6 +28,11 @@
 	// tailEntries are kept behind a snapshot, so that a follower that is a
 	// little behind does not need the snapshot.
 	tailEntries = 1024
+	// tailBytes bounds the same entries by their size.
+	tailBytes = 4 << 20
+	// silentLimit is how long a voter may be silent before another host takes its
+	// place. It is above the longest outage from which a voter usually returns.
+	silentLimit = 10 * time.Second
 )
 
 // EntryKind tells the content of an entry.
@@ -82,6 +87,9 @@
 	AppendRequest
 	AppendResponse
 	SnapshotRequest
+	// TransferRequest asks a follower to start an election at once, because the
+	// leader has given up its lease.
+	TransferRequest
 )
 
 // Message is exchanged between voters.
@@ -97,7 +105,14 @@
 	// OK is a granted vote or an accepted append.
 	OK bool
 	// SentAt is on the leader's clock and echoed in the response.
-	SentAt   time.Duration
+	SentAt time.Duration
+	// Stamp is on the follower's clock and Process numbers its process. A leader
+	// echoes in each append the last pair that it received from the follower.
+	Stamp   time.Duration
+	Process uint64
+	// Lease means that the leader held its lease when it sent the append, so that
+	// Commit covered every acknowledged entry.
+	Lease    bool
 	Entries  []Entry
 	Snapshot *Snapshot
 }
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"maps"
@@ -16,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 
+	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/control/controlpb"
 	"geraniumturn.example/geraniumturn/internal/control/core"
 	"geraniumturn.example/geraniumturn/internal/control/storage"
@@ -24,6 +27,9 @@
 const (
 	// snapshotEntries is the number of applied entries after which a snapshot is taken.
 	snapshotEntries = 4096
+	// snapshotBytes is the size of the applied commands after which a snapshot is
+	// taken earlier; the log on the disk stays below about twice that.
+	snapshotBytes = 8 << 20
 	// maxCommandBytes bounds one command, so that each append fits in a message.
 	maxCommandBytes = 4 << 20
 	// eventQueue is how many events may wait for the loop. Events that arrive
@@ -46,13 +52,32 @@
 	Dir string
 	// Voters are all voters of the settings.
 	Voters []Voter
+	// Learn returns the control hosts that are known now, where the settings do
+	// not list the voters. The name of a host is then its peer address.
+	Learn func() []Voter
+	// Founders are the peer addresses of the first voters. A founder whose folder
+	// is empty starts a new log with all of them; set only at the first start of
+	// the whole system.
+	Founders []string
+	// VoterTarget is the number of voters; zero makes every member a voter.
+	VoterTarget int
 	// Dial returns a connection to a peer address.
 	Dial    func(address string) drpc.Conn
 	Logger  *logrus.Logger
 	Metrics metrics.Registry
 }
 
+func (c Config) voters() []Voter {
+	if c.Learn != nil {
+		return c.Learn()
+	}
+	return c.Voters
+}
+
 func (c Config) address(host string) (string, bool) {
+	if c.Learn != nil {
+		return host, host != ""
+	}
 	for _, v := range c.Voters {
 		if v.Host == host {
 			return v.Address, true
@@ -66,7 +91,6 @@
 type Node struct {
 	config   Config
 	forward  *forwarder
-	start    time.Time
 	events   chan func()
 	stopped  chan struct{}
 	machines map[string]Machine
@@ -81,12 +105,15 @@
 	waiters      map[uint64]*waiter
 	applied      uint64
 	snapshotted  uint64
+	appliedBytes int           // of commands since the last snapshot
 	snapshotting core.Snapshot // the stored snapshot, with data
 	joinDue      time.Duration
 
 	status atomic.Pointer[core.Status]
 	lease  atomic.Pointer[lease]
-	logged core.Status
+	// current is the time up to which the machines have all committed commands.
+	current atomic.Pointer[time.Duration]
+	logged  core.Status
 
 	elections, commits, snapshots metrics.Counter
 	syncTime, proposeTime         metrics.Timer
@@ -112,12 +139,17 @@
 
 // NewNode opens the voter's folder. Register the machines before Run.
 func NewNode(config Config) (*Node, error) {
-	disk, loaded, err := storage.Open(config.Dir)
+	founder := slices.Contains(config.Founders, config.Host)
+	founderID := ""
+	if founder {
+		founderID = founderMember(config.Host).ID
+	}
+	disk, loaded, err := storage.OpenAs(config.Dir, founderID)
 	if err != nil {
 		return nil, err
 	}
 	n := &Node{
-		config: config, start: time.Now(), events: make(chan func(), eventQueue), stopped: make(chan struct{}),
+		config: config, events: make(chan func(), eventQueue), stopped: make(chan struct{}),
 		machines: map[string]Machine{}, storage: disk, id: loaded.ID, senders: map[string]*sender{}, hosts: map[string]string{},
 		waiters: map[uint64]*waiter{}, applied: loaded.Snapshot.Index, snapshotted: loaded.Snapshot.Index,
 		snapshotting: loaded.Snapshot,
@@ -133,8 +165,12 @@
 	n.core = core.New(core.Config{
 		ID: loaded.ID, Host: config.Host, State: loaded.State, Snapshot: loaded.Snapshot,
 		Base: loaded.Base, BaseTerm: loaded.BaseTerm, Entries: loaded.Entries,
-		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	}, 0)
+		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Process: rand.Uint64(), VoterTarget: config.VoterTarget,
+	}, n.now())
+	if founder && loaded.ID == founderID && n.core.Status().Last == 0 {
+		n.core.Initialise(founderMembers(config.Founders))
+	}
 	n.forward = newForwarder(config, n)
 	n.publish()
 	return n, nil
@@ -143,7 +179,25 @@
 // Register adds a machine under a name that is the same on all voters.
 func (n *Node) Register(name string, m Machine) { n.machines[name] = m }
 
-func (n *Node) now() time.Duration { return time.Since(n.start) }
+// now is the time since the start of the machine, which goes on while the
+// machine is suspended: a lease must end in real time.
+func (n *Node) now() time.Duration { return clock.SinceBoot() }
+
+// founderMember names a founder by its address, so that all founders start with
+// the same membership without a message. A host that lost its disk never founds
+// again: it gets a random id.
+func founderMember(host string) core.Member {
+	sum := sha256.Sum256([]byte("founder " + host))
+	return core.Member{ID: hex.EncodeToString(sum[:16]), Host: host}
+}
+
+func founderMembers(hosts []string) []core.Member {
+	var out []core.Member
+	for _, h := range slices.Sorted(slices.Values(hosts)) {
+		out = append(out, founderMember(h))
+	}
+	return out
+}
 
 // Run drives the voter until ctx ends or its disk fails.
 func (n *Node) Run(ctx context.Context) error {
@@ -299,10 +353,11 @@
 			}
 			result = m.Apply(e.Index, command)
 			n.commits.Inc(1)
+			n.appliedBytes += len(e.Data)
 		}
 		n.answer(e, result)
 	}
-	if n.applied >= n.snapshotted+snapshotEntries {
+	if n.applied >= n.snapshotted+snapshotEntries || n.appliedBytes > snapshotBytes {
 		return n.takeSnapshot()
 	}
 	return nil
@@ -345,7 +400,7 @@
 	if err := n.storage.Rewrite(n.id, n.core.State(), base, baseTerm, kept); err != nil {
 		return err
 	}
-	n.snapshotting, n.snapshotted = s, s.Index
+	n.snapshotting, n.snapshotted, n.appliedBytes = s, s.Index, 0
 	n.snapshots.Inc(1)
 	return nil
 }
@@ -357,6 +412,9 @@
 	} else {
 		n.lease.Store(nil)
 	}
+	if asOf, ok := n.core.Current(); ok && n.applied >= n.core.CommitIndex() {
+		n.current.Store(&asOf)
+	}
 	s := n.core.Status()
 	n.status.Store(&s)
 	if s.Term != n.logged.Term || s.Leader != n.logged.Leader {
@@ -395,6 +453,57 @@
 	return max(0, l.until-n.now())
 }
 
+// Age is how old the state of the machines may be: every command that was
+// acknowledged before is applied. It reports false before the first contact with
+// a leader.
+func (n *Node) Age() (time.Duration, bool) {
+	if _, ok := n.Lease(); ok {
+		return 0, true
+	}
+	asOf := n.current.Load()
+	if asOf == nil {
+		return 0, false
+	}
+	return max(0, n.now()-*asOf), true
+}
+
+// AwaitCurrent returns when the machines have every command that was acknowledged
+// before the call, or reports false when ctx ends first.
+func (n *Node) AwaitCurrent(ctx context.Context) bool {
+	start := n.now()
+	ticker := time.NewTicker(currentPoll)
+	defer ticker.Stop()
+	for {
+		if _, ok := n.Lease(); ok {
+			return true
+		}
+		if asOf := n.current.Load(); asOf != nil && *asOf >= start {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-n.stopped:
+			return false
+		case <-ticker.C:
+		}
+	}
+}
+
+// currentPoll spaces the checks of a read that waits for the leader.
+const currentPoll = 10 * time.Millisecond
+
+// Resign hands the lead to another voter before a planned stop.
+func (n *Node) Resign(ctx context.Context) {
+	n.do(ctx, func() { n.core.Resign(n.now()) })
+}
+
+// Leads reports whether this host leads with a valid lease.
+func (n *Node) Leads() bool {
+	_, ok := n.Lease()
+	return ok
+}
+
 // leaderHost is the host that this voter believes to lead, or "".
 func (n *Node) leaderHost() string {
 	s := n.status.Load()
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -135,7 +135,11 @@
 // turn. A voter that does not lead forwards it once more, so one reachable voter
 // is enough.
 func (f *forwarder) throughVoter(ctx context.Context, machine string, command []byte) ([]byte, error) {
-	host := f.config.Voters[int(f.next.Load())%len(f.config.Voters)].Host
+	voters := f.config.voters()
+	if len(voters) == 0 {
+		return nil, fmt.Errorf("%w: no control host is known", errDropped)
+	}
+	host := voters[int(f.next.Load())%len(voters)].Host
 	if leader := f.leader.Load(); leader != nil {
 		host = *leader
 	}
--- a/internal/control/storage/storage.go
+++ b/internal/control/storage/storage.go
@@ -46,7 +46,10 @@
 }
 
 // Open reads the folder, and creates it with a new random id if it is empty.
-func Open(dir string) (*Storage, *Loaded, error) {
+func Open(dir string) (*Storage, *Loaded, error) { return OpenAs(dir, "") }
+
+// OpenAs is Open with the id that an empty folder gets; "" means a random one.
+func OpenAs(dir, newID string) (*Storage, *Loaded, error) {
 	s := &Storage{dir: dir}
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, nil, fmt.Errorf("control: storage: %w", err)
@@ -56,7 +59,7 @@
 	}
 	id, err := os.ReadFile(s.path(idFile))
 	if errors.Is(err, os.ErrNotExist) {
-		return s.create()
+		return s.create(newID)
 	}
 	if err != nil {
 		return nil, nil, fmt.Errorf("control: storage: %w", err)
@@ -75,7 +78,7 @@
 
 // create makes the files of a new voter. The id is written last: a folder
 // without it was never used.
-func (s *Storage) create() (*Storage, *Loaded, error) {
+func (s *Storage) create(id string) (*Storage, *Loaded, error) {
 	if _, err := os.Stat(s.path(snapshotFile)); err == nil {
 		return nil, nil, fmt.Errorf("%w: %s is missing beside a snapshot", ErrDamaged, s.path(idFile))
 	}
@@ -84,7 +87,10 @@
 			return nil, nil, fmt.Errorf("%w: %s is missing beside a log", ErrDamaged, s.path(idFile))
 		}
 	}
-	loaded := &Loaded{ID: randomHex(idBytes)}
+	if id == "" {
+		id = randomHex(idBytes)
+	}
+	loaded := &Loaded{ID: id}
 	if err := s.Rewrite(loaded.ID, core.HardState{}, 0, 0, nil); err != nil {
 		return nil, nil, err
 	}
--- /dev/null
+++ b/internal/controlplane/controlplane.go
@@ -0,0 +1,127 @@
+package controlplane
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/control"
+	"geraniumturn.example/geraniumturn/internal/document"
+	"geraniumturn.example/geraniumturn/internal/fleetsync"
+	"geraniumturn.example/geraniumturn/internal/registry"
+)
+
+var (
+	// ErrInvalid means that a document was refused and changed nothing.
+	ErrInvalid = errors.New("controlplane: invalid document")
+	// ErrUnavailable means that the outcome of a change, or the newest
+	// configuration, is not known here. The call may be repeated.
+	ErrUnavailable = errors.New("controlplane: unavailable")
+)
+
+const (
+	// changeLimit bounds a change. Callers go to another host after a second; the
+	// change may still complete for a later call.
+	changeLimit = 4 * time.Second
+	// readLimit bounds the wait for the leader's confirmation, within the second
+	// that callers wait.
+	readLimit = 850 * time.Millisecond
+)
+
+// Decoder decodes and checks documents.
+type Decoder interface {
+	Decode(content []byte) (*document.Document, error)
+}
+
+// Service is the control plane of one control host.
+type Service struct {
+	Log      *control.Node
+	Document *document.Machine
+	Decoder  Decoder
+	Targets  *registry.Table
+	Presence *fleetsync.Presence
+	Logger   *logrus.Logger
+}
+
+// Replace puts a document in force and returns when it, or a higher version, is
+// durable.
+func (s *Service) Replace(ctx context.Context, content []byte) error {
+	d, err := s.Decoder.Decode(content)
+	if err != nil {
+		s.Logger.WithFields(logrus.Fields{"bytes": len(content), "error": err.Error()}).Info("document refused")
+		return fmt.Errorf("%w: %v", ErrInvalid, err)
+	}
+	state, _ := s.Document.State()
+	if state.Version >= d.Version {
+		s.Logger.WithFields(logrus.Fields{"version": d.Version, "stored": state.Version}).Info("document overtaken")
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeLimit)
+	defer cancel()
+	started := clock.SinceBoot()
+	err = document.Replace(ctx, s.Log, d.Version, content)
+	s.logChange(logrus.Fields{"version": d.Version}, started, err)
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrUnavailable, err)
+	}
+	return nil
+}
+
+// Evacuate starts or ends the evacuation of a data centre.
+func (s *Service) Evacuate(ctx context.Context, dataCentre string, evacuate bool) error {
+	ctx, cancel := context.WithTimeout(ctx, changeLimit)
+	defer cancel()
+	started := clock.SinceBoot()
+	err := document.Evacuate(ctx, s.Log, dataCentre, evacuate)
+	s.logChange(logrus.Fields{"data_centre": dataCentre, "evacuate": evacuate}, started, err)
+	if err != nil {
+		return fmt.Errorf("%w: %v", ErrUnavailable, err)
+	}
+	return nil
+}
+
+func (s *Service) logChange(fields logrus.Fields, started time.Duration, err error) {
+	fields["took_ms"] = (clock.SinceBoot() - started).Milliseconds()
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	s.Logger.WithFields(fields).Info("change")
+}
+
+// Read returns the newest document as it was sent.
+func (s *Service) Read(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	if !s.Log.AwaitCurrent(ctx) {
+		s.Logger.Info("read refused: no contact with the leader")
+		return nil, fmt.Errorf("%w: no contact with the leader", ErrUnavailable)
+	}
+	state, _ := s.Document.State()
+	if state.Version == 0 {
+		return nil, fmt.Errorf("%w: no document yet", ErrUnavailable)
+	}
+	return state.Content, nil
+}
+
+// Heartbeat takes what a target says of itself. cold is how much longer it is cold.
+func (s *Service) Heartbeat(r registry.Record, cold time.Duration) {
+	now := clock.SinceBoot()
+	if cold > 0 {
+		r.ColdUntil = now + cold
+	}
+	if s.Targets.Heartbeat(now, r) {
+		s.Logger.WithFields(logrus.Fields{"target": r.ID, "service": r.Service, "address": r.Address, "state": r.State.String(),
+			"sequence": r.Sequence, "born": r.Born, "cold_ms": cold.Milliseconds()}).Info("target changed")
+	}
+}
+
+// Leave records that a target goes. born is 0 when the target did not say.
+func (s *Service) Leave(id string, born int64) {
+	if s.Targets.Leave(clock.SinceBoot(), id, born) {
+		s.Logger.WithField("target", id).Info("target left")
+	}
+}
--- /dev/null
+++ b/internal/daemon/deployment.go
@@ -0,0 +1,226 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	ossignal "os/signal"
+	"runtime/debug"
+	"slices"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/eventlog"
+	"geraniumturn.example/geraniumturn/internal/peer"
+	"geraniumturn.example/geraniumturn/internal/settings"
+	"geraniumturn.example/geraniumturn/internal/sockets"
+)
+
+const (
+	// memoryPart of the memory limit is the soft limit of the garbage collector;
+	// the rest covers socket buffers and stacks.
+	memoryPart = 0.6
+	// reloadInterval spaces the checks whether the settings file has changed; it
+	// may change without a signal.
+	reloadInterval = 2 * time.Second
+	// acceptSilence ends an accepted connection whose peer acknowledges nothing.
+	acceptSilence = 5 * time.Second
+	// frontIdle is above every idle time-out that callers count on.
+	frontIdle = 90 * time.Second
+	// frontHeader bounds the time in which a caller sends the head of a request.
+	frontHeader = 10 * time.Second
+	// stopReserve of the time to stop is kept for the end of the process.
+	stopReserve = 600 * time.Millisecond
+)
+
+// deployment is one process where the configuration is a document.
+type deployment struct {
+	path      string
+	settings  *settings.Settings
+	seeds     atomic.Pointer[[]string]
+	log       *logrus.Logger
+	metrics   metrics.Registry
+	transport *peer.Transport
+	group     run.Group
+}
+
+// RunDeployment runs an entry or a control host until a signal or a failure. Log
+// lines go to out.
+func RunDeployment(path string, s *settings.Settings, out io.Writer) error {
+	writer := eventlog.NewWriter(out)
+	defer writer.Close()
+	if mb := s.Deployment.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(mb) * (1 << 20)))
+	}
+	d := &deployment{path: path, settings: s, log: eventlog.NewLogger(writer), metrics: metrics.NewRegistry(),
+		transport: peer.New(s.Name, &clock.HLC{}, nil)}
+	seeds := s.Deployment.SeedPeers()
+	d.seeds.Store(&seeds)
+	metrics.NewRegisteredFunctionalGauge("log.dropped", d.metrics, writer.Dropped)
+	role := string(s.Roles[0])
+	d.log.WithFields(logrus.Fields{"host": s.Name, "role": role, "seeds": seeds, "found": s.Deployment.Found}).Info("start")
+	err := d.run()
+	d.log.WithFields(logrus.Fields{"host": s.Name, "error": fmt.Sprint(err)}).Info("stop")
+	return err
+}
+
+func (d *deployment) run() error {
+	defer func() { _ = d.transport.Close() }()
+	build := d.buildEntry
+	if d.settings.HasRole(settings.RoleControl) {
+		build = d.buildControl
+	}
+	stop, err := build()
+	if err != nil {
+		return err
+	}
+	d.addSignals(stop)
+	d.addLoop(d.watchSettings)
+	if address := d.settings.Deployment.MetricsAddress(); address != "" {
+		if err := d.addServer(address, metricsHandler(d.metrics), nil); err != nil {
+			return err
+		}
+	}
+	err = d.group.Run()
+	if errors.Is(err, errStopped) {
+		return nil
+	}
+	return err
+}
+
+// errStopped ends the group after a graceful stop.
+var errStopped = errors.New("stopped by a signal")
+
+// addSignals runs stop at the first signal to end, which has until the end of the
+// grace time, and then ends the group.
+func (d *deployment) addSignals(stop func(ctx context.Context)) {
+	done := make(chan struct{})
+	signals := make(chan os.Signal, 2)
+	ossignal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	d.group.Add(func() error {
+		select {
+		case <-done:
+			return nil
+		case s := <-signals:
+			d.log.WithField("signal", s.String()).Info("stopping")
+		}
+		limit := settings.Seconds(d.settings.Deployment.Bounds.GraceS) - stopReserve
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		stop(ctx)
+		return errStopped
+	}, func(error) {
+		ossignal.Stop(signals)
+		close(done)
+	})
+}
+
+func (d *deployment) addLoop(loop func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.group.Add(func() error {
+		err := loop(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		return err
+	}, func(error) { cancel() })
+}
+
+// addServer serves a handler on an address. configure may change the server.
+func (d *deployment) addServer(address string, handler http.Handler, configure func(*http.Server)) error {
+	listener, err := d.listen(address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: frontHeader, IdleTimeout: frontIdle, ErrorLog: nil}
+	if configure != nil {
+		configure(server)
+	}
+	d.group.Add(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("daemon: serve %s: %w", address, err)
+		}
+		<-make(chan struct{}) // a planned stop closed the server; the group ends by the signal
+		return nil
+	}, func(error) { _ = server.Close() })
+	return nil
+}
+
+func (d *deployment) listen(address string) (net.Listener, error) {
+	listener, err := sockets.ListenConfig(acceptSilence).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("daemon: listen on %s: %w", address, err)
+	}
+	return listener, nil
+}
+
+// watchSettings reads the settings file again at SIGHUP and when it has changed.
+// Only the seeds take effect in a running process.
+func (d *deployment) watchSettings(ctx context.Context) error {
+	hangups := make(chan os.Signal, 1)
+	ossignal.Notify(hangups, syscall.SIGHUP)
+	defer ossignal.Stop(hangups)
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	last, _ := os.ReadFile(d.path) // a file that cannot be read is reported below
+	for {
+		cause := "changed file"
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hangups:
+			cause = "signal"
+		case <-ticker.C:
+		}
+		content, err := os.ReadFile(d.path)
+		if err != nil {
+			d.log.WithError(err).Warn("settings not read")
+			continue
+		}
+		if cause != "signal" && slices.Equal(content, last) {
+			continue
+		}
+		last = content
+		s, err := settings.Parse(content)
+		if err != nil {
+			d.log.WithError(err).Error("settings refused; the old ones stay in force")
+			continue
+		}
+		seeds := s.Deployment.SeedPeers()
+		d.seeds.Store(&seeds)
+		d.log.WithFields(logrus.Fields{"cause": cause, "seeds": seeds}).Info("settings read")
+	}
+}
+
+func (d *deployment) seedPeers() []string { return *d.seeds.Load() }
+
+// metricsHandler writes counters, gauges and histograms as text, one a line. Times
+// are in milliseconds.
+func metricsHandler(r metrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		r.Each(func(name string, value any) {
+			switch m := value.(type) {
+			case metrics.Counter:
+				fmt.Fprintf(w, "%s %d\n", name, m.Count())
+			case metrics.Gauge:
+				fmt.Fprintf(w, "%s %d\n", name, m.Value())
+			case metrics.Timer:
+				s := m.Snapshot()
+				p := s.Percentiles([]float64{0.5, 0.9, 0.99})
+				fmt.Fprintf(w, "%s.count %d\n%s.p50_ms %.3f\n%s.p90_ms %.3f\n%s.p99_ms %.3f\n", name, s.Count(),
+					name, p[0]/1e6, name, p[1]/1e6, name, p[2]/1e6)
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/daemon/deployment_control.go
@@ -0,0 +1,98 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"path/filepath"
+	"time"
+
+	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/control"
+	"geraniumturn.example/geraniumturn/internal/control/controlpb"
+	"geraniumturn.example/geraniumturn/internal/controlplane"
+	"geraniumturn.example/geraniumturn/internal/document"
+	"geraniumturn.example/geraniumturn/internal/fleetsync"
+	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/registry"
+	"geraniumturn.example/geraniumturn/internal/settings"
+	"geraniumturn.example/geraniumturn/platform"
+)
+
+const (
+	// directoryTTL is how long callers may keep an answer of the directory. A
+	// shorter time costs more questions, a longer one more tries of hosts that left.
+	directoryTTL = 2 * time.Second
+	// resignTime is how long a stopping control host serves after it gave up the
+	// lead, so that the next leader is known.
+	resignTime = 400 * time.Millisecond
+	// controlDrain bounds the wait for calls in progress.
+	controlDrain = time.Second
+)
+
+// buildControl wires a control host and returns its graceful stop.
+func (d *deployment) buildControl() (func(context.Context), error) {
+	s := d.settings
+	p := s.Deployment
+	presence := fleetsync.NewPresence()
+	config := control.Config{Host: p.PeerAddress(), Dir: filepath.Join(s.DataDir, controlFolder), Dial: d.transport.Dial,
+		Logger: d.log, Metrics: d.metrics, VoterTarget: 2*p.LostDisks + 1,
+		Learn: func() []control.Voter { return voters(presence) }}
+	if p.Found {
+		config.Founders = p.SeedPeers()
+	}
+	node, err := control.NewNode(config)
+	if err != nil {
+		return nil, err
+	}
+	machine := document.NewMachine()
+	node.Register(document.MachineName, machine)
+	table := registry.NewTable()
+	server := &fleetsync.Server{Self: &syncpb.ControlHost{Peer: p.PeerAddress(), Region: s.Region}, Log: node, Document: machine,
+		Targets: table, Presence: presence, Dial: d.transport.Dial, Process: rand.Uint64()}
+	server.Init()
+	plane := &controlplane.Service{Log: node, Document: machine, Decoder: platform.Configurations{}, Targets: table, Presence: presence, Logger: d.log}
+	if err := d.transport.Register(node.Service(), controlpb.DRPCControlDescription{}); err != nil {
+		return nil, err
+	}
+	if err := d.transport.Register(server, syncpb.DRPCSyncDescription{}); err != nil {
+		return nil, err
+	}
+	listener, err := d.listen(p.PeerAddress())
+	if err != nil {
+		return nil, err
+	}
+	d.addLoop(func(ctx context.Context) error { return d.transport.Serve(ctx, listener) })
+	d.addLoop(node.Run)
+	d.addLoop(func(ctx context.Context) error { return server.Run(ctx, d.seedPeers) })
+	var front, directory *http.Server
+	err = d.addServer(p.Control, platform.ControlHandler(plane), func(h *http.Server) { front = h })
+	if err == nil {
+		err = d.addServer(p.Directory, platform.DirectoryHandler(plane, min(directoryTTL, settings.Seconds(p.Bounds.DirectoryTTLS))), func(h *http.Server) { directory = h })
+	}
+	return func(ctx context.Context) { d.stopControl(ctx, node, front, directory) }, err
+}
+
+func voters(presence *fleetsync.Presence) []control.Voter {
+	var out []control.Voter
+	for _, c := range presence.Controls(clock.SinceBoot()) {
+		out = append(out, control.Voter{Host: c.GetPeer(), Address: c.GetPeer()})
+	}
+	return out
+}
+
+// stopControl hands the lead over and ends the calls in progress.
+func (d *deployment) stopControl(ctx context.Context, node *control.Node, servers ...*http.Server) {
+	node.Resign(ctx)
+	select {
+	case <-ctx.Done():
+	case <-time.After(resignTime):
+	}
+	ctx, cancel := context.WithTimeout(ctx, controlDrain)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			d.log.WithError(err).Warn("calls were cut at the stop")
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/deployment_entry.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/fleetsync"
+	"geraniumturn.example/geraniumturn/internal/gateway"
+	"geraniumturn.example/geraniumturn/internal/registry"
+	"geraniumturn.example/geraniumturn/internal/settings"
+	"geraniumturn.example/geraniumturn/platform"
+)
+
+const (
+	// drainTime is how long a stopping entry host takes new requests: callers keep
+	// a directory answer for this long, and most requests that it takes can end
+	// within the rest of the time.
+	drainTime = 2500 * time.Millisecond
+	// keyMargin covers the drift of clocks in the life of keys.
+	keyMargin = 100 * time.Millisecond
+)
+
+// buildEntry wires an entry host and returns its graceful stop.
+func (d *deployment) buildEntry() (func(context.Context), error) {
+	s := d.settings
+	p := s.Deployment
+	g := &gateway.Gateway{
+		Name: s.Name, DataCentre: s.DataCentre, Region: s.Region, Regions: p.Regions,
+		Bounds: gateway.Bounds{
+			KeyLife: settings.Millis(p.Bounds.RevocationMS) - keyMargin, DenyLife: settings.Millis(p.Bounds.ConfigurationMS) - keyMargin,
+			RetryRatio: p.Bounds.RetryRatio, RetryWindow: settings.Seconds(p.Bounds.RetryWindowS), RetrySlack: p.Bounds.RetrySlack,
+			ColdOverrun: p.Bounds.ColdOverrun, ColdSlack: p.Bounds.ColdSlack,
+		},
+		Caller: platform.Callers{}, Targets: platform.TargetCalls{}, Views: gateway.NewViews(platform.Configurations{}),
+		Table: registry.NewTable(), Log: d.log, Metrics: d.metrics, Front: p.Front, Forward: p.ForwardAddress(),
+		Started: time.Now().UnixMilli(),
+	}
+	g.Init(p.ReadSpeed * float64(time.Second/time.Millisecond))
+	client := &fleetsync.Client{Region: s.Region, Dial: d.transport.Dial, Request: g.Report, Apply: g.Apply,
+		Changed: func(control string, reachable bool, err error) {
+			entry := d.log.WithFields(logrus.Fields{"control": control, "reachable": reachable})
+			if err != nil {
+				entry = entry.WithError(err)
+			}
+			entry.Info("control host")
+		}}
+	var front, forward *http.Server
+	err := d.addServer(p.Front, g, func(server *http.Server) { front = server })
+	if err == nil {
+		err = d.addServer(p.ForwardAddress(), g.ForwardHandler(), func(server *http.Server) { forward = server })
+	}
+	if err == nil {
+		err = d.addServer(p.Ready, platform.ReadyHandler(g.Ready), nil)
+	}
+	if err != nil {
+		return nil, err
+	}
+	d.addLoop(func(ctx context.Context) error { return client.Run(ctx, d.seedPeers) })
+	return func(ctx context.Context) { d.stopEntry(ctx, g, front, forward) }, nil
+}
+
+// stopEntry asks callers to go elsewhere, goes on serving while they may still come,
+// and waits for the requests in progress.
+func (d *deployment) stopEntry(ctx context.Context, g *gateway.Gateway, front, forward *http.Server) {
+	started := clock.SinceBoot()
+	g.Drain()
+	select {
+	case <-ctx.Done():
+	case <-time.After(drainTime):
+	}
+	if err := front.Shutdown(ctx); err != nil {
+		d.log.WithField("open", g.Open()).Warn("requests were cut at the stop")
+	}
+	if err := forward.Shutdown(ctx); err != nil {
+		d.log.WithField("open", g.Open()).Warn("forwarded requests were cut at the stop")
+	}
+	d.log.WithField("took_ms", (clock.SinceBoot() - started).Milliseconds()).Info("drained")
+}
--- /dev/null
+++ b/internal/document/document.go
@@ -0,0 +1,246 @@
+package document
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// ErrInvalid is wrapped by every error about the content of a document.
+var ErrInvalid = errors.New("document: invalid")
+
+// Kind tells what may be repeated on a route.
+type Kind string
+
+// The kinds of routes.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = "idempotent"
+	// NonIdempotent requests run at most once for each caller's attempt.
+	NonIdempotent Kind = "non_idempotent"
+	// Streaming answers are a series of events.
+	Streaming Kind = "streaming"
+)
+
+// Document is one version of the configuration.
+type Document struct {
+	Version    uint64
+	Routes     []Route
+	Services   []Service
+	Workspaces []Workspace
+	Limits     Limits
+}
+
+// Route sends the requests of a host name and path prefix to a service.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// Objective is the time to the first byte that earns full credit.
+	Objective time.Duration
+	// MaxGap is the longest pause between events of an answer that is on time.
+	MaxGap time.Duration
+	// Priority ranks the route; 0 is the highest.
+	Priority int
+	// Split has the services with their weights; one with weight 1 when the route
+	// names a single service.
+	Split []Share
+	// MaxAttempts is the number of targets to which one request may be sent.
+	MaxAttempts int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may be continued at another target.
+	Resumable bool
+	// Homes are the regions in which requests may be served; empty means all.
+	Homes []string
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
+
+// Share is a service's part of a route.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Service is a group of interchangeable targets.
+type Service struct {
+	Name           string
+	HealthPath     string
+	MaxConnections int
+	// Warmup is how long a target is cold after its start.
+	Warmup time.Duration
+	// ColdRate is how many requests per second a cold target tolerates.
+	ColdRate float64
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Engine has the figures of a model engine.
+type Engine struct {
+	Slots int
+	// CacheTokens is the memory for running requests and cached prompt parts.
+	CacheTokens int64
+}
+
+// Workspace is a tenant with its keys and its rate.
+type Workspace struct {
+	Name     string
+	Keys     []string
+	Priority int
+	// Rate is in tokens per second and Burst in tokens; zero means no limit.
+	Rate, Burst float64
+	// PerRequest means that the limits count requests instead of tokens.
+	PerRequest bool
+	// UncachedTokens is the cost of a request that does not state its tokens.
+	UncachedTokens int64
+	Homes          []string
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Validate checks the references and values of the document.
+func (d *Document) Validate() error {
+	services := map[string]bool{}
+	for _, s := range d.Services {
+		if s.Name == "" || services[s.Name] {
+			return fmt.Errorf("%w: service %q is unnamed or listed twice", ErrInvalid, s.Name)
+		}
+		services[s.Name] = true
+	}
+	places := map[string]bool{}
+	for i := range d.Routes {
+		if err := d.Routes[i].validate(services, places); err != nil {
+			return err
+		}
+	}
+	return d.validateKeys()
+}
+
+func (r *Route) validate(services, places map[string]bool) error {
+	switch {
+	case r.Host == "" || !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return fmt.Errorf("%w: route %s needs a host and a prefix between slashes", ErrInvalid, r.Name)
+	case r.Timeout <= 0:
+		return fmt.Errorf("%w: route %s has no timeout", ErrInvalid, r.Name)
+	case r.Kind != Idempotent && r.Kind != NonIdempotent && r.Kind != Streaming:
+		return fmt.Errorf("%w: route %s has unknown kind %q", ErrInvalid, r.Name, r.Kind)
+	}
+	place := strings.ToLower(r.Host) + r.Prefix
+	if places[place] {
+		return fmt.Errorf("%w: two routes have the place %s", ErrInvalid, place)
+	}
+	places[place] = true
+	total := 0
+	for _, s := range r.Split {
+		if !services[s.Service] {
+			return fmt.Errorf("%w: route %s names unknown service %q", ErrInvalid, r.Name, s.Service)
+		}
+		if s.Weight < 0 {
+			return fmt.Errorf("%w: route %s has a negative weight", ErrInvalid, r.Name)
+		}
+		total += s.Weight
+	}
+	if total <= 0 {
+		return fmt.Errorf("%w: the weights of route %s add up to 0", ErrInvalid, r.Name)
+	}
+	return nil
+}
+
+func (d *Document) validateKeys() error {
+	holders := map[string]string{}
+	for _, w := range d.Workspaces {
+		if w.Name == "" {
+			return fmt.Errorf("%w: a workspace has no name", ErrInvalid)
+		}
+		for _, k := range w.Keys {
+			if other, taken := holders[k]; taken && other != w.Name {
+				return fmt.Errorf("%w: workspaces %s and %s share a key", ErrInvalid, other, w.Name)
+			}
+			holders[k] = w.Name
+		}
+	}
+	return nil
+}
+
+// Index is a document prepared for lookups. It is immutable.
+type Index struct {
+	*Document
+	routes     map[string][]*Route // by lower-case host, longest prefix first
+	services   map[string]*Service
+	workspaces map[string]*Workspace // by key
+}
+
+// NewIndex prepares a valid document.
+func NewIndex(d *Document) *Index {
+	x := &Index{Document: d, routes: map[string][]*Route{}, services: map[string]*Service{}, workspaces: map[string]*Workspace{}}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		host := strings.ToLower(r.Host)
+		x.routes[host] = append(x.routes[host], r)
+	}
+	for _, routes := range x.routes {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range d.Services {
+		x.services[d.Services[i].Name] = &d.Services[i]
+	}
+	for i := range d.Workspaces {
+		for _, k := range d.Workspaces[i].Keys {
+			x.workspaces[k] = &d.Workspaces[i]
+		}
+	}
+	return x
+}
+
+// Route returns the route of a host name, without port, and path.
+func (x *Index) Route(host, path string) *Route {
+	for _, r := range x.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// HostRoutes returns the routes of a host name.
+func (x *Index) HostRoutes(host string) []*Route { return x.routes[strings.ToLower(host)] }
+
+// Service returns the named service, or nil.
+func (x *Index) Service(name string) *Service { return x.services[name] }
+
+// Workspace returns the holder of a key, or nil.
+func (x *Index) Workspace(key string) *Workspace { return x.workspaces[key] }
+
+// Homes returns the regions in which a request of the route and workspace may be
+// served; nil means all.
+func Homes(r *Route, w *Workspace) []string {
+	if w == nil || len(w.Homes) == 0 {
+		return r.Homes
+	}
+	if len(r.Homes) == 0 {
+		return w.Homes
+	}
+	out := []string{}
+	for _, h := range r.Homes {
+		if slices.Contains(w.Homes, h) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleetsync/client.go
@@ -0,0 +1,155 @@
+package fleetsync
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"storj.io/drpc"
+
+	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/registry"
+)
+
+const (
+	// nearInterval and farInterval space the exchanges with control hosts of the
+	// own and of other regions.
+	nearInterval = 200 * time.Millisecond
+	farInterval  = 500 * time.Millisecond
+	// failedInterval spaces the tries of a control host that does not answer.
+	failedInterval  = time.Second
+	exchangeTimeout = 700 * time.Millisecond
+	// discoverInterval spaces the checks for new control hosts.
+	discoverInterval = 100 * time.Millisecond
+)
+
+// Update is what an exchange brought.
+type Update struct {
+	// Sent is when the request left, Control the host that answered.
+	Sent    time.Duration
+	Control string
+	*syncpb.ExchangeResponse
+	Records []registry.Record
+}
+
+// Client is the part of an entry host.
+type Client struct {
+	Region string
+	Dial   func(address string) drpc.Conn
+	// Request returns the report of this host; the client adds the position in
+	// the target table.
+	Request func(now time.Duration) *syncpb.ExchangeRequest
+	// Apply takes an answer. Calls are serialised.
+	Apply func(now time.Duration, u Update)
+	// Lost and Regained report a control host that stops or starts answering.
+	Changed func(control string, reachable bool, err error)
+
+	mu       sync.Mutex
+	controls map[string]string // region by peer address
+	running  map[string]bool
+	applying sync.Mutex
+}
+
+// Run exchanges with every known control host until ctx ends.
+func (c *Client) Run(ctx context.Context, seeds func() []string) error {
+	c.controls, c.running = map[string]string{}, map[string]bool{}
+	ticker := time.NewTicker(discoverInterval)
+	defer ticker.Stop()
+	var pollers sync.WaitGroup
+	defer pollers.Wait()
+	for {
+		c.mu.Lock()
+		for _, a := range seeds() {
+			if _, known := c.controls[a]; !known {
+				c.controls[a] = ""
+			}
+		}
+		for a := range c.controls {
+			if !c.running[a] {
+				c.running[a] = true
+				pollers.Go(func() { c.poll(ctx, a, seeds) })
+			}
+		}
+		c.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// poll exchanges with one control host until ctx ends or the host is forgotten.
+func (c *Client) poll(ctx context.Context, address string, seeds func() []string) {
+	var table, cursor uint64
+	reachable := true
+	heard := clock.SinceBoot()
+	for ctx.Err() == nil {
+		sent := clock.SinceBoot()
+		in := c.Request(sent)
+		in.Table, in.Cursor = table, cursor
+		callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+		out, err := syncpb.NewDRPCSyncClient(c.Dial(address)).Exchange(callCtx, in)
+		cancel()
+		now := clock.SinceBoot()
+		if ok := err == nil; ok != reachable && ctx.Err() == nil {
+			reachable = ok
+			c.Changed(address, ok, err)
+		}
+		wait := failedInterval
+		if err == nil {
+			table, cursor, heard = out.GetTable(), out.GetCursor(), now
+			c.learn(out.GetControls())
+			c.applying.Lock()
+			c.Apply(now, Update{Sent: sent, Control: address, ExchangeResponse: out, Records: decodeRecords(now, out.GetTargets())})
+			c.applying.Unlock()
+			wait = c.interval(address)
+		} else if now-heard > controlMemory && c.forget(address, seeds()) {
+			return
+		}
+		pause(ctx, wait)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (c *Client) learn(controls []*syncpb.ControlHost) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range controls {
+		if h.GetRegion() != "" || c.controls[h.GetPeer()] == "" {
+			c.controls[h.GetPeer()] = h.GetRegion()
+		}
+	}
+}
+
+func (c *Client) interval(address string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.controls[address] == c.Region {
+		return nearInterval
+	}
+	return farInterval
+}
+
+// forget drops a control host that is not among the seeds.
+func (c *Client) forget(address string, seeds []string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range seeds {
+		if s == address {
+			return false
+		}
+	}
+	delete(c.controls, address)
+	delete(c.running, address)
+	return true
+}
--- /dev/null
+++ b/internal/fleetsync/server.go
@@ -0,0 +1,262 @@
+package fleetsync
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
+
+	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/document"
+	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/registry"
+	"geraniumturn.example/geraniumturn/internal/shares"
+)
+
+const (
+	// relayInterval spaces the calls between control hosts. A target that leaves
+	// is known everywhere after this time and the way.
+	relayInterval = 150 * time.Millisecond
+	relayTimeout  = 700 * time.Millisecond
+	// grantsLife bounds the age of grants that are passed on from the leader.
+	grantsLife = 2 * time.Second
+)
+
+// Leadership tells what the replicated log knows of itself.
+type Leadership interface {
+	Leads() bool
+	Age() (time.Duration, bool)
+}
+
+// Server is the part of a control host.
+type Server struct {
+	Self     *syncpb.ControlHost
+	Log      Leadership
+	Document *document.Machine
+	Targets  *registry.Table
+	Presence *Presence
+	Dial     func(address string) drpc.Conn
+	// Process numbers this process, so that a cursor of an earlier one is not used.
+	Process uint64
+
+	mu        sync.Mutex
+	allocator *shares.Allocator
+	demands   map[string]*hostDemands
+	grants    map[string]*hostGrants
+}
+
+type hostDemands struct {
+	demands []*syncpb.Demand
+	heard   time.Duration
+}
+
+type hostGrants struct {
+	grants []*syncpb.Grant
+	// asOf is when the host sent the demand that they answer.
+	asOf time.Duration
+}
+
+// Init prepares the server; call it before the first call arrives.
+func (s *Server) Init() { s.demands, s.grants = map[string]*hostDemands{}, map[string]*hostGrants{} }
+
+// Exchange implements the drpc service.
+func (s *Server) Exchange(_ context.Context, in *syncpb.ExchangeRequest) (*syncpb.ExchangeResponse, error) {
+	now := clock.SinceBoot()
+	s.Presence.Entry(now, in.GetHost(), true)
+	out := &syncpb.ExchangeResponse{Controls: s.Presence.Controls(now)}
+	// The age is read before the state, so that the state is at most this old.
+	age, known := s.Log.Age()
+	state, _ := s.Document.State()
+	out.Known, out.AgeMs, out.Index, out.Version = known, age.Milliseconds()+1, state.Index, state.Version
+	if in.GetVersion() != state.Version {
+		out.Content = state.Content
+	}
+	out.Evacuated, out.Restored = evacuations(state.Evacuated), evacuations(state.Restored)
+	cursor := in.GetCursor()
+	if in.GetTable() != s.Process {
+		cursor = 0
+	}
+	records, next := s.Targets.Since(cursor)
+	out.Table, out.Cursor, out.Targets = s.Process, next, encodeRecords(now, records)
+	if in.GetWantHosts() {
+		out.Hosts = s.Presence.Entries(now)
+	}
+	out.Grants, out.GrantsAgeMs = s.grantsFor(now, in.GetHost().GetName(), in.GetDemands())
+	return out, nil
+}
+
+func evacuations(m map[string]uint64) []*syncpb.Evacuation {
+	var out []*syncpb.Evacuation
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, &syncpb.Evacuation{DataCentre: name, Index: m[name]})
+	}
+	return out
+}
+
+// grantsFor answers a host's demands: the leader at once, another control host
+// with what the leader granted for an earlier report.
+func (s *Server) grantsFor(now time.Duration, host string, demands []*syncpb.Demand) ([]*syncpb.Grant, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Log.Leads() {
+		return s.allocate(now, host, demands), 0
+	}
+	s.allocator = nil
+	s.demands[host] = &hostDemands{demands, now}
+	g := s.grants[host]
+	if g == nil || now-g.asOf > grantsLife {
+		return nil, 0
+	}
+	return g.grants, (now - g.asOf).Milliseconds() + 1
+}
+
+// allocate runs on the leader, with s.mu held.
+func (s *Server) allocate(now time.Duration, host string, demands []*syncpb.Demand) []*syncpb.Grant {
+	if s.allocator == nil {
+		s.allocator = shares.NewAllocator(now)
+	}
+	in := make([]shares.Demand, len(demands))
+	for i, d := range demands {
+		in[i] = shares.Demand{Workspace: d.GetWorkspace(), PerSecond: d.GetPerSecond(), Held: d.GetHeld()}
+	}
+	granted := s.allocator.Report(now, host, in)
+	out := make([]*syncpb.Grant, len(granted))
+	for i, g := range granted {
+		out[i] = &syncpb.Grant{Workspace: g.Workspace, Fraction: g.Fraction}
+	}
+	return out
+}
+
+// Relay implements the drpc service.
+func (s *Server) Relay(_ context.Context, in *syncpb.RelayRequest) (*syncpb.RelayResponse, error) {
+	now := clock.SinceBoot()
+	s.Presence.Control(now, in.GetFrom(), true)
+	for _, c := range in.GetControls() {
+		s.Presence.Control(now, c, false)
+	}
+	for _, r := range decodeRecords(now, in.GetTargets()) {
+		s.Targets.Merge(now, r)
+	}
+	for _, h := range in.GetHosts() {
+		s.Presence.Entry(now-time.Duration(h.GetHeardMs())*time.Millisecond, h, false)
+	}
+	out := &syncpb.RelayResponse{Controls: s.Presence.Controls(now)}
+	if !s.Log.Leads() {
+		return out, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range in.GetDemands() {
+		if d.GetAgeMs() < grantsLife.Milliseconds() {
+			out.Grants = append(out.Grants, &syncpb.HostGrants{Host: d.GetHost(), Grants: s.allocate(now, d.GetHost(), d.GetDemands()), AgeMs: d.GetAgeMs()})
+		}
+	}
+	return out, nil
+}
+
+// Run relays to the other control hosts until ctx ends. seeds returns the peer
+// addresses of the settings.
+func (s *Server) Run(ctx context.Context, seeds func() []string) error {
+	ticker := time.NewTicker(relayInterval)
+	defer ticker.Stop()
+	for {
+		now := clock.SinceBoot()
+		s.Targets.Expire(now)
+		s.Presence.Control(now, s.Self, true)
+		for _, a := range seeds() {
+			s.Presence.Control(now, &syncpb.ControlHost{Peer: a}, false)
+		}
+		s.relay(ctx, now, seeds())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) relay(ctx context.Context, now time.Duration, seeds []string) {
+	request := &syncpb.RelayRequest{From: s.Self, Targets: encodeRecords(now, s.Targets.TakeHeard()),
+		Hosts: s.Presence.TakeFresh(now), Controls: s.Presence.Controls(now), Demands: s.heardDemands(now)}
+	addresses := map[string]bool{}
+	for _, c := range request.GetControls() {
+		addresses[c.GetPeer()] = true
+	}
+	for _, a := range seeds {
+		addresses[a] = true
+	}
+	delete(addresses, s.Self.GetPeer())
+	var g errgroup.Group
+	for a := range addresses {
+		g.Go(func() error {
+			s.relayTo(ctx, a, request)
+			return nil
+		})
+	}
+	// The calls end by themselves; a slow host must not delay the next round.
+	go func() { _ = g.Wait() }()
+}
+
+func (s *Server) heardDemands(now time.Duration) []*syncpb.HostDemands {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*syncpb.HostDemands
+	for host, d := range s.demands {
+		age := now - d.heard
+		if age > grantsLife {
+			delete(s.demands, host)
+			continue
+		}
+		out = append(out, &syncpb.HostDemands{Host: host, Demands: d.demands, AgeMs: age.Milliseconds()})
+	}
+	return out
+}
+
+func (s *Server) relayTo(ctx context.Context, address string, in *syncpb.RelayRequest) {
+	sent := clock.SinceBoot()
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	out, err := syncpb.NewDRPCSyncClient(s.Dial(address)).Relay(ctx, in)
+	if err != nil {
+		return // the next round tells the same host what it still needs
+	}
+	now := clock.SinceBoot()
+	for _, c := range out.GetControls() {
+		s.Presence.Control(now, c, c.GetPeer() == address)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range out.GetGrants() {
+		asOf := sent - time.Duration(g.GetAgeMs())*time.Millisecond
+		if old := s.grants[g.GetHost()]; old == nil || asOf > old.asOf {
+			s.grants[g.GetHost()] = &hostGrants{g.GetGrants(), asOf}
+		}
+	}
+}
+
+func encodeRecords(now time.Duration, records []registry.Record) []*syncpb.Target {
+	out := make([]*syncpb.Target, len(records))
+	for i, r := range records {
+		out[i] = &syncpb.Target{Id: r.ID, Born: r.Born, Sequence: r.Sequence, Service: r.Service, Address: r.Address,
+			DataCentre: r.DataCentre, Software: r.Software, Slots: int32(r.Slots), State: uint32(r.State),
+			ColdMs: max(0, r.ColdUntil-now).Milliseconds(), Silent: r.Silent}
+	}
+	return out
+}
+
+func decodeRecords(now time.Duration, targets []*syncpb.Target) []registry.Record {
+	out := make([]registry.Record, len(targets))
+	for i, t := range targets {
+		out[i] = registry.Record{ID: t.GetId(), Born: t.GetBorn(), Sequence: t.GetSequence(), Service: t.GetService(),
+			Address: t.GetAddress(), DataCentre: t.GetDataCentre(), Software: t.GetSoftware(), Slots: int(t.GetSlots()),
+			State: registry.State(t.GetState()), Silent: t.GetSilent()}
+		if t.GetColdMs() > 0 {
+			out[i].ColdUntil = now + time.Duration(t.GetColdMs())*time.Millisecond
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gateway/forward.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"geraniumturn.example/geraniumturn/internal/document"
+	"geraniumturn.example/geraniumturn/internal/placement"
+	"geraniumturn.example/geraniumturn/internal/refusal"
+)
+
+// Headers of the protocol between entry hosts.
+const (
+	headerForward = "Geraniumturn-Forward"
+	// headerRan marks an answer of the host itself and says what is known of the
+	// execution.
+	headerRan = "Geraniumturn-Ran"
+)
+
+// forwarded is what one entry host tells another with a request.
+type forwarded struct {
+	Service     string `json:"service"`
+	Workspace   string `json:"workspace,omitempty"`
+	RemainingMS int64  `json:"remaining_ms"`
+	Urgency     int    `json:"urgency"`
+	LastEvent   string `json:"last_event,omitempty"`
+	// Careful requests must not run twice.
+	Careful bool `json:"careful"`
+}
+
+func setForward(h http.Header, f forwarded) error {
+	data, err := json.Marshal(f)
+	if err != nil {
+		return fmt.Errorf("gateway: forward: %w", err)
+	}
+	h.Set(headerForward, string(data))
+	return nil
+}
+
+// ForwardHandler serves requests of other entry hosts. A request is sent to one
+// target of this region and never forwarded again.
+func (g *Gateway) ForwardHandler() http.Handler { return http.HandlerFunc(g.serveForward) }
+
+func (g *Gateway) serveForward(w http.ResponseWriter, r *http.Request) {
+	g.open.Add(1)
+	defer g.open.Add(-1)
+	started := sinceBoot()
+	var f forwarded
+	if err := json.Unmarshal([]byte(r.Header.Get(headerForward)), &f); err != nil {
+		refuseForward(w, refusal.NotRun, fmt.Errorf("no forwarded request: %w", err))
+		return
+	}
+	call, err := g.Caller.Decode(r)
+	if err != nil {
+		refuseForward(w, refusal.NotRun, err)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, defaultMaxBody))
+	if err != nil {
+		refuseForward(w, refusal.NotRun, err)
+		return
+	}
+	x := &exchange{call: call, request: r, body: body, service: f.Service, started: started, ran: refusal.NotRun, last: f.LastEvent,
+		deadline: started + time.Duration(f.RemainingMS)*time.Millisecond, tried: map[string]bool{}, regions: map[string]bool{},
+		route:  &document.Route{Kind: document.Streaming, Resumable: !f.Careful},
+		place:  placement.Request{Service: f.Service, Model: call.Model, Parts: call.Parts, Prompt: call.Prompt, Output: call.Output},
+		header: g.Targets.Header(r.Header)}
+	x.header.Del(headerForward)
+	ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(x.deadline-started))
+	defer cancel()
+	err = g.runForward(ctx, w, x, f)
+	g.Log.WithFields(logrus.Fields{"id": call.ID, "service": f.Service, "workspace": f.Workspace, "target": x.target, "ran": string(x.ran),
+		"total_ms": (sinceBoot() - started).Milliseconds(), "error": fmt.Sprint(err)}).Info("forwarded request")
+	switch {
+	case err == nil:
+	case x.answered || errors.Is(err, errCallerGone):
+		panic(http.ErrAbortHandler)
+	default:
+		refuseForward(w, x.ran, err)
+	}
+}
+
+// runForward sends the request to one target and passes its answer on unread.
+func (g *Gateway) runForward(ctx context.Context, w http.ResponseWriter, x *exchange, f forwarded) error {
+	s, err := g.chooseLocal(x)
+	if err != nil {
+		return err
+	}
+	outcome := placement.Cancelled
+	defer func() { g.done(s.use, outcome) }()
+	x.workspace = &document.Workspace{Name: f.Workspace, Priority: f.Urgency - usualUrgency + 1}
+	res, err := g.dispatch(ctx, x, s)
+	if err != nil {
+		outcome = outcomeOf(ctx, err)
+		if failed, ok := errors.AsType[*attemptError](err); ok {
+			x.ran = failed.ran
+		}
+		return err
+	}
+	defer res.Close()
+	verdict := g.Targets.Judge(res.Status, res.Header)
+	if verdict.NotRun {
+		outcome = placement.Rejected
+		return fmt.Errorf("target %s rejected the request with status %d", s.target, res.Status)
+	}
+	x.ran = refusal.Unknown
+	if err := g.relayStream(w, x, s, res); err != nil {
+		if ctx.Err() == nil {
+			outcome = placement.Failed
+		}
+		return err
+	}
+	outcome = placement.Failed
+	if verdict.Success {
+		outcome = placement.Served
+	}
+	return nil
+}
+
+// chooseLocal finds a target of this region for a forwarded request.
+func (g *Gateway) chooseLocal(x *exchange) (*send, error) {
+	now := sinceBoot()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	choice, ok := g.placer.Choose(now, &x.place, nil)
+	if !ok {
+		return nil, fmt.Errorf("no target of service %s can take the request", x.service)
+	}
+	x.target, x.wait = choice.Target.ID, choice.Wait
+	return &send{use: g.placer.Start(now, choice.Target, &x.place), target: choice.Target.ID, address: choice.Target.Address}, nil
+}
+
+func refuseForward(w http.ResponseWriter, ran refusal.Ran, err error) {
+	w.Header().Set(headerRan, string(ran))
+	status := http.StatusServiceUnavailable
+	if ran != refusal.NotRun {
+		status = http.StatusBadGateway
+	}
+	http.Error(w, err.Error(), status)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,368 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"geraniumturn.example/geraniumturn/internal/document"
+	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/placement"
+	"geraniumturn.example/geraniumturn/internal/refusal"
+	"geraniumturn.example/geraniumturn/internal/registry"
+	"geraniumturn.example/geraniumturn/internal/shares"
+	"geraniumturn.example/geraniumturn/internal/upstream"
+)
+
+// Bounds are the limits of the deployment that the gateway must keep.
+type Bounds struct {
+	// KeyLife is how long keys are accepted on a configuration that cannot be
+	// confirmed. It must be below the time in which a withdrawn key ends.
+	KeyLife time.Duration
+	// DenyLife is the age of a configuration up to which a request may be denied
+	// for a missing route or key; the configuration of an older one may have it.
+	DenyLife time.Duration
+	// RetryRatio, RetryWindow and RetrySlack bound the repeats of all hosts.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+	// ColdOverrun and ColdSlack bound the requests of all hosts to a cold target
+	// in a second: rate x overrun + slack.
+	ColdOverrun, ColdSlack float64
+}
+
+const (
+	// answerMargin ends a request before its caller gives up, so that the final
+	// answer still arrives.
+	answerMargin = 40 * time.Millisecond
+	// sendMargin is taken off the time that a target is given, for the way back.
+	sendMargin = 10 * time.Millisecond
+	// settleRetry is when a caller may come back to a host that learns the state.
+	settleRetry = 500 * time.Millisecond
+	// shortRetry is the least time to come back after a refusal for load.
+	shortRetry = 250 * time.Millisecond
+	// defaultMaxBody bounds a body when the configuration does not.
+	defaultMaxBody = 8 << 20
+	// localDial and remoteDial bound the wait for a connection within the region
+	// and to another one.
+	localDial  = 300 * time.Millisecond
+	remoteDial = 700 * time.Millisecond
+)
+
+// Gateway serves callers of one entry host.
+type Gateway struct {
+	Name, DataCentre, Region string
+	// Regions has the region of each data centre.
+	Regions map[string]string
+	Bounds  Bounds
+	Caller  CallerProtocol
+	Targets TargetProtocol
+	Views   *Views
+	Table   *registry.Table
+	Log     *logrus.Logger
+	Metrics metrics.Registry
+	// Front and Forward are the addresses of this host.
+	Front, Forward string
+	Started        int64
+
+	local, remote *upstream.Pool
+	draining      atomic.Bool
+	open          atomic.Int64
+	measures      measures
+
+	mu       sync.Mutex
+	placer   *placement.Placer
+	buckets  map[string]*shares.Bucket
+	budgets  map[string]*shares.Budget
+	hosts    map[string]*peerHost
+	restored map[string]restoration
+	dirty    uint64 // revision of the table that the placer has
+}
+
+// peerHost is another entry host.
+type peerHost struct {
+	*syncpb.EntryHost
+	heard time.Duration
+}
+
+// restoration is an evacuation that ended.
+type restoration struct {
+	index uint64
+	at    time.Duration
+}
+
+type measures struct {
+	requests, served, refused, broken, retries, forwarded, resumed metrics.Counter
+	firstByte, total                                               metrics.Timer
+}
+
+// Init prepares the gateway after its fields are set. readSpeed is how many prompt
+// tokens an engine reads in a second.
+func (g *Gateway) Init(readSpeed float64) {
+	g.local, g.remote = upstream.NewPool(localDial), upstream.NewPool(remoteDial)
+	opened := metrics.GetOrRegisterCounter("gateway.connections_opened", g.Metrics)
+	g.local.Opened = func() { opened.Inc(1) }
+	g.placer = placement.New(readSpeed, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	g.buckets, g.budgets = map[string]*shares.Bucket{}, map[string]*shares.Budget{}
+	g.hosts, g.restored = map[string]*peerHost{}, map[string]restoration{}
+	counter := func(name string) metrics.Counter {
+		return metrics.GetOrRegisterCounter("gateway."+name, g.Metrics)
+	}
+	g.measures = measures{requests: counter("requests"), served: counter("served"), refused: counter("refused"),
+		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"),
+		firstByte: metrics.GetOrRegisterTimer("gateway.first_byte", g.Metrics),
+		total:     metrics.GetOrRegisterTimer("gateway.total", g.Metrics)}
+}
+
+// Drain makes the host ask callers to go elsewhere.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// Draining reports whether Drain was called.
+func (g *Gateway) Draining() bool { return g.draining.Load() }
+
+// Ready reports whether the host has a configuration and takes requests.
+func (g *Gateway) Ready() bool {
+	v := g.Views.Current()
+	return v != nil && v.Config != nil && !g.Draining()
+}
+
+// Open returns the requests in progress.
+func (g *Gateway) Open() int64 { return g.open.Load() }
+
+// exchange is one caller's request on its way.
+type exchange struct {
+	call      Call
+	view      *View
+	route     *document.Route
+	workspace *document.Workspace
+	service   string
+	homes     []string
+	header    http.Header
+	body      []byte
+	request   *http.Request
+	place     placement.Request
+	started   time.Duration
+	deadline  time.Duration
+	reserved  *reservation
+
+	sends    int // targets that the request was sent to
+	tried    map[string]bool
+	regions  map[string]bool
+	ran      refusal.Ran
+	target   string
+	forward  string
+	first    time.Duration // time to the first byte
+	wait     time.Duration // expected when the target was chosen
+	resumes  int
+	status   int
+	answered bool
+	last     string // last event that was delivered
+}
+
+// ServeHTTP serves a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.open.Add(1)
+	defer g.open.Add(-1)
+	g.measures.requests.Inc(1)
+	x := &exchange{started: sinceBoot(), request: r, ran: refusal.NotRun, tried: map[string]bool{}, regions: map[string]bool{}}
+	if g.Draining() {
+		w.Header().Set("Connection", "close")
+	}
+	err := g.serve(w, x)
+	g.finish(w, x, err)
+}
+
+func (g *Gateway) serve(w http.ResponseWriter, x *exchange) error {
+	var err error
+	if x.call, err = g.Caller.Decode(x.request); err != nil {
+		return refusal.New(refusal.InvalidRequest, refusal.NotRun, "%v", err)
+	}
+	if err := g.identify(x); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(x.request.Context(), x.deadline-x.started)
+	defer cancel()
+	if err := g.readBody(w, x); err != nil {
+		return err
+	}
+	if err := g.reserve(x); err != nil {
+		return err
+	}
+	err = g.run(ctx, w, x)
+	if x.reserved != nil && x.ran == refusal.NotRun {
+		g.release(x.reserved)
+	}
+	if err != nil && !x.answered && ctx.Err() != nil && x.request.Context().Err() == nil {
+		return refusal.New(refusal.Deadline, x.ran, "no answer within the time of the request: %v", err).WithRetry(shortRetry)
+	}
+	return err
+}
+
+// identify finds route and workspace in the newest view.
+func (g *Gateway) identify(x *exchange) error {
+	x.view = g.Views.Current()
+	age, known := g.Views.Age(x.started)
+	if x.view == nil || x.view.Config == nil || !known {
+		return refusal.New(refusal.Draining, refusal.NotRun, "this host has no configuration yet").WithRetry(settleRetry)
+	}
+	host := x.request.Host
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	x.route = x.view.Config.Route(host, x.request.URL.Path)
+	if x.route == nil {
+		return g.deny(age, refusal.New(refusal.NoRoute, refusal.NotRun, "no route for %s%s", host, x.request.URL.Path))
+	}
+	if err := g.authenticate(x, age); err != nil {
+		return err
+	}
+	x.homes = document.Homes(x.route, x.workspace)
+	x.service = pick(x.route.Split)
+	limit := x.route.Timeout
+	if p := x.call.Patience; p > 0 && p-answerMargin < limit {
+		limit = p - answerMargin
+	}
+	x.deadline = x.started + max(0, limit)
+	x.place = placement.Request{Service: x.service, Model: x.call.Model, Parts: x.call.Parts, Prompt: x.call.Prompt, Output: x.call.Output}
+	return nil
+}
+
+// deny refuses for a missing route or key only when the view is fresh.
+func (g *Gateway) deny(age time.Duration, e *refusal.Error) error {
+	if age > g.Bounds.DenyLife {
+		return refusal.New(refusal.NoQuorum, refusal.NotRun, "the configuration may be out of date by %s", age).WithRetry(settleRetry)
+	}
+	return e
+}
+
+func (g *Gateway) authenticate(x *exchange, age time.Duration) error {
+	x.workspace = x.view.Config.Workspace(x.call.Key)
+	if x.route.Public || len(x.view.Config.Workspaces) == 0 {
+		return nil
+	}
+	if age > g.Bounds.KeyLife {
+		return refusal.New(refusal.NoQuorum, refusal.NotRun, "keys cannot be confirmed: the configuration is %s old", age).WithRetry(settleRetry)
+	}
+	if x.workspace == nil {
+		return g.deny(age, refusal.New(refusal.Unauthenticated, refusal.NotRun, "unknown key"))
+	}
+	return nil
+}
+
+// pick chooses a service by weight.
+func pick(split []document.Share) string {
+	total := 0
+	for _, s := range split {
+		total += s.Weight
+	}
+	n := rand.IntN(max(1, total))
+	for _, s := range split {
+		if n -= s.Weight; n < 0 {
+			return s.Service
+		}
+	}
+	return ""
+}
+
+func (g *Gateway) readBody(w http.ResponseWriter, x *exchange) error {
+	limit := x.view.Config.Limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	var err error
+	x.body, err = io.ReadAll(http.MaxBytesReader(w, x.request.Body, limit))
+	if _, tooLarge := errors.AsType[*http.MaxBytesError](err); tooLarge {
+		return refusal.New(refusal.TooLarge, refusal.NotRun, "the body has more than %d bytes", limit)
+	}
+	if err != nil {
+		return fmt.Errorf("%w: read the body: %v", errCallerGone, err)
+	}
+	x.header = g.Targets.Header(x.request.Header)
+	return nil
+}
+
+var (
+	// errCallerGone means that the caller has left.
+	errCallerGone = errors.New("gateway: the caller has left")
+	// errCut means that an answer has begun and cannot be completed.
+	errCut = errors.New("gateway: the answer is not whole")
+)
+
+// finish writes a refusal, or breaks the connection so that an answer that is not
+// whole cannot look whole, and writes the line of the request.
+func (g *Gateway) finish(w http.ResponseWriter, x *exchange, err error) {
+	gone := err != nil && (errors.Is(err, errCallerGone) || x.request.Context().Err() != nil)
+	outcome := "served"
+	switch {
+	case err == nil:
+		g.measures.served.Inc(1)
+	case gone:
+		outcome = "caller_left"
+	case x.answered:
+		outcome = "cut"
+		g.measures.broken.Inc(1)
+	default:
+		e := refusal.From(err)
+		e.Ran = worse(x.ran, e.Ran)
+		outcome = string(e.Code)
+		g.measures.refused.Inc(1)
+		metrics.GetOrRegisterCounter("gateway.refusals."+outcome, g.Metrics).Inc(1)
+		if x.request.ProtoMinor == 0 || e.Code == refusal.InvalidRequest || e.Code == refusal.TooLarge {
+			w.Header().Set("Connection", "close")
+		}
+		g.Caller.Refuse(w, x.call.ID, e)
+	}
+	g.logRequest(x, outcome, err)
+	if gone || outcome == "cut" {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// worse returns the weaker of two statements about execution.
+func worse(a, b refusal.Ran) refusal.Ran {
+	if a == refusal.NotRun {
+		return b
+	}
+	return a
+}
+
+func (g *Gateway) logRequest(x *exchange, outcome string, err error) {
+	total := sinceBoot() - x.started
+	g.measures.total.Update(total)
+	if x.first > 0 {
+		g.measures.firstByte.Update(x.first)
+	}
+	fields := logrus.Fields{"id": x.call.ID, "outcome": outcome, "total_ms": total.Milliseconds()}
+	if x.route != nil {
+		fields["route"], fields["version"] = x.route.Name, x.view.Config.Version
+		age, _ := g.Views.Age(x.started)
+		fields["config_age_ms"] = age.Milliseconds()
+	}
+	if x.workspace != nil {
+		fields["workspace"] = x.workspace.Name
+	}
+	if x.target != "" {
+		fields["target"], fields["sends"] = x.target, x.sends
+		fields["first_ms"], fields["expected_ms"], fields["status"] = x.first.Milliseconds(), x.wait.Milliseconds(), x.status
+	}
+	if x.forward != "" {
+		fields["forward"] = x.forward
+	}
+	if x.resumes > 0 {
+		fields["resumes"], fields["last_event"] = x.resumes, x.last
+	}
+	if err != nil {
+		fields["ran"], fields["error"] = string(x.ran), err.Error()
+	}
+	g.Log.WithFields(fields).Info("request")
+}
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,367 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"geraniumturn.example/geraniumturn/internal/document"
+	"geraniumturn.example/geraniumturn/internal/placement"
+	"geraniumturn.example/geraniumturn/internal/refusal"
+	"geraniumturn.example/geraniumturn/internal/upstream"
+)
+
+const (
+	// maxUnsent bounds the targets that are tried without a connection.
+	maxUnsent = 4
+	// maxRejected bounds the targets that may reject one request.
+	maxRejected = 2
+	// leastTime is the remaining time below which a request is not sent again.
+	leastTime = 150 * time.Millisecond
+	// leastPatience, objectivePatience and gapPatience give the time after which
+	// callers leave a stream without an event.
+	leastPatience     = 2 * time.Second
+	objectivePatience = 4
+	gapPatience       = 8
+	// patiencePart of that time may be planned for the first byte.
+	patiencePart = 0.8
+	// rejectedPause is how long a target that has another's address is passed over.
+	rejectedPause = 1500 * time.Millisecond
+	// forwardWay is the time to and from a host of another region.
+	forwardWay = 130 * time.Millisecond
+	// forwardFrom is the part of the objective that the expected time must exceed
+	// before another region is considered, and forwardGain how much shorter it
+	// must be there: bytes between regions are expensive.
+	forwardFrom = 0.9
+	forwardGain = 0.5
+	// loadAge bounds the age of another host's load.
+	loadAge = 2500 * time.Millisecond
+)
+
+// attemptError is the end of one send.
+type attemptError struct {
+	ran refusal.Ran
+	// unsent means that no connection was established.
+	unsent bool
+	// taken means that a repeat was already taken from the budget.
+	taken bool
+	// retryAfter is when the target expects to have room; 0 when it does not say.
+	retryAfter time.Duration
+	err        error
+}
+
+func (e *attemptError) Error() string { return e.err.Error() }
+func (e *attemptError) Unwrap() error { return e.err }
+
+// send is the destination of one attempt.
+type send struct {
+	use     *placement.Use
+	target  string
+	address string
+	forward bool
+	elapsed time.Duration
+}
+
+// run sends the request until it is answered or may not be sent again.
+func (g *Gateway) run(ctx context.Context, w http.ResponseWriter, x *exchange) error {
+	unsent, rejected := 0, 0
+	var last error
+	for {
+		s, err := g.choose(x)
+		if err != nil {
+			return endOf(x, last, err)
+		}
+		err = g.attempt(ctx, w, x, s)
+		if err == nil || errors.Is(err, errCallerGone) {
+			return err
+		}
+		last = err
+		failed, ok := errors.AsType[*attemptError](err)
+		if !ok || ctx.Err() != nil {
+			return endOf(x, last, err)
+		}
+		g.logAttempt(x, s, failed)
+		if failed.unsent {
+			unsent++
+		} else if failed.ran == refusal.NotRun {
+			rejected++
+		} else {
+			x.ran = refusal.Unknown
+		}
+		if unsent > maxUnsent || rejected > maxRejected || !failed.taken && !g.mayRepeat(x, failed) {
+			return endOf(x, last, err)
+		}
+	}
+}
+
+// endOf turns the end of the attempts into what the caller is told.
+func endOf(x *exchange, last, err error) error {
+	if x.answered {
+		return fmt.Errorf("%w: %v", errCut, err)
+	}
+	if refused, ok := errors.AsType[*refusal.Error](err); ok {
+		return refused
+	}
+	if last == nil {
+		last = err
+	}
+	if x.ran == refusal.NotRun {
+		after := shortRetry
+		if failed, ok := errors.AsType[*attemptError](last); ok {
+			after = max(after, failed.retryAfter)
+		}
+		return refusal.New(refusal.Overloaded, refusal.NotRun, "%v", last).WithRetry(after)
+	}
+	return refusal.New(refusal.TargetFailed, refusal.Unknown, "%v", last)
+}
+
+func (g *Gateway) logAttempt(x *exchange, s *send, failed *attemptError) {
+	g.Log.WithFields(logrus.Fields{"id": x.call.ID, "target": s.target, "forward": s.forward, "ran": string(failed.ran),
+		"unsent": failed.unsent, "error": failed.Error(), "last_event": x.last}).Info("attempt failed")
+}
+
+// mayRepeat decides whether a request is sent once more and takes the repeat from
+// the budget.
+func (g *Gateway) mayRepeat(x *exchange, failed *attemptError) bool {
+	now := sinceBoot()
+	if x.deadline-now < leastTime {
+		return false
+	}
+	if failed.unsent {
+		return true
+	}
+	if failed.ran != refusal.NotRun && (!x.route.Repeatable() || x.sends >= max(1, x.route.MaxAttempts)) {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.budget(x.service).Repeat(now, g.retrySlack(now)) {
+		return false
+	}
+	g.measures.retries.Inc(1)
+	return true
+}
+
+// choose finds the destination of the next attempt, or refuses.
+func (g *Gateway) choose(x *exchange) (*send, error) {
+	now := sinceBoot()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var choice placement.Choice
+	local := false
+	if len(x.homes) == 0 || slices.Contains(x.homes, g.Region) {
+		choice, local = g.placer.Choose(now, &x.place, func(id string) bool { return x.tried[id] })
+	}
+	remote, remoteWait := g.remoteFor(now, x)
+	switch {
+	case remote != nil && (!local || g.worthForward(x, choice.Wait, remoteWait)):
+		x.regions[remote.GetName()] = true
+		x.forward, x.target, x.wait = remote.GetName(), remote.GetName(), remoteWait
+		g.measures.forwarded.Inc(1)
+		return &send{target: remote.GetName(), address: remote.GetForward(), forward: true}, nil
+	case !local:
+		return nil, refusal.New(refusal.NoTarget, refusal.NotRun, "no target of service %s can take the request", x.service).WithRetry(settleRetry)
+	case choice.Wait > g.patience(x)-(now-x.started):
+		return nil, refusal.New(refusal.Overloaded, refusal.NotRun, "the first byte is expected after %s", choice.Wait).
+			WithRetry(max(shortRetry, choice.Wait-x.route.Objective))
+	}
+	x.tried[choice.Target.ID] = true
+	x.target, x.wait = choice.Target.ID, choice.Wait
+	return &send{use: g.placer.Start(now, choice.Target, &x.place), target: choice.Target.ID, address: choice.Target.Address}, nil
+}
+
+// patience is how long the caller waits for the first byte.
+func (g *Gateway) patience(x *exchange) time.Duration {
+	limit := x.deadline - x.started
+	if x.route.Kind == document.Streaming {
+		leave := max(leastPatience, objectivePatience*x.route.Objective, gapPatience*x.route.MaxGap)
+		limit = min(limit, leave)
+	}
+	return time.Duration(patiencePart * float64(limit))
+}
+
+// worthForward compares the expected times here and in another region.
+func (g *Gateway) worthForward(x *exchange, here, there time.Duration) bool {
+	return float64(here) > forwardFrom*float64(x.route.Objective) && float64(there) < forwardGain*float64(here)
+}
+
+// remoteFor returns the host of another region with the least expected time, with
+// g.mu held.
+func (g *Gateway) remoteFor(now time.Duration, x *exchange) (*peerHost, time.Duration) {
+	var best *peerHost
+	var bestWait time.Duration
+	for _, h := range g.hosts {
+		if h.GetRegion() == g.Region || !h.GetServing() || h.GetForward() == "" || now-h.heard > loadAge || x.regions[h.GetName()] {
+			continue
+		}
+		if len(x.homes) > 0 && !slices.Contains(x.homes, h.GetRegion()) {
+			continue
+		}
+		wait, ok := h.wait(x.service)
+		if ok && (best == nil || wait < bestWait || wait == bestWait && h.GetName() < best.GetName()) {
+			best, bestWait = h, wait
+		}
+	}
+	return best, bestWait + forwardWay
+}
+
+func (h *peerHost) wait(service string) (time.Duration, bool) {
+	for _, l := range h.GetLoads() {
+		if l.GetService() == service && l.GetWaitMs() >= 0 {
+			return time.Duration(l.GetWaitMs()) * time.Millisecond, true
+		}
+	}
+	return 0, false
+}
+
+// attempt sends the request to one destination and passes the answer on.
+func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, x *exchange, s *send) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	res, err := g.dispatch(ctx, x, s)
+	outcome := placement.Cancelled
+	if s.use != nil {
+		defer func() { g.done(s.use, outcome) }()
+	}
+	if err != nil {
+		outcome = outcomeOf(ctx, err)
+		return err
+	}
+	defer res.Close()
+	verdict := g.judge(s, res)
+	if verdict.NotRun {
+		outcome = placement.Rejected
+		if verdict.Elsewhere && s.use != nil {
+			g.eject(s.use)
+		}
+		return &attemptError{ran: refusal.NotRun, err: fmt.Errorf("target %s rejected the request with status %d", s.target, res.Status)}
+	}
+	x.status = res.Status
+	switch {
+	case verdict.Success:
+	case !verdict.Signed:
+		outcome = placement.Failed
+		return &attemptError{ran: refusal.Unknown, err: fmt.Errorf("status %d without a target's signature", res.Status)}
+	default:
+		outcome = placement.Failed
+		if failed := (&attemptError{ran: refusal.Unknown, taken: true, err: fmt.Errorf("the target failed with status %d", res.Status)}); !x.answered && g.mayRepeat(x, failed) {
+			return failed
+		}
+	}
+	if err := g.relay(ctx, cancel, w, x, s, res, verdict); err != nil {
+		if outcome == placement.Cancelled && ctx.Err() == nil {
+			outcome = placement.Failed
+		}
+		return err
+	}
+	if verdict.Success {
+		outcome = placement.Served
+	}
+	return nil
+}
+
+func outcomeOf(ctx context.Context, err error) placement.Outcome {
+	failed, ok := errors.AsType[*attemptError](err)
+	switch {
+	case ctx.Err() != nil:
+		return placement.Cancelled
+	case ok && failed.unsent:
+		return placement.Unreachable
+	}
+	return placement.Failed
+}
+
+func (g *Gateway) done(u *placement.Use, o placement.Outcome) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.placer.Done(sinceBoot(), u, o)
+}
+
+func (g *Gateway) eject(u *placement.Use) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.placer.Eject(u, sinceBoot()+rejectedPause)
+}
+
+// dispatch writes the request and waits for the head of the answer.
+func (g *Gateway) dispatch(ctx context.Context, x *exchange, s *send) (*upstream.Response, error) {
+	now := sinceBoot()
+	remaining := x.deadline - now - sendMargin
+	if remaining <= 0 {
+		return nil, &attemptError{ran: refusal.NotRun, unsent: true, err: fmt.Errorf("no time left")}
+	}
+	header := x.header.Clone()
+	pool := g.local
+	if s.forward {
+		pool = g.remote
+		if err := setForward(header, forwarded{Service: x.service, Workspace: x.workspaceName(), RemainingMS: remaining.Milliseconds(),
+			Urgency: g.urgency(x), LastEvent: x.last, Careful: !x.route.Repeatable()}); err != nil {
+			return nil, err
+		}
+	} else {
+		g.Targets.Address(header, Dispatch{Target: s.target, Workspace: x.workspaceName(), Remaining: remaining, Urgency: g.urgency(x), LastEvent: x.last})
+	}
+	g.count(x, now)
+	res, err := pool.Do(ctx, &upstream.Request{Address: s.address, Method: x.request.Method, Target: x.request.RequestURI,
+		Host: x.request.Host, Header: header, Body: x.body, Careful: !x.route.Repeatable(),
+		Own: func(status int, h http.Header) bool {
+			return s.forward && h.Get(headerRan) != "" || g.Targets.Owns(x.call.ID, status, h)
+		}})
+	switch {
+	case errors.Is(err, upstream.ErrNotSent):
+		x.sends--
+		return nil, &attemptError{ran: refusal.NotRun, unsent: true, err: err}
+	case err != nil:
+		return nil, &attemptError{ran: refusal.Unknown, err: err}
+	}
+	return res, nil
+}
+
+// count records a send; the first one of a request earns repeats.
+func (g *Gateway) count(x *exchange, now time.Duration) {
+	x.sends++
+	if x.sends > 1 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget(x.service).First(now)
+}
+
+func (x *exchange) workspaceName() string {
+	if x.workspace == nil {
+		return ""
+	}
+	return x.workspace.Name
+}
+
+// usualUrgency is what targets assume without a statement.
+const usualUrgency = 5
+
+// urgency ranks a request for its target: the workspace's priority goes before
+// that of the route.
+func (g *Gateway) urgency(x *exchange) int {
+	priority := x.route.Priority
+	if x.workspace != nil && !x.route.Public {
+		priority = x.workspace.Priority
+	}
+	return min(9, max(0, usualUrgency-1+priority))
+}
+
+// judge reads the head of an answer.
+func (g *Gateway) judge(s *send, res *upstream.Response) Verdict {
+	if s.forward {
+		switch refusal.Ran(res.Header.Get(headerRan)) {
+		case refusal.NotRun:
+			return Verdict{NotRun: true}
+		case refusal.Unknown:
+			return Verdict{}
+		}
+	}
+	return g.Targets.Judge(res.Status, res.Header)
+}
--- /dev/null
+++ b/internal/gateway/update.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"geraniumturn.example/geraniumturn/internal/document"
+	"geraniumturn.example/geraniumturn/internal/fleetsync"
+	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/placement"
+	"geraniumturn.example/geraniumturn/internal/registry"
+	"geraniumturn.example/geraniumturn/internal/shares"
+)
+
+// restoreCaution is how long the targets of a data centre count as cold after its
+// evacuation ended: their next heartbeats say whether they are.
+const restoreCaution = 2500 * time.Millisecond
+
+// Report is what this host tells a control host.
+func (g *Gateway) Report(now time.Duration) *syncpb.ExchangeRequest {
+	index, version := g.Views.position()
+	out := &syncpb.ExchangeRequest{Index: index, Version: version, WantHosts: true,
+		Host: &syncpb.EntryHost{Name: g.Name, DataCentre: g.DataCentre, Region: g.Region, Front: g.Front, Forward: g.Forward,
+			Started: g.Started, Serving: g.Ready()}}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(g.buckets)) {
+		b := g.buckets[name]
+		out.Demands = append(out.Demands, &syncpb.Demand{Workspace: name, PerSecond: b.Demand(now), Held: b.Held(now)})
+	}
+	for _, name := range g.placer.Services() {
+		wait := g.placer.Usual(now, name)
+		out.Host.Loads = append(out.Host.Loads, &syncpb.Load{Service: name, WaitMs: wait.Milliseconds()})
+	}
+	return out
+}
+
+// Apply takes an answer of a control host. Calls are serialised.
+func (g *Gateway) Apply(now time.Duration, u fleetsync.Update) {
+	changed, err := g.Views.apply(u)
+	if err != nil {
+		g.Log.WithError(err).WithField("control", u.Control).Error("configuration refused")
+		return
+	}
+	for _, r := range u.Records {
+		if g.Table.Merge(now, r) {
+			g.Log.WithFields(logrus.Fields{"target": r.ID, "service": r.Service, "address": r.Address, "state": r.State.String(),
+				"sequence": r.Sequence, "cold_ms": max(0, r.ColdUntil-now).Milliseconds(), "silent": r.Silent, "control": u.Control}).Info("target changed")
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if changed {
+		g.adopt(now, u.Control)
+	}
+	for _, h := range u.GetHosts() {
+		g.noteHost(now, h)
+	}
+	g.grant(now, u)
+	if revision := g.Table.Revision(); changed || revision != g.dirty {
+		g.dirty = revision
+		g.placer.SetTargets(g.specs(now))
+	}
+}
+
+// adopt puts the limits of a new view in force, with g.mu held.
+func (g *Gateway) adopt(now time.Duration, control string) {
+	v := g.Views.Current()
+	if v.Config != nil {
+		seen := map[string]bool{}
+		for i := range v.Config.Workspaces {
+			w := &v.Config.Workspaces[i]
+			seen[w.Name] = true
+			g.bucket(w).SetLimits(now, w.Rate, w.Burst)
+		}
+		for name := range g.buckets {
+			if !seen[name] {
+				delete(g.buckets, name)
+			}
+		}
+	}
+	for dc, index := range v.Restored {
+		if g.restored[dc].index != index {
+			g.restored[dc] = restoration{index, now}
+		}
+	}
+	version := uint64(0)
+	if v.Config != nil {
+		version = v.Config.Version
+	}
+	g.Log.WithFields(logrus.Fields{"version": version, "index": v.Index, "evacuated": slices.Sorted(maps.Keys(v.Evacuated)), "control": control}).Info("configuration in force")
+}
+
+func (g *Gateway) noteHost(now time.Duration, h *syncpb.EntryHost) {
+	if h.GetName() == g.Name {
+		return
+	}
+	heard := now - time.Duration(h.GetHeardMs())*time.Millisecond
+	if old := g.hosts[h.GetName()]; old == nil || heard > old.heard {
+		g.hosts[h.GetName()] = &peerHost{h, heard}
+	}
+}
+
+func (g *Gateway) grant(now time.Duration, u fleetsync.Update) {
+	asOf := u.Sent - time.Duration(u.GetGrantsAgeMs())*time.Millisecond
+	for _, grant := range u.GetGrants() {
+		if b := g.buckets[grant.GetWorkspace()]; b != nil {
+			b.SetFraction(now, grant.GetFraction(), asOf+shares.LeaseTime)
+		}
+	}
+}
+
+// specs describes the targets of this region that may get requests, with g.mu held.
+func (g *Gateway) specs(now time.Duration) []placement.Spec {
+	v := g.Views.Current()
+	if v == nil || v.Config == nil {
+		return nil
+	}
+	hosts := 1 + g.countHosts(now, g.Region)
+	var out []placement.Spec
+	for _, r := range g.Table.All() {
+		if r.State != registry.Ready || g.Regions[r.DataCentre] != g.Region {
+			continue
+		}
+		if _, evacuated := v.Evacuated[r.DataCentre]; evacuated {
+			continue
+		}
+		s := v.Config.Service(r.Service)
+		if s == nil {
+			continue
+		}
+		out = append(out, g.spec(r, s, hosts))
+	}
+	return out
+}
+
+func (g *Gateway) spec(r registry.Record, s *document.Service, hosts int) placement.Spec {
+	spec := placement.Spec{ID: r.ID, Address: r.Address, Service: r.Service, DataCentre: r.DataCentre, Slots: r.Slots,
+		ColdUntil: r.ColdUntil, Suspect: r.Silent}
+	if s.Engine != nil {
+		spec.CacheTokens = s.Engine.CacheTokens
+	}
+	if s.ColdRate > 0 {
+		// One request less than the bound covers what was on its way.
+		spec.ColdLimit = max(1, int(s.ColdRate*g.Bounds.ColdOverrun+g.Bounds.ColdSlack-1)/hosts)
+		if at := g.restored[r.DataCentre].at; at > 0 && s.Warmup > 0 {
+			spec.ColdUntil = max(spec.ColdUntil, at+restoreCaution)
+		}
+	}
+	return spec
+}
--- /dev/null
+++ b/internal/gateway/view.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/document"
+	"geraniumturn.example/geraniumturn/internal/fleetsync"
+	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+)
+
+// View is the configuration that requests are served by. It is immutable.
+type View struct {
+	Config    *document.Index
+	Index     uint64
+	Evacuated map[string]uint64
+	Restored  map[string]uint64
+}
+
+// Views holds the newest view. Invariant: neither version nor index falls.
+type Views struct {
+	codec   ConfigurationCodec
+	current atomic.Pointer[View]
+	// validAsOf is the time up to which the view has every acknowledged change.
+	validAsOf atomic.Int64
+}
+
+// NewViews returns a store without a view.
+func NewViews(codec ConfigurationCodec) *Views { return &Views{codec: codec} }
+
+// Current returns the view in force, or nil.
+func (v *Views) Current() *View { return v.current.Load() }
+
+// Age returns how old the view may be. It reports false when there is none.
+func (v *Views) Age(now time.Duration) (time.Duration, bool) {
+	asOf := time.Duration(v.validAsOf.Load())
+	if asOf == 0 {
+		return 0, false
+	}
+	return max(0, now-asOf), true
+}
+
+// position returns index and version of the view.
+func (v *Views) position() (index, version uint64) {
+	c := v.Current()
+	if c == nil {
+		return 0, 0
+	}
+	if c.Config == nil {
+		return c.Index, 0
+	}
+	return c.Index, c.Config.Version
+}
+
+// apply takes an answer of a control host. It reports whether the view changed.
+// Calls are serialised.
+func (v *Views) apply(u fleetsync.Update) (changed bool, err error) {
+	index, version := v.position()
+	if u.GetIndex() > index {
+		next := &View{Index: u.GetIndex(), Evacuated: positions(u.GetEvacuated()), Restored: positions(u.GetRestored())}
+		if c := v.Current(); c != nil {
+			next.Config = c.Config
+		}
+		if u.GetVersion() > version {
+			d, err := v.codec.Decode(u.GetContent())
+			if err != nil {
+				return false, fmt.Errorf("gateway: version %d: %w", u.GetVersion(), err)
+			}
+			next.Config = document.NewIndex(d)
+		}
+		v.current.Store(next)
+		index, changed = next.Index, true
+	}
+	// The view has everything that the answer has, so it is as new as the answer.
+	if u.GetKnown() && index > 0 {
+		asOf := u.Sent - time.Duration(u.GetAgeMs())*time.Millisecond
+		v.validAsOf.Store(max(v.validAsOf.Load(), int64(asOf)))
+	}
+	return changed, nil
+}
+
+func positions(in []*syncpb.Evacuation) map[string]uint64 {
+	out := make(map[string]uint64, len(in))
+	for _, e := range in {
+		out[e.GetDataCentre()] = e.GetIndex()
+	}
+	return out
+}
+
+func sinceBoot() time.Duration { return clock.SinceBoot() }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -19,6 +19,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/sockets"
 )
 
 // ErrUnreachable means that no connection to the host could be opened, so the
@@ -29,7 +30,10 @@
 	metadataHost  = "host"
 	metadataStamp = "stamp"
 
-	dialTimeout     = 2 * time.Second
+	dialTimeout = 2 * time.Second
+	// silenceLimit ends a connection whose peer acknowledges nothing; a call on it
+	// would otherwise wait for retransmissions.
+	silenceLimit    = 1500 * time.Millisecond
 	poolExpiration  = 90 * time.Second
 	poolKeyCapacity = 256
 	// MaxMessageBytes bounds one internal message. It leaves room for the
@@ -116,8 +120,7 @@
 }
 
 func (t *Transport) dialSocket(ctx context.Context, address string) (net.Conn, error) {
-	var d net.Dialer
-	raw, err := d.DialContext(ctx, "tcp", address)
+	raw, err := sockets.Dialer(silenceLimit).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -40,6 +40,7 @@
 
 	WrongHost Code = "wrong_host"
 
+	NoRoute        Code = "no_route"
 	UnknownModel   Code = "unknown_model"
 	CrashesTargets Code = "crashes_targets"
 
@@ -66,6 +67,7 @@
 	AnswerUnavailable: http.StatusConflict,
 	TooLarge:          http.StatusRequestEntityTooLarge,
 	WrongHost:         http.StatusMisdirectedRequest,
+	NoRoute:           http.StatusNotFound,
 	UnknownModel:      http.StatusUnprocessableEntity,
 	CrashesTargets:    http.StatusUnprocessableEntity,
 	RateLimited:       http.StatusTooManyRequests,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,11 @@
 	// DataDir is the folder for durable state. Empty means that the host has no disk.
 	DataDir string `toml:"data_dir"`
 
+	// Configuration is rules (default) or document.
+	Configuration Configuration `toml:"configuration"`
+	// Deployment is used where the configuration is a document.
+	Deployment Deployment `toml:"deployment"`
+
 	Listen   Listen   `toml:"listen"`
 	Control  Control  `toml:"control"`
 	Security Security `toml:"security"`
@@ -88,6 +93,9 @@
 	// AllowPlaintextPeers permits peer connections without TLS. It is accepted
 	// only when all peer addresses are loopback addresses.
 	AllowPlaintextPeers bool `toml:"allow_plaintext_peers"`
+	// PrivateNetwork states that only hosts of the system reach the peer
+	// addresses. Where the configuration is a document, peers have no certificates.
+	PrivateNetwork bool `toml:"private_network"`
 }
 
 // Host is a host of the fleet as the settings know it.
@@ -171,6 +179,15 @@
 func (s *Settings) problems() []string {
 	var out []string
 	fail := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
+	switch s.Configuration {
+	case DocumentFile:
+		s.deploymentProblems(fail)
+		slices.Sort(out)
+		return out
+	case RulesFile, "":
+	default:
+		fail("configuration = %q must be rules or document", s.Configuration)
+	}
 	required := map[string]string{
 		"name": s.Name, "data_centre": s.DataCentre, "region": s.Region,
 		"security.operator_token_file": s.Security.OperatorTokenFile,
--- /dev/null
+++ b/internal/shares/bucket.go
@@ -0,0 +1,89 @@
+package shares
+
+import "time"
+
+// rateMargin uses part of the tolerance of the limit, so that uneven demand
+// between hosts does not cause refusals within the rate.
+const rateMargin = 1.04
+
+// Bucket is a host's part of a workspace's rate and burst. Invariant: the level
+// never exceeds the host's fraction of the burst, and rises by its fraction of the
+// rate.
+type Bucket struct {
+	rate, burst float64
+	fraction    float64
+	until       time.Duration
+	level       float64
+	at          time.Duration
+	// asked counts what callers asked since the last call of Demand.
+	asked   float64
+	askedAt time.Duration
+	demand  float64
+}
+
+// demandWeight is the weight of the newest interval in the demand.
+const demandWeight = 0.3
+
+// SetLimits changes the rate and burst of the whole workspace.
+func (b *Bucket) SetLimits(now time.Duration, rate, burst float64) {
+	b.refill(now)
+	b.rate, b.burst = rate, burst
+	b.level = min(b.level, b.burst*b.fraction)
+}
+
+// SetFraction changes the part that the host may use until the lease ends. A
+// larger part raises the level only with time, except for the first one.
+func (b *Bucket) SetFraction(now time.Duration, fraction float64, until time.Duration) {
+	b.refill(now)
+	b.fraction, b.until = fraction, max(b.until, until)
+	b.level = min(b.level, b.burst*b.fraction)
+}
+
+// Held returns the fraction that the host may use now.
+func (b *Bucket) Held(now time.Duration) float64 {
+	if now >= b.until {
+		return 0
+	}
+	return b.fraction
+}
+
+func (b *Bucket) refill(now time.Duration) {
+	if end := min(now, b.until); end > b.at {
+		b.level = min(b.burst*b.fraction, b.level+b.rate*rateMargin*b.fraction*(end-b.at).Seconds())
+	}
+	b.at = max(b.at, now)
+}
+
+// Take takes the cost of a request. Otherwise it returns the time after which the
+// cost is expected to be there.
+func (b *Bucket) Take(now time.Duration, cost float64) (ok bool, wait time.Duration) {
+	b.refill(now)
+	b.asked += cost
+	held := b.Held(now)
+	if held <= 0 {
+		return false, time.Second
+	}
+	// A request that is larger than the host's part of the burst needs a full
+	// bucket and leaves a debt.
+	need := min(cost, b.burst*b.fraction)
+	if b.level >= need {
+		b.level -= cost
+		return true, 0
+	}
+	return false, time.Duration((need - b.level) / (b.rate * held) * float64(time.Second))
+}
+
+// Return gives back what a request did not use.
+func (b *Bucket) Return(tokens float64) { b.level = min(b.burst*b.fraction, b.level+tokens) }
+
+// Demand returns what callers ask per second, averaged over recent calls.
+func (b *Bucket) Demand(now time.Duration) float64 {
+	if interval := (now - b.askedAt).Seconds(); interval >= demandInterval.Seconds() {
+		b.demand += demandWeight * (b.asked/interval - b.demand)
+		b.asked, b.askedAt = 0, now
+	}
+	return b.demand
+}
+
+// demandInterval is the shortest interval that counts for the demand.
+const demandInterval = 200 * time.Millisecond
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,182 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"geraniumturn.example/geraniumturn/internal/sockets"
+)
+
+var (
+	// ErrNotSent means that no connection was established: the request has not run.
+	ErrNotSent = errors.New("upstream: no connection")
+	// ErrBroken means that the exchange ended early: the request may have run.
+	ErrBroken = errors.New("upstream: exchange broken")
+)
+
+const (
+	// defaultIdle is how long a connection is kept when the target does not say.
+	defaultIdle = 4 * time.Second
+	// idleMargin is taken off what the target says, for the way to it.
+	idleMargin = 500 * time.Millisecond
+	// maxIdle bounds the idle connections to one address.
+	maxIdle = 48
+	// silenceLimit ends a connection whose peer acknowledges nothing.
+	silenceLimit  = 1500 * time.Millisecond
+	bufferBytes   = 8 << 10
+	sweepInterval = time.Second
+)
+
+// Pool keeps connections by address.
+type Pool struct {
+	// DialTimeout bounds the wait for a new connection.
+	DialTimeout time.Duration
+	// Opened counts new connections, if it is set.
+	Opened func()
+
+	mu    sync.Mutex
+	idle  map[string][]*conn
+	swept time.Time
+}
+
+// NewPool returns an empty pool.
+func NewPool(dialTimeout time.Duration) *Pool {
+	return &Pool{DialTimeout: dialTimeout, idle: map[string][]*conn{}}
+}
+
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// expires is when the peer may close the idle connection.
+	expires time.Time
+	since   time.Time
+}
+
+// get returns a kept connection that has been idle for at most maxAge, or a new one.
+func (p *Pool) get(ctx context.Context, address string, maxAge time.Duration) (*conn, error) {
+	now := time.Now()
+	for {
+		c := p.takeIdle(address, now, maxAge)
+		if c == nil {
+			return p.dial(ctx, address)
+		}
+		if c.quiet() {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *Pool) takeIdle(address string, now time.Time, maxAge time.Duration) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	if now.Sub(c.since) > maxAge {
+		return nil
+	}
+	p.idle[address] = list[:len(list)-1]
+	if now.After(c.expires) {
+		_ = c.Close()
+		return nil
+	}
+	return c
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.DialTimeout)
+	defer cancel()
+	raw, err := sockets.Dialer(silenceLimit).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
+	}
+	if p.Opened != nil {
+		p.Opened()
+	}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferBytes)}, nil
+}
+
+// quiet reports whether nothing has arrived on an idle connection, neither bytes
+// nor its end.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	source, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// put keeps a connection for another request.
+func (p *Pool) put(address string, c *conn, idle time.Duration) {
+	now := time.Now()
+	c.since, c.expires = now, now.Add(idle)
+	if err := c.SetDeadline(time.Time{}); err != nil {
+		_ = c.Close()
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[address]) >= maxIdle {
+		_ = c.Close()
+		return
+	}
+	p.idle[address] = append(p.idle[address], c)
+	if now.Sub(p.swept) > sweepInterval {
+		p.swept = now
+		p.sweep(now)
+	}
+}
+
+// sweep closes connections that have expired, with p.mu held.
+func (p *Pool) sweep(now time.Time) {
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.After(c.expires) {
+				_ = c.Close()
+				continue
+			}
+			kept = append(kept, c)
+		}
+		if len(kept) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = kept
+	}
+}
+
+// Forget closes the idle connections to an address.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		_ = c.Close()
+	}
+	delete(p.idle, address)
+}
