gateway: bind the homes of route and workspace together; spare part of the rate tolerance

A host's small fraction of the burst was below the size of one request, so 95 requests within the rate were refused.

--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -33,7 +33,7 @@
 		Bounds: gateway.Bounds{
 			KeyLife: settings.Millis(p.Bounds.RevocationMS) - keyMargin, DenyLife: settings.Millis(p.Bounds.ConfigurationMS) - keyMargin,
 			RetryRatio: p.Bounds.RetryRatio, RetryWindow: settings.Seconds(p.Bounds.RetryWindowS), RetrySlack: p.Bounds.RetrySlack,
-			ColdOverrun: p.Bounds.ColdOverrun, ColdSlack: p.Bounds.ColdSlack,
+			RateSlack: p.Bounds.RateSlack, ColdOverrun: p.Bounds.ColdOverrun, ColdSlack: p.Bounds.ColdSlack,
 		},
 		Caller: platform.Callers{}, Targets: platform.TargetCalls{}, Views: gateway.NewViews(platform.Configurations{}),
 		Table: registry.NewTable(), Log: d.log, Metrics: d.metrics, Front: p.Front, Forward: p.ForwardAddress(),
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -227,20 +227,12 @@
 // Workspace returns the holder of a key, or nil.
 func (x *Index) Workspace(key string) *Workspace { return x.workspaces[key] }
 
-// Homes returns the regions in which a request of the route and workspace may be
-// served; nil means all.
-func Homes(r *Route, w *Workspace) []string {
-	if w == nil || len(w.Homes) == 0 {
-		return r.Homes
-	}
-	if len(r.Homes) == 0 {
-		return w.Homes
-	}
-	out := []string{}
-	for _, h := range r.Homes {
-		if slices.Contains(w.Homes, h) {
-			out = append(out, h)
-		}
-	}
-	return out
+// Allows reports whether a request of the route and workspace may be served in a
+// region. Where both have homes, both bind; w may be nil.
+func Allows(r *Route, w *Workspace, region string) bool {
+	return allows(r.Homes, region) && (w == nil || allows(w.Homes, region))
+}
+
+func allows(homes []string, region string) bool {
+	return len(homes) == 0 || slices.Contains(homes, region)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,9 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// RateSlack is the number of tokens by which all hosts together may exceed a
+	// workspace's rate and burst in a window.
+	RateSlack float64
 	// ColdOverrun and ColdSlack bound the requests of all hosts to a cold target
 	// in a second: rate x overrun + slack.
 	ColdOverrun, ColdSlack float64
@@ -143,10 +146,10 @@
 type exchange struct {
 	call      Call
 	view      *View
+	age       time.Duration // of the view
 	route     *document.Route
 	workspace *document.Workspace
 	service   string
-	homes     []string
 	header    http.Header
 	body      []byte
 	request   *http.Request
@@ -195,7 +198,7 @@
 	if err := g.readBody(w, x); err != nil {
 		return err
 	}
-	if err := g.reserve(x); err != nil {
+	if err := g.reserve(ctx, x); err != nil {
 		return err
 	}
 	err = g.run(ctx, w, x)
@@ -212,6 +215,7 @@
 func (g *Gateway) identify(x *exchange) error {
 	x.view = g.Views.Current()
 	age, known := g.Views.Age(x.started)
+	x.age = age
 	if x.view == nil || x.view.Config == nil || !known {
 		return refusal.New(refusal.Draining, refusal.NotRun, "this host has no configuration yet").WithRetry(settleRetry)
 	}
@@ -226,7 +230,6 @@
 	if err := g.authenticate(x, age); err != nil {
 		return err
 	}
-	x.homes = document.Homes(x.route, x.workspace)
 	x.service = pick(x.route.Split)
 	limit := x.route.Timeout
 	if p := x.call.Patience; p > 0 && p-answerMargin < limit {
@@ -345,8 +348,7 @@
 	fields := logrus.Fields{"id": x.call.ID, "outcome": outcome, "total_ms": total.Milliseconds()}
 	if x.route != nil {
 		fields["route"], fields["version"] = x.route.Name, x.view.Config.Version
-		age, _ := g.Views.Age(x.started)
-		fields["config_age_ms"] = age.Milliseconds()
+		fields["config_age_ms"] = x.age.Milliseconds()
 	}
 	if x.workspace != nil {
 		fields["workspace"] = x.workspace.Name
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"geraniumturn.example/geraniumturn/internal/document"
@@ -25,25 +26,53 @@
 	return float64(w.UncachedTokens)
 }
 
-// reserve takes the cost of a request or refuses it.
-func (g *Gateway) reserve(x *exchange) error {
+// reserve takes the cost of a request or refuses it. A short time until the cost is
+// there is waited for, because a refusal costs the caller more.
+func (g *Gateway) reserve(ctx context.Context, x *exchange) error {
 	w := x.workspace
 	if w == nil || x.route.Public || w.Rate <= 0 {
 		return nil
 	}
+	for first := true; ; first = false {
+		wait, err := g.tryReserve(x, first)
+		if err == nil || sinceBoot()-x.started+wait > rateWait {
+			return err
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return err
+		case <-timer.C:
+		}
+	}
+}
+
+// tryReserve returns a refusal and the time after which the cost is expected.
+func (g *Gateway) tryReserve(x *exchange, first bool) (time.Duration, error) {
+	now := sinceBoot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	b := g.bucket(w)
-	c := cost(w, x.call)
-	ok, wait := b.Take(x.started, c)
-	if !ok {
-		return refusal.New(refusal.RateLimited, refusal.NotRun, "workspace %s is over its rate: %.0f tokens asked, this host holds %.2f of it",
-			w.Name, c, b.Held(x.started)).WithRetry(max(shortRetry, wait))
+	b := g.bucket(x.workspace)
+	c := cost(x.workspace, x.call)
+	b.SetSpare(g.Bounds.RateSlack * sparePart / float64(1+g.countHosts(now, "")))
+	ok, wait := b.Take(now, c, first)
+	if ok {
+		x.reserved = &reservation{b, c}
+		return 0, nil
 	}
-	x.reserved = &reservation{b, c}
-	return nil
+	return wait, refusal.New(refusal.RateLimited, refusal.NotRun, "workspace %s is over its rate: %.0f tokens asked, this host holds %.2f of it",
+		x.workspace.Name, c, b.Held(now)).WithRetry(max(shortRetry, wait))
 }
 
+const (
+	// rateWait bounds the wait for a part of the rate.
+	rateWait = 100 * time.Millisecond
+	// sparePart of the tolerance is divided over hosts; the rest covers hosts that
+	// are not known.
+	sparePart = 0.7
+)
+
 // bucket returns the bucket of a workspace, with g.mu held.
 func (g *Gateway) bucket(w *document.Workspace) *shares.Bucket {
 	b := g.buckets[w.Name]
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -154,7 +153,7 @@
 	defer g.mu.Unlock()
 	var choice placement.Choice
 	local := false
-	if len(x.homes) == 0 || slices.Contains(x.homes, g.Region) {
+	if document.Allows(x.route, x.workspace, g.Region) {
 		choice, local = g.placer.Choose(now, &x.place, func(id string) bool { return x.tried[id] })
 	}
 	remote, remoteWait := g.remoteFor(now, x)
@@ -199,7 +198,7 @@
 		if h.GetRegion() == g.Region || !h.GetServing() || h.GetForward() == "" || now-h.heard > loadAge || x.regions[h.GetName()] {
 			continue
 		}
-		if len(x.homes) > 0 && !slices.Contains(x.homes, h.GetRegion()) {
+		if !document.Allows(x.route, x.workspace, h.GetRegion()) {
 			continue
 		}
 		wait, ok := h.wait(x.service)
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -63,6 +63,9 @@
 	RetryRatio   float64 `toml:"retry_ratio"`
 	RetryWindowS float64 `toml:"retry_window_s"`
 	RetrySlack   float64 `toml:"retry_slack"`
+	// RateSlack is the number of tokens by which a workspace may exceed its rate
+	// and burst in a window.
+	RateSlack float64 `toml:"rate_slack"`
 	// ColdOverrun and ColdSlack bound the requests to a cold target in a second:
 	// its rate x overrun + slack.
 	ColdOverrun float64 `toml:"cold_overrun"`
--- a/internal/shares/bucket.go
+++ b/internal/shares/bucket.go
@@ -7,14 +7,16 @@
 const rateMargin = 1.04
 
 // Bucket is a host's part of a workspace's rate and burst. Invariant: the level
-// never exceeds the host's fraction of the burst, and rises by its fraction of the
+// never exceeds the host's fraction of the burst and its spare, and rises by its fraction of the
 // rate.
 type Bucket struct {
 	rate, burst float64
-	fraction    float64
-	until       time.Duration
-	level       float64
-	at          time.Duration
+	// spare is this host's part of the tolerance of the limit.
+	spare    float64
+	fraction float64
+	until    time.Duration
+	level    float64
+	at       time.Duration
 	// asked counts what callers asked since the last call of Demand.
 	asked   float64
 	askedAt time.Duration
@@ -22,21 +24,28 @@
 }
 
 // demandWeight is the weight of the newest interval in the demand.
-const demandWeight = 0.3
+const demandWeight = 0.15
 
 // SetLimits changes the rate and burst of the whole workspace.
 func (b *Bucket) SetLimits(now time.Duration, rate, burst float64) {
 	b.refill(now)
 	b.rate, b.burst = rate, burst
-	b.level = min(b.level, b.burst*b.fraction)
+	b.level = min(b.level, b.depth())
 }
 
+// depth is the most that the host may use at once.
+func (b *Bucket) depth() float64 { return b.burst*b.fraction + b.spare }
+
+// SetSpare changes this host's part of the tolerance, in tokens. It lets a host
+// with a small fraction serve a large request at once.
+func (b *Bucket) SetSpare(tokens float64) { b.spare = tokens }
+
 // SetFraction changes the part that the host may use until the lease ends. A
 // larger part raises the level only with time, except for the first one.
 func (b *Bucket) SetFraction(now time.Duration, fraction float64, until time.Duration) {
 	b.refill(now)
 	b.fraction, b.until = fraction, max(b.until, until)
-	b.level = min(b.level, b.burst*b.fraction)
+	b.level = min(b.level, b.depth())
 }
 
 // Held returns the fraction that the host may use now.
@@ -49,23 +58,25 @@
 
 func (b *Bucket) refill(now time.Duration) {
 	if end := min(now, b.until); end > b.at {
-		b.level = min(b.burst*b.fraction, b.level+b.rate*rateMargin*b.fraction*(end-b.at).Seconds())
+		b.level = min(b.depth(), b.level+b.rate*rateMargin*b.fraction*(end-b.at).Seconds())
 	}
 	b.at = max(b.at, now)
 }
 
 // Take takes the cost of a request. Otherwise it returns the time after which the
-// cost is expected to be there.
-func (b *Bucket) Take(now time.Duration, cost float64) (ok bool, wait time.Duration) {
+// cost is expected to be there. first is false when the same request asks again.
+func (b *Bucket) Take(now time.Duration, cost float64, first bool) (ok bool, wait time.Duration) {
 	b.refill(now)
-	b.asked += cost
+	if first {
+		b.asked += cost
+	}
 	held := b.Held(now)
 	if held <= 0 {
 		return false, time.Second
 	}
 	// A request that is larger than the host's part of the burst needs a full
 	// bucket and leaves a debt.
-	need := min(cost, b.burst*b.fraction)
+	need := min(cost, b.depth())
 	if b.level >= need {
 		b.level -= cost
 		return true, 0
@@ -74,7 +85,7 @@
 }
 
 // Return gives back what a request did not use.
-func (b *Bucket) Return(tokens float64) { b.level = min(b.burst*b.fraction, b.level+tokens) }
+func (b *Bucket) Return(tokens float64) { b.level = min(b.depth(), b.level+tokens) }
 
 // Demand returns what callers ask per second, averaged over recent calls.
 func (b *Bucket) Demand(now time.Duration) float64 {
