--- a/internal/control/core/core.go
+++ b/internal/control/core/core.go
@@ -112,6 +112,9 @@
 	}
 	n.synced, n.unsaved = n.log.last(), n.log.last()+1
 	n.resetElection()
+	if !n.soleVoter() {
+		n.electionDue = now + QuietPeriod + time.Duration(n.rand.Int64N(int64(startSpread)))
+	}
 	return n
 }
 
--- a/internal/control/core/types.go
+++ b/internal/control/core/types.go
@@ -7,17 +7,21 @@
 
 const (
 	// ElectionTimeoutMin and ElectionTimeoutMax bound the random election timeout.
-	ElectionTimeoutMin = time.Second
-	ElectionTimeoutMax = 2 * time.Second
+	ElectionTimeoutMin = 800 * time.Millisecond
+	ElectionTimeoutMax = 1300 * time.Millisecond
+	// startSpread bounds the random part of the first election timeout after a
+	// start: when all voters start together nobody leads, and time is lost.
+	startSpread = 250 * time.Millisecond
 	// HeartbeatInterval is the period of heartbeats of a leader.
 	HeartbeatInterval = 200 * time.Millisecond
 	// LeaseDuration is how long a lease holds from the send time of the
 	// heartbeat round that a majority answered. With clocks that drift by up to
-	// 1 % it ends within 909 ms, before a voter's quiet period can end (990 ms).
-	LeaseDuration = 900 * time.Millisecond
+	// 1 % it ends within 727 ms, before a voter's quiet period can end (772 ms).
+	// It covers a heartbeat interval, a way of 110 ms and a lost packet.
+	LeaseDuration = 720 * time.Millisecond
 	// QuietPeriod is how long a voter grants no vote after it heard from a
 	// leader or started.
-	QuietPeriod = time.Second
+	QuietPeriod = 780 * time.Millisecond
 
 	// maxAppendBytes bounds the entries of one message.
 	maxAppendBytes = 1 << 20
--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -40,7 +40,7 @@
 		Started: time.Now().UnixMilli(),
 	}
 	g.Init(p.ReadSpeed * float64(time.Second/time.Millisecond))
-	client := &fleetsync.Client{Region: s.Region, Dial: d.transport.Dial, Request: g.Report, Apply: g.Apply,
+	client := &fleetsync.Client{Region: s.Region, Dial: d.transport.Dial, Request: g.Report, Apply: g.Apply, Current: g.Current,
 		Changed: func(control string, reachable bool, err error) {
 			entry := d.log.WithFields(logrus.Fields{"control": control, "reachable": reachable})
 			if err != nil {
--- a/internal/fleetsync/client.go
+++ b/internal/fleetsync/client.go
@@ -17,6 +17,8 @@
 	// own and of other regions.
 	nearInterval = 200 * time.Millisecond
 	farInterval  = 500 * time.Millisecond
+	// startInterval spaces them until the host has a configuration.
+	startInterval = 100 * time.Millisecond
 	// failedInterval spaces the tries of a control host that does not answer.
 	failedInterval  = time.Second
 	exchangeTimeout = 700 * time.Millisecond
@@ -40,6 +42,8 @@
 	// Request returns the report of this host; the client adds the position in
 	// the target table.
 	Request func(now time.Duration) *syncpb.ExchangeRequest
+	// Current reports whether the host can serve with what it knows.
+	Current func() bool
 	// Apply takes an answer. Calls are serialised.
 	Apply func(now time.Duration, u Update)
 	// Lost and Regained report a control host that stops or starts answering.
@@ -105,6 +109,8 @@
 			c.Apply(now, Update{Sent: sent, Control: address, ExchangeResponse: out, Records: decodeRecords(now, out.GetTargets())})
 			c.applying.Unlock()
 			wait = c.interval(address)
+		} else if !c.Current() {
+			wait = nearInterval
 		} else if now-heard > controlMemory && c.forget(address, seeds()) {
 			return
 		}
@@ -132,6 +138,9 @@
 }
 
 func (c *Client) interval(address string) time.Duration {
+	if !c.Current() {
+		return startInterval
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.controls[address] == c.Region {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -139,6 +139,12 @@
 	return v != nil && v.Config != nil && !g.Draining()
 }
 
+// Current reports whether keys can be accepted on the configuration for some time.
+func (g *Gateway) Current() bool {
+	age, known := g.Views.Age(sinceBoot())
+	return known && age < g.Bounds.KeyLife/2
+}
+
 // Open returns the requests in progress.
 func (g *Gateway) Open() int64 { return g.open.Load() }
 
@@ -202,7 +208,7 @@
 		return err
 	}
 	err = g.run(ctx, w, x)
-	if x.reserved != nil && x.ran == refusal.NotRun {
+	if x.reserved != nil && err != nil && x.ran == refusal.NotRun && !x.answered {
 		g.release(x.reserved)
 	}
 	if err != nil && !x.answered && ctx.Err() != nil && x.request.Context().Err() == nil {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -89,6 +89,7 @@
 	if s.use != nil {
 		g.mu.Lock()
 		defer g.mu.Unlock()
+		g.placer.Heard(sinceBoot(), s.use)
 		g.placer.FirstByte(s.use)
 	}
 }
@@ -96,7 +97,7 @@
 // relayStream passes a stream on as it arrives.
 func (g *Gateway) relayStream(w http.ResponseWriter, x *exchange, s *send, res *upstream.Response) error {
 	buffer := make([]byte, copyBytes)
-	n, err := res.Read(buffer)
+	n, err := g.read(s, res, buffer)
 	if n == 0 && err != nil && err != io.EOF {
 		return &attemptError{ran: refusal.Unknown, err: err}
 	}
@@ -117,10 +118,21 @@
 	return g.copy(w, x, s, res)
 }
 
+// read reads a piece of a stream and notes that its target is alive.
+func (g *Gateway) read(s *send, res *upstream.Response, buffer []byte) (int, error) {
+	n, err := res.Read(buffer)
+	if n > 0 && s.use != nil {
+		g.mu.Lock()
+		g.placer.Heard(sinceBoot(), s.use)
+		g.mu.Unlock()
+	}
+	return n, err
+}
+
 func (g *Gateway) copy(w http.ResponseWriter, x *exchange, s *send, res *upstream.Response) error {
 	buffer := make([]byte, copyBytes)
 	for {
-		n, err := res.Read(buffer)
+		n, err := g.read(s, res, buffer)
 		if n > 0 {
 			if werr := writeFlush(w, buffer[:n]); werr != nil {
 				return werr
@@ -150,7 +162,7 @@
 	var pending []byte
 	buffer := make([]byte, copyBytes)
 	for {
-		n, err := res.Read(buffer)
+		n, err := g.read(s, res, buffer)
 		pending = append(pending, buffer[:n]...)
 		events, rest := splitEvents(pending)
 		if len(events) > 0 {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -81,17 +81,22 @@
 		}
 		last = err
 		failed, ok := errors.AsType[*attemptError](err)
-		if !ok || ctx.Err() != nil {
+		if !ok {
+			x.ran = refusal.Unknown
 			return endOf(x, last, err)
 		}
 		g.logAttempt(x, s, failed)
-		if failed.unsent {
+		switch {
+		case failed.unsent:
 			unsent++
-		} else if failed.ran == refusal.NotRun {
+		case failed.ran == refusal.NotRun:
 			rejected++
-		} else {
+		default:
 			x.ran = refusal.Unknown
 		}
+		if ctx.Err() != nil {
+			return endOf(x, last, err)
+		}
 		if unsent > maxUnsent || rejected > maxRejected || !failed.taken && !g.mayRepeat(x, failed) {
 			return endOf(x, last, err)
 		}
@@ -272,7 +277,7 @@
 	case ok && failed.unsent:
 		return placement.Unreachable
 	}
-	return placement.Failed
+	return placement.Broken
 }
 
 func (g *Gateway) done(u *placement.Use, o placement.Outcome) {
@@ -316,6 +321,9 @@
 		x.sends--
 		return nil, &attemptError{ran: refusal.NotRun, unsent: true, err: err}
 	case err != nil:
+		if !s.forward {
+			pool.Forget(s.address)
+		}
 		return nil, &attemptError{ran: refusal.Unknown, err: err}
 	}
 	return res, nil
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -16,6 +16,10 @@
 	decodeTime = 1.2 * float64(time.Millisecond)
 	// serviceTime is the assumed work of a plain request before one was measured.
 	serviceTime = 40 * float64(time.Millisecond)
+	// engineStall and serviceStall are the silence of a target with requests in
+	// progress after which it gets no others while there is a choice.
+	engineStall  = 900 * time.Millisecond
+	serviceStall = 400 * time.Millisecond
 	// memoryShare of an engine's memory may be planned for; the rest covers
 	// answers that are longer than stated.
 	memoryShare = 0.95
@@ -70,6 +74,9 @@
 	failedAt time.Duration
 	ejected  time.Duration
 	eject    time.Duration
+	// heard is when a byte last arrived from the target, or when the first of its
+	// requests in progress was sent.
+	heard time.Duration
 }
 
 // Placer holds the targets that this host may use. It is not safe for concurrent
@@ -148,9 +155,21 @@
 	if now < t.ColdUntil && t.ColdLimit > 0 && !t.pace.Allows(now, t.ColdLimit) {
 		return false
 	}
-	return lastResort || !t.Suspect && now >= t.ejected
+	return lastResort || !t.Suspect && now >= t.ejected && !t.stalled(now)
 }
 
+// stalled reports whether the target owes bytes for longer than it should.
+func (t *Target) stalled(now time.Duration) bool {
+	limit := serviceStall
+	if t.cache != nil {
+		limit = engineStall
+	}
+	return t.running > 0 && now-t.heard > limit
+}
+
+// Heard records that bytes have arrived from the target of a request.
+func (p *Placer) Heard(now time.Duration, u *Use) { u.target.heard = max(u.target.heard, now) }
+
 // cost returns the expected time to the first byte, in ns, and the score with the
 // risk of a failure.
 func (p *Placer) cost(now time.Duration, t *Target, r *Request) (wait, cost float64) {
@@ -186,6 +205,9 @@
 // Start records that a request is sent to the target.
 func (p *Placer) Start(now time.Duration, t *Target, r *Request) *Use {
 	u := &Use{target: t, started: now}
+	if t.running == 0 {
+		t.heard = now
+	}
 	t.running++
 	if now < t.ColdUntil {
 		t.pace.Add(now)
@@ -218,6 +240,8 @@
 	Failed
 	// Unreachable means that no connection could be opened.
 	Unreachable
+	// Broken means that the connection ended before an answer.
+	Broken
 	// Cancelled says nothing of the target.
 	Cancelled
 )
@@ -237,7 +261,10 @@
 		}
 	case Rejected, Failed:
 		t.note(now, 1)
-	case Unreachable:
+	case Unreachable, Broken:
+		if o == Broken {
+			t.note(now, 1)
+		}
 		t.eject = min(ejectMax, max(ejectFirst, 2*t.eject))
 		t.ejected = now + t.eject
 	case Cancelled:
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// silentAfter is the silence after which a target counts as silent: three
-	// heartbeats of 1.2 s may be lost.
-	silentAfter = 4 * time.Second
+	// silentAfter is the silence after which a target counts as silent: one
+	// heartbeat of 1.2 s may be lost.
+	silentAfter = 3 * time.Second
 	// tombstoneLife is how long a record that left is kept. Delayed heartbeats
 	// arrive within the time that a partition holds them up.
 	tombstoneLife = 5 * time.Minute
--- a/internal/shares/allocator.go
+++ b/internal/shares/allocator.go
@@ -12,7 +12,7 @@
 	leaseMargin = 200 * time.Millisecond
 	// settleTime is how long a new allocator only renews what hosts report; every
 	// host in contact has reported by then.
-	settleTime = time.Second
+	settleTime = 600 * time.Millisecond
 	// unknownPart stays reserved for hosts that may still hold a fraction of an
 	// earlier allocator, until their leases have ended. It is above the part of
 	// one region of three.
--- a/internal/shares/bucket.go
+++ b/internal/shares/bucket.go
@@ -37,8 +37,17 @@
 func (b *Bucket) depth() float64 { return b.burst*b.fraction + b.spare }
 
 // SetSpare changes this host's part of the tolerance, in tokens. It lets a host
-// with a small fraction serve a large request at once.
-func (b *Bucket) SetSpare(tokens float64) { b.spare = tokens }
+// with a small fraction serve a large request at once, and a host that has just
+// started serve some before it holds a fraction.
+func (b *Bucket) SetSpare(tokens float64) {
+	if b.spare == 0 {
+		b.level += tokens
+	}
+	b.spare = tokens
+}
+
+// noShareRetry is when a host without a fraction is likely to have one.
+const noShareRetry = 500 * time.Millisecond
 
 // SetFraction changes the part that the host may use until the lease ends. A
 // larger part raises the level only with time, except for the first one.
@@ -70,17 +79,17 @@
 	if first {
 		b.asked += cost
 	}
-	held := b.Held(now)
-	if held <= 0 {
-		return false, time.Second
-	}
 	// A request that is larger than the host's part of the burst needs a full
 	// bucket and leaves a debt.
 	need := min(cost, b.depth())
-	if b.level >= need {
+	if b.level >= need && need > 0 {
 		b.level -= cost
 		return true, 0
 	}
+	held := b.Held(now)
+	if held <= 0 {
+		return false, noShareRetry
+	}
 	return false, time.Duration((need - b.level) / (b.rate * held) * float64(time.Second))
 }
 
