daemon: answer requests on open connections while an entry host stops

The process also never ended by itself, because its servers' actors did not return. Ruled out: a starved process (a 5 ms timer was never late) and the accept queue.

--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -87,7 +87,7 @@
 	d.addSignals(stop)
 	d.addLoop(d.watchSettings)
 	if address := d.settings.Deployment.MetricsAddress(); address != "" {
-		if err := d.addServer(address, metricsHandler(d.metrics), nil); err != nil {
+		if _, err := d.addServer(address, metricsHandler(d.metrics)); err != nil {
 			return err
 		}
 	}
@@ -136,24 +136,37 @@
 	}, func(error) { cancel() })
 }
 
-// addServer serves a handler on an address. configure may change the server.
-func (d *deployment) addServer(address string, handler http.Handler, configure func(*http.Server)) error {
+// server is an HTTP server that stops in two steps: first it takes no new
+// connections, then it ends. http.Server.Shutdown would drop a request that arrives
+// on an open connection.
+type server struct {
+	*http.Server
+	listener net.Listener
+	ended    chan struct{}
+}
+
+// refuseConnections closes the listener; open connections are served on.
+func (s *server) refuseConnections() { _ = s.listener.Close() }
+
+// addServer serves a handler on an address until the group ends.
+func (d *deployment) addServer(address string, handler http.Handler) (*server, error) {
 	listener, err := d.listen(address)
 	if err != nil {
-		return err
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: frontHeader, IdleTimeout: frontIdle, ErrorLog: nil}
-	if configure != nil {
-		configure(server)
+		return nil, err
 	}
+	s := &server{listener: listener, ended: make(chan struct{}),
+		Server: &http.Server{Handler: handler, ReadHeaderTimeout: frontHeader, IdleTimeout: frontIdle}}
 	d.group.Add(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			return fmt.Errorf("daemon: serve %s: %w", address, err)
 		}
-		<-make(chan struct{}) // a planned stop closed the server; the group ends by the signal
+		<-s.ended
 		return nil
-	}, func(error) { _ = server.Close() })
-	return nil
+	}, func(error) {
+		close(s.ended)
+		_ = s.Close()
+	})
+	return s, nil
 }
 
 func (d *deployment) listen(address string) (net.Listener, error) {
--- a/internal/daemon/deployment_control.go
+++ b/internal/daemon/deployment_control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"path/filepath"
 	"time"
 
@@ -26,8 +25,8 @@
 	// resignTime is how long a stopping control host serves after it gave up the
 	// lead, so that the next leader is known.
 	resignTime = 400 * time.Millisecond
-	// controlDrain bounds the wait for calls in progress.
-	controlDrain = time.Second
+	// controlDrain is the time for calls in progress.
+	controlDrain = 300 * time.Millisecond
 )
 
 // buildControl wires a control host and returns its graceful stop.
@@ -65,11 +64,11 @@
 	d.addLoop(func(ctx context.Context) error { return d.transport.Serve(ctx, listener) })
 	d.addLoop(node.Run)
 	d.addLoop(func(ctx context.Context) error { return server.Run(ctx, d.seedPeers) })
-	var front, directory *http.Server
-	err = d.addServer(p.Control, platform.ControlHandler(plane), func(h *http.Server) { front = h })
-	if err == nil {
-		err = d.addServer(p.Directory, platform.DirectoryHandler(plane, min(directoryTTL, settings.Seconds(p.Bounds.DirectoryTTLS))), func(h *http.Server) { directory = h })
+	front, err := d.addServer(p.Control, platform.ControlHandler(plane))
+	if err != nil {
+		return nil, err
 	}
+	directory, err := d.addServer(p.Directory, platform.DirectoryHandler(plane, min(directoryTTL, settings.Seconds(p.Bounds.DirectoryTTLS))))
 	return func(ctx context.Context) { d.stopControl(ctx, node, front, directory) }, err
 }
 
@@ -82,17 +81,11 @@
 }
 
 // stopControl hands the lead over and ends the calls in progress.
-func (d *deployment) stopControl(ctx context.Context, node *control.Node, servers ...*http.Server) {
+func (d *deployment) stopControl(ctx context.Context, node *control.Node, servers ...*server) {
 	node.Resign(ctx)
-	select {
-	case <-ctx.Done():
-	case <-time.After(resignTime):
-	}
-	ctx, cancel := context.WithTimeout(ctx, controlDrain)
-	defer cancel()
+	pause(ctx, resignTime)
 	for _, s := range servers {
-		if err := s.Shutdown(ctx); err != nil {
-			d.log.WithError(err).Warn("calls were cut at the stop")
-		}
+		s.refuseConnections()
 	}
+	pause(ctx, controlDrain)
 }
--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -20,6 +19,10 @@
 	// a directory answer for this long, and most requests that it takes can end
 	// within the rest of the time.
 	drainTime = 2500 * time.Millisecond
+	// settleTime covers a connection that was being opened from another region when
+	// the host stopped to take new ones, and its first request.
+	settleTime = 400 * time.Millisecond
+	openPoll   = 20 * time.Millisecond
 	// keyMargin covers the drift of clocks in the life of keys.
 	keyMargin = 100 * time.Millisecond
 )
@@ -48,35 +51,40 @@
 			}
 			entry.Info("control host")
 		}}
-	var front, forward *http.Server
-	err := d.addServer(p.Front, g, func(server *http.Server) { front = server })
-	if err == nil {
-		err = d.addServer(p.ForwardAddress(), g.ForwardHandler(), func(server *http.Server) { forward = server })
+	front, err := d.addServer(p.Front, g)
+	if err != nil {
+		return nil, err
 	}
-	if err == nil {
-		err = d.addServer(p.Ready, platform.ReadyHandler(g.Ready), nil)
+	if _, err := d.addServer(p.ForwardAddress(), g.ForwardHandler()); err != nil {
+		return nil, err
 	}
-	if err != nil {
+	if _, err := d.addServer(p.Ready, platform.ReadyHandler(g.Ready)); err != nil {
 		return nil, err
 	}
 	d.addLoop(func(ctx context.Context) error { return client.Run(ctx, d.seedPeers) })
-	return func(ctx context.Context) { d.stopEntry(ctx, g, front, forward) }, nil
+	return func(ctx context.Context) { d.stopEntry(ctx, g, front) }, nil
 }
 
 // stopEntry asks callers to go elsewhere, goes on serving while they may still come,
 // and waits for the requests in progress.
-func (d *deployment) stopEntry(ctx context.Context, g *gateway.Gateway, front, forward *http.Server) {
+func (d *deployment) stopEntry(ctx context.Context, g *gateway.Gateway, front *server) {
 	started := clock.SinceBoot()
 	g.Drain()
+	pause(ctx, drainTime)
+	g.RefuseNew()
+	front.refuseConnections()
+	pause(ctx, settleTime)
+	for g.Open() > 0 && ctx.Err() == nil {
+		pause(ctx, openPoll)
+	}
+	d.log.WithFields(logrus.Fields{"took_ms": (clock.SinceBoot() - started).Milliseconds(), "cut": g.Open()}).Info("drained")
+}
+
+func pause(ctx context.Context, t time.Duration) {
+	timer := time.NewTimer(t)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-	case <-time.After(drainTime):
-	}
-	if err := front.Shutdown(ctx); err != nil {
-		d.log.WithField("open", g.Open()).Warn("requests were cut at the stop")
-	}
-	if err := forward.Shutdown(ctx); err != nil {
-		d.log.WithField("open", g.Open()).Warn("forwarded requests were cut at the stop")
+	case <-timer.C:
 	}
-	d.log.WithField("took_ms", (clock.SinceBoot() - started).Milliseconds()).Info("drained")
 }
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -70,6 +70,9 @@
 
 // write counts a line that cannot be written as dropped: there is nowhere to say so.
 func (w *Writer) write(out *bufio.Writer, line []byte) {
+	if out.Available() < len(line) {
+		_ = out.Flush() // whole lines go out together; the error returns at the next write
+	}
 	if _, err := out.Write(line); err != nil {
 		w.dropped.Add(1)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,7 @@
 
 	local, remote *upstream.Pool
 	draining      atomic.Bool
+	refusing      atomic.Bool
 	open          atomic.Int64
 	measures      measures
 
@@ -139,6 +140,10 @@
 	return v != nil && v.Config != nil && !g.Draining()
 }
 
+// RefuseNew makes the host refuse requests that arrive from now on, because they
+// could not end before it stops.
+func (g *Gateway) RefuseNew() { g.refusing.Store(true) }
+
 // Current reports whether keys can be accepted on the configuration for some time.
 func (g *Gateway) Current() bool {
 	age, known := g.Views.Age(sinceBoot())
@@ -192,6 +197,9 @@
 }
 
 func (g *Gateway) serve(w http.ResponseWriter, x *exchange) error {
+	if g.refusing.Load() {
+		return refusal.New(refusal.Draining, refusal.NotRun, "this host is shutting down").WithRetry(time.Millisecond)
+	}
 	var err error
 	if x.call, err = g.Caller.Decode(x.request); err != nil {
 		return refusal.New(refusal.InvalidRequest, refusal.NotRun, "%v", err)
