--- a/internal/controlplane/directory.go
+++ b/internal/controlplane/directory.go
@@ -1,7 +1,7 @@
 package controlplane
 
 import (
-	"slices"
+	"cmp"
 
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/document"
@@ -15,38 +15,57 @@
 // region should use for a host name.
 func (s *Service) EntryAddresses(name, region string) []string {
 	state, _ := s.Document.State()
-	var homes [][]string
+	var routes []*document.Route
 	if d, err := s.Decoder.Decode(state.Content); err == nil {
-		for _, r := range document.NewIndex(d).HostRoutes(name) {
-			homes = append(homes, r.Homes)
-		}
+		routes = document.NewIndex(d).HostRoutes(name)
 	}
-	return chooseEntries(s.Presence.Entries(clock.SinceBoot()), region, homes)
+	return chooseEntries(s.Presence.Entries(clock.SinceBoot()), region, routes)
 }
 
-// chooseEntries prefers hosts of the caller's region. When there is none, a body
-// may only go to regions that are home to every route of the name; without such a
-// host every region is better than none.
-func chooseEntries(hosts []*syncpb.EntryHost, region string, homes [][]string) []string {
-	choose := func(allowed func(*syncpb.EntryHost) bool) []string {
-		var out []string
-		for _, h := range hosts {
-			if h.GetServing() && allowed(h) && len(out) < maxAddresses {
-				out = append(out, h.GetFront())
-			}
+// chooseEntries prefers hosts of the caller's region. When there is none it names
+// the hosts of the regions that are home to most routes of the name: those that
+// need a key first, because a body must not go to another region.
+func chooseEntries(hosts []*syncpb.EntryHost, region string, routes []*document.Route) []string {
+	best := homeScore{}
+	var own, atHome []string
+	for _, h := range hosts {
+		if !h.GetServing() {
+			continue
+		}
+		if h.GetRegion() == region {
+			own = append(own, h.GetFront())
+		}
+		score := scoreHome(routes, h.GetRegion())
+		if score.compare(best) > 0 || atHome == nil {
+			best, atHome = score, nil
+		}
+		if score.compare(best) == 0 {
+			atHome = append(atHome, h.GetFront())
 		}
-		return out
 	}
-	if own := choose(func(h *syncpb.EntryHost) bool { return h.GetRegion() == region }); len(own) > 0 {
-		return own
+	if len(own) == 0 {
+		own = atHome
 	}
-	atHome := choose(func(h *syncpb.EntryHost) bool {
-		return !slices.ContainsFunc(homes, func(regions []string) bool {
-			return len(regions) > 0 && !slices.Contains(regions, h.GetRegion())
-		})
-	})
-	if len(atHome) > 0 {
-		return atHome
+	return own[:min(len(own), maxAddresses)]
+}
+
+// homeScore counts the routes that may be served in a region.
+type homeScore struct{ keyed, public int }
+
+func scoreHome(routes []*document.Route, region string) homeScore {
+	var out homeScore
+	for _, r := range routes {
+		switch {
+		case !document.Allows(r, nil, region):
+		case r.Public:
+			out.public++
+		default:
+			out.keyed++
+		}
 	}
-	return choose(func(*syncpb.EntryHost) bool { return true })
+	return out
+}
+
+func (a homeScore) compare(b homeScore) int {
+	return cmp.Or(cmp.Compare(a.keyed, b.keyed), cmp.Compare(a.public, b.public))
 }
