placement: model slots, memory and cost; share usage between the hosts of a region; forward by cost

The cost of a choice is now the expected loss of credit: the time to the first byte against the objective, shared prompt parts that are read again, bytes between regions, and answers that cannot end in time.

--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -18,6 +18,7 @@
 	"github.com/oklog/run"
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"storj.io/drpc"
 
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/eventlog"
@@ -169,6 +170,19 @@
 	return s, nil
 }
 
+// servePeers serves the calls of other hosts.
+func (d *deployment) servePeers(service any, description drpc.Description) error {
+	if err := d.transport.Register(service, description); err != nil {
+		return err
+	}
+	listener, err := d.listen(d.settings.Deployment.PeerAddress())
+	if err != nil {
+		return err
+	}
+	d.addLoop(func(ctx context.Context) error { return d.transport.Serve(ctx, listener) })
+	return nil
+}
+
 func (d *deployment) listen(address string) (net.Listener, error) {
 	listener, err := sockets.ListenConfig(acceptSilence).Listen(context.Background(), "tcp", address)
 	if err != nil {
--- a/internal/daemon/deployment_control.go
+++ b/internal/daemon/deployment_control.go
@@ -54,14 +54,9 @@
 	if err := d.transport.Register(node.Service(), controlpb.DRPCControlDescription{}); err != nil {
 		return nil, err
 	}
-	if err := d.transport.Register(server, syncpb.DRPCSyncDescription{}); err != nil {
+	if err := d.servePeers(server, syncpb.DRPCSyncDescription{}); err != nil {
 		return nil, err
 	}
-	listener, err := d.listen(p.PeerAddress())
-	if err != nil {
-		return nil, err
-	}
-	d.addLoop(func(ctx context.Context) error { return d.transport.Serve(ctx, listener) })
 	d.addLoop(node.Run)
 	d.addLoop(func(ctx context.Context) error { return server.Run(ctx, d.seedPeers) })
 	front, err := d.addServer(p.Control, platform.ControlHandler(plane))
--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -8,6 +8,7 @@
 
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/fleetsync"
+	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/gateway"
 	"geraniumturn.example/geraniumturn/internal/registry"
 	"geraniumturn.example/geraniumturn/internal/settings"
@@ -39,7 +40,7 @@
 			RateSlack: p.Bounds.RateSlack, ColdOverrun: p.Bounds.ColdOverrun, ColdSlack: p.Bounds.ColdSlack,
 		},
 		Caller: platform.Callers{}, Targets: platform.TargetCalls{}, Views: gateway.NewViews(platform.Configurations{}),
-		Table: registry.NewTable(), Log: d.log, Metrics: d.metrics, Front: p.Front, Forward: p.ForwardAddress(),
+		Table: registry.NewTable(), Log: d.log, Metrics: d.metrics, Front: p.Front, Forward: p.ForwardAddress(), Peer: p.PeerAddress(),
 		Started: time.Now().UnixMilli(),
 	}
 	g.Init(p.ReadSpeed * float64(time.Second/time.Millisecond))
@@ -62,6 +63,11 @@
 		return nil, err
 	}
 	d.addLoop(func(ctx context.Context) error { return client.Run(ctx, d.seedPeers) })
+	if err := d.servePeers(g, syncpb.DRPCUsageDescription{}); err != nil {
+		return nil, err
+	}
+	usage := &fleetsync.UsageSender{Dial: d.transport.Dial, Peers: g.UsagePeers, Report: g.UsageReport}
+	d.addLoop(usage.Run)
 	return func(ctx context.Context) { d.stopEntry(ctx, g, front) }, nil
 }
 
--- a/internal/fleetsync/presence.go
+++ b/internal/fleetsync/presence.go
@@ -93,7 +93,7 @@
 func withAge(e *entrySeen, now time.Duration) *syncpb.EntryHost {
 	h := e.host
 	return &syncpb.EntryHost{Name: h.GetName(), DataCentre: h.GetDataCentre(), Region: h.GetRegion(), Front: h.GetFront(),
-		Forward: h.GetForward(), Started: h.GetStarted(), Serving: h.GetServing(), Loads: h.GetLoads(), HeardMs: (now - e.heard).Milliseconds()}
+		Forward: h.GetForward(), Started: h.GetStarted(), Serving: h.GetServing(), Loads: h.GetLoads(), Peer: h.GetPeer(), HeardMs: (now - e.heard).Milliseconds()}
 }
 
 // TakeFresh returns the entry hosts that called this host since the last call.
--- /dev/null
+++ b/internal/fleetsync/usage.go
@@ -0,0 +1,65 @@
+package fleetsync
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"storj.io/drpc"
+
+	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+)
+
+const (
+	// usageInterval spaces the reports to a few hosts. With more than usagePeers
+	// it grows with their number, so that the cost of a host stays the same.
+	usageInterval = 100 * time.Millisecond
+	usagePeers    = 5
+	usageTimeout  = 400 * time.Millisecond
+)
+
+// UsageSender tells the entry hosts of a region what this one has in progress.
+type UsageSender struct {
+	Dial func(address string) drpc.Conn
+	// Peers returns the addresses of the other hosts, Report what to tell them.
+	Peers  func() []string
+	Report func() *syncpb.UsageReport
+}
+
+// Run sends reports until ctx ends. A host that does not answer gets the next
+// report when its call has ended.
+func (s *UsageSender) Run(ctx context.Context) error {
+	var mu sync.Mutex
+	busy := map[string]bool{}
+	for ctx.Err() == nil {
+		peers := s.Peers()
+		if len(peers) > 0 {
+			report := s.Report()
+			for _, a := range peers {
+				mu.Lock()
+				free := !busy[a]
+				busy[a] = true
+				mu.Unlock()
+				if !free {
+					continue
+				}
+				go func() {
+					s.send(ctx, a, report)
+					mu.Lock()
+					delete(busy, a)
+					mu.Unlock()
+				}()
+			}
+		}
+		pause(ctx, usageInterval*time.Duration(max(1, len(peers)/usagePeers)))
+	}
+	return nil
+}
+
+func (s *UsageSender) send(ctx context.Context, address string, report *syncpb.UsageReport) {
+	ctx, cancel := context.WithTimeout(ctx, usageTimeout)
+	defer cancel()
+	// A lost report is replaced by the next one; what a silent host uses is
+	// forgotten after a short time.
+	_, _ = syncpb.NewDRPCUsageClient(s.Dial(address)).Share(ctx, report)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,9 +74,10 @@
 	Table   *registry.Table
 	Log     *logrus.Logger
 	Metrics metrics.Registry
-	// Front and Forward are the addresses of this host.
-	Front, Forward string
-	Started        int64
+	// Front, Forward and Peer are the addresses of this host for callers, for
+	// forwarded requests and for calls of other hosts.
+	Front, Forward, Peer string
+	Started              int64
 
 	local, remote *upstream.Pool
 	draining      atomic.Bool
@@ -97,6 +98,8 @@
 type peerHost struct {
 	*syncpb.EntryHost
 	heard time.Duration
+	// forwards are the times of the latest requests that were sent there.
+	forwards []time.Duration
 }
 
 // restoration is an evacuation that ended.
@@ -116,7 +119,7 @@
 	g.local, g.remote = upstream.NewPool(localDial), upstream.NewPool(remoteDial)
 	opened := metrics.GetOrRegisterCounter("gateway.connections_opened", g.Metrics)
 	g.local.Opened = func() { opened.Inc(1) }
-	g.placer = placement.New(readSpeed, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	g.placer = placement.New(placement.DefaultEngine(readSpeed), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	g.buckets, g.budgets = map[string]*shares.Bucket{}, map[string]*shares.Budget{}
 	g.hosts, g.restored = map[string]*peerHost{}, map[string]restoration{}
 	counter := func(name string) metrics.Counter {
@@ -250,7 +253,8 @@
 		limit = p - answerMargin
 	}
 	x.deadline = x.started + max(0, limit)
-	x.place = placement.Request{Service: x.service, Model: x.call.Model, Parts: x.call.Parts, Prompt: x.call.Prompt, Output: x.call.Output}
+	x.place = placement.Request{Service: x.service, Model: x.call.Model, Parts: x.call.Parts, Prompt: x.call.Prompt, Output: x.call.Output,
+		Objective: x.route.Objective}
 	return nil
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -27,21 +27,25 @@
 	leastPatience     = 2 * time.Second
 	objectivePatience = 4
 	gapPatience       = 8
-	// patiencePart of that time may be planned for the first byte.
-	patiencePart = 0.8
 	// rejectedPause is how long a target that has another's address is passed over.
 	rejectedPause = 1500 * time.Millisecond
 	// forwardWay is the time to and from a host of another region.
 	forwardWay = 130 * time.Millisecond
-	// forwardFrom is the part of the objective that the expected time must exceed
-	// before another region is considered, and forwardGain how much shorter it
-	// must be there: bytes between regions are expensive.
-	forwardFrom = 0.9
-	forwardGain = 0.5
+	// forwardGain is how much less the expected cost must be in another region, as
+	// a part of the credit of a request.
+	forwardGain = 0.12
+	// forwardMemory is the age of another region's report, and forwardLoad what
+	// each request that was sent since adds to the wait there.
+	forwardMemory = 600 * time.Millisecond
+	forwardLoad   = 12 * time.Millisecond
 	// loadAge bounds the age of another host's load.
 	loadAge = 2500 * time.Millisecond
 )
 
+// patienceParts are the parts of a caller's patience that may be planned for the
+// first byte, by the priority of the route.
+var patienceParts = []float64{0.8, 0.65, 0.55}
+
 // attemptError is the end of one send.
 type attemptError struct {
 	ran refusal.Ran
@@ -154,75 +158,93 @@
 // choose finds the destination of the next attempt, or refuses.
 func (g *Gateway) choose(x *exchange) (*send, error) {
 	now := sinceBoot()
+	x.place.Time = x.deadline - now
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var choice placement.Choice
-	local := false
+	var local placement.Choice
+	usable := false
 	if document.Allows(x.route, x.workspace, g.Region) {
-		choice, local = g.placer.Choose(now, &x.place, func(id string) bool { return x.tried[id] })
+		local, usable = g.placer.Choose(now, &x.place, func(id string) bool { return x.tried[id] })
 	}
-	remote, remoteWait := g.remoteFor(now, x)
-	switch {
-	case remote != nil && (!local || g.worthForward(x, choice.Wait, remoteWait)):
+	remote, there := g.remoteFor(now, x)
+	if remote != nil && (!usable || there.cost+forwardGain < local.Cost) {
+		local.Expectation = there.Expectation
+	} else {
+		remote = nil
+	}
+	switch patience := g.patience(x) - (now - x.started); {
+	case remote == nil && !usable:
+		return nil, refusal.New(refusal.NoTarget, refusal.NotRun, "no target of service %s can take the request", x.service).WithRetry(settleRetry)
+	case local.Wait > patience:
+		return nil, refusal.New(refusal.Overloaded, refusal.NotRun, "the first byte is expected after %s, the caller waits for %s", local.Wait, patience).
+			WithRetry(max(shortRetry, local.Wait-patience))
+	}
+	x.wait = local.Wait
+	if remote != nil {
 		x.regions[remote.GetName()] = true
-		x.forward, x.target, x.wait = remote.GetName(), remote.GetName(), remoteWait
+		x.forward, x.target = remote.GetName(), remote.GetName()
+		remote.sent(now)
 		g.measures.forwarded.Inc(1)
 		return &send{target: remote.GetName(), address: remote.GetForward(), forward: true}, nil
-	case !local:
-		return nil, refusal.New(refusal.NoTarget, refusal.NotRun, "no target of service %s can take the request", x.service).WithRetry(settleRetry)
-	case choice.Wait > g.patience(x)-(now-x.started):
-		return nil, refusal.New(refusal.Overloaded, refusal.NotRun, "the first byte is expected after %s", choice.Wait).
-			WithRetry(max(shortRetry, choice.Wait-x.route.Objective))
 	}
-	x.tried[choice.Target.ID] = true
-	x.target, x.wait = choice.Target.ID, choice.Wait
-	return &send{use: g.placer.Start(now, choice.Target, &x.place), target: choice.Target.ID, address: choice.Target.Address}, nil
+	x.tried[local.Target.ID] = true
+	x.target = local.Target.ID
+	return &send{use: g.placer.Start(now, local.Target, &x.place), target: local.Target.ID, address: local.Target.Address}, nil
 }
 
-// patience is how long the caller waits for the first byte.
+// patience is how long the caller of a request may be made to wait for the first
+// byte. Less urgent routes yield earlier when there is not room for all.
 func (g *Gateway) patience(x *exchange) time.Duration {
 	limit := x.deadline - x.started
 	if x.route.Kind == document.Streaming {
 		leave := max(leastPatience, objectivePatience*x.route.Objective, gapPatience*x.route.MaxGap)
 		limit = min(limit, leave)
 	}
-	return time.Duration(patiencePart * float64(limit))
+	part := patienceParts[min(max(0, x.route.Priority), len(patienceParts)-1)]
+	return time.Duration(part * float64(limit))
 }
 
-// worthForward compares the expected times here and in another region.
-func (g *Gateway) worthForward(x *exchange, here, there time.Duration) bool {
-	return float64(here) > forwardFrom*float64(x.route.Objective) && float64(there) < forwardGain*float64(here)
+// elsewhere is what a request may expect in another region.
+type elsewhere struct {
+	placement.Expectation
+	cost float64
 }
 
-// remoteFor returns the host of another region with the least expected time, with
+// remoteFor returns the host of another region with the least expected cost, with
 // g.mu held.
-func (g *Gateway) remoteFor(now time.Duration, x *exchange) (*peerHost, time.Duration) {
+func (g *Gateway) remoteFor(now time.Duration, x *exchange) (*peerHost, elsewhere) {
 	var best *peerHost
-	var bestWait time.Duration
+	var least elsewhere
 	for _, h := range g.hosts {
-		if h.GetRegion() == g.Region || !h.GetServing() || h.GetForward() == "" || now-h.heard > loadAge || x.regions[h.GetName()] {
+		if h.GetRegion() == g.Region || !h.GetServing() || h.GetForward() == "" || now-h.heard > loadAge || x.regions[h.GetName()] ||
+			!document.Allows(x.route, x.workspace, h.GetRegion()) {
 			continue
 		}
-		if !document.Allows(x.route, x.workspace, h.GetRegion()) {
+		e, ok := h.expect(x.service, x.place.Output)
+		if !ok {
 			continue
 		}
-		wait, ok := h.wait(x.service)
-		if ok && (best == nil || wait < bestWait || wait == bestWait && h.GetName() < best.GetName()) {
-			best, bestWait = h, wait
+		// Requests that were forwarded since the report are not in it.
+		e.Wait += time.Duration(h.recent(now)) * forwardLoad
+		c := elsewhere{e, placement.RemoteCost(e, &x.place, len(x.body))}
+		if best == nil || c.cost < least.cost || c.cost == least.cost && h.GetName() < best.GetName() {
+			best, least = h, c
 		}
 	}
-	return best, bestWait + forwardWay
+	return best, least
 }
 
-func (h *peerHost) wait(service string) (time.Duration, bool) {
-	for _, l := range h.GetLoads() {
-		if l.GetService() == service && l.GetWaitMs() >= 0 {
-			return time.Duration(l.GetWaitMs()) * time.Millisecond, true
-		}
+// recent counts the requests that were forwarded to the host within the age of its
+// report.
+func (h *peerHost) recent(now time.Duration) int {
+	for len(h.forwards) > 0 && now-h.forwards[0] > forwardMemory {
+		h.forwards = h.forwards[1:]
 	}
-	return 0, false
+	return len(h.forwards)
 }
 
+func (h *peerHost) sent(now time.Duration) { h.forwards = append(h.forwards, now) }
+
 // attempt sends the request to one destination and passes the answer on.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, x *exchange, s *send) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -23,7 +23,7 @@
 func (g *Gateway) Report(now time.Duration) *syncpb.ExchangeRequest {
 	index, version := g.Views.position()
 	out := &syncpb.ExchangeRequest{Index: index, Version: version, WantHosts: true,
-		Host: &syncpb.EntryHost{Name: g.Name, DataCentre: g.DataCentre, Region: g.Region, Front: g.Front, Forward: g.Forward,
+		Host: &syncpb.EntryHost{Name: g.Name, DataCentre: g.DataCentre, Region: g.Region, Front: g.Front, Forward: g.Forward, Peer: g.Peer,
 			Started: g.Started, Serving: g.Ready()}}
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -32,8 +32,9 @@
 		out.Demands = append(out.Demands, &syncpb.Demand{Workspace: name, PerSecond: b.Demand(now), Held: b.Held(now)})
 	}
 	for _, name := range g.placer.Services() {
-		wait := g.placer.Usual(now, name)
-		out.Host.Loads = append(out.Host.Loads, &syncpb.Load{Service: name, WaitMs: wait.Milliseconds()})
+		if e, ok := g.placer.Usual(now, name); ok {
+			out.Host.Loads = append(out.Host.Loads, &syncpb.Load{Service: name, WaitMs: e.Wait.Milliseconds(), TokenUs: e.PerToken().Microseconds()})
+		}
 	}
 	return out
 }
@@ -99,8 +100,12 @@
 		return
 	}
 	heard := now - time.Duration(h.GetHeardMs())*time.Millisecond
-	if old := g.hosts[h.GetName()]; old == nil || heard > old.heard {
-		g.hosts[h.GetName()] = &peerHost{h, heard}
+	old := g.hosts[h.GetName()]
+	switch {
+	case old == nil:
+		g.hosts[h.GetName()] = &peerHost{EntryHost: h, heard: heard}
+	case heard > old.heard:
+		old.EntryHost, old.heard = h, heard
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/usage.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/placement"
+)
+
+// UsagePeers returns the addresses of the other entry hosts of this region, which
+// send to the same targets.
+func (g *Gateway) UsagePeers() []string {
+	now := sinceBoot()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []string
+	for _, h := range g.hosts {
+		if h.GetRegion() == g.Region && h.GetPeer() != "" && now-h.heard < loadAge {
+			out = append(out, h.GetPeer())
+		}
+	}
+	return out
+}
+
+// UsageReport returns what this host has in progress, and the prompts that it sent
+// since the last report.
+func (g *Gateway) UsageReport() *syncpb.UsageReport {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := &syncpb.UsageReport{Host: g.Name}
+	for id, u := range g.placer.Own() {
+		out.Targets = append(out.Targets, &syncpb.TargetUsage{Target: id, Running: int32(u.Running), Memory: u.Memory, Unread: int64(u.Unread)})
+	}
+	for _, p := range g.placer.TakePlaced() {
+		out.Prompts = append(out.Prompts, &syncpb.PlacedPrompt{Target: p.Target, Keys: p.Keys, Tokens: p.Tokens})
+	}
+	return out
+}
+
+// Share implements the drpc service: it takes the report of another host.
+func (g *Gateway) Share(_ context.Context, in *syncpb.UsageReport) (*syncpb.Empty, error) {
+	usage := make(map[string]placement.Usage, len(in.GetTargets()))
+	for _, t := range in.GetTargets() {
+		usage[t.GetTarget()] = placement.Usage{Running: int(t.GetRunning()), Memory: t.GetMemory(), Unread: float64(t.GetUnread())}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.placer.SetOther(sinceBoot(), in.GetHost(), usage)
+	for _, p := range in.GetPrompts() {
+		g.placer.NotePlaced(placement.Placed{Target: p.GetTarget(), Keys: p.GetKeys(), Tokens: p.GetTokens()})
+	}
+	return &syncpb.Empty{}, nil
+}
+
+// peerLoad is what this host knows of the targets behind another one.
+func (h *peerHost) load(service string) (*syncpb.Load, bool) {
+	for _, l := range h.GetLoads() {
+		if l.GetService() == service {
+			return l, true
+		}
+	}
+	return nil, false
+}
+
+// expectation of a request that is forwarded to the host.
+func (h *peerHost) expect(service string, output int64) (placement.Expectation, bool) {
+	l, ok := h.load(service)
+	if !ok {
+		return placement.Expectation{}, false
+	}
+	wait := time.Duration(l.GetWaitMs())*time.Millisecond + forwardWay
+	return placement.Expectation{Wait: wait, Total: wait + time.Duration(l.GetTokenUs()*output)*time.Microsecond}, true
+}
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -25,6 +25,14 @@
 	return out
 }
 
+func tokensOf(parts []Part) []int64 {
+	out := make([]int64, len(parts))
+	for i, p := range parts {
+		out[i] = p.Tokens
+	}
+	return out
+}
+
 // prefixCache models the prompt parts that a target keeps, least recently used
 // parts leaving first.
 type prefixCache struct {
@@ -55,14 +63,14 @@
 }
 
 // use marks parts as just used and adds those that are new.
-func (c *prefixCache) use(keys []uint64, parts []Part, running int64) {
+func (c *prefixCache) use(keys []uint64, tokens []int64, running int64) {
 	for i := len(keys) - 1; i >= 0; i-- {
 		if e := c.parts[keys[i]]; e != nil {
 			c.order.MoveToFront(e)
 			continue
 		}
-		c.parts[keys[i]] = c.order.PushFront(cached{keys[i], parts[i].Tokens})
-		c.size += parts[i].Tokens
+		c.parts[keys[i]] = c.order.PushFront(cached{keys[i], tokens[i]})
+		c.size += tokens[i]
 	}
 	for c.size > max(0, c.capacity-running) && c.order.Len() > 0 {
 		last := c.order.Back()
--- /dev/null
+++ b/internal/placement/estimate.go
@@ -0,0 +1,139 @@
+package placement
+
+import "time"
+
+const (
+	// memoryShare of an engine's memory may be planned for; the rest covers
+	// answers that are longer than stated.
+	memoryShare = 0.95
+	// missCost is the cost of one prompt token that is read again though another
+	// target has it, as a part of the credit of a request: a shared prompt of
+	// 6,300 tokens costs about a third of a request.
+	missCost = 4.6e-5
+	// easyPart of the objective costs little; from there to the objective the cost
+	// rises to that of a late answer.
+	easyPart = 0.45
+	easyCost = 0.1
+	lateCost = 0.75
+	// laterCost is added for each further objective of lateness.
+	laterCost = 0.25
+	// unfinishedCost is added when the answer is not expected to end in time.
+	unfinishedCost = 0.8
+	// outputPart of the stated output is usual; the statement is a maximum.
+	outputPart = 0.9
+)
+
+// Expectation is what a request may expect at a target.
+type Expectation struct {
+	// Wait is the time to the first byte, Total the time to the end of the answer.
+	Wait, Total time.Duration
+}
+
+// rate estimates how a request would fare at a target.
+func (p *Placer) rate(now time.Duration, t *Target, r *Request) Choice {
+	c := Choice{Target: t}
+	if t.cache == nil {
+		c.Expectation = t.expectService(now)
+	} else {
+		hit := t.cache.hit(r.keys, r.Parts)
+		c.Expectation = p.expectEngine(now, t, r, float64(r.Prompt-hit))
+		c.Cost = missCost * float64(max(0, sharedTokens(r.Parts)-hit))
+	}
+	c.Cost += delayCost(c.Wait, r.Objective) + t.failureRate(now)
+	if r.Time > 0 && c.Total > r.Time {
+		c.Cost += unfinishedCost
+	}
+	return c
+}
+
+// sharedTokens are those of all parts but the last one, which belongs to the
+// request alone.
+func sharedTokens(parts []Part) int64 {
+	var out int64
+	for _, part := range parts[:max(0, len(parts)-1)] {
+		out += part.Tokens
+	}
+	return out
+}
+
+// delayCost is the expected loss of an answer whose first byte takes the time.
+func delayCost(wait, objective time.Duration) float64 {
+	if objective <= 0 {
+		objective = time.Second
+	}
+	x := float64(wait) / float64(objective)
+	switch {
+	case x <= easyPart:
+		return easyCost * x / easyPart
+	case x <= 1:
+		return easyCost + (lateCost-easyCost)*(x-easyPart)/(1-easyPart)
+	}
+	return lateCost + laterCost*(x-1)
+}
+
+// expectEngine models an engine: a request waits for a slot and for memory, then
+// its prompt is read behind those that came before, in chunks between the steps of
+// running requests.
+func (p *Placer) expectEngine(now time.Duration, t *Target, r *Request, unread float64) Expectation {
+	u := t.use(now)
+	step := float64(p.engine.Step) + float64(p.engine.SlotStep)*float64(min(u.Running, t.Slots))
+	chunkTime := p.engine.Chunk / p.engine.ReadSpeed * float64(time.Second)
+	read := (u.Unread + max(0, unread)) / p.engine.ReadSpeed * float64(time.Second) * (1 + step/chunkTime)
+	wait := float64(p.engine.FirstToken) + read
+	if over := u.Running + 1 - t.Slots; over > 0 {
+		wait += t.work * float64(over) / float64(t.Slots)
+	}
+	if over := float64(u.Memory+r.Prompt+r.Output) - memoryShare*float64(t.CacheTokens); over > 0 {
+		wait += t.work * over / float64(t.CacheTokens)
+	}
+	// While prompts are read, each step takes a chunk longer.
+	reading := min(1, u.Unread/p.engine.Chunk) * chunkTime / 2
+	total := wait + outputPart*float64(r.Output)*(step+reading)
+	return Expectation{time.Duration(wait), time.Duration(total)}
+}
+
+// expectService models a plain service: requests beyond its slots wait for one.
+func (t *Target) expectService(now time.Duration) Expectation {
+	u := t.use(now)
+	wait := t.work*(1+max(0, float64(u.Running+1-t.Slots))/float64(t.Slots)) + float64(u.Running)*float64(time.Millisecond)
+	return Expectation{time.Duration(wait), time.Duration(wait)}
+}
+
+const (
+	// usualPrompt, usualOutput and usualObjective are those of the request that
+	// stands for the load of a service.
+	usualPrompt    = 1500
+	usualOutput    = 200
+	usualObjective = 600 * time.Millisecond
+)
+
+// Usual returns what a usual request may expect, and false when no target can take
+// one.
+func (p *Placer) Usual(now time.Duration, service string) (Expectation, bool) {
+	c, ok := p.Choose(now, &Request{Service: service, Prompt: usualPrompt, Output: usualOutput, Objective: usualObjective}, nil)
+	return c.Expectation, ok
+}
+
+// PerToken is the expected time for each token of the answer to a usual request.
+func (e Expectation) PerToken() time.Duration { return (e.Total - e.Wait) / usualOutput }
+
+const (
+	// byteCost is the cost of a byte between regions, as a part of the credit of a
+	// usual request.
+	byteCost = 2.4e-6
+	// answerBytes is the size of an answer for each token.
+	answerBytes = 20
+	// remoteMiss is the part of the shared prompt that another region is assumed to
+	// read again.
+	remoteMiss = 0.5
+)
+
+// RemoteCost is the expected loss of a request that is served in another region.
+func RemoteCost(e Expectation, r *Request, body int) float64 {
+	cost := delayCost(e.Wait, r.Objective) + missCost*remoteMiss*float64(sharedTokens(r.Parts)) +
+		byteCost*float64(int64(body)+answerBytes*r.Output)
+	if r.Time > 0 && e.Total > r.Time {
+		cost += unfinishedCost
+	}
+	return cost
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -12,21 +12,17 @@
 const (
 	// serviceSlots are assumed when a target does not say.
 	serviceSlots = 4
-	// decodeTime is what one more running stream adds to the time of another one.
-	decodeTime = 1.2 * float64(time.Millisecond)
 	// serviceTime is the assumed work of a plain request before one was measured.
 	serviceTime = 40 * float64(time.Millisecond)
+	// holdTime is the assumed time that an engine request occupies a slot before
+	// one was measured.
+	holdTime = 1500 * float64(time.Millisecond)
+	// averageWeight is the weight of the newest value in a running average.
+	averageWeight = 0.1
 	// engineStall and serviceStall are the silence of a target with requests in
 	// progress after which it gets no others while there is a choice.
 	engineStall  = 900 * time.Millisecond
 	serviceStall = 400 * time.Millisecond
-	// memoryShare of an engine's memory may be planned for; the rest covers
-	// answers that are longer than stated.
-	memoryShare = 0.95
-	// memoryWait is the expected wait for each request that exceeds the memory.
-	memoryWait = 150 * float64(time.Millisecond)
-	// failurePenalty is the cost of a certain failure in the score.
-	failurePenalty = 2 * float64(time.Second)
 	// failureWeight is the weight of the newest outcome in the failure rate.
 	failureWeight = 0.12
 	// failureHalfLife lets a target that gets no requests recover.
@@ -35,8 +31,28 @@
 	// passed over; the time doubles with each failure.
 	ejectFirst = 300 * time.Millisecond
 	ejectMax   = 3 * time.Second
+	// peerLife is how long what another host said of its use counts.
+	peerLife = 1500 * time.Millisecond
 )
 
+// Engine has the speeds of the model engines.
+type Engine struct {
+	// ReadSpeed is how many prompt tokens are read in a second.
+	ReadSpeed float64
+	// Step is the time of one step, and SlotStep what each running request adds.
+	Step, SlotStep time.Duration
+	// FirstToken is the least time to the first token.
+	FirstToken time.Duration
+	// Chunk is how many prompt tokens are read between two steps.
+	Chunk float64
+}
+
+// DefaultEngine has usual speeds; ReadSpeed is set by the settings.
+func DefaultEngine(readSpeed float64) Engine {
+	return Engine{ReadSpeed: readSpeed, Step: 4400 * time.Microsecond, SlotStep: 110 * time.Microsecond,
+		FirstToken: 80 * time.Millisecond, Chunk: 2048}
+}
+
 // Request is what placement must know of a request.
 type Request struct {
 	Service string
@@ -44,7 +60,10 @@
 	Parts   []Part
 	// Prompt and Output are the tokens of an engine request.
 	Prompt, Output int64
-	keys           []uint64
+	// Objective is the time to the first byte that earns full credit, and Time
+	// what remains until the caller leaves.
+	Objective, Time time.Duration
+	keys            []uint64
 }
 
 // Spec describes a target as it is registered.
@@ -61,15 +80,27 @@
 	Suspect bool
 }
 
+// Usage is what requests in progress occupy at a target.
+type Usage struct {
+	Running int
+	// Memory is in tokens, Unread in prompt tokens that are still to be read.
+	Memory int64
+	Unread float64
+}
+
+func (u Usage) add(v Usage) Usage {
+	return Usage{u.Running + v.Running, u.Memory + v.Memory, u.Unread + v.Unread}
+}
+
 // Target is the model of one target.
 type Target struct {
 	Spec
-	running  int
-	memory   int64
-	unread   float64 // prompt tokens that are still to be read
-	cache    *prefixCache
-	pace     shares.Pace
-	work     float64 // average time of a plain request, in ns
+	own    Usage
+	others map[string]otherUsage // by host
+	cache  *prefixCache
+	pace   shares.Pace
+	// work is the average time of a request.
+	work     float64
 	failures float64
 	failedAt time.Duration
 	ejected  time.Duration
@@ -79,19 +110,46 @@
 	heard time.Duration
 }
 
+type otherUsage struct {
+	Usage
+	at time.Duration
+}
+
+// use returns what all hosts occupy at the target, as far as known.
+func (t *Target) use(now time.Duration) Usage {
+	u := t.own
+	for _, o := range t.others {
+		if now-o.at <= peerLife {
+			u = u.add(o.Usage)
+		}
+	}
+	return u
+}
+
 // Placer holds the targets that this host may use. It is not safe for concurrent
 // use.
 type Placer struct {
-	// ReadSpeed is how many prompt tokens an engine reads in a second.
-	ReadSpeed float64
+	engine    Engine
 	targets   map[string]*Target
 	byService map[string][]*Target
 	rand      *rand.Rand
+	// placed are prompts that were sent since the last call of TakePlaced.
+	placed []Placed
+}
+
+// Placed is a prompt that a target has read.
+type Placed struct {
+	Target string
+	Keys   []uint64
+	Tokens []int64
 }
 
+// maxPlaced bounds the prompts that wait to be told to other hosts.
+const maxPlaced = 512
+
 // New returns a placer without targets.
-func New(readSpeed float64, random *rand.Rand) *Placer {
-	return &Placer{ReadSpeed: readSpeed, targets: map[string]*Target{}, byService: map[string][]*Target{}, rand: random}
+func New(engine Engine, random *rand.Rand) *Placer {
+	return &Placer{engine: engine, targets: map[string]*Target{}, byService: map[string][]*Target{}, rand: random}
 }
 
 // SetTargets replaces the targets; the models of those that stay are kept.
@@ -101,10 +159,7 @@
 	for _, s := range specs {
 		t := p.targets[s.ID]
 		if t == nil || t.Address != s.Address || t.Service != s.Service {
-			t = &Target{work: serviceTime}
-			if s.CacheTokens > 0 {
-				t.cache = newPrefixCache(s.CacheTokens)
-			}
+			t = newTarget(s)
 		}
 		t.Spec = s
 		if t.Slots <= 0 {
@@ -116,11 +171,20 @@
 	p.targets = targets
 }
 
+func newTarget(s Spec) *Target {
+	t := &Target{work: serviceTime, others: map[string]otherUsage{}}
+	if s.CacheTokens > 0 {
+		t.cache, t.work = newPrefixCache(s.CacheTokens), holdTime
+	}
+	return t
+}
+
 // Choice is where a request may go.
 type Choice struct {
 	Target *Target
-	// Wait is the expected time to the first byte.
-	Wait time.Duration
+	Expectation
+	// Cost is the expected loss, as a part of the request's credit.
+	Cost float64
 }
 
 // Choose returns the target with the least expected cost among those that are not
@@ -129,19 +193,20 @@
 	if r.keys == nil {
 		r.keys = chain(r.Model, r.Parts)
 	}
-	best, bestCost, found := Choice{}, 0.0, false
+	best, found := Choice{}, false
 	for pass := 0; pass < 2 && !found; pass++ {
-		seen := 0
+		ties := 0
 		for _, t := range p.byService[r.Service] {
 			if excluded != nil && excluded(t.ID) || !t.usable(now, pass > 0) {
 				continue
 			}
-			wait, cost := p.cost(now, t, r)
-			if !found || cost < bestCost {
-				best, bestCost, found, seen = Choice{t, time.Duration(wait)}, cost, true, 1
-			} else if cost == bestCost {
-				if seen++; p.rand.IntN(seen) == 0 {
-					best = Choice{t, time.Duration(wait)}
+			c := p.rate(now, t, r)
+			switch {
+			case !found || c.Cost < best.Cost:
+				best, found, ties = c, true, 1
+			case c.Cost == best.Cost:
+				if ties++; p.rand.IntN(ties) == 0 {
+					best = c
 				}
 			}
 		}
@@ -164,31 +229,12 @@
 	if t.cache != nil {
 		limit = engineStall
 	}
-	return t.running > 0 && now-t.heard > limit
+	return t.own.Running > 0 && now-t.heard > limit
 }
 
 // Heard records that bytes have arrived from the target of a request.
 func (p *Placer) Heard(now time.Duration, u *Use) { u.target.heard = max(u.target.heard, now) }
 
-// cost returns the expected time to the first byte, in ns, and the score with the
-// risk of a failure.
-func (p *Placer) cost(now time.Duration, t *Target, r *Request) (wait, cost float64) {
-	if t.cache != nil {
-		miss := float64(r.Prompt - t.cache.hit(r.keys, r.Parts))
-		wait = (t.unread+max(0, miss))/p.ReadSpeed*float64(time.Second) + float64(t.running)*decodeTime
-		if over := t.memory + r.Prompt + r.Output - int64(memoryShare*float64(t.CacheTokens)); over > 0 {
-			wait += memoryWait * (1 + float64(over)/float64(r.Prompt+r.Output+1))
-		}
-		if t.running >= t.Slots {
-			wait += memoryWait * float64(t.running-t.Slots+1)
-		}
-	} else {
-		wait = t.work * (1 + max(0, float64(t.running-t.Slots+1))/float64(t.Slots))
-		wait += float64(t.running) * float64(time.Millisecond)
-	}
-	return wait, wait + failurePenalty*t.failureRate(now)
-}
-
 func (t *Target) failureRate(now time.Duration) float64 {
 	halves := float64(now-t.failedAt) / float64(failureHalfLife)
 	return t.failures / (1 + halves*halves)
@@ -198,34 +244,34 @@
 type Use struct {
 	target  *Target
 	started time.Duration
-	memory  int64
-	unread  float64
+	usage   Usage
 }
 
 // Start records that a request is sent to the target.
 func (p *Placer) Start(now time.Duration, t *Target, r *Request) *Use {
-	u := &Use{target: t, started: now}
-	if t.running == 0 {
+	u := &Use{target: t, started: now, usage: Usage{Running: 1}}
+	if t.own.Running == 0 {
 		t.heard = now
 	}
-	t.running++
 	if now < t.ColdUntil {
 		t.pace.Add(now)
 	}
 	if t.cache != nil {
-		u.memory = r.Prompt + r.Output
-		u.unread = max(0, float64(r.Prompt-t.cache.hit(r.keys, r.Parts)))
-		t.memory += u.memory
-		t.unread += u.unread
-		t.cache.use(r.keys, r.Parts, t.memory)
+		u.usage.Memory = r.Prompt + r.Output
+		u.usage.Unread = max(0, float64(r.Prompt-t.cache.hit(r.keys, r.Parts)))
+		t.cache.use(r.keys, tokensOf(r.Parts), t.own.Memory+u.usage.Memory)
+		if len(p.placed) < maxPlaced {
+			p.placed = append(p.placed, Placed{t.ID, r.keys, tokensOf(r.Parts)})
+		}
 	}
+	t.own = t.own.add(u.usage)
 	return u
 }
 
 // FirstByte records that the answer has begun.
 func (p *Placer) FirstByte(u *Use) {
-	u.target.unread = max(0, u.target.unread-u.unread)
-	u.unread = 0
+	u.target.own.Unread = max(0, u.target.own.Unread-u.usage.Unread)
+	u.usage.Unread = 0
 }
 
 // Outcome is how a request ended at its target.
@@ -249,16 +295,14 @@
 // Done records the end of a request.
 func (p *Placer) Done(now time.Duration, u *Use, o Outcome) {
 	t := u.target
-	t.running--
-	t.memory -= u.memory
 	p.FirstByte(u)
+	t.own.Running--
+	t.own.Memory -= u.usage.Memory
 	switch o {
 	case Served:
 		t.note(now, 0)
 		t.eject = 0
-		if t.cache == nil {
-			t.work += 0.1 * (float64(now-u.started) - t.work)
-		}
+		t.work += averageWeight * (float64(now-u.started) - t.work)
 	case Rejected, Failed:
 		t.note(now, 1)
 	case Unreachable, Broken:
@@ -282,15 +326,38 @@
 // Services returns the names of the services with targets here, in order.
 func (p *Placer) Services() []string { return slices.Sorted(maps.Keys(p.byService)) }
 
-// usualPrompt is the size of the request that stands for the load of a service.
-const usualPrompt = 1500
+// Own returns what this host occupies, by target.
+func (p *Placer) Own() map[string]Usage {
+	out := map[string]Usage{}
+	for id, t := range p.targets {
+		if t.own.Running > 0 {
+			out[id] = t.own
+		}
+	}
+	return out
+}
+
+// SetOther replaces what another host occupies.
+func (p *Placer) SetOther(now time.Duration, host string, usage map[string]Usage) {
+	for id, t := range p.targets {
+		if u, ok := usage[id]; ok {
+			t.others[host] = otherUsage{u, now}
+		} else {
+			delete(t.others, host)
+		}
+	}
+}
+
+// TakePlaced returns the prompts that were sent since the last call.
+func (p *Placer) TakePlaced() []Placed {
+	out := p.placed
+	p.placed = nil
+	return out
+}
 
-// Usual returns the expected time to the first byte of a usual request, or -1 when
-// no target can take one.
-func (p *Placer) Usual(now time.Duration, service string) time.Duration {
-	c, ok := p.Choose(now, &Request{Service: service, Prompt: usualPrompt}, nil)
-	if !ok {
-		return -1
+// NotePlaced records that another host sent a prompt to a target.
+func (p *Placer) NotePlaced(placed Placed) {
+	if t := p.targets[placed.Target]; t != nil && t.cache != nil && len(placed.Keys) == len(placed.Tokens) {
+		t.cache.use(placed.Keys, placed.Tokens, t.own.Memory)
 	}
-	return c.Wait
 }
