--- a/internal/control/core/types.go
+++ b/internal/control/core/types.go
@@ -7,21 +7,21 @@
 
 const (
 	// ElectionTimeoutMin and ElectionTimeoutMax bound the random election timeout.
-	ElectionTimeoutMin = 800 * time.Millisecond
-	ElectionTimeoutMax = 1300 * time.Millisecond
+	ElectionTimeoutMin = 650 * time.Millisecond
+	ElectionTimeoutMax = 1100 * time.Millisecond
 	// startSpread bounds the random part of the first election timeout after a
 	// start: when all voters start together nobody leads, and time is lost.
-	startSpread = 250 * time.Millisecond
+	startSpread = 200 * time.Millisecond
 	// HeartbeatInterval is the period of heartbeats of a leader.
 	HeartbeatInterval = 200 * time.Millisecond
 	// LeaseDuration is how long a lease holds from the send time of the
 	// heartbeat round that a majority answered. With clocks that drift by up to
-	// 1 % it ends within 727 ms, before a voter's quiet period can end (772 ms).
+	// 1 % it ends within 586 ms, before a voter's quiet period can end (623 ms).
 	// It covers a heartbeat interval, a way of 110 ms and a lost packet.
-	LeaseDuration = 720 * time.Millisecond
+	LeaseDuration = 580 * time.Millisecond
 	// QuietPeriod is how long a voter grants no vote after it heard from a
 	// leader or started.
-	QuietPeriod = 780 * time.Millisecond
+	QuietPeriod = 630 * time.Millisecond
 
 	// maxAppendBytes bounds the entries of one message.
 	maxAppendBytes = 1 << 20
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,10 @@
 	sendMargin = 10 * time.Millisecond
 	// settleRetry is when a caller may come back to a host that learns the state.
 	settleRetry = 500 * time.Millisecond
+	// quickStart is how long a host usually takes to its first configuration, and
+	// slowStart how long when the control hosts start at the same time.
+	quickStart = 300 * time.Millisecond
+	slowStart  = 1600 * time.Millisecond
 	// shortRetry is the least time to come back after a refusal for load.
 	shortRetry = 250 * time.Millisecond
 	// defaultMaxBody bounds a body when the configuration does not.
@@ -80,6 +84,7 @@
 	Started              int64
 
 	local, remote *upstream.Pool
+	begun         time.Duration
 	draining      atomic.Bool
 	refusing      atomic.Bool
 	open          atomic.Int64
@@ -116,6 +121,7 @@
 // Init prepares the gateway after its fields are set. readSpeed is how many prompt
 // tokens an engine reads in a second.
 func (g *Gateway) Init(readSpeed float64) {
+	g.begun = sinceBoot()
 	g.local, g.remote = upstream.NewPool(localDial), upstream.NewPool(remoteDial)
 	opened := metrics.GetOrRegisterCounter("gateway.connections_opened", g.Metrics)
 	g.local.Opened = func() { opened.Inc(1) }
@@ -234,7 +240,7 @@
 	age, known := g.Views.Age(x.started)
 	x.age = age
 	if x.view == nil || x.view.Config == nil || !known {
-		return refusal.New(refusal.Draining, refusal.NotRun, "this host has no configuration yet").WithRetry(settleRetry)
+		return refusal.New(refusal.Draining, refusal.NotRun, "this host has no configuration yet").WithRetry(g.startRetry())
 	}
 	host := x.request.Host
 	if name, _, err := net.SplitHostPort(host); err == nil {
@@ -258,6 +264,16 @@
 	return nil
 }
 
+// startRetry is when a host that has just started is likely to serve: at once when
+// the control hosts run, otherwise after they have elected a leader.
+func (g *Gateway) startRetry() time.Duration {
+	up := sinceBoot() - g.begun
+	if up < quickStart {
+		return quickStart
+	}
+	return max(settleRetry, slowStart-up)
+}
+
 // deny refuses for a missing route or key only when the view is fresh.
 func (g *Gateway) deny(age time.Duration, e *refusal.Error) error {
 	if age > g.Bounds.DenyLife {
--- a/internal/shares/bucket.go
+++ b/internal/shares/bucket.go
@@ -4,7 +4,7 @@
 
 // rateMargin uses part of the tolerance of the limit, so that uneven demand
 // between hosts does not cause refusals within the rate.
-const rateMargin = 1.04
+const rateMargin = 1.03
 
 // Bucket is a host's part of a workspace's rate and burst. Invariant: the level
 // never exceeds the host's fraction of the burst and its spare, and rises by its fraction of the
@@ -24,7 +24,7 @@
 }
 
 // demandWeight is the weight of the newest interval in the demand.
-const demandWeight = 0.15
+const demandWeight = 0.08
 
 // SetLimits changes the rate and burst of the whole workspace.
 func (b *Bucket) SetLimits(now time.Duration, rate, burst float64) {
@@ -53,10 +53,17 @@
 // larger part raises the level only with time, except for the first one.
 func (b *Bucket) SetFraction(now time.Duration, fraction float64, until time.Duration) {
 	b.refill(now)
+	if b.until == 0 {
+		b.level += firstPart * b.burst * fraction
+	}
 	b.fraction, b.until = fraction, max(b.until, until)
 	b.level = min(b.level, b.depth())
 }
 
+// firstPart of its part of the burst is there when a host gets its first fraction:
+// while it was down it spent nothing of it.
+const firstPart = 0.5
+
 // Held returns the fraction that the host may use now.
 func (b *Bucket) Held(now time.Duration) float64 {
 	if now >= b.until {
