placement: fetch prompt parts from another target when it is cheaper than reading them again

Hosts now tell each other which prompts they sent where, and a target fetches from the one that has most of it, also in another region unless the request is bound to its homes.

The directory names no region outside the homes of a name's routes.

--- a/internal/controlplane/directory.go
+++ b/internal/controlplane/directory.go
@@ -1,7 +1,7 @@
 package controlplane
 
 import (
-	"cmp"
+	"slices"
 
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/document"
@@ -22,50 +22,36 @@
 	return chooseEntries(s.Presence.Entries(clock.SinceBoot()), region, routes)
 }
 
-// chooseEntries prefers hosts of the caller's region. When there is none it names
-// the hosts of the regions that are home to most routes of the name: those that
-// need a key first, because a body must not go to another region.
+// chooseEntries prefers hosts of the caller's region. Hosts of another region are
+// named only if it is home to every route of the name that needs a key, because the
+// body of a request must not go elsewhere. Hosts that start or drain are better than
+// no answer.
 func chooseEntries(hosts []*syncpb.EntryHost, region string, routes []*document.Route) []string {
-	best := homeScore{}
-	var own, atHome []string
-	for _, h := range hosts {
-		if !h.GetServing() {
-			continue
+	for _, serving := range []bool{true, false} {
+		var own, others []string
+		for _, h := range hosts {
+			switch {
+			case h.GetServing() != serving:
+			case h.GetRegion() == region:
+				own = append(own, h.GetFront())
+			case homeToAll(routes, h.GetRegion()):
+				others = append(others, h.GetFront())
+			}
 		}
-		if h.GetRegion() == region {
-			own = append(own, h.GetFront())
+		if len(own) == 0 {
+			own = others
 		}
-		score := scoreHome(routes, h.GetRegion())
-		if score.compare(best) > 0 || atHome == nil {
-			best, atHome = score, nil
-		}
-		if score.compare(best) == 0 {
-			atHome = append(atHome, h.GetFront())
-		}
-	}
-	if len(own) == 0 {
-		own = atHome
-	}
-	return own[:min(len(own), maxAddresses)]
-}
-
-// homeScore counts the routes that may be served in a region.
-type homeScore struct{ keyed, public int }
-
-func scoreHome(routes []*document.Route, region string) homeScore {
-	var out homeScore
-	for _, r := range routes {
-		switch {
-		case !document.Allows(r, nil, region):
-		case r.Public:
-			out.public++
-		default:
-			out.keyed++
+		if len(own) > 0 {
+			return own[:min(len(own), maxAddresses)]
 		}
 	}
-	return out
+	return nil
 }
 
-func (a homeScore) compare(b homeScore) int {
-	return cmp.Or(cmp.Compare(a.keyed, b.keyed), cmp.Compare(a.public, b.public))
+// homeToAll reports whether all routes that need a key may be served in a region.
+// Public routes do not count: those of one name may have homes that contradict.
+func homeToAll(routes []*document.Route, region string) bool {
+	return !slices.ContainsFunc(routes, func(r *document.Route) bool {
+		return !r.Public && !document.Allows(r, nil, region)
+	})
 }
--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -10,6 +10,7 @@
 	"geraniumturn.example/geraniumturn/internal/fleetsync"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/gateway"
+	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/registry"
 	"geraniumturn.example/geraniumturn/internal/settings"
 	"geraniumturn.example/geraniumturn/platform"
@@ -66,8 +67,11 @@
 	if err := d.servePeers(g, syncpb.DRPCUsageDescription{}); err != nil {
 		return nil, err
 	}
-	usage := &fleetsync.UsageSender{Dial: d.transport.Dial, Peers: g.UsagePeers, Report: g.UsageReport}
-	d.addLoop(usage.Run)
+	for scope, interval := range map[placement.Scope]time.Duration{placement.Near: 0, placement.Far: fleetsync.UsageFar} {
+		usage := &fleetsync.UsageSender{Dial: d.transport.Dial, Interval: interval, Peers: func() []string { return g.UsagePeers(scope) },
+			Report: func() *syncpb.UsageReport { return g.UsageReport(scope) }}
+		d.addLoop(usage.Run)
+	}
 	return func(ctx context.Context) { d.stopEntry(ctx, g, front) }, nil
 }
 
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -139,17 +139,17 @@
 }
 
 // placement implements entry.Placement from the membership.
-type placement struct {
+type entryPlacement struct {
 	self  settings.Host
 	hosts func() []membership.Host
 }
 
-func (p placement) DataCentre() string { return p.self.DataCentre }
+func (p entryPlacement) DataCentre() string { return p.self.DataCentre }
 
 // HostsFor names hosts that are alive, not draining and allowed, ranked by home
 // data centre, own data centre, own region, rest; this host leads its rank. A
 // suspected host is named only when there is no other.
-func (p placement) HostsFor(residency []string, home string) []entry.HostEntry {
+func (p entryPlacement) HostsFor(residency []string, home string) []entry.HostEntry {
 	var good, doubtful []membership.Host
 	for _, h := range p.hosts() {
 		switch {
@@ -171,7 +171,7 @@
 	return out
 }
 
-func (p placement) rank(h membership.Host, home string) int {
+func (p entryPlacement) rank(h membership.Host, home string) int {
 	rank := 6
 	switch {
 	case h.DataCentre == home:
--- a/internal/fleetsync/usage.go
+++ b/internal/fleetsync/usage.go
@@ -14,13 +14,17 @@
 	// usageInterval spaces the reports to a few hosts. With more than usagePeers
 	// it grows with their number, so that the cost of a host stays the same.
 	usageInterval = 100 * time.Millisecond
-	usagePeers    = 5
-	usageTimeout  = 400 * time.Millisecond
+	// UsageFar is the interval of reports to hosts of other regions.
+	UsageFar     = 300 * time.Millisecond
+	usagePeers   = 5
+	usageTimeout = 400 * time.Millisecond
 )
 
 // UsageSender tells the entry hosts of a region what this one has in progress.
 type UsageSender struct {
 	Dial func(address string) drpc.Conn
+	// Interval spaces the reports; 0 means 100 ms.
+	Interval time.Duration
 	// Peers returns the addresses of the other hosts, Report what to tell them.
 	Peers  func() []string
 	Report func() *syncpb.UsageReport
@@ -35,6 +39,9 @@
 		peers := s.Peers()
 		if len(peers) > 0 {
 			report := s.Report()
+			if len(report.GetTargets()) == 0 && len(report.GetPrompts()) == 0 && s.Interval == UsageFar {
+				peers = nil
+			}
 			for _, a := range peers {
 				mu.Lock()
 				free := !busy[a]
@@ -51,7 +58,7 @@
 				}()
 			}
 		}
-		pause(ctx, usageInterval*time.Duration(max(1, len(peers)/usagePeers)))
+		pause(ctx, max(usageInterval, s.Interval)*time.Duration(max(1, len(peers)/usagePeers)))
 	}
 	return nil
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -31,6 +31,8 @@
 	RemainingMS int64  `json:"remaining_ms"`
 	Urgency     int    `json:"urgency"`
 	LastEvent   string `json:"last_event,omitempty"`
+	// Bound requests have homes: their prompts may not leave the region.
+	Bound bool `json:"bound"`
 	// Careful requests must not run twice.
 	Careful bool `json:"careful"`
 }
@@ -70,7 +72,7 @@
 	x := &exchange{call: call, request: r, body: body, service: f.Service, started: started, ran: refusal.NotRun, last: f.LastEvent,
 		deadline: started + time.Duration(f.RemainingMS)*time.Millisecond, tried: map[string]bool{}, regions: map[string]bool{},
 		route:  &document.Route{Kind: document.Streaming, Resumable: !f.Careful},
-		place:  placement.Request{Service: f.Service, Model: call.Model, Parts: call.Parts, Prompt: call.Prompt, Output: call.Output},
+		place:  placement.Request{Service: f.Service, Model: call.Model, Parts: call.Parts, Prompt: call.Prompt, Output: call.Output, Bound: f.Bound},
 		header: g.Targets.Header(r.Header)}
 	x.header.Del(headerForward)
 	ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(x.deadline-started))
@@ -134,7 +136,7 @@
 		return nil, fmt.Errorf("no target of service %s can take the request", x.service)
 	}
 	x.target, x.wait = choice.Target.ID, choice.Wait
-	return &send{use: g.placer.Start(now, choice.Target, &x.place), target: choice.Target.ID, address: choice.Target.Address}, nil
+	return g.start(now, x, choice), nil
 }
 
 func refuseForward(w http.ResponseWriter, ran refusal.Ran, err error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -260,7 +260,7 @@
 	}
 	x.deadline = x.started + max(0, limit)
 	x.place = placement.Request{Service: x.service, Model: x.call.Model, Parts: x.call.Parts, Prompt: x.call.Prompt, Output: x.call.Output,
-		Objective: x.route.Objective}
+		Objective: x.route.Objective, Bound: len(x.route.Homes) > 0 || x.workspace != nil && len(x.workspace.Homes) > 0}
 	return nil
 }
 
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -44,6 +44,8 @@
 	Urgency int
 	// LastEvent is where a stream is to be continued; "" leaves what the caller sent.
 	LastEvent string
+	// Source is the address of a target that has parts of the prompt, or "".
+	Source string
 }
 
 // Verdict is what the head of an answer says.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -67,7 +67,8 @@
 	target  string
 	address string
 	forward bool
-	elapsed time.Duration
+	// source has parts of the prompt that the target lacks, or "".
+	source string
 }
 
 // run sends the request until it is answered or may not be sent again.
@@ -189,7 +190,17 @@
 	}
 	x.tried[local.Target.ID] = true
 	x.target = local.Target.ID
-	return &send{use: g.placer.Start(now, local.Target, &x.place), target: local.Target.ID, address: local.Target.Address}, nil
+	return g.start(now, x, local), nil
+}
+
+// start records that a request is sent to a target, with g.mu held.
+func (g *Gateway) start(now time.Duration, x *exchange, c placement.Choice) *send {
+	s := &send{target: c.Target.ID, address: c.Target.Address}
+	if c.Source != nil {
+		s.source = c.Source.Address
+	}
+	s.use = g.placer.Start(now, c.Target, &x.place)
+	return s
 }
 
 // patience is how long the caller of a request may be made to wait for the first
@@ -326,11 +337,11 @@
 	if s.forward {
 		pool = g.remote
 		if err := setForward(header, forwarded{Service: x.service, Workspace: x.workspaceName(), RemainingMS: remaining.Milliseconds(),
-			Urgency: g.urgency(x), LastEvent: x.last, Careful: !x.route.Repeatable()}); err != nil {
+			Urgency: g.urgency(x), LastEvent: x.last, Careful: !x.route.Repeatable(), Bound: x.place.Bound}); err != nil {
 			return nil, err
 		}
 	} else {
-		g.Targets.Address(header, Dispatch{Target: s.target, Workspace: x.workspaceName(), Remaining: remaining, Urgency: g.urgency(x), LastEvent: x.last})
+		g.Targets.Address(header, Dispatch{Target: s.target, Workspace: x.workspaceName(), Remaining: remaining, Urgency: g.urgency(x), LastEvent: x.last, Source: s.source})
 	}
 	g.count(x, now)
 	res, err := pool.Do(ctx, &upstream.Request{Address: s.address, Method: x.request.Method, Target: x.request.RequestURI,
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -127,7 +127,7 @@
 	hosts := 1 + g.countHosts(now, g.Region)
 	var out []placement.Spec
 	for _, r := range g.Table.All() {
-		if r.State != registry.Ready || g.Regions[r.DataCentre] != g.Region {
+		if r.State != registry.Ready {
 			continue
 		}
 		if _, evacuated := v.Evacuated[r.DataCentre]; evacuated {
@@ -137,7 +137,9 @@
 		if s == nil {
 			continue
 		}
-		out = append(out, g.spec(r, s, hosts))
+		spec := g.spec(r, s, hosts)
+		spec.Remote = g.Regions[r.DataCentre] != g.Region
+		out = append(out, spec)
 	}
 	return out
 }
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -9,30 +9,32 @@
 )
 
 // UsagePeers returns the addresses of the other entry hosts of this region, which
-// send to the same targets.
-func (g *Gateway) UsagePeers() []string {
+// send to the same targets, or of those of other regions.
+func (g *Gateway) UsagePeers(scope placement.Scope) []string {
 	now := sinceBoot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []string
 	for _, h := range g.hosts {
-		if h.GetRegion() == g.Region && h.GetPeer() != "" && now-h.heard < loadAge {
+		if (h.GetRegion() == g.Region) == (scope == placement.Near) && h.GetPeer() != "" && now-h.heard < loadAge {
 			out = append(out, h.GetPeer())
 		}
 	}
 	return out
 }
 
-// UsageReport returns what this host has in progress, and the prompts that it sent
-// since the last report.
-func (g *Gateway) UsageReport() *syncpb.UsageReport {
+// UsageReport returns the prompts that this host sent since the last report, and
+// for hosts of its region what it has in progress.
+func (g *Gateway) UsageReport(scope placement.Scope) *syncpb.UsageReport {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out := &syncpb.UsageReport{Host: g.Name}
-	for id, u := range g.placer.Own() {
-		out.Targets = append(out.Targets, &syncpb.TargetUsage{Target: id, Running: int32(u.Running), Memory: u.Memory, Unread: int64(u.Unread)})
+	if scope == placement.Near {
+		for id, u := range g.placer.Own() {
+			out.Targets = append(out.Targets, &syncpb.TargetUsage{Target: id, Running: int32(u.Running), Memory: u.Memory, Unread: int64(u.Unread)})
+		}
 	}
-	for _, p := range g.placer.TakePlaced() {
+	for _, p := range g.placer.TakePlaced(scope) {
 		out.Prompts = append(out.Prompts, &syncpb.PlacedPrompt{Target: p.Target, Keys: p.Keys, Tokens: p.Tokens})
 	}
 	return out
@@ -46,9 +48,10 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.placer.SetOther(sinceBoot(), in.GetHost(), usage)
+	now := sinceBoot()
+	g.placer.SetOther(now, in.GetHost(), usage)
 	for _, p := range in.GetPrompts() {
-		g.placer.NotePlaced(placement.Placed{Target: p.GetTarget(), Keys: p.GetKeys(), Tokens: p.GetTokens()})
+		g.placer.NotePlaced(now, placement.Placed{Target: p.GetTarget(), Keys: p.GetKeys(), Tokens: p.GetTokens()})
 	}
 	return &syncpb.Empty{}, nil
 }
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -6,6 +6,9 @@
 	// memoryShare of an engine's memory may be planned for; the rest covers
 	// answers that are longer than stated.
 	memoryShare = 0.95
+	// fetchCost is the cost of a prompt token that is fetched from another target,
+	// on the same scale.
+	fetchCost = 1.25e-5
 	// missCost is the cost of one prompt token that is read again though another
 	// target has it, as a part of the credit of a request: a shared prompt of
 	// 6,300 tokens costs about a third of a request.
@@ -36,8 +39,14 @@
 		c.Expectation = t.expectService(now)
 	} else {
 		hit := t.cache.hit(r.keys, r.Parts)
+		c.Cost = missCost * float64(p.recentBeyond(now, r, hit))
+		if source, there := p.source(now, t, r); source != nil {
+			fetched := missCost*float64(p.recentBeyond(now, r, there)) + fetchCost*float64(there-hit)
+			if fetched < c.Cost {
+				c.Source, c.Cost, hit = source, fetched, there
+			}
+		}
 		c.Expectation = p.expectEngine(now, t, r, float64(r.Prompt-hit))
-		c.Cost = missCost * float64(max(0, sharedTokens(r.Parts)-hit))
 	}
 	c.Cost += delayCost(c.Wait, r.Objective) + t.failureRate(now)
 	if r.Time > 0 && c.Total > r.Time {
@@ -46,6 +55,36 @@
 	return c
 }
 
+// recentBeyond counts the shared tokens behind the first ones that some target has
+// read lately: reading them again is wasted work.
+func (p *Placer) recentBeyond(now time.Duration, r *Request, first int64) int64 {
+	var at, out int64
+	for i, part := range r.Parts[:max(0, len(r.Parts)-1)] {
+		at += part.Tokens
+		if used, ok := p.used[r.keys[i]]; at > first && ok && now-used <= p.ReuseWindow {
+			out += min(part.Tokens, at-first)
+		}
+	}
+	return out
+}
+
+// source returns the other target that has most of the prompt, and how much.
+func (p *Placer) source(now time.Duration, t *Target, r *Request) (*Target, int64) {
+	var best *Target
+	var most int64
+	for _, list := range [][]*Target{p.byService[r.Service], p.remote[r.Service]} {
+		for _, s := range list {
+			if s == t || s.Suspect || now < s.ejected || s.stalled(now) {
+				continue
+			}
+			if hit := s.cache.hit(r.keys, r.Parts); hit > most {
+				best, most = s, hit
+			}
+		}
+	}
+	return best, most
+}
+
 // sharedTokens are those of all parts but the last one, which belongs to the
 // request alone.
 func sharedTokens(parts []Part) int64 {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -60,6 +60,8 @@
 	Parts   []Part
 	// Prompt and Output are the tokens of an engine request.
 	Prompt, Output int64
+	// Bound prompts may not leave the region.
+	Bound bool
 	// Objective is the time to the first byte that earns full credit, and Time
 	// what remains until the caller leaves.
 	Objective, Time time.Duration
@@ -78,6 +80,9 @@
 	ColdLimit int
 	// Suspect targets are used only when there is no other one.
 	Suspect bool
+	// Remote targets are in another region: they get no requests from this host,
+	// but others may fetch prompt parts from them.
+	Remote bool
 }
 
 // Usage is what requests in progress occupy at a target.
@@ -129,14 +134,30 @@
 // Placer holds the targets that this host may use. It is not safe for concurrent
 // use.
 type Placer struct {
+	// ReuseWindow is how long after its use a prompt part counts as known.
+	ReuseWindow time.Duration
+
 	engine    Engine
+	used      map[uint64]time.Duration // last use of each shared part at any target
 	targets   map[string]*Target
 	byService map[string][]*Target
+	remote    map[string][]*Target // by service
 	rand      *rand.Rand
-	// placed are prompts that were sent since the last call of TakePlaced.
-	placed []Placed
+	// placed are prompts that were sent since the last call of TakePlaced, for
+	// hosts of this region and of others.
+	placed [scopes][]Placed
 }
 
+// Scope tells for whom something is.
+type Scope int
+
+// The scopes.
+const (
+	Near Scope = iota // hosts of this region
+	Far               // hosts of other regions
+	scopes
+)
+
 // Placed is a prompt that a target has read.
 type Placed struct {
 	Target string
@@ -144,18 +165,27 @@
 	Tokens []int64
 }
 
+const (
+	// defaultReuse is the reuse window where the settings have none.
+	defaultReuse = 10 * time.Second
+	// leastShared is the shared prompt that other regions are told of.
+	leastShared = 500
+	// maxUsed bounds the parts whose last use is remembered.
+	maxUsed = 50_000
+)
+
 // maxPlaced bounds the prompts that wait to be told to other hosts.
 const maxPlaced = 512
 
 // New returns a placer without targets.
 func New(engine Engine, random *rand.Rand) *Placer {
-	return &Placer{engine: engine, targets: map[string]*Target{}, byService: map[string][]*Target{}, rand: random}
+	return &Placer{ReuseWindow: defaultReuse, used: map[uint64]time.Duration{}, engine: engine, targets: map[string]*Target{}, byService: map[string][]*Target{}, rand: random}
 }
 
 // SetTargets replaces the targets; the models of those that stay are kept.
 func (p *Placer) SetTargets(specs []Spec) {
 	targets := make(map[string]*Target, len(specs))
-	p.byService = map[string][]*Target{}
+	p.byService, p.remote = map[string][]*Target{}, map[string][]*Target{}
 	for _, s := range specs {
 		t := p.targets[s.ID]
 		if t == nil || t.Address != s.Address || t.Service != s.Service {
@@ -166,7 +196,11 @@
 			t.Slots = serviceSlots
 		}
 		targets[s.ID] = t
-		p.byService[s.Service] = append(p.byService[s.Service], t)
+		if s.Remote {
+			p.remote[s.Service] = append(p.remote[s.Service], t)
+		} else {
+			p.byService[s.Service] = append(p.byService[s.Service], t)
+		}
 	}
 	p.targets = targets
 }
@@ -185,6 +219,8 @@
 	Expectation
 	// Cost is the expected loss, as a part of the request's credit.
 	Cost float64
+	// Source has parts of the prompt that Target lacks, or is nil.
+	Source *Target
 }
 
 // Choose returns the target with the least expected cost among those that are not
@@ -260,14 +296,34 @@
 		u.usage.Memory = r.Prompt + r.Output
 		u.usage.Unread = max(0, float64(r.Prompt-t.cache.hit(r.keys, r.Parts)))
 		t.cache.use(r.keys, tokensOf(r.Parts), t.own.Memory+u.usage.Memory)
-		if len(p.placed) < maxPlaced {
-			p.placed = append(p.placed, Placed{t.ID, r.keys, tokensOf(r.Parts)})
-		}
+		p.note(t, r)
+		p.touch(now, r.keys)
 	}
 	t.own = t.own.add(u.usage)
 	return u
 }
 
+// note keeps a prompt for other hosts. Short ones are not worth a transfer between
+// regions.
+func (p *Placer) note(t *Target, r *Request) {
+	placed := Placed{t.ID, r.keys, tokensOf(r.Parts)}
+	for scope := range p.placed {
+		if len(p.placed[scope]) < maxPlaced && (Scope(scope) == Near || !r.Bound && sharedTokens(r.Parts) >= leastShared) {
+			p.placed[scope] = append(p.placed[scope], placed)
+		}
+	}
+}
+
+// touch remembers the use of all parts but the last one, which is not shared.
+func (p *Placer) touch(now time.Duration, keys []uint64) {
+	if len(p.used) > maxUsed {
+		maps.DeleteFunc(p.used, func(_ uint64, at time.Duration) bool { return now-at > p.ReuseWindow })
+	}
+	for _, k := range keys[:max(0, len(keys)-1)] {
+		p.used[k] = now
+	}
+}
+
 // FirstByte records that the answer has begun.
 func (p *Placer) FirstByte(u *Use) {
 	u.target.own.Unread = max(0, u.target.own.Unread-u.usage.Unread)
@@ -348,15 +404,16 @@
 	}
 }
 
-// TakePlaced returns the prompts that were sent since the last call.
-func (p *Placer) TakePlaced() []Placed {
-	out := p.placed
-	p.placed = nil
+// TakePlaced returns the prompts that were sent since the last call for the scope.
+func (p *Placer) TakePlaced(s Scope) []Placed {
+	out := p.placed[s]
+	p.placed[s] = nil
 	return out
 }
 
 // NotePlaced records that another host sent a prompt to a target.
-func (p *Placer) NotePlaced(placed Placed) {
+func (p *Placer) NotePlaced(now time.Duration, placed Placed) {
+	p.touch(now, placed.Keys)
 	if t := p.targets[placed.Target]; t != nil && t.cache != nil && len(placed.Keys) == len(placed.Tokens) {
 		t.cache.use(placed.Keys, placed.Tokens, t.own.Memory)
 	}
