--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -50,8 +50,8 @@
 }
 
 type hostDemands struct {
-	demands []*syncpb.Demand
-	heard   time.Duration
+	*syncpb.HostDemands
+	heard time.Duration
 }
 
 type hostGrants struct {
@@ -85,7 +85,7 @@
 	if in.GetWantHosts() {
 		out.Hosts = s.Presence.Entries(now)
 	}
-	out.Grants, out.GrantsAgeMs = s.grantsFor(now, in.GetHost().GetName(), in.GetDemands())
+	out.Grants, out.GrantsAgeMs = s.grantsFor(now, &syncpb.HostDemands{Host: in.GetHost().GetName(), Demands: in.GetDemands(), UptimeMs: in.GetUptimeMs()})
 	return out, nil
 }
 
@@ -99,15 +99,15 @@
 
 // grantsFor answers a host's demands: the leader at once, another control host
 // with what the leader granted for an earlier report.
-func (s *Server) grantsFor(now time.Duration, host string, demands []*syncpb.Demand) ([]*syncpb.Grant, int64) {
+func (s *Server) grantsFor(now time.Duration, d *syncpb.HostDemands) ([]*syncpb.Grant, int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.Log.Leads() {
-		return s.allocate(now, host, demands), 0
+		return s.allocate(now, d), 0
 	}
 	s.allocator = nil
-	s.demands[host] = &hostDemands{demands, now}
-	g := s.grants[host]
+	s.demands[d.GetHost()] = &hostDemands{d, now}
+	g := s.grants[d.GetHost()]
 	if g == nil || now-g.asOf > grantsLife {
 		return nil, 0
 	}
@@ -115,15 +115,15 @@
 }
 
 // allocate runs on the leader, with s.mu held.
-func (s *Server) allocate(now time.Duration, host string, demands []*syncpb.Demand) []*syncpb.Grant {
+func (s *Server) allocate(now time.Duration, d *syncpb.HostDemands) []*syncpb.Grant {
 	if s.allocator == nil {
 		s.allocator = shares.NewAllocator(now)
 	}
-	in := make([]shares.Demand, len(demands))
-	for i, d := range demands {
-		in[i] = shares.Demand{Workspace: d.GetWorkspace(), PerSecond: d.GetPerSecond(), Held: d.GetHeld()}
+	in := make([]shares.Demand, len(d.GetDemands()))
+	for i, w := range d.GetDemands() {
+		in[i] = shares.Demand{Workspace: w.GetWorkspace(), PerSecond: w.GetPerSecond(), Held: w.GetHeld()}
 	}
-	granted := s.allocator.Report(now, host, in)
+	granted := s.allocator.Report(now, d.GetHost(), time.Duration(d.GetUptimeMs())*time.Millisecond, in)
 	out := make([]*syncpb.Grant, len(granted))
 	for i, g := range granted {
 		out[i] = &syncpb.Grant{Workspace: g.Workspace, Fraction: g.Fraction}
@@ -152,7 +152,7 @@
 	defer s.mu.Unlock()
 	for _, d := range in.GetDemands() {
 		if d.GetAgeMs() < grantsLife.Milliseconds() {
-			out.Grants = append(out.Grants, &syncpb.HostGrants{Host: d.GetHost(), Grants: s.allocate(now, d.GetHost(), d.GetDemands()), AgeMs: d.GetAgeMs()})
+			out.Grants = append(out.Grants, &syncpb.HostGrants{Host: d.GetHost(), Grants: s.allocate(now, d), AgeMs: d.GetAgeMs()})
 		}
 	}
 	return out, nil
@@ -211,7 +211,7 @@
 			delete(s.demands, host)
 			continue
 		}
-		out = append(out, &syncpb.HostDemands{Host: host, Demands: d.demands, AgeMs: age.Milliseconds()})
+		out = append(out, &syncpb.HostDemands{Host: host, Demands: d.GetDemands(), UptimeMs: d.GetUptimeMs(), AgeMs: age.Milliseconds()})
 	}
 	return out
 }
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -22,7 +22,7 @@
 // Report is what this host tells a control host.
 func (g *Gateway) Report(now time.Duration) *syncpb.ExchangeRequest {
 	index, version := g.Views.position()
-	out := &syncpb.ExchangeRequest{Index: index, Version: version, WantHosts: true,
+	out := &syncpb.ExchangeRequest{Index: index, Version: version, WantHosts: true, UptimeMs: (now - g.begun).Milliseconds(),
 		Host: &syncpb.EntryHost{Name: g.Name, DataCentre: g.DataCentre, Region: g.Region, Front: g.Front, Forward: g.Forward, Peer: g.Peer,
 			Started: g.Started, Serving: g.Ready()}}
 	g.mu.Lock()
--- a/internal/shares/allocator.go
+++ b/internal/shares/allocator.go
@@ -13,6 +13,9 @@
 	// settleTime is how long a new allocator only renews what hosts report; every
 	// host in contact has reported by then.
 	settleTime = 600 * time.Millisecond
+	// freshProcess is the age up to which the process of a host counts as started
+	// together with this allocator.
+	freshProcess = 8 * time.Second
 	// unknownPart stays reserved for hosts that may still hold a fraction of an
 	// earlier allocator, until their leases have ended. It is above the part of
 	// one region of three.
@@ -49,7 +52,10 @@
 // fractions of all hosts add up to at most 1.
 type Allocator struct {
 	since time.Duration
-	hosts map[string]map[string]*holding // by workspace and host
+	// settled is set once a host has reported that does not come from a start of
+	// the whole system.
+	settled bool
+	hosts   map[string]map[string]*holding // by workspace and host
 }
 
 // NewAllocator starts with nothing granted. For one lease it
@@ -59,8 +65,12 @@
 	return &Allocator{since: now, hosts: map[string]map[string]*holding{}}
 }
 
-// Report takes a host's demands and returns its grants.
-func (a *Allocator) Report(now time.Duration, host string, demands []Demand) []Grant {
+// Report takes a host's demands and returns its grants. uptime is how long the
+// host's process runs.
+func (a *Allocator) Report(now time.Duration, host string, uptime time.Duration, demands []Demand) []Grant {
+	if uptime > freshProcess {
+		a.settled = true
+	}
 	out := make([]Grant, 0, len(demands))
 	for _, d := range demands {
 		out = append(out, Grant{Workspace: d.Workspace, Fraction: a.grant(now, host, d)})
@@ -98,6 +108,8 @@
 		target = evenPart*even + (1-evenPart)*h.demand/total
 	}
 	switch age := now - a.since; {
+	case !a.settled:
+		// Every host has just started and holds nothing of an earlier allocator.
 	case age < settleTime:
 		free = min(free, d.Held)
 	case age < LeaseTime+leaseMargin:
--- a/internal/shares/bucket.go
+++ b/internal/shares/bucket.go
@@ -61,8 +61,8 @@
 }
 
 // firstPart of its part of the burst is there when a host gets its first fraction:
-// while it was down it spent nothing of it.
-const firstPart = 0.5
+// while it was down, for longer than the burst takes to refill, it spent nothing.
+const firstPart = 1
 
 // Held returns the fraction that the host may use now.
 func (b *Bucket) Held(now time.Duration) float64 {
