--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,467 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/document"
+	"geraniumturn.example/geraniumturn/internal/fleetsync"
+	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/gateway"
+	"geraniumturn.example/geraniumturn/internal/refusal"
+	"geraniumturn.example/geraniumturn/internal/registry"
+)
+
+// protocol is a simple protocol between callers, gateway and targets, so that the
+// tests do not depend on an adapter.
+type protocol struct{}
+
+func (protocol) Decode(r *http.Request) (gateway.Call, error) {
+	c := gateway.Call{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), LastEvent: r.Header.Get("Last")}
+	if ms, err := strconv.Atoi(r.Header.Get("Patience")); err == nil {
+		c.Patience = time.Duration(ms) * time.Millisecond
+	}
+	return c, nil
+}
+
+func (protocol) Refuse(w http.ResponseWriter, _ string, e *refusal.Error) {
+	w.Header().Set("Ran", string(e.Ran))
+	w.Header().Set("Code", string(e.Code))
+	if e.RetryAfter > 0 {
+		w.Header().Set("Retry", e.RetryAfter.String())
+	}
+	w.WriteHeader(e.Code.Status())
+}
+
+func (protocol) Header(h http.Header) http.Header {
+	out := h.Clone()
+	for _, name := range []string{"Key", "Connection", "Content-Length", "Accept-Encoding", "User-Agent"} {
+		out.Del(name)
+	}
+	return out
+}
+
+func (protocol) Address(h http.Header, d gateway.Dispatch) {
+	h.Set("Target", d.Target)
+	h.Set("Workspace", d.Workspace)
+	h.Set("Remaining", d.Remaining.String())
+	if d.LastEvent != "" {
+		h.Set("Last", d.LastEvent)
+	}
+}
+
+func (protocol) Owns(id string, _ int, h http.Header) bool { return h.Get("Id") == id }
+
+func (protocol) Judge(status int, h http.Header) gateway.Verdict {
+	return gateway.Verdict{NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", Success: h.Get("Signed") != "" && status == http.StatusOK}
+}
+
+func (protocol) Answer(h http.Header) http.Header { return h.Clone() }
+
+func (p protocol) decode() *document.Document {
+	split := []document.Share{{Service: "s", Weight: 1}}
+	route := func(name string, kind document.Kind, resumable bool, attempts int) document.Route {
+		return document.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Resumable: resumable, MaxAttempts: attempts,
+			Timeout: 2 * time.Second, Objective: 500 * time.Millisecond, Split: split}
+	}
+	d := &document.Document{Version: 1, Services: []document.Service{{Name: "s"}},
+		Routes: []document.Route{route("safe", document.Idempotent, false, 2), route("once", document.NonIdempotent, false, 2),
+			route("stream", document.Streaming, false, 1), route("resume", document.Streaming, true, 3), route("open", document.Idempotent, false, 2),
+			route("bound", document.Idempotent, false, 2)},
+		Workspaces: []document.Workspace{{Name: "w", Keys: []string{"k"}}, {Name: "small", Keys: []string{"k2"}, Rate: 1, Burst: 1, PerRequest: true}}}
+	d.Routes[4].Public = true
+	d.Routes[5].Homes = []string{"elsewhere"}
+	return d
+}
+
+func (p protocol) codec() codec { return codec{p} }
+
+type codec struct{ protocol }
+
+func (c codec) Decode([]byte) (*document.Document, error) { return c.decode(), nil }
+
+// target is a back end whose answers the test scripts, one function for each request.
+type target struct {
+	*httptest.Server
+	mu       sync.Mutex
+	script   []http.HandlerFunc
+	requests []*http.Request
+	bodies   []string
+}
+
+func newTarget(t *testing.T, script ...http.HandlerFunc) *target {
+	t.Helper()
+	s := &target{script: script}
+	s.Server = httptest.NewServer(s)
+	t.Cleanup(s.Server.Close)
+	return s
+}
+
+func (s *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	s.mu.Lock()
+	n := len(s.requests)
+	s.requests, s.bodies = append(s.requests, r), append(s.bodies, string(body))
+	handler := s.script[min(n, len(s.script)-1)]
+	s.mu.Unlock()
+	w.Header().Set("Id", r.Header.Get("Id"))
+	handler(w, r)
+}
+
+func (s *target) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.requests)
+}
+
+func answer(status int, body string, header ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		for i := 0; i+1 < len(header); i += 2 {
+			w.Header().Set(header[i], header[i+1])
+		}
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+var (
+	good    = answer(200, "whole", "Signed", "sig")
+	full    = answer(503, "", "Not-Run", "1")
+	failure = answer(500, "broken", "Signed", "sig")
+)
+
+// hangUp closes the connection without an answer, after the request was read.
+func hangUp(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }
+
+// events sends events and then ends well or breaks off.
+func events(breakOff bool, ids ...int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Signed", "sig")
+		w.WriteHeader(200)
+		for _, id := range ids {
+			fmt.Fprintf(w, "id: %d\ndata: %d\n\n", id, id)
+			_ = http.NewResponseController(w).Flush()
+		}
+		if breakOff {
+			_, _ = io.WriteString(w, "id: 99\nda")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+type fixture struct {
+	*gateway.Gateway
+	front *httptest.Server
+}
+
+func start(t *testing.T, targets ...*target) *fixture {
+	t.Helper()
+	f := newFixture(t)
+	f.update(0, targets...)
+	return f
+}
+
+// newFixture returns a gateway that has heard of nothing.
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	g := &gateway.Gateway{Name: "g", DataCentre: "dc", Region: "here", Regions: map[string]string{"dc": "here"},
+		Bounds: gateway.Bounds{KeyLife: 5 * time.Second, DenyLife: 3 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50},
+		Caller: protocol{}, Targets: protocol{}, Views: gateway.NewViews(protocol{}.codec()), Table: registry.NewTable(), Log: log, Metrics: metrics.NewRegistry()}
+	g.Init(90_000)
+	f := &fixture{Gateway: g, front: httptest.NewServer(g)}
+	t.Cleanup(f.front.Close)
+	return f
+}
+
+// update tells the gateway what a control host knows; age is how old that may be.
+func (f *fixture) update(age time.Duration, targets ...*target) {
+	now := clock.SinceBoot()
+	u := fleetsync.Update{Sent: now, Control: "c", ExchangeResponse: &syncpb.ExchangeResponse{Known: true, AgeMs: age.Milliseconds(), Index: 1, Version: 1,
+		Grants: []*syncpb.Grant{{Workspace: "small", Fraction: 1}}}}
+	for i, s := range targets {
+		u.Records = append(u.Records, registry.Record{ID: fmt.Sprint("t", i), Sequence: 1, Service: "s", DataCentre: "dc", State: registry.Ready,
+			Address: strings.TrimPrefix(s.URL, "http://")})
+	}
+	f.Apply(now, u)
+}
+
+type result struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+func (f *fixture) call(t *testing.T, path string, header ...string) result {
+	t.Helper()
+	r, err := http.NewRequest("POST", f.front.URL+path, strings.NewReader("the body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("Id", "attempt-1")
+	r.Header.Set("Key", "k")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	res, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	if err != nil {
+		return result{err: err}
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return result{res.StatusCode, string(body), res.Header, err}
+}
+
+// Guards against a request that reaches its target changed, without its workspace or
+// with the caller's key.
+func TestRequestIsPassedOnUnchanged(t *testing.T) {
+	s := newTarget(t, good)
+	got := start(t, s).call(t, "/safe/a%2Fb?x=1&y")
+	if got.status != 200 || got.body != "whole" || got.header.Get("Signed") != "sig" {
+		t.Fatalf("answer %+v", got)
+	}
+	r := s.requests[0]
+	if r.RequestURI != "/safe/a%2Fb?x=1&y" || r.Method != "POST" || r.Host != "h" || s.bodies[0] != "the body" {
+		t.Errorf("target got %s %s for %s with body %q", r.Method, r.RequestURI, r.Host, s.bodies[0])
+	}
+	if r.Header.Get("Workspace") != "w" || r.Header.Get("Target") != "t0" || r.Header.Get("Key") != "" || r.Header.Get("Remaining") == "" {
+		t.Errorf("target got header %v", r.Header)
+	}
+}
+
+// Guards against a second run of a request that must not repeat, against a refusal
+// that promises "not run" although a target may have run it, and against one that
+// gives up although a target proved that it did not.
+func TestRepeats(t *testing.T) {
+	for name, c := range map[string]struct {
+		path   string
+		script []http.HandlerFunc
+		status int
+		ran    string
+		sends  int
+	}{
+		"safe, hang-up":             {"/safe/", []http.HandlerFunc{hangUp, good}, 200, "", 2},
+		"safe, failure":             {"/safe/", []http.HandlerFunc{failure, good}, 200, "", 2},
+		"safe, only failures":       {"/safe/", []http.HandlerFunc{failure}, 500, "", 2},
+		"safe, full":                {"/safe/", []http.HandlerFunc{full, good}, 200, "", 2},
+		"once, full":                {"/once/", []http.HandlerFunc{full, good}, 200, "", 2},
+		"once, full everywhere":     {"/once/", []http.HandlerFunc{full}, 429, "not_run", 3},
+		"once, hang-up":             {"/once/", []http.HandlerFunc{hangUp, good}, 503, "unknown", 1},
+		"once, failure":             {"/once/", []http.HandlerFunc{failure, good}, 500, "", 1},
+		"once, unsigned":            {"/once/", []http.HandlerFunc{answer(200, "fake"), good}, 503, "unknown", 1},
+		"safe, unsigned":            {"/safe/", []http.HandlerFunc{answer(200, "fake"), good}, 200, "", 2},
+		"stream, hang-up":           {"/stream/", []http.HandlerFunc{hangUp, good}, 503, "unknown", 1},
+		"resumable stream, hang-up": {"/resume/", []http.HandlerFunc{hangUp, events(false, 1, 2)}, 200, "", 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			// The script is shared, so that its order does not depend on the target.
+			s := newTarget(t, c.script...)
+			got := start(t, s, s, s, s).call(t, c.path)
+			if got.status != c.status || got.header.Get("Ran") != c.ran || s.count() != c.sends {
+				t.Errorf("status %d, ran %q after %d sends; want %d, %q, %d", got.status, got.header.Get("Ran"), s.count(), c.status, c.ran, c.sends)
+			}
+		})
+	}
+}
+
+// Guards against a truncated answer that looks whole to the caller.
+func TestTruncatedAnswer(t *testing.T) {
+	short := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Signed", "sig")
+		w.Header().Set("Content-Length", "10")
+		_, _ = io.WriteString(w, "half")
+		panic(http.ErrAbortHandler)
+	}
+	s := newTarget(t, short)
+	if got := start(t, s).call(t, "/once/"); got.status == 200 || got.header.Get("Ran") != "unknown" {
+		t.Errorf("answer %+v", got)
+	}
+	s = newTarget(t, events(true, 1, 2))
+	if got := start(t, s).call(t, "/stream/"); got.err == nil {
+		t.Errorf("a stream that broke off ended well: %q", got.body)
+	}
+	s = newTarget(t, short, good)
+	if got := start(t, s, s).call(t, "/safe/"); got.body != "whole" {
+		t.Errorf("answer %+v", got)
+	}
+}
+
+// Guards against events that are missing, come twice or are cut when a stream is
+// continued at another target.
+func TestResume(t *testing.T) {
+	s := newTarget(t, events(true, 1, 2, 3), events(true, 3, 4), events(false, 5, 6))
+	got := start(t, s, s, s).call(t, "/resume/")
+	want := ""
+	for id := 1; id <= 6; id++ {
+		want += fmt.Sprintf("id: %d\ndata: %d\n\n", id, id)
+	}
+	if got.err != nil || got.body != want {
+		t.Errorf("error %v, stream %q", got.err, got.body)
+	}
+	if last := s.requests[2].Header.Get("Last"); last != "4" {
+		t.Errorf("the third target was asked to go on after %q", last)
+	}
+	s = newTarget(t, events(true, 1))
+	if got := start(t, s, s, s, s).call(t, "/resume/"); got.err == nil || s.count() != 3 {
+		t.Errorf("error %v after %d targets, want a cut after 3", got.err, s.count())
+	}
+}
+
+// Guards against keys that are accepted on a configuration that may have been
+// changed since, and against denials on one that may lack a route or a key.
+func TestStaleConfiguration(t *testing.T) {
+	for name, c := range map[string]struct {
+		age       time.Duration
+		path, key string
+		code      string
+		status    int
+	}{
+		"fresh":                 {0, "/safe/", "k", "", 200},
+		"fresh, unknown key":    {0, "/safe/", "x", "unauthenticated", 401},
+		"fresh, no route":       {0, "/none/", "k", "no_route", 404},
+		"old, known key":        {4 * time.Second, "/safe/", "k", "", 200},
+		"old, unknown key":      {4 * time.Second, "/safe/", "x", "no_quorum", 503},
+		"old, no route":         {4 * time.Second, "/none/", "k", "no_quorum", 503},
+		"expired, known key":    {6 * time.Second, "/safe/", "k", "no_quorum", 503},
+		"expired, public route": {6 * time.Second, "/open/", "", "", 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.update(c.age, newTarget(t, good))
+			got := f.call(t, c.path, "Key", c.key)
+			if got.status != c.status || got.header.Get("Code") != c.code {
+				t.Errorf("status %d, code %q; want %d, %q", got.status, got.header.Get("Code"), c.status, c.code)
+			}
+		})
+	}
+}
+
+// Guards against a host that serves before it knows any configuration.
+func TestNoConfiguration(t *testing.T) {
+	f := newFixture(t)
+	if got := f.call(t, "/safe/"); got.status != 503 || got.header.Get("Ran") != "not_run" || got.header.Get("Retry") == "" {
+		t.Errorf("answer %+v", got)
+	}
+	if f.Ready() {
+		t.Error("ready without a configuration")
+	}
+}
+
+// Guards against requests above a workspace's rate, and against a refusal without
+// the time to come back.
+func TestRate(t *testing.T) {
+	s := newTarget(t, good)
+	f := start(t, s)
+	if got := f.call(t, "/safe/", "Key", "k2"); got.status != 200 {
+		t.Fatalf("first request: %+v", got)
+	}
+	if got := f.call(t, "/safe/", "Key", "k2"); got.status != 429 || got.header.Get("Code") != "rate_limited" || got.header.Get("Retry") == "" {
+		t.Errorf("second request: %+v", got)
+	}
+	if s.count() != 1 {
+		t.Errorf("%d requests reached the target", s.count())
+	}
+}
+
+// Guards against a request with homes that runs in another region.
+func TestHomes(t *testing.T) {
+	s := newTarget(t, good)
+	if got := start(t, s).call(t, "/bound/"); got.header.Get("Ran") != "not_run" || s.count() != 0 {
+		t.Errorf("answer %+v after %d sends", got, s.count())
+	}
+}
+
+// Guards against a caller that waits past the timeout of its route, and against a
+// final answer that promises "not run" for a request that a target holds.
+func TestDeadline(t *testing.T) {
+	hold := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	s := newTarget(t, hold)
+	f := start(t, s)
+	started := time.Now()
+	got := f.call(t, "/once/", "Patience", "300")
+	if took := time.Since(started); took > 600*time.Millisecond || got.status != 504 || got.header.Get("Ran") != "unknown" {
+		t.Errorf("answer %+v after %s", got, took)
+	}
+}
+
+// Guards against a target that works on for a caller who has left.
+func TestCallerLeaves(t *testing.T) {
+	ended := make(chan struct{})
+	hold := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done(); close(ended) }
+	s := newTarget(t, hold)
+	f := start(t, s)
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, "POST", f.front.URL+"/once/", strings.NewReader("b"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("Key", "k")
+	if _, err := http.DefaultClient.Do(r); err == nil {
+		t.Fatal("an answer without one of the target")
+	}
+	select {
+	case <-ended:
+	case <-time.After(2 * time.Second):
+		t.Error("the target still works 2 s after the caller left")
+	}
+}
+
+// Guards against a stopping host that drops requests on open connections, and against
+// one that takes requests which cannot end.
+func TestDrain(t *testing.T) {
+	s := newTarget(t, good)
+	f := start(t, s)
+	f.Drain()
+	if got := f.call(t, "/safe/"); got.status != 200 || f.Ready() {
+		t.Errorf("answer %+v, ready %v", got, f.Ready())
+	}
+	f.RefuseNew()
+	if got := f.call(t, "/safe/"); got.status != 503 || got.header.Get("Ran") != "not_run" {
+		t.Errorf("answer %+v", got)
+	}
+}
+
+// Guards against a forwarded request that loses its answer, runs in a region that it
+// may not, or is forwarded again.
+func TestForward(t *testing.T) {
+	s := newTarget(t, good)
+	there := start(t, s)
+	forward := httptest.NewServer(there.ForwardHandler())
+	t.Cleanup(forward.Close)
+	here := start(t)
+	now := clock.SinceBoot()
+	here.Apply(now, fleetsync.Update{Sent: now, ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, Hosts: []*syncpb.EntryHost{
+		{Name: "there", Region: "elsewhere", Forward: strings.TrimPrefix(forward.URL, "http://"), Serving: true, Loads: []*syncpb.Load{{Service: "s", WaitMs: 10}}}}}})
+	for _, path := range []string{"/safe/", "/once/", "/bound/"} {
+		got := here.call(t, path)
+		if got.status != 200 || got.body != "whole" || got.header.Get("Geraniumturn-Ran") != "" {
+			t.Errorf("%s: answer %+v", path, got)
+		}
+	}
+	if got := s.requests[0].Header; got.Get("Workspace") != "w" || got.Get("Geraniumturn-Forward") != "" {
+		t.Errorf("the target got header %v", got)
+	}
+	there.update(0) // the target stays
+	s.Server.Close()
+	if got := here.call(t, "/once/"); got.header.Get("Ran") != "not_run" {
+		t.Errorf("without a target: %+v", got)
+	}
+}
--- /dev/null
+++ b/internal/registry/table_test.go
@@ -0,0 +1,133 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"geraniumturn.example/geraniumturn/internal/registry"
+)
+
+const second = time.Second
+
+func record(id string, born int64, sequence uint64, state registry.State) registry.Record {
+	return registry.Record{ID: id, Born: born, Sequence: sequence, Service: "s", Address: "10.0.0.1:80", DataCentre: "dc", State: state}
+}
+
+func stateOf(t *registry.Table, id string) registry.State {
+	for _, r := range t.All() {
+		if r.ID == id {
+			return r.State
+		}
+	}
+	return registry.Left
+}
+
+// Guards against a heartbeat that was delayed and brings back what a later one, or
+// the target's leaving, has ended.
+func TestLateHeartbeat(t *testing.T) {
+	table := registry.NewTable()
+	table.Heartbeat(second, record("a", 100, 5, registry.Draining))
+	if table.Heartbeat(2*second, record("a", 100, 4, registry.Ready)) || stateOf(table, "a") != registry.Draining {
+		t.Error("an earlier heartbeat made a draining target ready")
+	}
+	table.Leave(3*second, "a", 0)
+	if table.Heartbeat(4*second, record("a", 100, 6, registry.Ready)) || stateOf(table, "a") != registry.Left {
+		t.Error("a heartbeat after leaving brought the target back")
+	}
+	if !table.Heartbeat(5*second, record("a", 200, 1, registry.Ready)) || stateOf(table, "a") != registry.Ready {
+		t.Error("a new start under the same id is not used")
+	}
+	if table.Leave(6*second, "a", 100) || stateOf(table, "a") != registry.Ready {
+		t.Error("the leaving of an earlier start ended a later one")
+	}
+}
+
+// Guards against two targets at one address, of which the older has crashed.
+func TestReusedAddress(t *testing.T) {
+	table := registry.NewTable()
+	table.Heartbeat(second, record("old", 100, 9, registry.Ready))
+	table.Heartbeat(2*second, record("new", 200, 1, registry.Ready))
+	if stateOf(table, "old") != registry.Left || stateOf(table, "new") != registry.Ready {
+		t.Error("the older target at a reused address stays in use")
+	}
+	if table.Heartbeat(3*second, record("old", 100, 10, registry.Ready)) {
+		t.Error("a heartbeat from before the reuse brought the old target back")
+	}
+}
+
+// Guards against a silent target that stays as good as the others, and against one
+// that speaks again and stays suspect.
+func TestSilence(t *testing.T) {
+	table := registry.NewTable()
+	table.Heartbeat(second, record("a", 1, 1, registry.Ready))
+	table.Expire(3 * second)
+	if table.All()[0].Silent {
+		t.Error("silent after one lost heartbeat")
+	}
+	table.Expire(5 * second)
+	if !table.All()[0].Silent {
+		t.Error("not silent after 4 s")
+	}
+	if !table.Heartbeat(6*second, record("a", 1, 2, registry.Ready)) || table.All()[0].Silent {
+		t.Error("still silent after a heartbeat")
+	}
+}
+
+// Guards against tables that differ although they have heard the same, in any order
+// and with repeats: hosts would disagree on which targets leave.
+func TestTablesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var records []registry.Record
+		for range rapid.IntRange(1, 12).Draw(t, "records") {
+			r := record(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id"), rapid.Int64Range(1, 3).Draw(t, "born"),
+				rapid.Uint64Range(1, 4).Draw(t, "sequence"), registry.Ready)
+			r.Address = r.ID // each target has an address of its own here
+			if r.Sequence > 2 {
+				r.State = registry.Draining
+			}
+			records = append(records, r)
+		}
+		one, two := registry.NewTable(), registry.NewTable()
+		for _, r := range records {
+			one.Merge(second, r)
+		}
+		for _, r := range rapid.Permutation(records).Draw(t, "order") {
+			two.Merge(second, r)
+			two.Merge(second, r)
+		}
+		a, b := one.All(), two.All()
+		if len(a) != len(b) {
+			t.Fatalf("%d and %d targets", len(a), len(b))
+		}
+		for i := range a {
+			if a[i] != b[i] {
+				t.Fatalf("%+v and %+v", a[i], b[i])
+			}
+		}
+	})
+}
+
+// Guards against a copy that misses a change, and against unchanged heartbeats that
+// are sent to every host.
+func TestSince(t *testing.T) {
+	table := registry.NewTable()
+	table.Heartbeat(second, record("a", 1, 1, registry.Ready))
+	_, cursor := table.Since(0)
+	table.Heartbeat(2*second, record("a", 1, 2, registry.Ready))
+	if got, _ := table.Since(cursor); len(got) != 0 {
+		t.Errorf("an unchanged heartbeat was passed on: %v", got)
+	}
+	if got := table.TakeHeard(); len(got) != 1 || got[0].Sequence != 2 {
+		t.Errorf("control hosts are not told of the heartbeat: %v", got)
+	}
+	cold := record("a", 1, 3, registry.Ready)
+	cold.ColdUntil = 9 * second
+	table.Heartbeat(3*second, cold)
+	table.Leave(4*second, "b", 0)
+	got, next := table.Since(cursor)
+	if len(got) != 2 || next <= cursor {
+		t.Errorf("got %v, cursor %d after %d", got, next, cursor)
+	}
+}
--- a/internal/shares/bucket.go
+++ b/internal/shares/bucket.go
@@ -77,6 +77,9 @@
 		b.level = min(b.depth(), b.level+b.rate*rateMargin*b.fraction*(end-b.at).Seconds())
 	}
 	b.at = max(b.at, now)
+	if now >= b.until {
+		b.level = min(b.level, b.spare) // the rest may be another host's by now
+	}
 }
 
 // Take takes the cost of a request. Otherwise it returns the time after which the
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 )
 
@@ -18,6 +17,9 @@
 	maxStrays = 3
 	// maxStrayBytes bounds the body of such an answer.
 	maxStrayBytes = 1 << 20
+	// writeSettle is the wait for the end of a write after the answer has ended. A
+	// target that answered early may never read the rest.
+	writeSettle = 2 * time.Millisecond
 	// closeIdle is the longest idle time of a connection for a request that must
 	// not be lost; the peer may be closing an older one.
 	closeIdle = 2 * time.Second
@@ -51,7 +53,7 @@
 	conn    *conn
 	body    io.ReadCloser
 	reuse   bool
-	written *atomic.Bool
+	written chan struct{} // closed when the whole request is written
 	stop    func() bool
 	ended   bool
 }
@@ -71,7 +73,7 @@
 		_ = c.Close()
 		return nil, fmt.Errorf("%w: %v", ErrNotSent, context.Cause(ctx))
 	}
-	out := &Response{pool: p, address: r.Address, conn: c, written: &atomic.Bool{}}
+	out := &Response{pool: p, address: r.Address, conn: c, written: make(chan struct{})}
 	out.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	writeFailed := make(chan error, 1)
 	go func() {
@@ -79,7 +81,7 @@
 			writeFailed <- err
 			return
 		}
-		out.written.Store(true)
+		close(out.written)
 	}()
 	if err := out.readHead(r); err != nil {
 		_ = out.Close()
@@ -164,13 +166,26 @@
 	if !o.stop() {
 		return o.conn.Close()
 	}
-	if o.ended && o.reuse && o.written.Load() && o.conn.reader.Buffered() == 0 {
+	if o.ended && o.reuse && o.wasWritten() && o.conn.reader.Buffered() == 0 {
 		o.pool.put(o.address, o.conn, o.idleTime())
 		return nil
 	}
 	return o.conn.Close()
 }
 
+// wasWritten reports whether the whole request is written. The goroutine that wrote
+// it may not have run since the answer arrived.
+func (o *Response) wasWritten() bool {
+	timer := time.NewTimer(writeSettle)
+	defer timer.Stop()
+	select {
+	case <-o.written:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
 // idleTime is how long the target keeps the connection.
 func (o *Response) idleTime() time.Duration {
 	for _, field := range strings.Split(o.Header.Get("Keep-Alive"), ",") {
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,261 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"geraniumturn.example/geraniumturn/internal/upstream"
+)
+
+// script is a target that answers each request with the next raw answer. An answer
+// of "" closes the connection after the request was read.
+type script struct {
+	net.Listener
+	connections, requests atomic.Int64
+}
+
+func serve(t *testing.T, answers ...string) *script {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{Listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.connections.Add(1)
+			go s.answer(c, answers)
+		}
+	}()
+	return s
+}
+
+func (s *script) answer(c net.Conn, answers []string) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		answer := answers[int(s.requests.Add(1)-1)%len(answers)]
+		if answer == "" {
+			return
+		}
+		if _, err := io.WriteString(c, strings.ReplaceAll(answer, "ID", r.Header.Get("Id"))); err != nil {
+			return
+		}
+		if !strings.Contains(answer, "Content-Length") && !strings.Contains(answer, "chunked") {
+			return
+		}
+	}
+}
+
+func request(s *script, id string) *upstream.Request {
+	return &upstream.Request{Address: s.Addr().String(), Method: "POST", Target: "/a%2Fb?q=1", Host: "h.example", Header: http.Header{"Id": {id}}, Body: []byte("body"),
+		Own: func(_ int, h http.Header) bool { return h.Get("Id") == id }}
+}
+
+func read(t *testing.T, p *upstream.Pool, r *upstream.Request) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	res, err := p.Do(ctx, r)
+	if err != nil {
+		return "", err
+	}
+	defer res.Close()
+	body, err := io.ReadAll(res)
+	return string(body), err
+}
+
+const ok = "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nok"
+
+// Guards against connections that are opened for each request, and against one that
+// is used again although the target closes it.
+func TestReuse(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer      string
+		connections int64
+	}{
+		"kept":                       {ok, 1},
+		"closed by the target":       {"HTTP/1.1 200 OK\r\nId: ID\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", 5},
+		"keep-alive of zero seconds": {"HTTP/1.1 200 OK\r\nId: ID\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok", 5},
+		"chunked":                    {"HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 1},
+		"no length":                  {"HTTP/1.1 200 OK\r\nId: ID\r\n\r\nok", 5},
+		"bytes after the answer":     {ok + "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 1\r\n\r\nx", 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, p := serve(t, c.answer), upstream.NewPool(time.Second)
+			for i := range 5 {
+				body, err := read(t, p, request(s, fmt.Sprint("id", i)))
+				if err != nil || body != "ok" {
+					t.Fatalf("body %q, error %v", body, err)
+				}
+				time.Sleep(5 * time.Millisecond) // lets a surplus answer or a close arrive
+			}
+			if got := s.connections.Load(); got != c.connections {
+				t.Errorf("%d connections, want %d", got, c.connections)
+			}
+		})
+	}
+}
+
+// Guards against an answer of another request that is passed on, and against a late
+// one that costs the request its own answer.
+func TestForeignAnswer(t *testing.T) {
+	late := "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 4\r\n\r\nlate"
+	s, p := serve(t, late+ok), upstream.NewPool(time.Second)
+	if body, err := read(t, p, request(s, "mine")); err != nil || body != "ok" {
+		t.Errorf("body %q, error %v", body, err)
+	}
+	s = serve(t, late)
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	if _, err := p.Do(ctx, request(s, "mine")); !errors.Is(err, upstream.ErrBroken) {
+		t.Errorf("got %v, want ErrBroken", err)
+	}
+}
+
+// Guards against a truncated answer that looks whole.
+func TestTruncated(t *testing.T) {
+	for name, answer := range map[string]string{
+		"shorter than its length": "HTTP/1.1 200 OK\r\nId: ID\r\nX: Content-Length of another field\r\nContent-Length: 9\r\n\r\nok",
+		"chunks without an end":   "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+		"no answer":               "",
+		"no HTTP":                 "hello\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, p := serve(t, answer, ""), upstream.NewPool(time.Second)
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer cancel()
+			res, err := p.Do(ctx, request(s, "a"))
+			if err == nil {
+				defer res.Close()
+				_, err = io.ReadAll(res)
+			}
+			if !errors.Is(err, upstream.ErrBroken) {
+				t.Errorf("got %v, want ErrBroken", err)
+			}
+		})
+	}
+}
+
+// Guards against a second run: a request whose connection ended after it was sent is
+// never sent again, also on a kept connection.
+func TestNeverRepeats(t *testing.T) {
+	s, p := serve(t, ok, "", ok), upstream.NewPool(time.Second)
+	if _, err := read(t, p, request(s, "1")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := read(t, p, request(s, "2")); !errors.Is(err, upstream.ErrBroken) {
+		t.Errorf("got %v, want ErrBroken", err)
+	}
+	if got := s.requests.Load(); got != 2 {
+		t.Errorf("the target read %d requests, want 2", got)
+	}
+}
+
+// Guards against a refused connection that counts as a request that may have run.
+func TestNotSent(t *testing.T) {
+	s, p := serve(t, ok), upstream.NewPool(time.Second)
+	_ = s.Close()
+	if _, err := read(t, p, request(s, "1")); !errors.Is(err, upstream.ErrNotSent) {
+		t.Errorf("got %v, want ErrNotSent", err)
+	}
+}
+
+// Guards against a kept connection that is used after the target has closed it.
+func TestClosedWhileIdle(t *testing.T) {
+	closing := make(chan struct{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for first := true; ; first = false {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, strings.ReplaceAll(ok, "ID", "a"))
+			if first {
+				time.Sleep(20 * time.Millisecond)
+				_ = c.Close()
+				close(closing)
+			}
+		}
+	}()
+	p := upstream.NewPool(time.Second)
+	s := &script{Listener: l}
+	for range 2 {
+		if body, err := read(t, p, request(s, "a")); err != nil || body != "ok" {
+			t.Fatalf("body %q, error %v", body, err)
+		}
+		<-closing
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Guards against a caller who has left while the target works on.
+func TestCancelClosesTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	gone := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		r := bufio.NewReader(c)
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, err = r.ReadByte()
+		if err == nil {
+			_, err = r.Discard(3)
+		}
+		if err == nil {
+			_, err = r.ReadByte()
+		}
+		gone <- err
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(30*time.Millisecond, cancel)
+	p := upstream.NewPool(time.Second)
+	if _, err := p.Do(ctx, request(&script{Listener: l}, "a")); err == nil {
+		t.Fatal("an answer without a target's answer")
+	}
+	select {
+	case err := <-gone:
+		if err == nil {
+			t.Error("the target got more bytes")
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("the connection is still open 2 s after the caller left")
+	}
+}
