--- a/internal/control/core/leader_test.go
+++ b/internal/control/core/leader_test.go
@@ -136,3 +136,75 @@
 		t.Fatalf("commit index %d after the sync", s.Commit)
 	}
 }
+
+// Guards against a voter that is gone for good and keeps its place, so that the loss
+// of another one stops the log; and against a voter that loses its place in a short
+// outage or without a host that can take it.
+func TestSilentVoterIsReplaced(t *testing.T) {
+	c := elected(t)
+	c.target = 3
+	now := electedAt
+	voters := func() (out []string) {
+		for _, m := range c.Members() {
+			if !m.Learner {
+				out = append(out, m.ID)
+			}
+		}
+		return out
+	}
+	answer := func(ids ...string) {
+		now += HeartbeatInterval
+		c.Tick(now)
+		for range 3 {
+			for _, id := range ids {
+				c.Step(now, Message{Kind: AppendResponse, From: id, To: "b", Term: 3, OK: true, Index: c.Status().Last, SentAt: now - time.Millisecond})
+				sync(c)
+			}
+		}
+	}
+	for now < electedAt+2*silentLimit {
+		answer("c")
+	}
+	if got := voters(); len(got) != 3 {
+		t.Fatalf("voters %v: one was removed although no host can take its place", got)
+	}
+	_ = c.Join("d", "hd")
+	answer("c", "d")
+	for range 5 {
+		_ = c.Join("d", "hd")
+		answer("c", "d")
+	}
+	if got := voters(); len(got) != 3 || got[0] != "b" || got[1] != "c" || got[2] != "d" {
+		t.Fatalf("voters %v, want b, c and d", got)
+	}
+}
+
+// Guards against a resigning leader that keeps its lease, and against voters that
+// refuse the election which it asked for.
+func TestResign(t *testing.T) {
+	c := elected(t)
+	acknowledge(c, "c", 2)
+	c.Resign(electedAt + 2*time.Millisecond)
+	if _, _, ok := c.Lease(); ok || c.Status().Role == Leader {
+		t.Fatal("still leads with a lease")
+	}
+	out := sync(c)
+	if len(out.Messages) == 0 || out.Messages[len(out.Messages)-1].Kind != TransferRequest || out.Messages[len(out.Messages)-1].To != "c" {
+		t.Fatalf("messages %+v", out.Messages)
+	}
+	next := follower(3)
+	next.leader, next.termLeader, next.heardAt = "a", "a", electedAt
+	next.Step(electedAt, Message{Kind: TransferRequest, From: "a", To: "b", Term: 3})
+	for _, m := range sync(next).AfterSync {
+		if m.Kind != VoteRequest || m.Term != 4 || !m.OK {
+			t.Errorf("message %+v, want a vote request that needs no quiet voter", m)
+		}
+	}
+	voter := follower(3)
+	voter.heardAt = electedAt
+	voter.Step(electedAt+time.Millisecond, Message{Kind: VoteRequest, From: "a", To: "b", Term: 4, Index: 9, LogTerm: 3, OK: true})
+	granted := sync(voter).AfterSync
+	if len(granted) != 1 || !granted[0].OK {
+		t.Errorf("answers %+v: a voter that heard of the old leader refuses its successor", granted)
+	}
+}
--- a/internal/control/core/sim_test.go
+++ b/internal/control/core/sim_test.go
@@ -117,6 +117,14 @@
 	leases    int
 	terms     map[uint64]string
 	lost      int
+	// acked are the acknowledged entries in the order of their acknowledgement.
+	acked    []acknowledgement
+	currents int
+}
+
+type acknowledgement struct {
+	at    time.Duration
+	index uint64
 }
 
 // newSim starts a fleet in which the first hosts are the initial voters and the
@@ -160,7 +168,7 @@
 	h.start, h.busy, h.frozen, h.waiting, h.pending = s.now, false, false, nil, nil
 	d := h.disk
 	h.core = New(Config{ID: d.id, Host: h.name, State: d.state, Snapshot: d.snapshot, Base: d.base, BaseTerm: d.baseTerm,
-		Entries: slices.Clone(d.entries), Rand: rand.New(rand.NewPCG(s.r.Uint64(), 3))}, 0)
+		Entries: slices.Clone(d.entries), Rand: rand.New(rand.NewPCG(s.r.Uint64(), 3)), Process: s.r.Uint64()}, 0)
 	h.applied, h.snapIndex, h.register = d.snapshot.Index, d.snapshot.Index, 0
 	if d.snapshot.Index > 0 {
 		h.register = binary.LittleEndian.Uint64(d.snapshot.Data)
@@ -252,6 +260,7 @@
 		s.snapshot(h)
 	}
 	s.step(h)
+	s.checkCurrent(h)
 	s.drain(h)
 }
 
@@ -326,6 +335,26 @@
 		return
 	}
 	op.Return, op.Output = int64(s.now), read
+	s.acked = append(s.acked, acknowledgement{s.now, e.Index})
+}
+
+// checkCurrent checks that a host which says that it is current as of a time has
+// applied everything that was acknowledged before.
+func (s *sim) checkCurrent(h *simHost) {
+	if h.core == nil || h.busy || h.applied < h.core.CommitIndex() {
+		return
+	}
+	local, ok := h.core.Current()
+	if !ok {
+		return
+	}
+	s.currents++
+	asOf := h.start + time.Duration(float64(local)/h.rate)
+	for _, a := range s.acked {
+		if a.at < asOf && a.index > h.applied {
+			s.fail("%s is current as of %v but has applied %d of %d, acknowledged at %v", h.name, asOf, h.applied, a.index, a.at)
+		}
+	}
 }
 
 // deliver runs something on another host after a random delay, unless the
@@ -479,7 +508,10 @@
 func (s *sim) fault() {
 	h := s.hosts[s.r.IntN(len(s.hosts))]
 	pauseFor := time.Duration(s.r.IntN(4000)) * time.Millisecond
-	switch s.r.IntN(10) {
+	switch s.r.IntN(12) {
+	case 10, 11:
+		leader := s.leaderOr(h)
+		s.run(leader, func() { leader.core.Resign(s.local(leader)) })
 	case 0:
 		s.crashAndBoot(h, pauseFor)
 	case 1:
@@ -651,22 +683,22 @@
 }
 
 // Guards against a lost or replaced committed entry, two leaders, two leases, a
-// stale read and a fleet that does not recover, under message loss, delay,
+// stale read, a follower that takes old state for the newest, and a fleet that does not recover, under message loss, delay,
 // duplication, reordering, partitions, freezes, restarts and lost disks. Many
 // schedules: go test ./internal/control/core -run TestRandomSchedules -schedules 10000
 func TestRandomSchedules(t *testing.T) {
 	first := *simSeed
-	leases, lost, answered := 0, 0, 0
+	leases, lost, answered, currents := 0, 0, 0, 0
 	for i := range uint64(*simSchedules) {
 		s := runSchedule(t, first+i)
-		leases, lost = leases+s.leases, lost+s.lost
+		leases, lost, currents = leases+s.leases, lost+s.lost, currents+s.currents
 		for _, op := range s.ops {
 			if op.Output != nil {
 				answered++
 			}
 		}
 	}
-	if *simSchedules >= 100 && (leases == 0 || lost == 0 || answered < 10**simSchedules) {
+	if *simSchedules >= 100 && (leases == 0 || lost == 0 || currents == 0 || answered < 10**simSchedules) {
 		t.Fatalf("the schedules prove too little: %d leases, %d lost disks, %d answers", leases, lost, answered)
 	}
 	t.Logf("%d schedules from seed %d: %d disks lost, %d operations answered", *simSchedules, first, lost, answered)
