--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -504,6 +504,9 @@
 	return ok
 }
 
+// LeaderHost is the host that this voter believes to lead, or "".
+func (n *Node) LeaderHost() string { return n.leaderHost() }
+
 // leaderHost is the host that this voter believes to lead, or "".
 func (n *Node) leaderHost() string {
 	s := n.status.Load()
--- a/internal/fleetsync/client.go
+++ b/internal/fleetsync/client.go
@@ -22,6 +22,9 @@
 	// failedInterval spaces the tries of a control host that does not answer.
 	failedInterval  = time.Second
 	exchangeTimeout = 700 * time.Millisecond
+	// nearSilence is the silence of the control hosts of the own region after which
+	// others get full reports.
+	nearSilence = 800 * time.Millisecond
 	// discoverInterval spaces the checks for new control hosts.
 	discoverInterval = 100 * time.Millisecond
 )
@@ -40,8 +43,9 @@
 	Region string
 	Dial   func(address string) drpc.Conn
 	// Request returns the report of this host; the client adds the position in
-	// the target table.
-	Request func(now time.Duration) *syncpb.ExchangeRequest
+	// the target table. A full report goes to control hosts of the own region, which
+	// relay it; to others it goes only while none of those answers.
+	Request func(now time.Duration, full bool) *syncpb.ExchangeRequest
 	// Current reports whether the host can serve with what it knows.
 	Current func() bool
 	// Apply takes an answer. Calls are serialised.
@@ -51,6 +55,7 @@
 
 	mu       sync.Mutex
 	controls map[string]string // region by peer address
+	near     time.Duration     // when a control host of the own region last answered
 	running  map[string]bool
 	applying sync.Mutex
 }
@@ -91,7 +96,7 @@
 	heard := clock.SinceBoot()
 	for ctx.Err() == nil {
 		sent := clock.SinceBoot()
-		in := c.Request(sent)
+		in := c.Request(sent, c.needsFull(address, sent))
 		in.Table, in.Cursor = table, cursor
 		callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 		out, err := syncpb.NewDRPCSyncClient(c.Dial(address)).Exchange(callCtx, in)
@@ -105,6 +110,7 @@
 		if err == nil {
 			table, cursor, heard = out.GetTable(), out.GetCursor(), now
 			c.learn(out.GetControls())
+			c.noteHeard(address, now)
 			c.applying.Lock()
 			c.Apply(now, Update{Sent: sent, Control: address, ExchangeResponse: out, Records: decodeRecords(now, out.GetTargets())})
 			c.applying.Unlock()
@@ -149,6 +155,22 @@
 	return farInterval
 }
 
+// noteHeard records an answer.
+func (c *Client) noteHeard(address string, now time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.controls[address] == c.Region {
+		c.near = now
+	}
+}
+
+// needsFull reports whether a control host gets the full report.
+func (c *Client) needsFull(address string, now time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.controls[address] == c.Region || now-c.near > nearSilence
+}
+
 // forget drops a control host that is not among the seeds.
 func (c *Client) forget(address string, seeds []string) bool {
 	c.mu.Lock()
--- a/internal/fleetsync/presence.go
+++ b/internal/fleetsync/presence.go
@@ -12,7 +12,7 @@
 const (
 	// entrySilence is the silence after which an entry host is not named to
 	// callers. It covers a few lost exchanges.
-	entrySilence = 1500 * time.Millisecond
+	entrySilence = 1800 * time.Millisecond
 	// entryMemory is how long a silent entry host is remembered.
 	entryMemory = time.Minute
 	// controlMemory is how long a control host that nobody hears is remembered.
--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -22,6 +22,9 @@
 	// is known everywhere after this time and the way.
 	relayInterval = 150 * time.Millisecond
 	relayTimeout  = 700 * time.Millisecond
+	// presenceRounds is how many rounds pass between reports of the entry hosts;
+	// they are forgotten after several of these.
+	presenceRounds = 4
 	// grantsLife bounds the age of grants that are passed on from the leader.
 	grantsLife = 2 * time.Second
 )
@@ -29,6 +32,8 @@
 // Leadership tells what the replicated log knows of itself.
 type Leadership interface {
 	Leads() bool
+	// LeaderHost is the peer address of the leader, or "".
+	LeaderHost() string
 	Age() (time.Duration, bool)
 }
 
@@ -85,6 +90,9 @@
 	if in.GetWantHosts() {
 		out.Hosts = s.Presence.Entries(now)
 	}
+	if in.GetHost().GetName() == "" {
+		return out, nil
+	}
 	out.Grants, out.GrantsAgeMs = s.grantsFor(now, &syncpb.HostDemands{Host: in.GetHost().GetName(), Demands: in.GetDemands(), UptimeMs: in.GetUptimeMs()})
 	return out, nil
 }
@@ -163,14 +171,14 @@
 func (s *Server) Run(ctx context.Context, seeds func() []string) error {
 	ticker := time.NewTicker(relayInterval)
 	defer ticker.Stop()
-	for {
+	for round := 0; ; round++ {
 		now := clock.SinceBoot()
 		s.Targets.Expire(now)
 		s.Presence.Control(now, s.Self, true)
 		for _, a := range seeds() {
 			s.Presence.Control(now, &syncpb.ControlHost{Peer: a}, false)
 		}
-		s.relay(ctx, now, seeds())
+		s.relay(ctx, now, seeds(), round%presenceRounds == 0)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -179,11 +187,18 @@
 	}
 }
 
-func (s *Server) relay(ctx context.Context, now time.Duration, seeds []string) {
-	request := &syncpb.RelayRequest{From: s.Self, Targets: encodeRecords(now, s.Targets.TakeHeard()),
-		Hosts: s.Presence.TakeFresh(now), Controls: s.Presence.Controls(now), Demands: s.heardDemands(now)}
+// relay tells the other control hosts what this one heard since the last round. The
+// demands of entry hosts go to the leader alone.
+func (s *Server) relay(ctx context.Context, now time.Duration, seeds []string, presence bool) {
+	controls := s.Presence.Controls(now)
+	request := &syncpb.RelayRequest{From: s.Self, Targets: encodeRecords(now, s.Targets.TakeHeard())}
+	if presence {
+		request.Hosts, request.Controls = s.Presence.TakeFresh(now), controls
+	}
+	leader := s.Log.LeaderHost()
+	withDemands := &syncpb.RelayRequest{From: s.Self, Targets: request.Targets, Hosts: request.Hosts, Controls: request.Controls, Demands: s.heardDemands(now)}
 	addresses := map[string]bool{}
-	for _, c := range request.GetControls() {
+	for _, c := range controls {
 		addresses[c.GetPeer()] = true
 	}
 	for _, a := range seeds {
@@ -193,7 +208,11 @@
 	var g errgroup.Group
 	for a := range addresses {
 		g.Go(func() error {
-			s.relayTo(ctx, a, request)
+			if a == leader {
+				s.relayTo(ctx, a, withDemands)
+			} else if presence || len(request.GetTargets()) > 0 {
+				s.relayTo(ctx, a, request)
+			}
 			return nil
 		})
 	}
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -19,9 +19,13 @@
 // evacuation ended: their next heartbeats say whether they are.
 const restoreCaution = 2500 * time.Millisecond
 
-// Report is what this host tells a control host.
-func (g *Gateway) Report(now time.Duration) *syncpb.ExchangeRequest {
+// Report is what this host tells a control host. Without full it only asks for what
+// changed.
+func (g *Gateway) Report(now time.Duration, full bool) *syncpb.ExchangeRequest {
 	index, version := g.Views.position()
+	if !full {
+		return &syncpb.ExchangeRequest{Index: index, Version: version}
+	}
 	out := &syncpb.ExchangeRequest{Index: index, Version: version, WantHosts: true, UptimeMs: (now - g.begun).Milliseconds(),
 		Host: &syncpb.EntryHost{Name: g.Name, DataCentre: g.DataCentre, Region: g.Region, Front: g.Front, Forward: g.Forward, Peer: g.Peer,
 			Started: g.Started, Serving: g.Ready()}}
@@ -124,7 +128,7 @@
 	if v == nil || v.Config == nil {
 		return nil
 	}
-	hosts := 1 + g.countHosts(now, g.Region)
+	hosts := g.regionHosts(now)
 	var out []placement.Spec
 	for _, r := range g.Table.All() {
 		if r.State != registry.Ready {
@@ -144,7 +148,37 @@
 	return out
 }
 
-func (g *Gateway) spec(r registry.Record, s *document.Service, hosts int) placement.Spec {
+// regionHosts returns the names of the entry hosts of this region that may be
+// serving, with this one.
+func (g *Gateway) regionHosts(now time.Duration) []string {
+	out := []string{g.Name}
+	for name, h := range g.hosts {
+		if now-h.heard < hostMemory && h.GetRegion() == g.Region {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// coldPart is this host's part of the requests that a cold target bears in a second.
+// When there are more hosts than requests, the first ones of an order that differs
+// for each target have one each. It is 0 for the others.
+func (g *Gateway) coldPart(target string, limit int, hosts []string) int {
+	ahead := 0
+	own := rank(target, g.Name)
+	for _, h := range hosts {
+		if h != g.Name && rank(target, h) > own {
+			ahead++
+		}
+	}
+	part := limit / len(hosts)
+	if ahead < limit%len(hosts) {
+		part++
+	}
+	return part
+}
+
+func (g *Gateway) spec(r registry.Record, s *document.Service, hosts []string) placement.Spec {
 	spec := placement.Spec{ID: r.ID, Address: r.Address, Service: r.Service, DataCentre: r.DataCentre, Slots: r.Slots,
 		ColdUntil: r.ColdUntil, Suspect: r.Silent}
 	if s.Engine != nil {
@@ -152,7 +186,8 @@
 	}
 	if s.ColdRate > 0 {
 		// One request less than the bound covers what was on its way.
-		spec.ColdLimit = max(1, int(s.ColdRate*g.Bounds.ColdOverrun+g.Bounds.ColdSlack-1)/hosts)
+		spec.Paced = true
+		spec.ColdLimit = g.coldPart(r.ID, max(1, int(s.ColdRate*g.Bounds.ColdOverrun+g.Bounds.ColdSlack-1)), hosts)
 		if at := g.restored[r.DataCentre].at; at > 0 && s.Warmup > 0 {
 			spec.ColdUntil = max(spec.ColdUntil, at+restoreCaution)
 		}
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -4,31 +4,47 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/placement"
 )
 
 // UsagePeers returns the addresses of the other entry hosts of this region, which
-// send to the same targets, or of those of other regions.
+// send to the same targets, or of one host in each other region.
 func (g *Gateway) UsagePeers(scope placement.Scope) []string {
 	now := sinceBoot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []string
+	far := map[string]*peerHost{}
 	for _, h := range g.hosts {
-		if (h.GetRegion() == g.Region) == (scope == placement.Near) && h.GetPeer() != "" && now-h.heard < loadAge {
+		if h.GetPeer() == "" || now-h.heard > loadAge {
+			continue
+		}
+		region := h.GetRegion()
+		switch {
+		case region == g.Region && scope == placement.Near:
 			out = append(out, h.GetPeer())
+		case region != g.Region && scope == placement.Far && (far[region] == nil || rank(g.Name, h.GetName()) > rank(g.Name, far[region].GetName())):
+			far[region] = h
 		}
 	}
+	for _, h := range far {
+		out = append(out, h.GetPeer())
+	}
 	return out
 }
 
+// rank orders hosts for something, in another order for each thing.
+func rank(thing, host string) uint64 { return xxhash.Sum64String(thing + "\x00" + host) }
+
 // UsageReport returns the prompts that this host sent since the last report, and
 // for hosts of its region what it has in progress.
 func (g *Gateway) UsageReport(scope placement.Scope) *syncpb.UsageReport {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := &syncpb.UsageReport{Host: g.Name}
+	out := &syncpb.UsageReport{Host: g.Name, Relay: scope == placement.Far}
 	if scope == placement.Near {
 		for id, u := range g.placer.Own() {
 			out.Targets = append(out.Targets, &syncpb.TargetUsage{Target: id, Running: int32(u.Running), Memory: u.Memory, Unread: int64(u.Unread)})
@@ -51,7 +67,11 @@
 	now := sinceBoot()
 	g.placer.SetOther(now, in.GetHost(), usage)
 	for _, p := range in.GetPrompts() {
-		g.placer.NotePlaced(now, placement.Placed{Target: p.GetTarget(), Keys: p.GetKeys(), Tokens: p.GetTokens()})
+		placed := placement.Placed{Target: p.GetTarget(), Keys: p.GetKeys(), Tokens: p.GetTokens()}
+		g.placer.NotePlaced(now, placed)
+		if in.GetRelay() {
+			g.placer.RelayPlaced(placed)
+		}
 	}
 	return &syncpb.Empty{}, nil
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -74,9 +74,10 @@
 	Slots                            int
 	// CacheTokens is the memory of an engine; 0 for a plain service.
 	CacheTokens int64
-	// ColdUntil is when the target is warm; ColdLimit bounds the requests of this
-	// host in any second until then. 0 means no bound.
+	// ColdUntil is when the target is warm. Until then a paced target gets at most
+	// ColdLimit requests from this host in any second.
 	ColdUntil time.Duration
+	Paced     bool
 	ColdLimit int
 	// Suspect targets are used only when there is no other one.
 	Suspect bool
@@ -253,7 +254,7 @@
 // usable reports whether the target may get a request now. As the last resort
 // those that are suspect or were passed over count too.
 func (t *Target) usable(now time.Duration, lastResort bool) bool {
-	if now < t.ColdUntil && t.ColdLimit > 0 && !t.pace.Allows(now, t.ColdLimit) {
+	if now < t.ColdUntil && t.Paced && !t.pace.Allows(now, t.ColdLimit) {
 		return false
 	}
 	return lastResort || !t.Suspect && now >= t.ejected && !t.stalled(now)
@@ -411,6 +412,14 @@
 	return out
 }
 
+// RelayPlaced passes a prompt that a host of another region sent on to the hosts of
+// this one.
+func (p *Placer) RelayPlaced(placed Placed) {
+	if len(p.placed[Near]) < maxPlaced {
+		p.placed[Near] = append(p.placed[Near], placed)
+	}
+}
+
 // NotePlaced records that another host sent a prompt to a target.
 func (p *Placer) NotePlaced(now time.Duration, placed Placed) {
 	p.touch(now, placed.Keys)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -215,7 +215,7 @@
 // Guards against more requests to a cold target than it bears in a second.
 func TestColdTargetPace(t *testing.T) {
 	specs := engines(1)
-	specs[0].ColdUntil, specs[0].ColdLimit = 20*second, 3
+	specs[0].ColdUntil, specs[0].Paced, specs[0].ColdLimit = 20*second, true, 3
 	p := newPlacer(specs)
 	sent := 0
 	for now := 10 * second; now < 11*second; now += 20 * ms {
