gateway: one holder of a workspace's rate in each region

The host of the region that ranks first for a workspace holds the region's part; the others take from it with a call of a few ms.

--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"storj.io/drpc"
 
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/fleetsync"
@@ -41,7 +42,7 @@
 			RateSlack: p.Bounds.RateSlack, ColdOverrun: p.Bounds.ColdOverrun, ColdSlack: p.Bounds.ColdSlack,
 		},
 		Caller: platform.Callers{}, Targets: platform.TargetCalls{}, Views: gateway.NewViews(platform.Configurations{}),
-		Table: registry.NewTable(), Log: d.log, Metrics: d.metrics, Front: p.Front, Forward: p.ForwardAddress(), Peer: p.PeerAddress(),
+		Table: registry.NewTable(), Log: d.log, Metrics: d.metrics, Front: p.Front, Forward: p.ForwardAddress(), Peer: p.PeerAddress(), Lender: lender{d.transport.Dial},
 		Started: time.Now().UnixMilli(),
 	}
 	g.Init(p.ReadSpeed * float64(time.Second/time.Millisecond))
@@ -75,6 +76,15 @@
 	return func(ctx context.Context) { d.stopEntry(ctx, g, front) }, nil
 }
 
+// lender calls the holders of rates.
+type lender struct {
+	dial func(address string) drpc.Conn
+}
+
+func (l lender) Take(ctx context.Context, peer string, in *syncpb.TakeRequest) (*syncpb.TakeResponse, error) {
+	return syncpb.NewDRPCUsageClient(l.dial(peer)).Take(ctx, in)
+}
+
 // stopEntry asks callers to go elsewhere, goes on serving while they may still come,
 // and waits for the requests in progress.
 func (d *deployment) stopEntry(ctx context.Context, g *gateway.Gateway, front *server) {
--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -129,7 +129,7 @@
 	}
 	in := make([]shares.Demand, len(d.GetDemands()))
 	for i, w := range d.GetDemands() {
-		in[i] = shares.Demand{Workspace: w.GetWorkspace(), PerSecond: w.GetPerSecond(), Held: w.GetHeld()}
+		in[i] = shares.Demand{Workspace: w.GetWorkspace(), PerSecond: w.GetPerSecond(), Held: w.GetHeld(), Released: w.GetReleased()}
 	}
 	granted := s.allocator.Report(now, d.GetHost(), time.Duration(d.GetUptimeMs())*time.Millisecond, in)
 	out := make([]*syncpb.Grant, len(granted))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,8 @@
 	Table   *registry.Table
 	Log     *logrus.Logger
 	Metrics metrics.Registry
+	// Lender reaches the holders of rates on other hosts.
+	Lender Lender
 	// Front, Forward and Peer are the addresses of this host for callers, for
 	// forwarded requests and for calls of other hosts.
 	Front, Forward, Peer string
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -2,19 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"geraniumturn.example/geraniumturn/internal/document"
+	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/shares"
 )
 
-// reservation is what a request took of its workspace's rate.
-type reservation struct {
-	bucket *shares.Bucket
-	cost   float64
-}
-
 // cost is what a request counts against the workspace's rate.
 func cost(w *document.Workspace, c Call) float64 {
 	switch {
@@ -26,6 +24,11 @@
 	return float64(w.UncachedTokens)
 }
 
+// Lender takes tokens from another host.
+type Lender interface {
+	Take(ctx context.Context, peer string, in *syncpb.TakeRequest) (*syncpb.TakeResponse, error)
+}
+
 // reserve takes the cost of a request or refuses it. A short time until the cost is
 // there is waited for, because a refusal costs the caller more.
 func (g *Gateway) reserve(ctx context.Context, x *exchange) error {
@@ -33,44 +36,134 @@
 	if w == nil || x.route.Public || w.Rate <= 0 {
 		return nil
 	}
-	for first := true; ; first = false {
-		wait, err := g.tryReserve(x, first)
-		if err == nil || sinceBoot()-x.started+wait > rateWait {
-			return err
+	r := &reservation{workspace: w, cost: cost(w, x.call)}
+	for again := false; ; again = true {
+		out := g.take(ctx, r, again)
+		if out.GetOk() {
+			x.reserved = r
+			return nil
+		}
+		wait := time.Duration(out.GetWaitMs()) * time.Millisecond
+		if sinceBoot()-x.started+wait > rateWait || !pause(ctx, wait) {
+			return refusal.New(refusal.RateLimited, refusal.NotRun, "workspace %s is over its rate: %.0f tokens asked, the host %s holds %.2f of it",
+				w.Name, r.cost, r.holder(), out.GetHeld()).WithRetry(max(shortRetry, wait))
 		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return err
-		case <-timer.C:
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// reservation is what a request took of its workspace's rate.
+type reservation struct {
+	workspace *document.Workspace
+	cost      float64
+	// owner is the host that it was taken from; nil for this one.
+	owner *peerHost
+}
+
+func (r *reservation) holder() string {
+	if r.owner == nil {
+		return "itself"
+	}
+	return r.owner.GetName()
+}
+
+// take asks the host that holds the region's part of the rate. When that host does
+// not answer, this one has only its part of the tolerance.
+func (g *Gateway) take(ctx context.Context, r *reservation, again bool) *syncpb.TakeResponse {
+	g.mu.Lock()
+	r.owner = g.rateOwner(sinceBoot(), r.workspace.Name)
+	g.mu.Unlock()
+	if r.owner != nil {
+		ctx, cancel := context.WithTimeout(ctx, lendTimeout)
+		defer cancel()
+		out, err := g.Lender.Take(ctx, r.owner.GetPeer(), &syncpb.TakeRequest{Workspace: r.workspace.Name, Tokens: r.cost, Again: again})
+		if err == nil {
+			return out
 		}
+		g.Log.WithFields(logrus.Fields{"workspace": r.workspace.Name, "holder": r.owner.GetName()}).WithError(err).Info("rate not reached")
+		r.owner = nil
 	}
+	return g.takeHere(r.workspace, r.cost, again)
 }
 
-// tryReserve returns a refusal and the time after which the cost is expected.
-func (g *Gateway) tryReserve(x *exchange, first bool) (time.Duration, error) {
+// takeHere takes tokens of this host's bucket.
+func (g *Gateway) takeHere(w *document.Workspace, tokens float64, again bool) *syncpb.TakeResponse {
 	now := sinceBoot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	b := g.bucket(x.workspace)
-	c := cost(x.workspace, x.call)
-	b.SetSpare(g.Bounds.RateSlack * sparePart / float64(1+g.countHosts(now, "")))
-	ok, wait := b.Take(now, c, first)
-	if ok {
-		x.reserved = &reservation{b, c}
-		return 0, nil
+	b := g.bucket(w)
+	b.SetSpare(g.Bounds.RateSlack * sparePart / float64(g.countRegions(now)))
+	if tokens < 0 {
+		b.Return(-tokens)
+		return &syncpb.TakeResponse{Ok: true}
+	}
+	ok, wait := b.Take(now, tokens, !again)
+	return &syncpb.TakeResponse{Ok: ok, WaitMs: int64(wait/time.Millisecond) + 1, Held: b.Held(now)}
+}
+
+// Take implements the drpc service for the other hosts of the region.
+func (g *Gateway) Take(_ context.Context, in *syncpb.TakeRequest) (*syncpb.TakeResponse, error) {
+	v := g.Views.Current()
+	if v == nil || v.Config == nil {
+		return nil, fmt.Errorf("gateway: no configuration")
+	}
+	for i := range v.Config.Workspaces {
+		if w := &v.Config.Workspaces[i]; w.Name == in.GetWorkspace() {
+			return g.takeHere(w, in.GetTokens(), in.GetAgain()), nil
+		}
 	}
-	return wait, refusal.New(refusal.RateLimited, refusal.NotRun, "workspace %s is over its rate: %.0f tokens asked, this host holds %.2f of it",
-		x.workspace.Name, c, b.Held(now)).WithRetry(max(shortRetry, wait))
+	return nil, fmt.Errorf("gateway: unknown workspace %q", in.GetWorkspace())
+}
+
+// rateOwner returns the host of this region that holds its part of a workspace's
+// rate, or nil for this one. With one holder a region, a large request does not fail
+// because the rate is divided into small parts. g.mu is held.
+func (g *Gateway) rateOwner(now time.Duration, workspace string) *peerHost {
+	var owner *peerHost
+	best := uint64(0)
+	if !g.Draining() {
+		best = rank(workspace, g.Name)
+	}
+	for name, h := range g.hosts {
+		if h.GetRegion() != g.Region || h.GetPeer() == "" || !h.GetServing() || now-h.heard > loadAge {
+			continue
+		}
+		if r := rank(workspace, name); r > best {
+			owner, best = h, r
+		}
+	}
+	return owner
+}
+
+// countRegions returns the regions with entry hosts, at least 1, with g.mu held.
+func (g *Gateway) countRegions(now time.Duration) int {
+	seen := map[string]bool{g.Region: true}
+	for _, h := range g.hosts {
+		if now-h.heard < hostMemory {
+			seen[h.GetRegion()] = true
+		}
+	}
+	return len(seen)
 }
 
 const (
 	// rateWait bounds the wait for a part of the rate.
 	rateWait = 100 * time.Millisecond
-	// sparePart of the tolerance is divided over hosts; the rest covers hosts that
-	// are not known.
-	sparePart = 0.7
+	// sparePart of the tolerance is divided over the holders of the regions; the rest
+	// covers a holder that changes.
+	sparePart = 0.6
+	// lendTimeout bounds a call to the holder, which is in the same region.
+	lendTimeout = 150 * time.Millisecond
 )
 
 // bucket returns the bucket of a workspace, with g.mu held.
@@ -86,9 +179,17 @@
 
 // release gives back what a request took that did not run.
 func (g *Gateway) release(r *reservation) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	r.bucket.Return(r.cost)
+	if r.owner == nil {
+		g.takeHere(r.workspace, -r.cost, true)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), lendTimeout)
+		defer cancel()
+		if _, err := g.Lender.Take(ctx, r.owner.GetPeer(), &syncpb.TakeRequest{Workspace: r.workspace.Name, Tokens: -r.cost, Again: true}); err != nil {
+			g.Log.WithField("workspace", r.workspace.Name).WithError(err).Info("tokens not given back")
+		}
+	}()
 }
 
 // budget returns the budget of a service, with g.mu held.
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -33,6 +33,13 @@
 	defer g.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(g.buckets)) {
 		b := g.buckets[name]
+		if g.rateOwner(now, name) != nil {
+			if b.Held(now) > 0 {
+				b.Release(now)
+			}
+			out.Demands = append(out.Demands, &syncpb.Demand{Workspace: name, Released: true})
+			continue
+		}
 		out.Demands = append(out.Demands, &syncpb.Demand{Workspace: name, PerSecond: b.Demand(now), Held: b.Held(now)})
 	}
 	for _, name := range g.placer.Services() {
@@ -116,7 +123,7 @@
 func (g *Gateway) grant(now time.Duration, u fleetsync.Update) {
 	asOf := u.Sent - time.Duration(u.GetGrantsAgeMs())*time.Millisecond
 	for _, grant := range u.GetGrants() {
-		if b := g.buckets[grant.GetWorkspace()]; b != nil {
+		if b := g.buckets[grant.GetWorkspace()]; b != nil && g.rateOwner(now, grant.GetWorkspace()) == nil {
 			b.SetFraction(now, grant.GetFraction(), asOf+shares.LeaseTime)
 		}
 	}
--- a/internal/shares/allocator.go
+++ b/internal/shares/allocator.go
@@ -32,6 +32,8 @@
 	PerSecond float64
 	// Held is the fraction that the host may use now.
 	Held float64
+	// Released means that the host holds nothing and asks for nothing more.
+	Released bool
 }
 
 // Grant is the fraction of a workspace's rate and burst that a host may use.
@@ -84,6 +86,10 @@
 		holders = map[string]*holding{}
 		a.hosts[d.Workspace] = holders
 	}
+	if d.Released {
+		delete(holders, host)
+		return 0
+	}
 	h := holders[host]
 	if h == nil {
 		h = &holding{}
--- a/internal/shares/bucket.go
+++ b/internal/shares/bucket.go
@@ -60,6 +60,13 @@
 	b.level = min(b.level, b.depth())
 }
 
+// Release gives up the fraction, so that another host may hold it.
+func (b *Bucket) Release(now time.Duration) {
+	b.refill(now)
+	b.fraction, b.until = 0, min(b.until, now)
+	b.level = min(b.level, b.spare)
+}
+
 // firstPart of its part of the burst is there when a host gets its first fraction:
 // while it was down, for longer than the burst takes to refill, it spent nothing.
 const firstPart = 1
