--- a/internal/control/core/core.go
+++ b/internal/control/core/core.go
@@ -113,7 +113,7 @@
 	n.synced, n.unsaved = n.log.last(), n.log.last()+1
 	n.resetElection()
 	if !n.soleVoter() {
-		n.electionDue = now + QuietPeriod + time.Duration(n.rand.Int64N(int64(startSpread)))
+		n.electionDue = now + QuietPeriod + time.Duration(n.startRank())*startStep
 	}
 	return n
 }
--- a/internal/control/core/election.go
+++ b/internal/control/core/election.go
@@ -13,6 +13,25 @@
 	}
 }
 
+// startRank is the position of this voter in the order of their ids.
+func (c *Core) startRank() int {
+	ahead := 0
+	for _, m := range c.Members() {
+		if !m.Learner && m.ID < c.id {
+			ahead++
+		}
+	}
+	return ahead
+}
+
+// retryElection sets the time of the next try of a candidate.
+func (c *Core) retryElection() {
+	c.electionDue = c.now + retryMin + time.Duration(c.rand.Int64N(int64(retryMax-retryMin)))
+	if c.soleVoter() {
+		c.electionDue = c.now
+	}
+}
+
 // quiet reports whether votes must be refused because a leader may hold a lease.
 func (c *Core) quiet() bool {
 	if c.role == Leader {
@@ -27,7 +46,7 @@
 }
 
 func (c *Core) startPreVote() {
-	c.resetElection()
+	c.retryElection()
 	if !c.isVoter(c.id) {
 		return
 	}
@@ -73,7 +92,7 @@
 	c.role = Candidate
 	c.setState(HardState{Term: c.state.Term + 1, Vote: c.id})
 	c.votes = map[string]bool{c.id: true}
-	c.resetElection()
+	c.retryElection()
 	c.requestVotes(VoteRequest, c.state.Term)
 }
 
--- a/internal/control/core/types.go
+++ b/internal/control/core/types.go
@@ -9,9 +9,14 @@
 	// ElectionTimeoutMin and ElectionTimeoutMax bound the random election timeout.
 	ElectionTimeoutMin = 650 * time.Millisecond
 	ElectionTimeoutMax = 1100 * time.Millisecond
-	// startSpread bounds the random part of the first election timeout after a
-	// start: when all voters start together nobody leads, and time is lost.
-	startSpread = 200 * time.Millisecond
+	// startStep is the difference between the first election timeouts of voters that
+	// start together, in the order of their ids. It is above the time of a vote
+	// between regions, so that the votes do not split.
+	startStep = 180 * time.Millisecond
+	// retryMin and retryMax bound the random time after which a candidate without
+	// a majority tries again.
+	retryMin = 400 * time.Millisecond
+	retryMax = 900 * time.Millisecond
 	// HeartbeatInterval is the period of heartbeats of a leader.
 	HeartbeatInterval = 200 * time.Millisecond
 	// LeaseDuration is how long a lease holds from the send time of the
