--- a/internal/control/core/members.go
+++ b/internal/control/core/members.go
@@ -232,10 +232,27 @@
 	Applied uint64
 	Last    uint64
 	Members []Member
+	// CurrentVoters is, on a leader, the number of voters with all committed entries.
+	CurrentVoters int
+}
+
+// currentVoters counts the voters with all committed entries; 0 when not leading.
+func (c *Core) currentVoters() int {
+	if c.role != Leader {
+		return 0
+	}
+	current := 0
+	for _, m := range c.Members() {
+		p := c.progress[m.ID]
+		if !m.Learner && (m.ID == c.id || p != nil && p.match >= c.commit) {
+			current++
+		}
+	}
+	return current
 }
 
 // Status returns the present state.
 func (c *Core) Status() Status {
 	return Status{ID: c.id, Role: c.role, Term: c.state.Term, Leader: c.leader, Commit: c.commit,
-		Applied: c.applied, Last: c.log.last(), Members: cloneMembers(c.Members())}
+		Applied: c.applied, Last: c.log.last(), Members: cloneMembers(c.Members()), CurrentVoters: c.currentVoters()}
 }
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -172,6 +172,9 @@
 		n.core.Initialise(founderMembers(config.Founders))
 	}
 	n.forward = newForwarder(config, n)
+	metrics.NewRegisteredFunctionalGauge("control.voters_current", config.Metrics, func() int64 {
+		return int64(n.status.Load().CurrentVoters)
+	})
 	n.publish()
 	return n, nil
 }
