--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -61,6 +61,9 @@
 	Founders []string
 	// VoterTarget is the number of voters; zero makes every member a voter.
 	VoterTarget int
+	// Reopen makes a voter whose disk fails go on as soon as the disk works again,
+	// instead of ending Run with the error. Meanwhile it takes no part in the log.
+	Reopen bool
 	// Dial returns a connection to a peer address.
 	Dial    func(address string) drpc.Conn
 	Logger  *logrus.Logger
@@ -106,6 +109,9 @@
 	applied      uint64
 	snapshotted  uint64
 	appliedBytes int           // of commands since the last snapshot
+	// reached is the last index that the machines have seen. After the log was
+	// opened again they are not given earlier entries a second time.
+	reached uint64
 	snapshotting core.Snapshot // the stored snapshot, with data
 	joinDue      time.Duration
 
@@ -139,44 +145,58 @@
 
 // NewNode opens the voter's folder. Register the machines before Run.
 func NewNode(config Config) (*Node, error) {
-	founder := slices.Contains(config.Founders, config.Host)
+	n := &Node{
+		config: config, events: make(chan func(), eventQueue), stopped: make(chan struct{}),
+		machines: map[string]Machine{}, senders: map[string]*sender{}, hosts: map[string]string{}, waiters: map[uint64]*waiter{},
+		elections:   metrics.GetOrRegisterCounter("control.elections", config.Metrics),
+		commits:     metrics.GetOrRegisterCounter("control.commits", config.Metrics),
+		snapshots:   metrics.GetOrRegisterCounter("control.snapshots", config.Metrics),
+		syncTime:    metrics.GetOrRegisterTimer("control.sync_time", config.Metrics),
+		proposeTime: metrics.GetOrRegisterTimer("control.propose_time", config.Metrics),
+	}
+	n.forward = newForwarder(config, n)
+	if err := n.open(false); err != nil {
+		return nil, err
+	}
+	metrics.NewRegisteredFunctionalGauge("control.voters_current", config.Metrics, func() int64 {
+		return int64(n.status.Load().CurrentVoters)
+	})
+	n.publish()
+	return n, nil
+}
+
+// open reads the folder and makes the voter from it. After a failure of the disk it
+// writes the log anew first, because what was written before may not be durable.
+func (n *Node) open(rewrite bool) error {
+	founder := slices.Contains(n.config.Founders, n.config.Host)
 	founderID := ""
 	if founder {
-		founderID = founderMember(config.Host).ID
+		founderID = founderMember(n.config.Host).ID
 	}
-	disk, loaded, err := storage.OpenAs(config.Dir, founderID)
+	disk, loaded, err := storage.OpenAs(n.config.Dir, founderID)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	n := &Node{
-		config: config, events: make(chan func(), eventQueue), stopped: make(chan struct{}),
-		machines: map[string]Machine{}, storage: disk, id: loaded.ID, senders: map[string]*sender{}, hosts: map[string]string{},
-		waiters: map[uint64]*waiter{}, applied: loaded.Snapshot.Index, snapshotted: loaded.Snapshot.Index,
-		snapshotting: loaded.Snapshot,
-		elections:    metrics.GetOrRegisterCounter("control.elections", config.Metrics),
-		commits:      metrics.GetOrRegisterCounter("control.commits", config.Metrics),
-		snapshots:    metrics.GetOrRegisterCounter("control.snapshots", config.Metrics),
-		syncTime:     metrics.GetOrRegisterTimer("control.sync_time", config.Metrics),
-		proposeTime:  metrics.GetOrRegisterTimer("control.propose_time", config.Metrics),
+	if rewrite {
+		if err := disk.Rewrite(loaded.ID, loaded.State, loaded.Base, loaded.BaseTerm, loaded.Entries); err != nil {
+			return errors.Join(err, disk.Close())
+		}
 	}
 	if loaded.Removed > 0 {
-		config.Logger.WithField("bytes", loaded.Removed).Warn("removed an incomplete record at the end of the control log")
+		n.config.Logger.WithField("bytes", loaded.Removed).Warn("removed an incomplete record at the end of the control log")
 	}
+	n.storage, n.id = disk, loaded.ID
+	n.applied, n.snapshotted, n.snapshotting, n.appliedBytes = loaded.Snapshot.Index, loaded.Snapshot.Index, loaded.Snapshot, 0
 	n.core = core.New(core.Config{
-		ID: loaded.ID, Host: config.Host, State: loaded.State, Snapshot: loaded.Snapshot,
+		ID: loaded.ID, Host: n.config.Host, State: loaded.State, Snapshot: loaded.Snapshot,
 		Base: loaded.Base, BaseTerm: loaded.BaseTerm, Entries: loaded.Entries,
 		Rand:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Process: rand.Uint64(), VoterTarget: config.VoterTarget,
+		Process: rand.Uint64(), VoterTarget: n.config.VoterTarget,
 	}, n.now())
 	if founder && loaded.ID == founderID && n.core.Status().Last == 0 {
-		n.core.Initialise(founderMembers(config.Founders))
+		n.core.Initialise(founderMembers(n.config.Founders))
 	}
-	n.forward = newForwarder(config, n)
-	metrics.NewRegisteredFunctionalGauge("control.voters_current", config.Metrics, func() int64 {
-		return int64(n.status.Load().CurrentVoters)
-	})
-	n.publish()
-	return n, nil
+	return nil
 }
 
 // Register adds a machine under a name that is the same on all voters.
@@ -202,13 +222,56 @@
 	return out
 }
 
-// Run drives the voter until ctx ends or its disk fails.
+// Run drives the voter until ctx ends or its disk fails for good.
 func (n *Node) Run(ctx context.Context) error {
 	defer n.close()
-	if n.snapshotting.Index > 0 {
+	for {
+		err := n.drive(ctx)
+		if err == nil || !n.config.Reopen {
+			return err
+		}
+		n.config.Logger.WithError(err).Error("control log stopped: disk failed")
+		if !n.reopen(ctx) {
+			return nil
+		}
+		n.config.Logger.Info("control log opened again")
+	}
+}
+
+// reopenPause spaces the tries to open the log on a disk that has failed.
+const reopenPause = 400 * time.Millisecond
+
+// reopen waits until the disk works again, and reports false when ctx ends first.
+// What arrives meanwhile is dropped, as by a host that is down.
+func (n *Node) reopen(ctx context.Context) bool {
+	n.lease.Store(nil)
+	n.current.Store(nil)
+	n.status.Store(&core.Status{ID: n.id})
+	for index, w := range n.waiters {
+		w.result <- outcome{err: fmt.Errorf("%w: the disk failed", ErrUncertain)}
+		delete(n.waiters, index)
+	}
+	_ = n.storage.Close() // it has failed already
+	for pause(ctx, reopenPause) {
+		for len(n.events) > 0 {
+			<-n.events
+		}
+		err := n.open(true)
+		if err == nil {
+			return true
+		}
+		n.config.Logger.WithError(err).Warn("control log not opened")
+	}
+	return false
+}
+
+// drive runs the voter on an open disk.
+func (n *Node) drive(ctx context.Context) error {
+	if n.snapshotting.Index > n.reached {
 		if err := n.restore(n.snapshotting.Data); err != nil {
 			return err
 		}
+		n.reached = n.snapshotting.Index
 	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -308,10 +371,12 @@
 		return err
 	}
 	n.snapshotting, n.snapshotted = *out.Install, out.Install.Index
-	if err := n.restore(out.Install.Data); err != nil {
-		return err
+	if out.Install.Index > n.reached {
+		if err := n.restore(out.Install.Data); err != nil {
+			return err
+		}
 	}
-	n.applied = out.Install.Index
+	n.applied, n.reached = out.Install.Index, max(n.reached, out.Install.Index)
 	for index, w := range n.waiters {
 		if index <= n.applied {
 			w.result <- outcome{err: fmt.Errorf("%w: replaced by a snapshot", ErrUncertain)}
@@ -345,7 +410,7 @@
 		}
 		n.applied = e.Index
 		var result []byte
-		if e.Kind == core.EntryCommand {
+		if e.Kind == core.EntryCommand && e.Index > n.reached {
 			name, command, err := decodeCommand(e.Data)
 			if err != nil {
 				return err
@@ -358,9 +423,11 @@
 			n.commits.Inc(1)
 			n.appliedBytes += len(e.Data)
 		}
+		n.reached = max(n.reached, e.Index)
 		n.answer(e, result)
 	}
-	if n.applied >= n.snapshotted+snapshotEntries || n.appliedBytes > snapshotBytes {
+	// While entries are read again, the machines are ahead of the applied index.
+	if n.applied >= n.reached && (n.applied >= n.snapshotted+snapshotEntries || n.appliedBytes > snapshotBytes) {
 		return n.takeSnapshot()
 	}
 	return nil
