--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -108,10 +108,10 @@
 	waiters      map[uint64]*waiter
 	applied      uint64
 	snapshotted  uint64
-	appliedBytes int           // of commands since the last snapshot
+	appliedBytes int // of commands since the last snapshot
 	// reached is the last index that the machines have seen. After the log was
 	// opened again they are not given earlier entries a second time.
-	reached uint64
+	reached      uint64
 	snapshotting core.Snapshot // the stored snapshot, with data
 	joinDue      time.Duration
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -97,7 +97,7 @@
 	}
 	outcome := placement.Cancelled
 	defer func() { g.done(s.use, outcome) }()
-	x.workspace = &document.Workspace{Name: f.Workspace, Priority: f.Urgency - usualUrgency + 1}
+	x.workspace, x.urgency = &document.Workspace{Name: f.Workspace}, f.Urgency
 	res, err := g.dispatch(ctx, x, s)
 	if err != nil {
 		outcome = outcomeOf(ctx, err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -172,6 +172,7 @@
 	route     *document.Route
 	workspace *document.Workspace
 	service   string
+	urgency   int
 	header    http.Header
 	body      []byte
 	request   *http.Request
@@ -255,7 +256,7 @@
 	if err := g.authenticate(x, age); err != nil {
 		return err
 	}
-	x.service = pick(x.route.Split)
+	x.service, x.urgency = pick(x.route.Split), g.urgency(x)
 	limit := x.route.Timeout
 	if p := x.call.Patience; p > 0 && p-answerMargin < limit {
 		limit = p - answerMargin
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -44,7 +44,7 @@
 
 // patienceParts are the parts of a caller's patience that may be planned for the
 // first byte, by the priority of the route.
-var patienceParts = []float64{0.8, 0.65, 0.55}
+var patienceParts = []float64{0.8, 0.55, 0.45}
 
 // attemptError is the end of one send.
 type attemptError struct {
@@ -337,11 +337,11 @@
 	if s.forward {
 		pool = g.remote
 		if err := setForward(header, forwarded{Service: x.service, Workspace: x.workspaceName(), RemainingMS: remaining.Milliseconds(),
-			Urgency: g.urgency(x), LastEvent: x.last, Careful: !x.route.Repeatable(), Bound: x.place.Bound}); err != nil {
+			Urgency: x.urgency, LastEvent: x.last, Careful: !x.route.Repeatable(), Bound: x.place.Bound}); err != nil {
 			return nil, err
 		}
 	} else {
-		g.Targets.Address(header, Dispatch{Target: s.target, Workspace: x.workspaceName(), Remaining: remaining, Urgency: g.urgency(x), LastEvent: x.last, Source: s.source})
+		g.Targets.Address(header, Dispatch{Target: s.target, Workspace: x.workspaceName(), Remaining: remaining, Urgency: x.urgency, LastEvent: x.last, Source: s.source})
 	}
 	g.count(x, now)
 	res, err := pool.Do(ctx, &upstream.Request{Address: s.address, Method: x.request.Method, Target: x.request.RequestURI,
@@ -380,17 +380,23 @@
 	return x.workspace.Name
 }
 
-// usualUrgency is what targets assume without a statement.
-const usualUrgency = 5
+const (
+	// leastUrgent is the last rank that targets know, and urgencyStep the difference
+	// between two priorities of workspaces.
+	leastUrgent = 9
+	urgencyStep = 3
+)
 
-// urgency ranks a request for its target: the workspace's priority goes before
-// that of the route.
+// urgency ranks a request for its target by the priority of its workspace, and by
+// that of the route where there is none. Routes of one workspace are not ranked at
+// the target: requests that wait there behind more urgent ones are mostly lost, while
+// a refusal at once lets the caller come back.
 func (g *Gateway) urgency(x *exchange) int {
 	priority := x.route.Priority
 	if x.workspace != nil && !x.route.Public {
 		priority = x.workspace.Priority
 	}
-	return min(9, max(0, usualUrgency-1+priority))
+	return min(leastUrgent, urgencyStep*max(0, priority))
 }
 
 // judge reads the head of an answer.
