control/core: no wait for a lease when no voter has heard of a leader since its start

Cause: after a start of all voters 0.63 s of the second without a leader were the wait for the end of a lease that none of them can hold. A voter now says in its answer to a pre-vote that this process has neither led nor heard of a leader; when all have said so in one round, each process that said so votes at once.

--- a/internal/control/core/core.go
+++ b/internal/control/core/core.go
@@ -58,6 +58,12 @@
 	// current is the time up to which this voter has all committed entries.
 	current   time.Duration
 	isCurrent bool
+	// heardLeader is set once this process has led or heard of a leader.
+	heardLeader bool
+	// free has the processes of the voters that answered the pre-vote of preVoteAt
+	// and are free.
+	free      map[string]uint64
+	preVoteAt time.Duration
 	// transfer is set while the votes of an election that the leader asked for are requested.
 	transfer bool
 
@@ -113,7 +119,7 @@
 	n.synced, n.unsaved = n.log.last(), n.log.last()+1
 	n.resetElection()
 	if !n.soleVoter() {
-		n.electionDue = now + QuietPeriod + time.Duration(n.startRank())*startStep
+		n.electionDue = now + time.Duration(n.startRank())*startStep
 	}
 	return n
 }
--- a/internal/control/core/election.go
+++ b/internal/control/core/election.go
@@ -52,6 +52,7 @@
 	}
 	c.role, c.leader = PreCandidate, ""
 	c.votes = map[string]bool{c.id: true}
+	c.free, c.preVoteAt = map[string]uint64{c.id: c.process}, c.now
 	if c.hasMajority(c.votes) {
 		c.startElection()
 		return
@@ -103,28 +104,56 @@
 	for _, m := range c.Members() {
 		if m.ID != c.id && !m.Learner {
 			c.afterSync = append(c.afterSync, Message{Kind: kind, From: c.id, To: m.ID, Term: term,
-				Index: c.log.last(), LogTerm: c.log.lastTerm(), OK: c.transfer})
+				Index: c.log.last(), LogTerm: c.log.lastTerm(), OK: c.transfer, SentAt: c.preVoteAt,
+				Free: kind == VoteRequest && c.allFree(), Process: c.free[m.ID]})
 		}
 	}
 }
 
+// allFree reports whether every voter has said in this round that it is free.
+func (c *Core) allFree() bool {
+	for _, m := range c.Members() {
+		if _, ok := c.free[m.ID]; !ok && !m.Learner {
+			return false
+		}
+	}
+	return !c.heardLeader
+}
+
 func (c *Core) answerVote(kind MessageKind, to string, term uint64, ok bool) {
 	c.afterSync = append(c.afterSync, Message{Kind: kind, From: c.id, To: to, Term: term, OK: ok})
 }
 
 func (c *Core) onPreVoteRequest(m Message) {
 	if m.Term > c.state.Term && !c.quiet() && c.upToDate(m) {
-		c.answerVote(PreVoteResponse, m.From, m.Term, true)
+		c.afterSync = append(c.afterSync, Message{Kind: PreVoteResponse, From: c.id, To: m.From, Term: m.Term, OK: true,
+			SentAt: m.SentAt, Free: !c.heardLeader, Process: c.process})
+		return
+	}
+	if m.Term > c.state.Term && !c.heardLeader && c.upToDate(m) {
+		c.afterSync = append(c.afterSync, Message{Kind: PreVoteResponse, From: c.id, To: m.From, Term: m.Term,
+			SentAt: m.SentAt, Free: true, Process: c.process})
 		return
 	}
 	c.answerVote(PreVoteResponse, m.From, c.state.Term, false)
 }
 
+// waits reports whether a vote must be refused because a leader may hold a lease. It
+// need not when the leader has given it up, or when no voter leads and this process
+// has confirmed none.
+func (c *Core) waits(m Message) bool {
+	if c.role == Leader {
+		return c.quiet()
+	}
+	free := m.Free && m.Process == c.process && !c.heardLeader
+	return c.quiet() && !m.OK && !free
+}
+
 // onVoteRequest grants at most one vote in a term. A voter also votes when its
 // own log does not yet say that it was promoted, because the candidate may need
 // that vote; its id has one durable vote in each term either way.
 func (c *Core) onVoteRequest(m Message) {
-	if m.Term < c.state.Term || c.quiet() && !(m.OK && c.role != Leader) {
+	if m.Term < c.state.Term || c.waits(m) {
 		c.answerVote(VoteResponse, m.From, c.state.Term, false)
 		return
 	}
@@ -143,6 +172,16 @@
 }
 
 func (c *Core) onVoteAnswer(m Message) {
+	if m.Kind == PreVoteResponse && m.Free && c.role == PreCandidate && m.Term == c.state.Term+1 && m.SentAt == c.preVoteAt {
+		c.free[m.From] = m.Process
+		if c.allFree() {
+			c.startElection()
+			return
+		}
+	}
+	if m.Free && !m.OK {
+		return
+	}
 	if !m.OK {
 		if m.Term > c.state.Term {
 			c.becomeFollower(m.Term)
@@ -165,6 +204,7 @@
 	if c.termLeader != "" {
 		panic(fmt.Sprintf("control: election safety: %s won term %d, which %s leads", c.id, c.state.Term, c.termLeader))
 	}
+	c.heardLeader = true
 	c.role, c.leader, c.termLeader, c.votes = Leader, c.id, c.id, nil
 	c.progress, c.joins = map[string]*progress{}, map[string]*join{}
 	c.quorumAt, c.leadSince = c.now, c.now
--- a/internal/control/core/replication.go
+++ b/internal/control/core/replication.go
@@ -147,7 +147,7 @@
 	if m.Term > c.state.Term || c.role != Follower {
 		c.becomeFollower(m.Term)
 	}
-	c.leader, c.termLeader, c.heardAt = m.From, m.From, c.now
+	c.leader, c.termLeader, c.heardAt, c.heardLeader = m.From, m.From, c.now, true
 	c.resetElection()
 	if m.Kind == SnapshotRequest {
 		c.onSnapshot(m)
--- a/internal/control/core/sim_test.go
+++ b/internal/control/core/sim_test.go
@@ -508,7 +508,11 @@
 func (s *sim) fault() {
 	h := s.hosts[s.r.IntN(len(s.hosts))]
 	pauseFor := time.Duration(s.r.IntN(4000)) * time.Millisecond
-	switch s.r.IntN(12) {
+	switch s.r.IntN(14) {
+	case 12, 13:
+		for _, o := range s.hosts {
+			s.crashAndBoot(o, time.Duration(s.r.IntN(300))*time.Millisecond)
+		}
 	case 10, 11:
 		leader := s.leaderOr(h)
 		s.run(leader, func() { leader.core.Resign(s.local(leader)) })
--- a/internal/control/core/types.go
+++ b/internal/control/core/types.go
@@ -121,7 +121,12 @@
 	Process uint64
 	// Lease means that the leader held its lease when it sent the append, so that
 	// Commit covered every acknowledged entry.
-	Lease    bool
+	Lease bool
+	// Free in an answer to a pre-vote means that the voter, in this process, has
+	// neither led nor heard of a leader. Free in a vote request means that every
+	// voter has said so: none holds a lease, and the process that Process names need
+	// not wait for the end of one that it may have confirmed before its start.
+	Free     bool
 	Entries  []Entry
 	Snapshot *Snapshot
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,7 +55,7 @@
 	// quickStart is how long a host usually takes to its first configuration, and
 	// slowStart how long when the control hosts start at the same time.
 	quickStart = 300 * time.Millisecond
-	slowStart  = 1600 * time.Millisecond
+	slowStart  = 1200 * time.Millisecond
 	// shortRetry is the least time to come back after a refusal for load.
 	shortRetry = 250 * time.Millisecond
 	// defaultMaxBody bounds a body when the configuration does not.
