--- a/internal/fleetsync/client.go
+++ b/internal/fleetsync/client.go
@@ -22,6 +22,9 @@
 	// failedInterval spaces the tries of a control host that does not answer.
 	failedInterval  = time.Second
 	exchangeTimeout = 700 * time.Millisecond
+	// startTimeout replaces it until the host has a configuration: a connection to
+	// a host that is just starting is best tried anew.
+	startTimeout = 300 * time.Millisecond
 	// nearSilence is the silence of the control hosts of the own region after which
 	// others get full reports.
 	nearSilence = 800 * time.Millisecond
@@ -98,7 +101,11 @@
 		sent := clock.SinceBoot()
 		in := c.Request(sent, c.needsFull(address, sent))
 		in.Table, in.Cursor = table, cursor
-		callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+		timeout := exchangeTimeout
+		if !c.Current() {
+			timeout = startTimeout
+		}
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		out, err := syncpb.NewDRPCSyncClient(c.Dial(address)).Exchange(callCtx, in)
 		cancel()
 		now := clock.SinceBoot()
--- /dev/null
+++ b/internal/fleetsync/client_test.go
@@ -0,0 +1,191 @@
+package fleetsync_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"storj.io/drpc"
+
+	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/document"
+	"geraniumturn.example/geraniumturn/internal/fleetsync"
+	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/peer"
+	"geraniumturn.example/geraniumturn/internal/registry"
+)
+
+// log is the replicated log as a control host sees it.
+type log struct{ leads bool }
+
+func (l log) Leads() bool                { return l.leads }
+func (l log) LeaderHost() string         { return "" }
+func (l log) Age() (time.Duration, bool) { return 0, true }
+
+// controlHost serves exchanges on a loopback address.
+func controlHost(t *testing.T) (*fleetsync.Server, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	transport := peer.New(address, &clock.HLC{}, nil)
+	s := &fleetsync.Server{Self: &syncpb.ControlHost{Peer: address, Region: "here"}, Log: log{true}, Document: document.NewMachine(),
+		Targets: registry.NewTable(), Presence: fleetsync.NewPresence(), Dial: transport.Dial, Process: 7}
+	s.Init()
+	if err := transport.Register(s, syncpb.DRPCSyncDescription{}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = transport.Serve(ctx, listener) }()
+	t.Cleanup(func() { cancel(); <-done; _ = transport.Close() })
+	return s, address
+}
+
+// client collects the updates of an entry host until the test ends.
+type client struct {
+	*fleetsync.Client
+	mu      sync.Mutex
+	updates []fleetsync.Update
+}
+
+func startClient(t *testing.T, current bool, seeds ...string) *client {
+	t.Helper()
+	transport := peer.New("entry", &clock.HLC{}, nil)
+	c := &client{}
+	c.Client = &fleetsync.Client{Region: "here", Dial: func(a string) drpc.Conn { return transport.Dial(a) }, Current: func() bool { return current },
+		Request: func(_ time.Duration, full bool) *syncpb.ExchangeRequest {
+			if !full {
+				return &syncpb.ExchangeRequest{}
+			}
+			return &syncpb.ExchangeRequest{WantHosts: true, Host: &syncpb.EntryHost{Name: "entry", Region: "here", Front: "f", Serving: true},
+				Demands: []*syncpb.Demand{{Workspace: "w", PerSecond: 5}}, UptimeMs: 10}
+		},
+		Apply: func(_ time.Duration, u fleetsync.Update) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.updates = append(c.updates, u)
+		},
+		Changed: func(string, bool, error) {}}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = c.Run(ctx, func() []string { return seeds }) }()
+	t.Cleanup(func() { cancel(); <-done; _ = transport.Close() })
+	return c
+}
+
+func (c *client) await(t *testing.T, limit time.Duration, check func(fleetsync.Update) bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		c.mu.Lock()
+		for _, u := range c.updates {
+			if check(u) {
+				c.mu.Unlock()
+				return
+			}
+		}
+		c.mu.Unlock()
+	}
+	t.Fatalf("not within %s: %d updates", limit, len(c.updates))
+}
+
+// Guards against an entry host that misses the document, a target, its part of a
+// rate or itself in the list of hosts.
+func TestExchange(t *testing.T) {
+	s, address := controlHost(t)
+	s.Document.Apply(5, []byte(`{"version":9,"content":"YWJj"}`))
+	s.Document.Apply(6, []byte(`{"data_centre":"dc","evacuate":true}`))
+	s.Targets.Heartbeat(clock.SinceBoot(), registry.Record{ID: "t", Sequence: 1, Service: "s", Address: "a", DataCentre: "dc", State: registry.Ready, ColdUntil: clock.SinceBoot() + time.Minute})
+	c := startClient(t, true, address)
+	c.await(t, 3*time.Second, func(u fleetsync.Update) bool {
+		return u.GetVersion() == 9 && string(u.GetContent()) == "abc" && u.GetIndex() == 6 && len(u.GetEvacuated()) == 1 && u.GetKnown()
+	})
+	c.await(t, 3*time.Second, func(u fleetsync.Update) bool {
+		return len(u.Records) == 1 && u.Records[0].ID == "t" && u.Records[0].ColdUntil > clock.SinceBoot()+50*time.Second
+	})
+	c.await(t, 3*time.Second, func(u fleetsync.Update) bool {
+		return len(u.GetGrants()) == 1 && u.GetGrants()[0].GetFraction() == 1 && len(u.GetHosts()) == 1
+	})
+}
+
+// Guards against an entry host that learns only of its seeds, so that it is lost when
+// they are gone.
+func TestControlHostsAreLearned(t *testing.T) {
+	seed, first := controlHost(t)
+	_, second := controlHost(t)
+	seed.Presence.Control(clock.SinceBoot(), &syncpb.ControlHost{Peer: second, Region: "there"}, true)
+	c := startClient(t, true, first)
+	c.await(t, 3*time.Second, func(u fleetsync.Update) bool { return u.Control == second })
+}
+
+// Guards against a starting host that waits for the time of a usual exchange on a
+// connection to a control host that is not up yet.
+func TestClientStartsQuickly(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	connections := make(chan net.Conn, 16)
+	go func() {
+		for {
+			c, err := silent.Accept()
+			if err != nil {
+				return
+			}
+			connections <- c
+		}
+	}()
+	started := time.Now()
+	startClient(t, false, silent.Addr().String())
+	first, second := <-connections, <-connections
+	defer first.Close()
+	defer second.Close()
+	if took := time.Since(started); took > 650*time.Millisecond {
+		t.Errorf("tried again after %s", took)
+	}
+}
+
+// Guards against control hosts of which only one knows a target, an entry host or a
+// demand that it was told.
+func TestRelay(t *testing.T) {
+	one, oneAddress := controlHost(t)
+	two, twoAddress := controlHost(t)
+	one.Targets.Heartbeat(clock.SinceBoot(), registry.Record{ID: "t", Sequence: 3, Service: "s", Address: "a", DataCentre: "dc", State: registry.Draining})
+	one.Presence.Entry(clock.SinceBoot(), &syncpb.EntryHost{Name: "e", Region: "here", Serving: true}, true)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = one.Run(ctx, func() []string { return []string{oneAddress, twoAddress} }) }()
+	defer func() { cancel(); <-done }()
+	for end := time.Now().Add(3 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		targets, hosts, controls := two.Targets.All(), two.Presence.Entries(clock.SinceBoot()), two.Presence.Controls(clock.SinceBoot())
+		if len(targets) == 1 && targets[0].State == registry.Draining && len(hosts) == 1 && len(controls) >= 1 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("targets %v, hosts %v, control hosts %v", targets, hosts, controls)
+		}
+	}
+}
+
+// Guards against a report of an earlier process that replaces the one of a later, and
+// against a host that is named long after it fell silent.
+func TestPresence(t *testing.T) {
+	p := fleetsync.NewPresence()
+	now := time.Hour
+	host := func(started int64, serving bool) *syncpb.EntryHost {
+		return &syncpb.EntryHost{Name: "e", Started: started, Serving: serving}
+	}
+	p.Entry(now, host(2, true), true)
+	p.Entry(now+time.Millisecond, host(1, false), true)
+	if got := p.Entries(now + time.Second); len(got) != 1 || !got[0].GetServing() {
+		t.Errorf("hosts %v", got)
+	}
+	if got := p.Entries(now + 3*time.Second); len(got) != 0 {
+		t.Errorf("a host that was silent for 3 s is named: %v", got)
+	}
+}
