--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -175,7 +175,7 @@
 	if err := d.transport.Register(service, description); err != nil {
 		return err
 	}
-	listener, err := d.listen(d.settings.Deployment.PeerAddress())
+	listener, err := d.listen(d.settings.Deployment.BindPeer())
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if _, err := d.addServer(p.ForwardAddress(), g.ForwardHandler()); err != nil {
+	if _, err := d.addServer(p.BindForward(), g.ForwardHandler()); err != nil {
 		return nil, err
 	}
 	if _, err := d.addServer(p.Ready, platform.ReadyHandler(g.Ready)); err != nil {
--- a/internal/fleetsync/client_test.go
+++ b/internal/fleetsync/client_test.go
@@ -159,7 +159,10 @@
 	one.Presence.Entry(clock.SinceBoot(), &syncpb.EntryHost{Name: "e", Region: "here", Serving: true}, true)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	go func() { defer close(done); _ = one.Run(ctx, func() []string { return []string{oneAddress, twoAddress} }) }()
+	go func() {
+		defer close(done)
+		_ = one.Run(ctx, func() []string { return []string{oneAddress, twoAddress} })
+	}()
 	defer func() { cancel(); <-done }()
 	for end := time.Now().Add(3 * time.Second); ; time.Sleep(10 * time.Millisecond) {
 		targets, hosts, controls := two.Targets.All(), two.Presence.Entries(clock.SinceBoot()), two.Presence.Controls(clock.SinceBoot())
--- a/internal/proctest/relay.go
+++ b/internal/proctest/relay.go
@@ -7,12 +7,13 @@
 	"time"
 )
 
-// Relay passes TCP connections on and can cut or delay them.
+// Relay passes TCP connections on and can cut, reset, silence or delay them.
 type Relay struct {
 	listener net.Listener
 	to       string
 	cut      atomic.Bool
 	delay    atomic.Int64
+	silent   atomic.Int32
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -42,8 +43,27 @@
 	}
 }
 
-// Heal lets connections through again.
-func (r *Relay) Heal() { r.cut.Store(false) }
+// Heal lets new connections through again. Connections that were silenced while data
+// passed stay silent for good.
+func (r *Relay) Heal() {
+	r.cut.Store(false)
+	r.silent.Store(0)
+}
+
+// Reset breaks all connections; new ones are let through.
+func (r *Relay) Reset() {
+	r.Cut()
+	r.cut.Store(false)
+}
+
+// Silence drops data without a reset until Heal: towards the host alone, or both ways.
+func (r *Relay) Silence(oneWay bool) {
+	if oneWay {
+		r.silent.Store(1)
+	} else {
+		r.silent.Store(2)
+	}
+}
 
 // Delay adds a one-way delay to each piece of data.
 func (r *Relay) Delay(d time.Duration) { r.delay.Store(int64(d)) }
@@ -76,8 +96,8 @@
 	}
 	r.track(in, out)
 	var both sync.WaitGroup
-	both.Go(func() { r.copy(out, in) })
-	both.Go(func() { r.copy(in, out) })
+	both.Go(func() { r.copy(out, in, 1) })
+	both.Go(func() { r.copy(in, out, 2) })
 	both.Wait()
 	r.untrack(in, out)
 }
@@ -109,8 +129,9 @@
 }
 
 // copy passes data on after the delay. Reading goes on while earlier data
-// waits, so that the delay does not limit the throughput.
-func (r *Relay) copy(to, from net.Conn) {
+// waits, so that the delay does not limit the throughput. Data is dropped while the
+// relay is silent to at least the degree, and ever after on that connection.
+func (r *Relay) copy(to, from net.Conn, degree int32) {
 	pieces := make(chan piece, 1024)
 	go func() {
 		defer close(pieces)
@@ -125,9 +146,10 @@
 			}
 		}
 	}()
-	failed := false
+	failed, dropped := false, false
 	for p := range pieces {
-		if failed {
+		dropped = dropped || r.silent.Load() >= degree
+		if failed || dropped {
 			continue
 		}
 		time.Sleep(time.Until(p.due))
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -23,6 +23,9 @@
 type Deployment struct {
 	// Address is the IP number of this host.
 	Address string `toml:"address"`
+	// Bind is the IP number to listen on for other hosts, where it is not Address:
+	// behind a proxy or an address translation.
+	Bind string `toml:"bind"`
 	// Ports are the first and last port for traffic between hosts, the same on all.
 	Ports []int `toml:"ports"`
 	// Seeds are up to three control addresses, IP:port.
@@ -85,6 +88,9 @@
 	if net.ParseIP(d.Address) == nil {
 		fail("deployment.address = %q must be an IP number", d.Address)
 	}
+	if d.Bind != "" && net.ParseIP(d.Bind) == nil {
+		fail("deployment.bind = %q must be an IP number", d.Bind)
+	}
 	if len(d.Ports) != 2 || d.Ports[0] <= 0 || d.Ports[1] <= d.Ports[0] || d.Ports[1] > 65535 {
 		fail("deployment.ports must be the first and the last port, not %v", d.Ports)
 	}
@@ -123,6 +129,19 @@
 	}
 }
 
+// BindPeer is where the process listens for calls of other hosts.
+func (d Deployment) BindPeer() string { return d.port(d.bind(), 0) }
+
+// BindForward is where forwarded requests arrive.
+func (d Deployment) BindForward() string { return d.port(d.bind(), 1) }
+
+func (d Deployment) bind() string {
+	if d.Bind != "" {
+		return d.Bind
+	}
+	return d.Address
+}
+
 // PeerAddress is where other hosts reach this one by drpc.
 func (d Deployment) PeerAddress() string { return d.port(d.Address, 0) }
 
@@ -134,7 +153,7 @@
 	if d.MetricsPort == 0 {
 		return ""
 	}
-	return net.JoinHostPort(d.Address, strconv.Itoa(d.MetricsPort))
+	return net.JoinHostPort(d.bind(), strconv.Itoa(d.MetricsPort))
 }
 
 func (d Deployment) port(ip string, n int) string {
