--- a/cmd/geraniumturn/main.go
+++ b/cmd/geraniumturn/main.go
@@ -3,6 +3,8 @@
 
 import (
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/integrii/flaggy"
 	"github.com/sirupsen/logrus"
@@ -12,6 +14,9 @@
 )
 
 func main() {
+	// The default action of SIGHUP ends a Go process; the daemon reads it once it
+	// runs, and until then a hangup must not end the start.
+	signal.Ignore(syscall.SIGHUP)
 	var path string
 	var checkOnly bool
 	flaggy.SetName("geraniumturn")
