--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -26,6 +26,8 @@
 	// the host stopped to take new ones, and its first request.
 	settleTime = 400 * time.Millisecond
 	openPoll   = 20 * time.Millisecond
+	// alwaysLocal is the policy that keeps requests in their region.
+	alwaysLocal = "always_local"
 	// keyMargin covers the drift of clocks in the life of keys.
 	keyMargin = 100 * time.Millisecond
 )
@@ -46,6 +48,8 @@
 		Started: time.Now().UnixMilli(),
 	}
 	g.Init(p.ReadSpeed * float64(time.Second/time.Millisecond))
+	g.SetPolicy(placement.Policy(s.Policy.Target))
+	g.LocalOnly = s.Policy.DataCentre == alwaysLocal
 	client := &fleetsync.Client{Region: s.Region, Dial: d.transport.Dial, Request: g.Report, Apply: g.Apply, Current: g.Current,
 		Changed: func(control string, reachable bool, err error) {
 			entry := d.log.WithFields(logrus.Fields{"control": control, "reachable": reachable})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,8 @@
 	Table   *registry.Table
 	Log     *logrus.Logger
 	Metrics metrics.Registry
+	// LocalOnly keeps every request in its region, as a baseline for measurements.
+	LocalOnly bool
 	// Lender reaches the holders of rates on other hosts.
 	Lender Lender
 	// Front, Forward and Peer are the addresses of this host for callers, for
@@ -139,6 +141,9 @@
 		total:     metrics.GetOrRegisterTimer("gateway.total", g.Metrics)}
 }
 
+// SetPolicy chooses a way of choosing targets; call it before the first request.
+func (g *Gateway) SetPolicy(p placement.Policy) { g.placer.Policy = p }
+
 // Drain makes the host ask callers to go elsewhere.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -227,7 +227,7 @@
 	var best *peerHost
 	var least elsewhere
 	for _, h := range g.hosts {
-		if h.GetRegion() == g.Region || !h.GetServing() || h.GetForward() == "" || now-h.heard > loadAge || x.regions[h.GetName()] ||
+		if g.LocalOnly || h.GetRegion() == g.Region || !h.GetServing() || h.GetForward() == "" || now-h.heard > loadAge || x.regions[h.GetName()] ||
 			!document.Allows(x.route, x.workspace, h.GetRegion()) {
 			continue
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -135,6 +135,8 @@
 // Placer holds the targets that this host may use. It is not safe for concurrent
 // use.
 type Placer struct {
+	// Policy is the way of choosing.
+	Policy Policy
 	// ReuseWindow is how long after its use a prompt part counts as known.
 	ReuseWindow time.Duration
 
@@ -144,11 +146,47 @@
 	byService map[string][]*Target
 	remote    map[string][]*Target // by service
 	rand      *rand.Rand
+	pair      map[int]bool // the targets that TwoChoices has drawn
 	// placed are prompts that were sent since the last call of TakePlaced, for
 	// hosts of this region and of others.
 	placed [scopes][]Placed
 }
 
+// Policy is a way of choosing between targets. All but ExpectedCost are baselines for
+// measurements.
+type Policy string
+
+// The policies.
+const (
+	// ExpectedCost takes the least expected loss; the default.
+	ExpectedCost Policy = "affinity"
+	// LeastInFlight takes the target with the fewest requests of this host.
+	LeastInFlight Policy = "least_in_flight"
+	// TwoChoices takes the one with fewer requests of two random targets.
+	TwoChoices Policy = "two_choices"
+	// Random takes any target.
+	Random Policy = "random"
+)
+
+// baseline replaces the cost of a choice by that of a baseline. seen is how many
+// usable targets came before this one.
+func (p *Placer) baseline(c *Choice, seen int) {
+	switch p.Policy {
+	case LeastInFlight:
+		c.Cost, c.Source = float64(c.Target.own.Running), nil
+	case Random:
+		c.Cost, c.Source = p.rand.Float64(), nil
+	case TwoChoices:
+		c.Cost, c.Source = float64(c.Target.own.Running), nil
+		if !p.pair[seen] {
+			c.Cost += notDrawn
+		}
+	}
+}
+
+// notDrawn is above the number of requests that a target can run.
+const notDrawn = 1e6
+
 // Scope tells for whom something is.
 type Scope int
 
@@ -232,12 +270,17 @@
 	}
 	best, found := Choice{}, false
 	for pass := 0; pass < 2 && !found; pass++ {
-		ties := 0
+		ties, considered := 0, 0
+		if n := len(p.byService[r.Service]); p.Policy == TwoChoices && n > 0 {
+			p.pair = map[int]bool{p.rand.IntN(n): true, p.rand.IntN(n): true}
+		}
 		for _, t := range p.byService[r.Service] {
 			if excluded != nil && excluded(t.ID) || !t.usable(now, pass > 0) {
 				continue
 			}
 			c := p.rate(now, t, r)
+			p.baseline(&c, considered)
+			considered++
 			switch {
 			case !found || c.Cost < best.Cost:
 				best, found, ties = c, true, 1
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -114,8 +114,17 @@
 		fail("security.private_network must be true: hosts that are learned have no certificates")
 	}
 	s.boundProblems(fail)
+	if p := s.Policy.Target; p != "" && !slices.Contains(documentPolicies, p) {
+		fail("policy.target = %q must be one of %v", p, documentPolicies)
+	}
+	if p := s.Policy.DataCentre; p != "" && p != "expected_time" && p != "always_local" {
+		fail("policy.data_centre = %q must be expected_time or always_local", p)
+	}
 }
 
+// documentPolicies are the ways of choosing targets in this wiring.
+var documentPolicies = []string{"affinity", "least_in_flight", "two_choices", "random"}
+
 func (s *Settings) boundProblems(fail func(string, ...any)) {
 	b := s.Deployment.Bounds
 	for key, value := range map[string]float64{"revocation_ms": b.RevocationMS, "configuration_ms": b.ConfigurationMS, "grace_s": b.GraceS,
