--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -145,6 +145,26 @@
 	return owner
 }
 
+// allRegions returns the regions of the settings.
+func (g *Gateway) allRegions() map[string]bool {
+	out := map[string]bool{g.Region: true}
+	for _, region := range g.Regions {
+		out[region] = true
+	}
+	return out
+}
+
+// wantsShares reports whether this host holds a region's part of a rate without a
+// fraction, with g.mu held.
+func (g *Gateway) wantsShares(now time.Duration) bool {
+	for name, b := range g.buckets {
+		if b.Held(now) == 0 && g.rateOwner(now, name) == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // countRegions returns the regions with entry hosts, at least 1, with g.mu held.
 func (g *Gateway) countRegions(now time.Duration) int {
 	seen := map[string]bool{g.Region: true}
@@ -173,6 +193,7 @@
 		b = &shares.Bucket{}
 		g.buckets[w.Name] = b
 		b.SetLimits(sinceBoot(), w.Rate, w.Burst)
+		b.SetFirst(w.Burst / float64(len(g.allRegions())))
 	}
 	return b
 }
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -20,17 +20,17 @@
 const restoreCaution = 2500 * time.Millisecond
 
 // Report is what this host tells a control host. Without full it only asks for what
-// changed.
+// changed, unless it waits for its part of a rate: the control host may lead.
 func (g *Gateway) Report(now time.Duration, full bool) *syncpb.ExchangeRequest {
 	index, version := g.Views.position()
-	if !full {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !full && !g.wantsShares(now) {
 		return &syncpb.ExchangeRequest{Index: index, Version: version}
 	}
 	out := &syncpb.ExchangeRequest{Index: index, Version: version, WantHosts: true, UptimeMs: (now - g.begun).Milliseconds(),
 		Host: &syncpb.EntryHost{Name: g.Name, DataCentre: g.DataCentre, Region: g.Region, Front: g.Front, Forward: g.Forward, Peer: g.Peer,
 			Started: g.Started, Serving: g.Ready()}}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(g.buckets)) {
 		b := g.buckets[name]
 		if g.rateOwner(now, name) != nil {
--- a/internal/shares/bucket.go
+++ b/internal/shares/bucket.go
@@ -30,7 +30,9 @@
 func (b *Bucket) SetLimits(now time.Duration, rate, burst float64) {
 	b.refill(now)
 	b.rate, b.burst = rate, burst
-	b.level = min(b.level, b.depth())
+	if b.until > 0 {
+		b.level = min(b.level, b.depth())
+	}
 }
 
 // depth is the most that the host may use at once.
@@ -53,9 +55,6 @@
 // larger part raises the level only with time, except for the first one.
 func (b *Bucket) SetFraction(now time.Duration, fraction float64, until time.Duration) {
 	b.refill(now)
-	if b.until == 0 {
-		b.level += firstPart * b.burst * fraction
-	}
 	b.fraction, b.until = fraction, max(b.until, until)
 	b.level = min(b.level, b.depth())
 }
@@ -67,9 +66,14 @@
 	b.level = min(b.level, b.spare)
 }
 
-// firstPart of its part of the burst is there when a host gets its first fraction:
-// while it was down, for longer than the burst takes to refill, it spent nothing.
-const firstPart = 1
+// SetFirst gives a host that has just started tokens to spend before it holds a
+// fraction. While it was down, for longer than the burst takes to refill, nothing was
+// spent of its part.
+func (b *Bucket) SetFirst(tokens float64) {
+	if b.until == 0 {
+		b.level = tokens
+	}
+}
 
 // Held returns the fraction that the host may use now.
 func (b *Bucket) Held(now time.Duration) float64 {
@@ -84,7 +88,7 @@
 		b.level = min(b.depth(), b.level+b.rate*rateMargin*b.fraction*(end-b.at).Seconds())
 	}
 	b.at = max(b.at, now)
-	if now >= b.until {
+	if now >= b.until && b.until > 0 {
 		b.level = min(b.level, b.spare) // the rest may be another host's by now
 	}
 }
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -218,3 +218,27 @@
 		}
 	})
 }
+
+// Load: all hosts start again and their callers come back at once. Guards against
+// refusals within the rate until the first fraction arrives, and against tokens that
+// are given twice.
+func TestBucketFirstTokens(t *testing.T) {
+	var b shares.Bucket
+	b.SetLimits(second, 900, 900)
+	b.SetSpare(10)
+	b.SetFirst(300)
+	b.SetLimits(second, 900, 900)
+	for i := range 3 {
+		if ok, _ := b.Take(second, 100, true); !ok {
+			t.Fatalf("request %d was refused before the first fraction", i)
+		}
+	}
+	if ok, wait := b.Take(second, 100, true); ok || wait <= 0 {
+		t.Error("more than the first tokens were spent without a fraction")
+	}
+	b.SetFraction(2*second, 0.33, time.Hour)
+	b.SetFirst(300)
+	if ok, _ := b.Take(2*second, 100, true); ok {
+		t.Error("the first fraction gave the first tokens again")
+	}
+}
