fleetsync: the list of hosts no longer grows with the whole fleet

A host now asks twice a second and gets the hosts of its own region without their loads, and the four least loaded of each other region.

--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -1,8 +1,10 @@
 package fleetsync
 
 import (
+	"cmp"
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -88,7 +90,8 @@
 	records, next := s.Targets.Since(cursor)
 	out.Table, out.Cursor, out.Targets = s.Process, next, encodeRecords(now, records)
 	if in.GetWantHosts() {
-		out.Hosts = s.Presence.Entries(now)
+		all := s.Presence.Entries(now)
+		out.Hosts, out.TotalHosts = hostsFor(all, in.GetHost().GetRegion()), int64(len(all))
 	}
 	if in.GetHost().GetName() == "" {
 		return out, nil
@@ -97,6 +100,42 @@
 	return out, nil
 }
 
+// farHosts is how many hosts of another region an entry host is told of.
+const farHosts = 4
+
+// hostsFor returns the hosts that a host of the region must know: all of its own,
+// without their loads, which concern the same targets; and of each other region those
+// with the least load, so that the answer does not grow with the fleet.
+func hostsFor(all []*syncpb.EntryHost, region string) []*syncpb.EntryHost {
+	var out []*syncpb.EntryHost
+	far := map[string][]*syncpb.EntryHost{}
+	for _, h := range all {
+		if h.GetRegion() == region {
+			h.Loads = nil
+			out = append(out, h)
+		} else {
+			far[h.GetRegion()] = append(far[h.GetRegion()], h)
+		}
+	}
+	for _, hosts := range far {
+		slices.SortStableFunc(hosts, func(a, b *syncpb.EntryHost) int { return cmp.Compare(totalWait(a), totalWait(b)) })
+		out = append(out, hosts[:min(len(hosts), farHosts)]...)
+	}
+	return out
+}
+
+// totalWait orders hosts by their load; hosts that do not serve come last.
+func totalWait(h *syncpb.EntryHost) int64 {
+	if !h.GetServing() || len(h.GetLoads()) == 0 {
+		return math.MaxInt64
+	}
+	var sum int64
+	for _, l := range h.GetLoads() {
+		sum += l.GetWaitMs()
+	}
+	return sum
+}
+
 func evacuations(m map[string]uint64) []*syncpb.Evacuation {
 	var out []*syncpb.Evacuation
 	for _, name := range slices.Sorted(maps.Keys(m)) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,7 +100,11 @@
 	budgets  map[string]*shares.Budget
 	hosts    map[string]*peerHost
 	restored map[string]restoration
-	dirty    uint64 // revision of the table that the placer has
+	// hostsAsked is when the list of hosts was last asked for, totalHosts how many
+	// entry hosts there are, also those that the list leaves out.
+	hostsAsked time.Duration
+	totalHosts int
+	dirty      uint64 // revision of the table that the placer has
 }
 
 // peerHost is another entry host.
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -232,15 +232,15 @@
 
 // retrySlack is this host's part of the slack, with g.mu held.
 func (g *Gateway) retrySlack(now time.Duration) float64 {
-	return g.Bounds.RetrySlack * retrySlackPart / float64(1+g.countHosts(now, ""))
+	return g.Bounds.RetrySlack * retrySlackPart / float64(max(g.totalHosts, 1+g.countHosts(now)))
 }
 
-// countHosts returns the other entry hosts that may be serving, of a region or of
-// all, with g.mu held.
-func (g *Gateway) countHosts(now time.Duration, region string) int {
+// countHosts returns the other entry hosts that this one knows and that may be
+// serving, with g.mu held.
+func (g *Gateway) countHosts(now time.Duration) int {
 	n := 0
 	for _, h := range g.hosts {
-		if now-h.heard < hostMemory && (region == "" || h.GetRegion() == region) {
+		if now-h.heard < hostMemory {
 			n++
 		}
 	}
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -28,7 +28,7 @@
 	if !full && !g.wantsShares(now) {
 		return &syncpb.ExchangeRequest{Index: index, Version: version}
 	}
-	out := &syncpb.ExchangeRequest{Index: index, Version: version, WantHosts: true, UptimeMs: (now - g.begun).Milliseconds(),
+	out := &syncpb.ExchangeRequest{Index: index, Version: version, WantHosts: g.wantsHosts(now), UptimeMs: (now - g.begun).Milliseconds(),
 		Host: &syncpb.EntryHost{Name: g.Name, DataCentre: g.DataCentre, Region: g.Region, Front: g.Front, Forward: g.Forward, Peer: g.Peer,
 			Started: g.Started, Serving: g.Ready()}}
 	for _, name := range slices.Sorted(maps.Keys(g.buckets)) {
@@ -50,6 +50,19 @@
 	return out
 }
 
+// hostsInterval spaces the requests for the list of hosts, the largest part of an
+// exchange.
+const hostsInterval = 500 * time.Millisecond
+
+// wantsHosts reports whether the list of hosts is due, with g.mu held.
+func (g *Gateway) wantsHosts(now time.Duration) bool {
+	if len(g.hosts) > 0 && now-g.hostsAsked < hostsInterval {
+		return false
+	}
+	g.hostsAsked = now
+	return true
+}
+
 // Apply takes an answer of a control host. Calls are serialised.
 func (g *Gateway) Apply(now time.Duration, u fleetsync.Update) {
 	changed, err := g.Views.apply(u)
@@ -71,6 +84,9 @@
 	for _, h := range u.GetHosts() {
 		g.noteHost(now, h)
 	}
+	if n := int(u.GetTotalHosts()); n > 0 {
+		g.totalHosts = n
+	}
 	g.grant(now, u)
 	if revision := g.Table.Revision(); changed || revision != g.dirty {
 		g.dirty = revision
