--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -26,6 +26,9 @@
 	// the host stopped to take new ones, and its first request.
 	settleTime = 400 * time.Millisecond
 	openPoll   = 20 * time.Millisecond
+	// flushTime is for the end of an answer, which the server writes after the
+	// request no longer counts as open.
+	flushTime = 150 * time.Millisecond
 	// alwaysLocal is the policy that keeps requests in their region.
 	alwaysLocal = "always_local"
 	// keyMargin covers the drift of clocks in the life of keys.
@@ -100,6 +103,9 @@
 	pause(ctx, settleTime)
 	for g.Open() > 0 && ctx.Err() == nil {
 		pause(ctx, openPoll)
+		if g.Open() == 0 {
+			pause(ctx, flushTime)
+		}
 	}
 	d.log.WithFields(logrus.Fields{"took_ms": (clock.SinceBoot() - started).Milliseconds(), "cut": g.Open()}).Info("drained")
 }
--- a/internal/proctest/fleet.go
+++ b/internal/proctest/fleet.go
@@ -314,12 +314,36 @@
 	return f.process(name).exitErr
 }
 
-// Signal sends a signal, such as SIGSTOP or SIGCONT, without waiting.
+// Signal sends a signal, such as SIGSTOP or SIGCONT. After SIGSTOP it waits until every
+// thread has stopped: until then the process may still answer.
 func (f *Fleet) Signal(name string, signal syscall.Signal) {
 	f.t.Helper()
-	if err := f.process(name).cmd.Process.Signal(signal); err != nil {
+	process := f.process(name).cmd.Process
+	if err := process.Signal(signal); err != nil {
 		f.t.Fatal(err)
 	}
+	if signal == syscall.SIGSTOP {
+		Eventually(f.t, StartLimit, func() error { return stopped(process.Pid) })
+	}
+}
+
+// stopped returns an error while a thread of the process is not stopped.
+func stopped(pid int) error {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(threads) == 0 {
+		return fmt.Errorf("no threads of process %d: %w", pid, err)
+	}
+	for _, path := range threads {
+		stat, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		// The state follows the name of the thread, which stands in brackets.
+		if rest := string(stat[strings.LastIndexByte(string(stat), ')')+1:]); !strings.HasPrefix(rest, " T") {
+			return fmt.Errorf("%s: state%.2s", path, rest)
+		}
+	}
+	return nil
 }
 
 func (f *Fleet) signalAndWait(name string, signal syscall.Signal) {
