--- a/internal/fleetsync/client.go
+++ b/internal/fleetsync/client.go
@@ -37,6 +37,8 @@
 	// Sent is when the request left, Control the host that answered.
 	Sent    time.Duration
 	Control string
+	// Region is that of the control host, or "" before it is known.
+	Region string
 	*syncpb.ExchangeResponse
 	Records []registry.Record
 }
@@ -119,7 +121,7 @@
 			c.learn(out.GetControls())
 			c.noteHeard(address, now)
 			c.applying.Lock()
-			c.Apply(now, Update{Sent: sent, Control: address, ExchangeResponse: out, Records: decodeRecords(now, out.GetTargets())})
+			c.Apply(now, Update{Sent: sent, Control: address, Region: c.regionOf(address), ExchangeResponse: out, Records: decodeRecords(now, out.GetTargets())})
 			c.applying.Unlock()
 			wait = c.interval(address)
 		} else if !c.Current() {
@@ -162,6 +164,12 @@
 	return farInterval
 }
 
+func (c *Client) regionOf(address string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.controls[address]
+}
+
 // noteHeard records an answer.
 func (c *Client) noteHeard(address string, now time.Duration) {
 	c.mu.Lock()
--- a/internal/fleetsync/hosts_test.go
+++ b/internal/fleetsync/hosts_test.go
@@ -1,10 +1,14 @@
 package fleetsync
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"time"
 
+	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/registry"
 )
 
 // Load: a fleet of hundreds of hosts. Guards against answers that grow with the whole
@@ -28,3 +32,33 @@
 		t.Errorf("hosts by region: %v", count)
 	}
 }
+
+// leading is a replicated log that this host leads.
+type leading struct{}
+
+func (leading) Leads() bool                { return true }
+func (leading) LeaderHost() string         { return "" }
+func (leading) Age() (time.Duration, bool) { return 0, true }
+
+// Guards against a report that another control host passes on late and that makes the
+// leader take back what the host asked for since.
+func TestOldReportIsPassedOver(t *testing.T) {
+	s := &Server{Log: leading{}, Presence: NewPresence(), Targets: registry.NewTable(), Document: document.NewMachine()}
+	s.Init()
+	report := func(perSecond float64, age int64) *syncpb.HostDemands {
+		return &syncpb.HostDemands{Host: "e", AgeMs: age, Demands: []*syncpb.Demand{{Workspace: "w", PerSecond: perSecond}}}
+	}
+	relay := func(d *syncpb.HostDemands) int {
+		out, err := s.Relay(context.Background(), &syncpb.RelayRequest{Demands: []*syncpb.HostDemands{d}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(out.GetGrants())
+	}
+	if relay(report(100, 0)) != 1 {
+		t.Fatal("a fresh report got no fraction")
+	}
+	if relay(report(0, 1500)) != 0 {
+		t.Error("a report from 1.5 s before was allocated for")
+	}
+}
--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -52,8 +52,10 @@
 
 	mu        sync.Mutex
 	allocator *shares.Allocator
-	demands   map[string]*hostDemands
-	grants    map[string]*hostGrants
+	// reported is when the newest report of each host that was allocated for was sent.
+	reported map[string]time.Duration
+	demands  map[string]*hostDemands
+	grants   map[string]*hostGrants
 }
 
 type hostDemands struct {
@@ -68,7 +70,9 @@
 }
 
 // Init prepares the server; call it before the first call arrives.
-func (s *Server) Init() { s.demands, s.grants = map[string]*hostDemands{}, map[string]*hostGrants{} }
+func (s *Server) Init() {
+	s.demands, s.grants, s.reported = map[string]*hostDemands{}, map[string]*hostGrants{}, map[string]time.Duration{}
+}
 
 // Exchange implements the drpc service.
 func (s *Server) Exchange(_ context.Context, in *syncpb.ExchangeRequest) (*syncpb.ExchangeResponse, error) {
@@ -161,8 +165,15 @@
 	return g.grants, (now - g.asOf).Milliseconds() + 1
 }
 
-// allocate runs on the leader, with s.mu held.
+// allocate runs on the leader, with s.mu held. A host may have reported to several
+// control hosts; a report that is older than another one is passed over, because it
+// says what the host asked and held before.
 func (s *Server) allocate(now time.Duration, d *syncpb.HostDemands) []*syncpb.Grant {
+	asOf := now - time.Duration(d.GetAgeMs())*time.Millisecond
+	if asOf < s.reported[d.GetHost()] {
+		return nil
+	}
+	s.reported[d.GetHost()] = asOf
 	if s.allocator == nil {
 		s.allocator = shares.NewAllocator(now)
 	}
@@ -199,7 +210,9 @@
 	defer s.mu.Unlock()
 	for _, d := range in.GetDemands() {
 		if d.GetAgeMs() < grantsLife.Milliseconds() {
-			out.Grants = append(out.Grants, &syncpb.HostGrants{Host: d.GetHost(), Grants: s.allocate(now, d), AgeMs: d.GetAgeMs()})
+			if grants := s.allocate(now, d); grants != nil {
+				out.Grants = append(out.Grants, &syncpb.HostGrants{Host: d.GetHost(), Grants: grants, AgeMs: d.GetAgeMs()})
+			}
 		}
 	}
 	return out, nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,7 +55,10 @@
 	// quickStart is how long a host usually takes to its first configuration, and
 	// slowStart how long when the control hosts start at the same time.
 	quickStart = 300 * time.Millisecond
-	slowStart  = 1200 * time.Millisecond
+	slowStart  = 1600 * time.Millisecond
+	// regionSilence is the silence of the control hosts of another region, which
+	// are asked every 0.5 s, after which it counts as out of reach.
+	regionSilence = 1300 * time.Millisecond
 	// shortRetry is the least time to come back after a refusal for load.
 	shortRetry = 250 * time.Millisecond
 	// defaultMaxBody bounds a body when the configuration does not.
@@ -100,6 +103,8 @@
 	budgets  map[string]*shares.Budget
 	hosts    map[string]*peerHost
 	restored map[string]restoration
+	// regionHeard is when a control host of a region last answered.
+	regionHeard map[string]time.Duration
 	// hostsAsked is when the list of hosts was last asked for, totalHosts how many
 	// entry hosts there are, also those that the list leaves out.
 	hostsAsked time.Duration
@@ -136,6 +141,8 @@
 	g.placer = placement.New(placement.DefaultEngine(readSpeed), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	g.buckets, g.budgets = map[string]*shares.Bucket{}, map[string]*shares.Budget{}
 	g.hosts, g.restored = map[string]*peerHost{}, map[string]restoration{}
+	g.regionHeard = map[string]time.Duration{}
+	g.placer.Reachable = func(now time.Duration, region string) bool { return now-g.regionHeard[region] < regionSilence }
 	counter := func(name string) metrics.Counter {
 		return metrics.GetOrRegisterCounter("gateway."+name, g.Metrics)
 	}
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -78,6 +78,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.regionHeard[u.Region] = now
 	if changed {
 		g.adopt(now, u.Control)
 	}
@@ -165,7 +166,8 @@
 			continue
 		}
 		spec := g.spec(r, s, hosts)
-		spec.Remote = g.Regions[r.DataCentre] != g.Region
+		spec.Region = g.Regions[r.DataCentre]
+		spec.Remote = spec.Region != g.Region
 		out = append(out, spec)
 	}
 	return out
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -74,7 +74,7 @@
 	var most int64
 	for _, list := range [][]*Target{p.byService[r.Service], p.remote[r.Service]} {
 		for _, s := range list {
-			if s == t || s.Suspect || now < s.ejected || s.stalled(now) {
+			if s == t || s.Suspect || now < s.ejected || s.stalled(now) || s.Remote && p.Reachable != nil && !p.Reachable(now, s.Region) {
 				continue
 			}
 			if hit := s.cache.hit(r.keys, r.Parts); hit > most {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -81,6 +81,7 @@
 	ColdLimit int
 	// Suspect targets are used only when there is no other one.
 	Suspect bool
+	Region  string
 	// Remote targets are in another region: they get no requests from this host,
 	// but others may fetch prompt parts from them.
 	Remote bool
@@ -140,6 +141,10 @@
 	// ReuseWindow is how long after its use a prompt part counts as known.
 	ReuseWindow time.Duration
 
+	// Reachable tells for a region whether its hosts have answered lately. Targets
+	// are not asked to fetch from others that they cannot reach. Nil means all are.
+	Reachable func(now time.Duration, region string) bool
+
 	engine    Engine
 	used      map[uint64]time.Duration // last use of each shared part at any target
 	targets   map[string]*Target
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -147,6 +147,11 @@
 	if c := choose(t, q, 2*second, digest(1, 2)); c.Source == nil || c.Source.ID != "e0" || c.Target.ID != "e9" {
 		t.Errorf("choice %+v, want e9 with a fetch from e0", c)
 	}
+	q.Reachable = func(time.Duration, string) bool { return false }
+	if c := choose(t, q, 2*second, digest(1, 2)); c.Source != nil {
+		t.Error("fetches from a region that is out of reach")
+	}
+	q.Reachable = nil
 	if c := choose(t, q, 60*second, digest(1, 3)); c.Source != nil {
 		t.Error("fetches a prompt that nobody has used for a minute")
 	}
