controlplane: decode a document once a version, not for each directory answer

Cause: EntryAddresses decoded and indexed the whole stored document for every caller that asks where to connect. TestDirectoryDecodesOnceAVersion: 50 answers took 50 decodes, now 1.

--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -45,6 +46,9 @@
 	Targets  *registry.Table
 	Presence *fleetsync.Presence
 	Logger   *logrus.Logger
+
+	mu      sync.Mutex
+	decoded decoded
 }
 
 // Replace puts a document in force and returns when it, or a higher version, is
--- a/internal/controlplane/directory.go
+++ b/internal/controlplane/directory.go
@@ -14,14 +14,37 @@
 // EntryAddresses returns the addresses of the entry hosts that a caller of the
 // region should use for a host name.
 func (s *Service) EntryAddresses(name, region string) []string {
-	state, _ := s.Document.State()
 	var routes []*document.Route
-	if d, err := s.Decoder.Decode(state.Content); err == nil {
-		routes = document.NewIndex(d).HostRoutes(name)
+	if index := s.index(); index != nil {
+		routes = index.HostRoutes(name)
 	}
 	return chooseEntries(s.Presence.Entries(clock.SinceBoot()), region, routes)
 }
 
+// decoded is the document of one version; index is nil when it cannot be read.
+type decoded struct {
+	version uint64
+	index   *document.Index
+}
+
+// index returns the stored document, or nil. It is decoded once a version: callers
+// ask the directory every few seconds, and a document may have megabytes.
+func (s *Service) index() *document.Index {
+	state, _ := s.Document.State()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.decoded.version != state.Version {
+		s.decoded = decoded{version: state.Version}
+		d, err := s.Decoder.Decode(state.Content)
+		if err != nil {
+			s.Logger.WithField("version", state.Version).WithError(err).Warn("stored document not read")
+			return nil
+		}
+		s.decoded.index = document.NewIndex(d)
+	}
+	return s.decoded.index
+}
+
 // chooseEntries prefers hosts of the caller's region. Hosts of another region are
 // named only if it is home to every route of the name that needs a key, because the
 // body of a request must not go elsewhere. Hosts that start or drain are better than
--- a/internal/controlplane/directory_test.go
+++ b/internal/controlplane/directory_test.go
@@ -1,10 +1,16 @@
 package controlplane
 
 import (
+	"encoding/json"
+	"io"
 	"slices"
 	"testing"
 
+	"github.com/sirupsen/logrus"
+
+	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/document"
+	"geraniumturn.example/geraniumturn/internal/fleetsync"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 )
 
@@ -40,3 +46,42 @@
 		})
 	}
 }
+
+// countingDecoder decodes every content to a document whose route is at home in one
+// region.
+type countingDecoder struct{ calls int }
+
+func (d *countingDecoder) Decode(content []byte) (*document.Document, error) {
+	d.calls++
+	return &document.Document{Routes: []document.Route{{Host: "app", Prefix: "/", Homes: []string{string(content)}}}}, nil
+}
+
+// Load: callers that ask the directory again and again. Guards against a control host
+// that decodes the whole document for each answer, and against answers by a document
+// that was replaced.
+func TestDirectoryDecodesOnceAVersion(t *testing.T) {
+	machine, decoder, presence := document.NewMachine(), &countingDecoder{}, fleetsync.NewPresence()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &Service{Document: machine, Decoder: decoder, Presence: presence, Logger: log}
+	now := clock.SinceBoot()
+	for _, region := range []string{"a", "b"} {
+		presence.Entry(now, &syncpb.EntryHost{Name: region, Region: region, Front: region, Serving: true}, true)
+	}
+	for i, home := range []string{"a", "b"} {
+		version := i + 1
+		command, err := json.Marshal(map[string]any{"version": version, "content": []byte(home)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		machine.Apply(uint64(version), command)
+		for range 50 {
+			if got := s.EntryAddresses("app", "c"); !slices.Equal(got, []string{home}) {
+				t.Fatalf("version %d: got %v, want %s", version, got, home)
+			}
+		}
+		if decoder.calls != version {
+			t.Errorf("%d decodes after %d versions", decoder.calls, version)
+		}
+	}
+}
