clock: one Sleep in the place of five copies of a wait that a context ends

gateway, daemon, control, fleetsync and standin each had their own; a test and the wait for forwarded requests had two more. Behaviour is unchanged.

--- /dev/null
+++ b/internal/clock/sleep.go
@@ -0,0 +1,21 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for a time. It reports false when ctx ends first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -252,7 +252,7 @@
 		delete(n.waiters, index)
 	}
 	_ = n.storage.Close() // it has failed already
-	for pause(ctx, reopenPause) {
+	for clock.Sleep(ctx, reopenPause) {
 		for len(n.events) > 0 {
 			<-n.events
 		}
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -9,6 +9,7 @@
 
 	"storj.io/drpc/drpcerr"
 
+	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/control/controlpb"
 	"geraniumturn.example/geraniumturn/internal/peer"
 )
@@ -97,23 +98,12 @@
 		if !again {
 			return result, err
 		}
-		if time.Now().After(deadline) || !pause(ctx, findLeaderPause) {
+		if time.Now().After(deadline) || !clock.Sleep(ctx, findLeaderPause) {
 			return nil, fmt.Errorf("%w: %v", ErrNoQuorum, err)
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (f *forwarder) attempt(ctx context.Context, machine string, command []byte) ([]byte, error) {
 	if f.node == nil {
 		return f.throughVoter(ctx, machine, command)
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/control/controlpb"
 	"geraniumturn.example/geraniumturn/internal/control/core"
 	"geraniumturn.example/geraniumturn/internal/control/storage"
@@ -72,7 +73,7 @@
 func (n *Node) runSender(ctx context.Context, s *sender, address string) {
 	for ctx.Err() == nil {
 		if !n.runStream(ctx, s, address) {
-			pause(ctx, redialPause)
+			clock.Sleep(ctx, redialPause)
 			s.dropQueued()
 		}
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -202,13 +202,7 @@
 // awaitForwards waits until the requests that other hosts forwarded here have
 // ended, and returns how many are left when ctx ends.
 func (d *Daemon) awaitForwards(ctx context.Context) int64 {
-	ticker := time.NewTicker(forwardsPoll)
-	defer ticker.Stop()
-	for d.forwards.Open() > 0 && ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-ticker.C:
-		}
+	for d.forwards.Open() > 0 && clock.Sleep(ctx, forwardsPoll) {
 	}
 	return d.forwards.Open()
 }
--- a/internal/daemon/deployment_control.go
+++ b/internal/daemon/deployment_control.go
@@ -78,9 +78,9 @@
 // stopControl hands the lead over and ends the calls in progress.
 func (d *deployment) stopControl(ctx context.Context, node *control.Node, servers ...*server) {
 	node.Resign(ctx)
-	pause(ctx, resignTime)
+	clock.Sleep(ctx, resignTime)
 	for _, s := range servers {
 		s.refuseConnections()
 	}
-	pause(ctx, controlDrain)
+	clock.Sleep(ctx, controlDrain)
 }
--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -97,24 +97,15 @@
 func (d *deployment) stopEntry(ctx context.Context, g *gateway.Gateway, front *server) {
 	started := clock.SinceBoot()
 	g.Drain()
-	pause(ctx, drainTime)
+	clock.Sleep(ctx, drainTime)
 	g.RefuseNew()
 	front.refuseConnections()
-	pause(ctx, settleTime)
+	clock.Sleep(ctx, settleTime)
 	for g.Open() > 0 && ctx.Err() == nil {
-		pause(ctx, openPoll)
+		clock.Sleep(ctx, openPoll)
 		if g.Open() == 0 {
-			pause(ctx, flushTime)
+			clock.Sleep(ctx, flushTime)
 		}
 	}
 	d.log.WithFields(logrus.Fields{"took_ms": (clock.SinceBoot() - started).Milliseconds(), "cut": g.Open()}).Info("drained")
 }
-
-func pause(ctx context.Context, t time.Duration) {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/fleetsync/client.go
+++ b/internal/fleetsync/client.go
@@ -129,16 +129,7 @@
 		} else if now-heard > controlMemory && c.forget(address, seeds()) {
 			return
 		}
-		pause(ctx, wait)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		clock.Sleep(ctx, wait)
 	}
 }
 
--- a/internal/fleetsync/usage.go
+++ b/internal/fleetsync/usage.go
@@ -7,6 +7,7 @@
 
 	"storj.io/drpc"
 
+	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 )
 
@@ -58,7 +59,7 @@
 				}()
 			}
 		}
-		pause(ctx, max(usageInterval, s.Interval)*time.Duration(max(1, len(peers)/usagePeers)))
+		clock.Sleep(ctx, max(usageInterval, s.Interval)*time.Duration(max(1, len(peers)/usagePeers)))
 	}
 	return nil
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/refusal"
@@ -44,24 +45,13 @@
 			return nil
 		}
 		wait := time.Duration(out.GetWaitMs()) * time.Millisecond
-		if sinceBoot()-x.started+wait > rateWait || !pause(ctx, wait) {
+		if sinceBoot()-x.started+wait > rateWait || !clock.Sleep(ctx, wait) {
 			return refusal.New(refusal.RateLimited, refusal.NotRun, "workspace %s is over its rate: %.0f tokens asked, the host %s holds %.2f of it",
 				w.Name, r.cost, r.holder(), out.GetHeld()).WithRetry(max(shortRetry, wait))
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // reservation is what a request took of its workspace's rate.
 type reservation struct {
 	workspace *document.Workspace
--- a/internal/proof/quota_test.go
+++ b/internal/proof/quota_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/proctest"
 	"geraniumturn.example/geraniumturn/internal/standin"
 )
@@ -75,7 +76,7 @@
 	group.Go(func() {
 		for ctx.Err() == nil {
 			f.samples = append(f.samples, sample{time.Now(), f.tokens()})
-			pause(ctx, 10*time.Millisecond)
+			clock.Sleep(ctx, 10*time.Millisecond)
 		}
 	})
 	do()
@@ -84,13 +85,6 @@
 	client.CloseIdleConnections()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (f *flood) call(ctx context.Context, client *http.Client, address string) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/counter/x", strings.NewReader(quotaBody))
 	if err != nil {
@@ -105,7 +99,7 @@
 		_ = response.Body.Close()
 	}
 	if err != nil || response.StatusCode != http.StatusOK {
-		pause(ctx, 10*time.Millisecond)
+		clock.Sleep(ctx, 10*time.Millisecond)
 	}
 }
 
@@ -206,7 +200,7 @@
 		if status == http.StatusTooManyRequests && !strings.Contains(answer, "retry_after_ms") {
 			t.Errorf("refusal without a retry time: %s", answer)
 		}
-		pause(t.Context(), time.Second) // each try spends demand, which the prefetch would follow
+		clock.Sleep(t.Context(), time.Second) // each try spends demand, which the prefetch would follow
 		return fmt.Errorf("%d %s", status, answer)
 	})
 	status, answer := post(t, f.fleet, "bilbao-1", f.key, "/above/x", quotaBody)
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"geraniumturn.example/geraniumturn/internal/clock"
 )
 
 const defaultMaxTokens = 16
 
 func (t *Target) serveService(w http.ResponseWriter, r *http.Request, count int) {
-	if !sleep(r.Context(), t.config.ServiceTime) {
+	if !clock.Sleep(r.Context(), t.config.ServiceTime) {
 		t.add(func(s *Totals) { s.Cancelled++ })
 		return
 	}
@@ -47,7 +49,7 @@
 	cached, added, evicted := t.cache.use(in.Model, prompt)
 	t.publishCache(added, evicted)
 	used := usage{PromptTokens: len(prompt)/bytesPerToken + 1, CompletionTokens: in.MaxTokens, CachedTokens: cached}
-	if !sleep(r.Context(), time.Duration(used.PromptTokens-cached)*t.config.PrefillPerToken) {
+	if !clock.Sleep(r.Context(), time.Duration(used.PromptTokens-cached)*t.config.PrefillPerToken) {
 		t.add(func(s *Totals) { s.Cancelled++ })
 		return
 	}
@@ -97,7 +99,7 @@
 // decode makes output tokens until all are made or the caller has gone.
 func (t *Target) decode(ctx context.Context, tokens int, emit func(int)) bool {
 	for i := range tokens {
-		if !sleep(ctx, t.interval()) {
+		if !clock.Sleep(ctx, t.interval()) {
 			t.add(func(s *Totals) { s.Cancelled++ })
 			return false
 		}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -232,18 +232,3 @@
 		t.silent.Store(false)
 	}
 }
-
-// sleep waits for d; it reports false when the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
