document: find workspaces by name in the index

Cause: the holder of a rate looked through all workspaces of the document for each request that another host asks tokens for; with 2,400 workspaces that is a scan on the request path. Behaviour is unchanged.

--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -184,11 +184,12 @@
 	routes     map[string][]*Route // by lower-case host, longest prefix first
 	services   map[string]*Service
 	workspaces map[string]*Workspace // by key
+	byName     map[string]*Workspace
 }
 
 // NewIndex prepares a valid document.
 func NewIndex(d *Document) *Index {
-	x := &Index{Document: d, routes: map[string][]*Route{}, services: map[string]*Service{}, workspaces: map[string]*Workspace{}}
+	x := &Index{Document: d, routes: map[string][]*Route{}, services: map[string]*Service{}, workspaces: map[string]*Workspace{}, byName: map[string]*Workspace{}}
 	for i := range d.Routes {
 		r := &d.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -201,8 +202,12 @@
 		x.services[d.Services[i].Name] = &d.Services[i]
 	}
 	for i := range d.Workspaces {
-		for _, k := range d.Workspaces[i].Keys {
-			x.workspaces[k] = &d.Workspaces[i]
+		w := &d.Workspaces[i]
+		if x.byName[w.Name] == nil {
+			x.byName[w.Name] = w
+		}
+		for _, k := range w.Keys {
+			x.workspaces[k] = w
 		}
 	}
 	return x
@@ -227,6 +232,10 @@
 // Workspace returns the holder of a key, or nil.
 func (x *Index) Workspace(key string) *Workspace { return x.workspaces[key] }
 
+// WorkspaceByName returns the named workspace, or nil. Of two with one name it is
+// the first.
+func (x *Index) WorkspaceByName(name string) *Workspace { return x.byName[name] }
+
 // Allows reports whether a request of the route and workspace may be served in a
 // region. Where both have homes, both bind; w may be nil.
 func Allows(r *Route, w *Workspace, region string) bool {
--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -76,6 +76,12 @@
 	if x.Workspace("") != nil || x.Workspace("k9") != nil {
 		t.Error("an unknown key has a holder")
 	}
+	if w := x.WorkspaceByName("v"); w == nil || w.Keys[0] != "k3" {
+		t.Errorf("the name v belongs to %v", w)
+	}
+	if x.WorkspaceByName("k3") != nil || x.WorkspaceByName("") != nil {
+		t.Error("an unknown name has a workspace")
+	}
 }
 
 // Guards against homes of route and workspace of which only one binds; an empty
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -107,12 +107,11 @@
 	if v == nil || v.Config == nil {
 		return nil, fmt.Errorf("gateway: no configuration")
 	}
-	for i := range v.Config.Workspaces {
-		if w := &v.Config.Workspaces[i]; w.Name == in.GetWorkspace() {
-			return g.takeHere(w, in.GetTokens(), in.GetAgain()), nil
-		}
+	w := v.Config.WorkspaceByName(in.GetWorkspace())
+	if w == nil {
+		return nil, fmt.Errorf("gateway: unknown workspace %q", in.GetWorkspace())
 	}
-	return nil, fmt.Errorf("gateway: unknown workspace %q", in.GetWorkspace())
+	return g.takeHere(w, in.GetTokens(), in.GetAgain()), nil
 }
 
 // rateOwner returns the host of this region that holds its part of a workspace's
