placement: look for prompt sources once a choice

Cause: the search for a target to fetch from ran once for each candidate, so a choice was quadratic in the targets.

--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -32,18 +32,19 @@
 	Wait, Total time.Duration
 }
 
-// rate estimates how a request would fare at a target.
-func (p *Placer) rate(now time.Duration, t *Target, r *Request) Choice {
+// rate estimates how a request would fare at a target. from has the targets that it
+// may fetch parts of the prompt from.
+func (p *Placer) rate(now time.Duration, t *Target, r *Request, from sources) Choice {
 	c := Choice{Target: t}
 	if t.cache == nil {
 		c.Expectation = t.expectService(now)
 	} else {
 		hit := t.cache.hit(r.keys, r.Parts)
 		c.Cost = missCost * float64(p.recentBeyond(now, r, hit))
-		if source, there := p.source(now, t, r); source != nil {
-			fetched := missCost*float64(p.recentBeyond(now, r, there)) + fetchCost*float64(there-hit)
+		if s := from.besides(t); s.target != nil {
+			fetched := missCost*float64(p.recentBeyond(now, r, s.tokens)) + fetchCost*float64(s.tokens-hit)
 			if fetched < c.Cost {
-				c.Source, c.Cost, hit = source, fetched, there
+				c.Source, c.Cost, hit = s.target, fetched, s.tokens
 			}
 		}
 		c.Expectation = p.expectEngine(now, t, r, float64(r.Prompt-hit))
@@ -68,23 +69,6 @@
 	return out
 }
 
-// source returns the other target that has most of the prompt, and how much.
-func (p *Placer) source(now time.Duration, t *Target, r *Request) (*Target, int64) {
-	var best *Target
-	var most int64
-	for _, list := range [][]*Target{p.byService[r.Service], p.remote[r.Service]} {
-		for _, s := range list {
-			if s == t || s.Suspect || now < s.ejected || s.stalled(now) || s.Remote && p.Reachable != nil && !p.Reachable(now, s.Region) {
-				continue
-			}
-			if hit := s.cache.hit(r.keys, r.Parts); hit > most {
-				best, most = s, hit
-			}
-		}
-	}
-	return best, most
-}
-
 // sharedTokens are those of all parts but the last one, which belongs to the
 // request alone.
 func sharedTokens(parts []Part) int64 {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -273,6 +273,7 @@
 	if r.keys == nil {
 		r.keys = chain(r.Model, r.Parts)
 	}
+	from := p.sources(now, r)
 	best, found := Choice{}, false
 	for pass := 0; pass < 2 && !found; pass++ {
 		ties, considered := 0, 0
@@ -283,7 +284,7 @@
 			if excluded != nil && excluded(t.ID) || !t.usable(now, pass > 0) {
 				continue
 			}
-			c := p.rate(now, t, r)
+			c := p.rate(now, t, r, from)
 			p.baseline(&c, considered)
 			considered++
 			switch {
