placement: a target whose service becomes an engine gets its prompt cache

Cause: the cache was made only with the model of a target, so targets that ran when the configuration made their service an engine stayed plain; with a newer engine beside them the search for prompt sources would have read a cache that is not there. TestServiceChangesItsEngine failed before, in both directions.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -233,8 +233,9 @@
 	for _, s := range specs {
 		t := p.targets[s.ID]
 		if t == nil || t.Address != s.Address || t.Service != s.Service {
-			t = newTarget(s)
+			t = &Target{work: serviceTime, others: map[string]otherUsage{}}
 		}
+		t.setMemory(s.CacheTokens)
 		t.Spec = s
 		if t.Slots <= 0 {
 			t.Slots = serviceSlots
@@ -249,12 +250,19 @@
 	p.targets = targets
 }
 
-func newTarget(s Spec) *Target {
-	t := &Target{work: serviceTime, others: map[string]otherUsage{}}
-	if s.CacheTokens > 0 {
-		t.cache, t.work = newPrefixCache(s.CacheTokens), holdTime
+// setMemory makes the target an engine with a memory, or a plain one with 0: a new
+// configuration may change this while the target runs.
+func (t *Target) setMemory(tokens int64) {
+	switch {
+	case tokens <= 0:
+		if t.cache != nil {
+			t.cache, t.work = nil, serviceTime
+		}
+	case t.cache == nil:
+		t.cache, t.work = newPrefixCache(tokens), holdTime
+	default:
+		t.cache.capacity = tokens
 	}
-	return t
 }
 
 // Choice is where a request may go.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -157,6 +157,28 @@
 	}
 }
 
+// Load: a configuration that makes a service an engine, or plain again, while its
+// targets run. Guards against targets that are rated as what they were before.
+func TestServiceChangesItsEngine(t *testing.T) {
+	plain := engines(2)
+	for i := range plain {
+		plain[i].CacheTokens = 0
+	}
+	for name, c := range map[string]struct{ before, after []placement.Spec }{
+		"becomes an engine": {plain, engines(2)},
+		"becomes plain":     {engines(2), plain},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlacer(c.before)
+			p.SetTargets(c.after)
+			got, want := choose(t, p, second, digest(1, 1)), choose(t, newPlacer(c.after), second, digest(1, 1))
+			if got.Expectation != want.Expectation {
+				t.Errorf("expectation %+v, of new targets %+v", got.Expectation, want.Expectation)
+			}
+		})
+	}
+}
+
 // Guards against prompts of requests with homes that other regions fetch.
 func TestBoundPromptsStayInTheRegion(t *testing.T) {
 	p := newPlacer(engines(1))
