gateway: one loop copies answers; the first byte of a send is recorded once

relayStream and relayWhole had their own first round of the copy loop. firstByte took the lock of the gateway for every event of a stream, after read had taken it for the same bytes; it now returns after the first one.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -59,10 +59,7 @@
 		return callerError(err)
 	}
 	w.WriteHeader(res.Status)
-	if _, err := w.Write(body); err != nil {
-		return callerError(err)
-	}
-	return g.copy(w, x, s, res)
+	return g.copy(w, s, res, body, len(body), nil)
 }
 
 // begin sets the header of the answer. From then on the answer can only be
@@ -82,7 +79,12 @@
 	return fmt.Errorf("%w: %v", errCallerGone, err)
 }
 
+// firstByte records the first byte of the answer to a send; later calls do nothing.
 func (g *Gateway) firstByte(x *exchange, s *send) {
+	if s.begun {
+		return
+	}
+	s.begun = true
 	if x.first == 0 {
 		x.first = sinceBoot() - x.started
 	}
@@ -104,18 +106,7 @@
 	g.firstByte(x, s)
 	g.begin(w, x, res)
 	w.WriteHeader(res.Status)
-	if n > 0 {
-		if werr := writeFlush(w, buffer[:n]); werr != nil {
-			return werr
-		}
-	}
-	switch {
-	case err == io.EOF:
-		return nil
-	case err != nil:
-		return fmt.Errorf("%w: %v", errCut, err)
-	}
-	return g.copy(w, x, s, res)
+	return g.copy(w, s, res, buffer, n, err)
 }
 
 // read reads a piece of a stream and notes that its target is alive.
@@ -129,21 +120,22 @@
 	return n, err
 }
 
-func (g *Gateway) copy(w http.ResponseWriter, x *exchange, s *send, res *upstream.Response) error {
-	buffer := make([]byte, copyBytes)
+// copy passes on the n bytes that were read into the buffer, with the error that came
+// with them, and what follows.
+func (g *Gateway) copy(w http.ResponseWriter, s *send, res *upstream.Response, buffer []byte, n int, err error) error {
 	for {
-		n, err := g.read(s, res, buffer)
 		if n > 0 {
 			if werr := writeFlush(w, buffer[:n]); werr != nil {
 				return werr
 			}
 		}
-		if err == io.EOF {
+		switch {
+		case err == io.EOF:
 			return nil
-		}
-		if err != nil {
+		case err != nil:
 			return fmt.Errorf("%w: %v", errCut, err)
 		}
+		n, err = g.read(s, res, buffer)
 	}
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -69,6 +69,8 @@
 	forward bool
 	// source has parts of the prompt that the target lacks, or "".
 	source string
+	// begun is set at the first byte of the answer.
+	begun bool
 }
 
 // run sends the request until it is answered or may not be sent again.
