--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -135,9 +135,9 @@
 	var g run.Group
 	g.Add(run.SignalHandler(ctx, os.Interrupt, syscall.SIGTERM))
 	d.addHTTP(&g, httpListener)
-	d.addLoop(&g, func(ctx context.Context) error { return d.transport.Serve(ctx, peerListener) })
+	addLoop(&g, func(ctx context.Context) error { return d.transport.Serve(ctx, peerListener) })
 	for _, loop := range d.loops() {
-		d.addLoop(&g, loop)
+		addLoop(&g, loop)
 	}
 	d.log.WithFields(logrus.Fields{"http": d.settings.Listen.HTTP, "peer": d.settings.Listen.Peer}).Info("serving")
 	err = g.Run()
@@ -169,7 +169,8 @@
 	}
 }
 
-func (d *Daemon) addLoop(g *run.Group, loop func(context.Context) error) {
+// addLoop runs a background task until the group ends.
+func addLoop(g *run.Group, loop func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error {
 		err := loop(ctx)
--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -86,7 +86,7 @@
 		return err
 	}
 	d.addSignals(stop)
-	d.addLoop(d.watchSettings)
+	addLoop(&d.group, d.watchSettings)
 	if address := d.settings.Deployment.MetricsAddress(); address != "" {
 		if _, err := d.addServer(address, metricsHandler(d.metrics)); err != nil {
 			return err
@@ -126,17 +126,6 @@
 	})
 }
 
-func (d *deployment) addLoop(loop func(context.Context) error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	d.group.Add(func() error {
-		err := loop(ctx)
-		if ctx.Err() != nil {
-			return nil
-		}
-		return err
-	}, func(error) { cancel() })
-}
-
 // server is an HTTP server that stops in two steps: first it takes no new
 // connections, then it ends. http.Server.Shutdown would drop a request that arrives
 // on an open connection.
@@ -179,7 +168,7 @@
 	if err != nil {
 		return err
 	}
-	d.addLoop(func(ctx context.Context) error { return d.transport.Serve(ctx, listener) })
+	addLoop(&d.group, func(ctx context.Context) error { return d.transport.Serve(ctx, listener) })
 	return nil
 }
 
--- a/internal/daemon/deployment_control.go
+++ b/internal/daemon/deployment_control.go
@@ -57,8 +57,8 @@
 	if err := d.servePeers(server, syncpb.DRPCSyncDescription{}); err != nil {
 		return nil, err
 	}
-	d.addLoop(node.Run)
-	d.addLoop(func(ctx context.Context) error { return server.Run(ctx, d.seedPeers) })
+	addLoop(&d.group, node.Run)
+	addLoop(&d.group, func(ctx context.Context) error { return server.Run(ctx, d.seedPeers) })
 	front, err := d.addServer(p.Control, platform.ControlHandler(plane))
 	if err != nil {
 		return nil, err
--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -71,14 +71,14 @@
 	if _, err := d.addServer(p.Ready, platform.ReadyHandler(g.Ready)); err != nil {
 		return nil, err
 	}
-	d.addLoop(func(ctx context.Context) error { return client.Run(ctx, d.seedPeers) })
+	addLoop(&d.group, func(ctx context.Context) error { return client.Run(ctx, d.seedPeers) })
 	if err := d.servePeers(g, syncpb.DRPCUsageDescription{}); err != nil {
 		return nil, err
 	}
 	for scope, interval := range map[placement.Scope]time.Duration{placement.Near: 0, placement.Far: fleetsync.UsageFar} {
 		usage := &fleetsync.UsageSender{Dial: d.transport.Dial, Interval: interval, Peers: func() []string { return g.UsagePeers(scope) },
 			Report: func() *syncpb.UsageReport { return g.UsageReport(scope) }}
-		d.addLoop(usage.Run)
+		addLoop(&d.group, usage.Run)
 	}
 	return func(ctx context.Context) { d.stopEntry(ctx, g, front) }, nil
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -302,6 +302,18 @@
 	}
 }
 
+// Guards against bytes that are missing or come twice in an answer that is too large
+// to be read before it is passed on.
+func TestLargeAnswer(t *testing.T) {
+	want := strings.Repeat("0123456789abcdef", 3<<16)
+	for _, path := range []string{"/once/", "/stream/"} {
+		got := start(t, newTarget(t, answer(200, want, "Signed", "sig"))).call(t, path)
+		if got.err != nil || got.body != want {
+			t.Errorf("%s: error %v, %d bytes of %d", path, got.err, len(got.body), len(want))
+		}
+	}
+}
+
 // Guards against events that are missing, come twice or are cut when a stream is
 // continued at another target.
 func TestResume(t *testing.T) {
