--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -11,6 +11,7 @@
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/refusal"
+	"geraniumturn.example/geraniumturn/internal/rendezvous"
 	"geraniumturn.example/geraniumturn/internal/shares"
 )
 
@@ -121,13 +122,13 @@
 	var owner *peerHost
 	best := uint64(0)
 	if !g.Draining() {
-		best = rank(workspace, g.Name)
+		best = rendezvous.Weight(workspace, g.Name)
 	}
 	for name, h := range g.hosts {
 		if h.GetRegion() != g.Region || h.GetPeer() == "" || !h.GetServing() || now-h.heard > loadAge {
 			continue
 		}
-		if r := rank(workspace, name); r > best {
+		if r := rendezvous.Weight(workspace, name); r > best {
 			owner, best = h, r
 		}
 	}
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -12,6 +12,7 @@
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/registry"
+	"geraniumturn.example/geraniumturn/internal/rendezvous"
 	"geraniumturn.example/geraniumturn/internal/shares"
 )
 
@@ -190,9 +191,9 @@
 // for each target have one each. It is 0 for the others.
 func (g *Gateway) coldPart(target string, limit int, hosts []string) int {
 	ahead := 0
-	own := rank(target, g.Name)
+	own := rendezvous.Weight(target, g.Name)
 	for _, h := range hosts {
-		if h != g.Name && rank(target, h) > own {
+		if h != g.Name && rendezvous.Weight(target, h) > own {
 			ahead++
 		}
 	}
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -4,10 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/placement"
+	"geraniumturn.example/geraniumturn/internal/rendezvous"
 )
 
 // UsagePeers returns the addresses of the other entry hosts of this region, which
@@ -17,17 +16,20 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []string
-	far := map[string]*peerHost{}
+	far := map[string]*peerHost{} // by region
 	for _, h := range g.hosts {
 		if h.GetPeer() == "" || now-h.heard > loadAge {
 			continue
 		}
-		region := h.GetRegion()
-		switch {
-		case region == g.Region && scope == placement.Near:
-			out = append(out, h.GetPeer())
-		case region != g.Region && scope == placement.Far && (far[region] == nil || rank(g.Name, h.GetName()) > rank(g.Name, far[region].GetName())):
-			far[region] = h
+		if h.GetRegion() == g.Region {
+			if scope == placement.Near {
+				out = append(out, h.GetPeer())
+			}
+			continue
+		}
+		best := far[h.GetRegion()]
+		if scope == placement.Far && (best == nil || rendezvous.Weight(g.Name, h.GetName()) > rendezvous.Weight(g.Name, best.GetName())) {
+			far[h.GetRegion()] = h
 		}
 	}
 	for _, h := range far {
@@ -36,9 +38,6 @@
 	return out
 }
 
-// rank orders hosts for something, in another order for each thing.
-func rank(thing, host string) uint64 { return xxhash.Sum64String(thing + "\x00" + host) }
-
 // UsageReport returns the prompts that this host sent since the last report, and
 // for hosts of its region what it has in progress.
 func (g *Gateway) UsageReport(scope placement.Scope) *syncpb.UsageReport {
@@ -76,7 +75,7 @@
 	return &syncpb.Empty{}, nil
 }
 
-// peerLoad is what this host knows of the targets behind another one.
+// load returns what the host reported of its targets of a service.
 func (h *peerHost) load(service string) (*syncpb.Load, bool) {
 	for _, l := range h.GetLoads() {
 		if l.GetService() == service {
@@ -86,7 +85,7 @@
 	return nil, false
 }
 
-// expectation of a request that is forwarded to the host.
+// expect returns what a request may expect that is forwarded to the host.
 func (h *peerHost) expect(service string, output int64) (placement.Expectation, bool) {
 	l, ok := h.load(service)
 	if !ok {
--- a/internal/quota/allocation.go
+++ b/internal/quota/allocation.go
@@ -5,10 +5,10 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"geraniumturn.example/geraniumturn/internal/quota/quotapb"
+	"geraniumturn.example/geraniumturn/internal/rendezvous"
 	"geraniumturn.example/geraniumturn/internal/rules"
 )
 
@@ -62,7 +62,7 @@
 	out := &quotapb.Allocation{Rate: w.Rate * TokenUnit, Burst: w.Burst * TokenUnit}
 	for centre, hosts := range byCentre {
 		slices.SortFunc(hosts, func(a, b string) int {
-			return cmp.Or(cmp.Compare(score(w.Name, b), score(w.Name, a)), cmp.Compare(a, b))
+			return cmp.Or(cmp.Compare(rendezvous.Weight(w.Name, b), rendezvous.Weight(w.Name, a)), cmp.Compare(a, b))
 		})
 		holders := slices.Clone(hosts[:min(len(hosts), holdersPerDataCentre)])
 		slices.Sort(holders)
@@ -72,8 +72,6 @@
 	return out
 }
 
-func score(workspace, host string) uint64 { return xxhash.Sum64String(workspace + "\x00" + host) }
-
 // floorOf is the guaranteed share of the host. Half of rate and burst is
 // divided evenly over the data centres and there over the holders.
 func floorOf(a *quotapb.Allocation, host string) Share {
