--- a/internal/control/bootstrap.go
+++ b/internal/control/bootstrap.go
@@ -167,7 +167,7 @@
 // Report describes this voter.
 func (n *Node) Report() Report {
 	s := n.status.Load()
-	r := Report{Host: n.config.Host, ID: n.id, Leader: n.leaderHost(), Term: s.Term, Commit: s.Commit, Members: []Member{}}
+	r := Report{Host: n.config.Host, ID: n.id, Leader: n.LeaderHost(), Term: s.Term, Commit: s.Commit, Members: []Member{}}
 	r.Role = [...]string{"follower", "pre_candidate", "candidate", "leader"}[s.Role]
 	_, r.Lease = n.Lease()
 	r.LeaseRemainingMS = n.LeaseRemaining().Milliseconds()
--- a/internal/control/core/core.go
+++ b/internal/control/core/core.go
@@ -64,8 +64,6 @@
 	// and are free.
 	free      map[string]uint64
 	preVoteAt time.Duration
-	// transfer is set while the votes of an election that the leader asked for are requested.
-	transfer bool
 
 	state      HardState
 	stateDirty bool
--- a/internal/control/core/election.go
+++ b/internal/control/core/election.go
@@ -54,10 +54,10 @@
 	c.votes = map[string]bool{c.id: true}
 	c.free, c.preVoteAt = map[string]uint64{c.id: c.process}, c.now
 	if c.hasMajority(c.votes) {
-		c.startElection()
+		c.startElection(false)
 		return
 	}
-	c.requestVotes(PreVoteRequest, c.state.Term+1)
+	c.requestVotes(PreVoteRequest, c.state.Term+1, false)
 }
 
 // Resign gives up the lead and asks the most advanced voter to take it over. The
@@ -83,28 +83,28 @@
 
 func (c *Core) onTransfer(m Message) {
 	if m.Term == c.state.Term && c.role == Follower && c.isVoter(c.id) {
-		c.transfer = true
-		c.startElection()
-		c.transfer = false
+		c.startElection(true)
 	}
 }
 
-func (c *Core) startElection() {
+// startElection asks for votes in a new term. transfer means that the leader asked for
+// it after it gave up its lease.
+func (c *Core) startElection(transfer bool) {
 	c.role = Candidate
 	c.setState(HardState{Term: c.state.Term + 1, Vote: c.id})
 	c.votes = map[string]bool{c.id: true}
 	c.retryElection()
-	c.requestVotes(VoteRequest, c.state.Term)
+	c.requestVotes(VoteRequest, c.state.Term, transfer)
 }
 
-// requestVotes asks all other voters. OK in a request means that the old leader
-// has given up its lease, so that a voter need not wait for its end. The requests of an election wait for the
-// sync of the own vote.
-func (c *Core) requestVotes(kind MessageKind, term uint64) {
+// requestVotes asks all other voters. After a transfer the old leader has given up its
+// lease, so that a voter need not wait for its end; OK in a request says so. The
+// requests of an election wait for the sync of the own vote.
+func (c *Core) requestVotes(kind MessageKind, term uint64, transfer bool) {
 	for _, m := range c.Members() {
 		if m.ID != c.id && !m.Learner {
 			c.afterSync = append(c.afterSync, Message{Kind: kind, From: c.id, To: m.ID, Term: term,
-				Index: c.log.last(), LogTerm: c.log.lastTerm(), OK: c.transfer, SentAt: c.preVoteAt,
+				Index: c.log.last(), LogTerm: c.log.lastTerm(), OK: transfer, SentAt: c.preVoteAt,
 				Free: kind == VoteRequest && c.allFree(), Process: c.free[m.ID]})
 		}
 	}
@@ -175,7 +175,7 @@
 	if m.Kind == PreVoteResponse && m.Free && c.role == PreCandidate && m.Term == c.state.Term+1 && m.SentAt == c.preVoteAt {
 		c.free[m.From] = m.Process
 		if c.allFree() {
-			c.startElection()
+			c.startElection(false)
 			return
 		}
 	}
@@ -191,7 +191,7 @@
 	switch {
 	case m.Kind == PreVoteResponse && c.role == PreCandidate && m.Term == c.state.Term+1:
 		if c.votes[m.From] = true; c.hasMajority(c.votes) {
-			c.startElection()
+			c.startElection(false)
 		}
 	case m.Kind == VoteResponse && c.role == Candidate && m.Term == c.state.Term:
 		if c.votes[m.From] = true; c.hasMajority(c.votes) {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -575,10 +575,7 @@
 }
 
 // LeaderHost is the host that this voter believes to lead, or "".
-func (n *Node) LeaderHost() string { return n.leaderHost() }
-
-// leaderHost is the host that this voter believes to lead, or "".
-func (n *Node) leaderHost() string {
+func (n *Node) LeaderHost() string {
 	s := n.status.Load()
 	return hostOf(*s, s.Leader)
 }
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -108,7 +108,7 @@
 	if f.node == nil {
 		return f.throughVoter(ctx, machine, command)
 	}
-	leader := f.node.leaderHost()
+	leader := f.node.LeaderHost()
 	switch leader {
 	case "":
 		return nil, fmt.Errorf("%w: no leader known", errDropped)
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -203,7 +203,7 @@
 	if err != nil {
 		return nil, encodeError(err)
 	}
-	return &controlpb.ProposeResponse{Result: result, Leader: n.leaderHost()}, nil
+	return &controlpb.ProposeResponse{Result: result, Leader: n.LeaderHost()}, nil
 }
 
 func (n *Node) toProto(m core.Message) *controlpb.Message {
