--- a/internal/document/machine.go
+++ b/internal/document/machine.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"maps"
-	"slices"
 	"sync"
 
 	"geraniumturn.example/geraniumturn/internal/control"
@@ -151,6 +150,3 @@
 	}
 	return nil
 }
-
-// EvacuatedNames returns the evacuated data centres in order.
-func (s *State) EvacuatedNames() []string { return slices.Sorted(maps.Keys(s.Evacuated)) }
--- a/internal/fleetsync/client.go
+++ b/internal/fleetsync/client.go
@@ -55,7 +55,7 @@
 	Current func() bool
 	// Apply takes an answer. Calls are serialised.
 	Apply func(now time.Duration, u Update)
-	// Lost and Regained report a control host that stops or starts answering.
+	// Changed reports a control host that stops or starts answering.
 	Changed func(control string, reachable bool, err error)
 
 	mu       sync.Mutex
--- a/internal/fleetsync/presence.go
+++ b/internal/fleetsync/presence.go
@@ -78,18 +78,6 @@
 	return out
 }
 
-// Remembered counts the entry hosts of a region that were heard of within the
-// memory; some of them may be out of contact and still serve.
-func (p *Presence) Remembered(now time.Duration) map[string]int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := map[string]int{}
-	for _, e := range p.entries {
-		out[e.host.GetRegion()]++
-	}
-	return out
-}
-
 func withAge(e *entrySeen, now time.Duration) *syncpb.EntryHost {
 	h := e.host
 	return &syncpb.EntryHost{Name: h.GetName(), DataCentre: h.GetDataCentre(), Region: h.GetRegion(), Front: h.GetFront(),
--- a/internal/shares/window.go
+++ b/internal/shares/window.go
@@ -65,11 +65,6 @@
 	return true
 }
 
-// Left returns the repeats that remain.
-func (b *Budget) Left(now time.Duration, slack float64) float64 {
-	return b.ratio*float64(b.firsts.Count(now)) + slack - float64(b.repeats.Count(now))
-}
-
 // Pace bounds the requests to one target in any second. Invariant: no second has
 // more than limit requests.
 type Pace struct{ sent []time.Duration }
