--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -115,7 +115,7 @@
 		case s := <-signals:
 			d.log.WithField("signal", s.String()).Info("stopping")
 		}
-		limit := settings.Seconds(d.settings.Deployment.Bounds.GraceS) - stopReserve
+		limit := clock.Seconds(d.settings.Deployment.Bounds.GraceS) - stopReserve
 		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
 		stop(ctx)
--- a/internal/daemon/deployment_control.go
+++ b/internal/daemon/deployment_control.go
@@ -14,7 +14,6 @@
 	"geraniumturn.example/geraniumturn/internal/fleetsync"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/registry"
-	"geraniumturn.example/geraniumturn/internal/settings"
 	"geraniumturn.example/geraniumturn/platform"
 )
 
@@ -63,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	directory, err := d.addServer(p.Directory, platform.DirectoryHandler(plane, min(directoryTTL, settings.Seconds(p.Bounds.DirectoryTTLS))))
+	directory, err := d.addServer(p.Directory, platform.DirectoryHandler(plane, min(directoryTTL, clock.Seconds(p.Bounds.DirectoryTTLS))))
 	return func(ctx context.Context) { d.stopControl(ctx, node, front, directory) }, err
 }
 
--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -13,7 +13,6 @@
 	"geraniumturn.example/geraniumturn/internal/gateway"
 	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/registry"
-	"geraniumturn.example/geraniumturn/internal/settings"
 	"geraniumturn.example/geraniumturn/platform"
 )
 
@@ -42,8 +41,8 @@
 	g := &gateway.Gateway{
 		Name: s.Name, DataCentre: s.DataCentre, Region: s.Region, Regions: p.Regions,
 		Bounds: gateway.Bounds{
-			KeyLife: settings.Millis(p.Bounds.RevocationMS) - keyMargin, DenyLife: settings.Millis(p.Bounds.ConfigurationMS) - keyMargin,
-			RetryRatio: p.Bounds.RetryRatio, RetryWindow: settings.Seconds(p.Bounds.RetryWindowS), RetrySlack: p.Bounds.RetrySlack,
+			KeyLife: clock.Millis(p.Bounds.RevocationMS) - keyMargin, DenyLife: clock.Millis(p.Bounds.ConfigurationMS) - keyMargin,
+			RetryRatio: p.Bounds.RetryRatio, RetryWindow: clock.Seconds(p.Bounds.RetryWindowS), RetrySlack: p.Bounds.RetrySlack,
 			RateSlack: p.Bounds.RateSlack, ColdOverrun: p.Bounds.ColdOverrun, ColdSlack: p.Bounds.ColdSlack,
 		},
 		Caller: platform.Callers{}, Targets: platform.TargetCalls{}, Views: gateway.NewViews(platform.Configurations{}),
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -5,7 +5,6 @@
 	"net"
 	"slices"
 	"strconv"
-	"time"
 )
 
 // Configuration tells where the routing of a deployment comes from.
@@ -180,9 +179,3 @@
 	slices.Sort(out)
 	return slices.Compact(out)
 }
-
-// Millis is a number of milliseconds as a duration.
-func Millis(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
-
-// Seconds is a number of seconds as a duration.
-func Seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
