shares: hosts that start together do not each take the pace of a cold target

The part was also kept until the next change of the target table.

The roster of a host gives cold targets nothing for 3 s after its start, keeps silent hosts for 30 s, and the parts follow its changes. Control hosts also name silent hosts of the own region.

Cold targets of a region that starts anew serve 3 s later.

--- a/internal/fleetsync/hosts_test.go
+++ b/internal/fleetsync/hosts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,14 +13,17 @@
 )
 
 // Load: a fleet of hundreds of hosts. Guards against answers that grow with the whole
-// fleet, and against a host that misses one of its own region, with which it divides
-// the pace of cold targets and the holders of rates.
+// fleet, and against a host that misses one of its own region, also a silent one, with
+// which it divides the pace of cold targets and the holders of rates.
 func TestHostsFor(t *testing.T) {
 	var all []*syncpb.EntryHost
 	for i := range 300 {
 		all = append(all, &syncpb.EntryHost{Name: fmt.Sprintf("h%03d", i), Region: fmt.Sprint("r", i%3), Serving: i != 1,
 			Loads: []*syncpb.Load{{Service: "s", WaitMs: int64(300 - i)}}})
 	}
+	// The least loaded hosts of two regions have fallen silent.
+	all = append(all, &syncpb.EntryHost{Name: "silent0", Region: "r0", HeardMs: 20_000}, &syncpb.EntryHost{Name: "silent1", Region: "r1", HeardMs: 20_000, Serving: true,
+		Loads: []*syncpb.Load{{Service: "s", WaitMs: 1}}})
 	got := hostsFor(all, "r0")
 	count := map[string]int{}
 	for _, h := range got {
@@ -28,7 +32,10 @@
 			t.Errorf("%s with a wait of %d ms is named before less loaded ones", h.GetName(), h.GetLoads()[0].GetWaitMs())
 		}
 	}
-	if count["r0"] != 100 || count["r1"] != farHosts || count["r2"] != farHosts {
+	if slices.ContainsFunc(got, func(h *syncpb.EntryHost) bool { return h.GetName() == "silent1" }) {
+		t.Error("a silent host of another region is named")
+	}
+	if count["r0"] != 101 || count["r1"] != farHosts || count["r2"] != farHosts {
 		t.Errorf("hosts by region: %v", count)
 	}
 }
--- a/internal/fleetsync/presence.go
+++ b/internal/fleetsync/presence.go
@@ -62,6 +62,11 @@
 
 // Entries returns the entry hosts that were heard of lately, by name.
 func (p *Presence) Entries(now time.Duration) []*syncpb.EntryHost {
+	return p.entriesHeard(now, entrySilence)
+}
+
+// entriesHeard returns the entry hosts that were heard of within a time, by name.
+func (p *Presence) entriesHeard(now, within time.Duration) []*syncpb.EntryHost {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []*syncpb.EntryHost
@@ -70,7 +75,7 @@
 			delete(p.entries, name)
 			continue
 		}
-		if now-e.heard <= entrySilence {
+		if now-e.heard <= within {
 			out = append(out, withAge(e, now))
 		}
 	}
--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -94,7 +94,9 @@
 	records, next := s.Targets.Since(cursor)
 	out.Table, out.Cursor, out.Targets = s.Process, next, encodeRecords(now, records)
 	if in.GetWantHosts() {
-		all := s.Presence.Entries(now)
+		// Silent hosts may still send to targets: those of their region leave them
+		// their part of what binds all.
+		all := s.Presence.entriesHeard(now, entryMemory)
 		out.Hosts, out.TotalHosts = hostsFor(all, in.GetHost().GetRegion()), int64(len(all))
 	}
 	if in.GetHost().GetName() == "" {
@@ -108,8 +110,9 @@
 const farHosts = 4
 
 // hostsFor returns the hosts that a host of the region must know: all of its own,
-// without their loads, which concern the same targets; and of each other region those
-// with the least load, so that the answer does not grow with the fleet.
+// also silent ones, without their loads, which concern the same targets; and of each
+// other region those that were heard of lately and have the least load, so that the
+// answer does not grow with the fleet.
 func hostsFor(all []*syncpb.EntryHost, region string) []*syncpb.EntryHost {
 	var out []*syncpb.EntryHost
 	far := map[string][]*syncpb.EntryHost{}
@@ -117,7 +120,7 @@
 		if h.GetRegion() == region {
 			h.Loads = nil
 			out = append(out, h)
-		} else {
+		} else if h.GetHeardMs() <= entrySilence.Milliseconds() {
 			far[h.GetRegion()] = append(far[h.GetRegion()], h)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,6 +110,10 @@
 	hostsAsked time.Duration
 	totalHosts int
 	dirty      uint64 // revision of the table that the placer has
+	// roster has the entry hosts of this region, which send to the same targets, and
+	// sharedWith those among which the placer divides the pace of cold targets.
+	roster     *shares.Roster
+	sharedWith []string
 }
 
 // peerHost is another entry host.
@@ -142,6 +146,7 @@
 	g.buckets, g.budgets = map[string]*shares.Bucket{}, map[string]*shares.Budget{}
 	g.hosts, g.restored = map[string]*peerHost{}, map[string]restoration{}
 	g.regionHeard = map[string]time.Duration{}
+	g.roster = shares.NewRoster(g.Name, g.begun)
 	g.placer.Reachable = func(now time.Duration, region string) bool { return now-g.regionHeard[region] < regionSilence }
 	counter := func(name string) metrics.Counter {
 		return metrics.GetOrRegisterCounter("gateway."+name, g.Metrics)
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -12,7 +12,6 @@
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/registry"
-	"geraniumturn.example/geraniumturn/internal/rendezvous"
 	"geraniumturn.example/geraniumturn/internal/shares"
 )
 
@@ -90,8 +89,9 @@
 		g.totalHosts = n
 	}
 	g.grant(now, u)
-	if revision := g.Table.Revision(); changed || revision != g.dirty {
-		g.dirty = revision
+	hosts := g.roster.Hosts(now)
+	if revision := g.Table.Revision(); changed || revision != g.dirty || !slices.Equal(hosts, g.sharedWith) {
+		g.dirty, g.sharedWith = revision, hosts
 		g.placer.SetTargets(g.specs(now))
 	}
 }
@@ -129,6 +129,9 @@
 		return
 	}
 	heard := now - time.Duration(h.GetHeardMs())*time.Millisecond
+	if h.GetRegion() == g.Region {
+		g.roster.Note(h.GetName(), heard)
+	}
 	old := g.hosts[h.GetName()]
 	switch {
 	case old == nil:
@@ -153,7 +156,6 @@
 	if v == nil || v.Config == nil {
 		return nil
 	}
-	hosts := g.regionHosts(now)
 	var out []placement.Spec
 	for _, r := range g.Table.All() {
 		if r.State != registry.Ready {
@@ -166,7 +168,7 @@
 		if s == nil {
 			continue
 		}
-		spec := g.spec(r, s, hosts)
+		spec := g.spec(r, s)
 		spec.Region = g.Regions[r.DataCentre]
 		spec.Remote = spec.Region != g.Region
 		out = append(out, spec)
@@ -174,37 +176,7 @@
 	return out
 }
 
-// regionHosts returns the names of the entry hosts of this region that may be
-// serving, with this one.
-func (g *Gateway) regionHosts(now time.Duration) []string {
-	out := []string{g.Name}
-	for name, h := range g.hosts {
-		if now-h.heard < hostMemory && h.GetRegion() == g.Region {
-			out = append(out, name)
-		}
-	}
-	return out
-}
-
-// coldPart is this host's part of the requests that a cold target bears in a second.
-// When there are more hosts than requests, the first ones of an order that differs
-// for each target have one each. It is 0 for the others.
-func (g *Gateway) coldPart(target string, limit int, hosts []string) int {
-	ahead := 0
-	own := rendezvous.Weight(target, g.Name)
-	for _, h := range hosts {
-		if h != g.Name && rendezvous.Weight(target, h) > own {
-			ahead++
-		}
-	}
-	part := limit / len(hosts)
-	if ahead < limit%len(hosts) {
-		part++
-	}
-	return part
-}
-
-func (g *Gateway) spec(r registry.Record, s *document.Service, hosts []string) placement.Spec {
+func (g *Gateway) spec(r registry.Record, s *document.Service) placement.Spec {
 	spec := placement.Spec{ID: r.ID, Address: r.Address, Service: r.Service, DataCentre: r.DataCentre, Slots: r.Slots,
 		ColdUntil: r.ColdUntil, Suspect: r.Silent}
 	if s.Engine != nil {
@@ -213,7 +185,7 @@
 	if s.ColdRate > 0 {
 		// One request less than the bound covers what was on its way.
 		spec.Paced = true
-		spec.ColdLimit = g.coldPart(r.ID, max(1, int(s.ColdRate*g.Bounds.ColdOverrun+g.Bounds.ColdSlack-1)), hosts)
+		spec.ColdLimit = g.roster.Part(r.ID, max(1, int(s.ColdRate*g.Bounds.ColdOverrun+g.Bounds.ColdSlack-1)), g.sharedWith)
 		if at := g.restored[r.DataCentre].at; at > 0 && s.Warmup > 0 {
 			spec.ColdUntil = max(spec.ColdUntil, at+restoreCaution)
 		}
