control: a silent connection between voters is replaced

After 10 s the stream was renewed on the same pooled connection, which stayed silent.

Each message is confirmed by its receiver. A stream with nothing confirmed for 0.8 s ends with its connection, and the next one dials anew. TestSilentConnectionIsReplaced failed before.

--- a/internal/control/node_test.go
+++ b/internal/control/node_test.go
@@ -310,3 +310,32 @@
 		c.stop()
 	}
 }
+
+// Guards against a connection between two voters that goes silent without a reset and
+// is used on: the follower would miss the leader, or the leader the follower's
+// answers, for as long as the connection lives.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	for name, towards := range map[string]bool{"from the leader": true, "from the follower": false} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, t.TempDir(), 3)
+			c.init()
+			leader := c.leader()
+			follower := c.members[(slices.Index(c.members, leader)+1)%3]
+			relay := leader.relays[follower.name]
+			if !towards {
+				relay = follower.relays[leader.name]
+			}
+			relay.Silence(false)
+			time.Sleep(500 * time.Millisecond) // two heartbeats are lost
+			relay.Heal()
+			proctest.Eventually(t, 3*time.Second, func() error {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				if !follower.node.AwaitCurrent(ctx) {
+					return errors.New("the follower is not current")
+				}
+				return nil
+			})
+		})
+	}
+}
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/control/controlpb"
 	"geraniumturn.example/geraniumturn/internal/control/core"
@@ -19,17 +21,21 @@
 	redialPause = 100 * time.Millisecond
 	// writeLimit is the time after which a blocked stream is given up.
 	writeLimit = 2 * time.Second
-	// streamLife bounds the life of a stream, so that messages do not wait for
-	// the retransmission of a connection whose path was lost without an error.
-	streamLife = 10 * time.Second
+	// confirmLimit is how long a message may stay unconfirmed before its connection
+	// counts as silent. It is above the way between regions with a lost packet, and
+	// leaves time to connect again within an election timeout or two.
+	confirmLimit = 800 * time.Millisecond
+	// confirmRate is the least rate at which large messages are expected to arrive,
+	// in bytes a second: small windows bound the rate between regions.
+	confirmRate = 250_000
 	// chunkBytes is the size of the pieces in which a snapshot is sent.
 	chunkBytes       = 1 << 20
 	maxSnapshotBytes = 512 << 20
 )
 
-// sender passes messages to one peer, in order, over a one-way stream. The
-// stream does not wait for answers, so the delay between hosts does not limit
-// the rate of messages.
+// sender passes messages to one peer, in order, over a stream. It does not wait for
+// confirmations before it sends on, so the delay between hosts does not limit the
+// rate of messages.
 type sender struct {
 	queue  chan *controlpb.Message
 	cancel context.CancelFunc
@@ -72,10 +78,9 @@
 
 func (n *Node) runSender(ctx context.Context, s *sender, address string) {
 	for ctx.Err() == nil {
-		if !n.runStream(ctx, s, address) {
-			clock.Sleep(ctx, redialPause)
-			s.dropQueued()
-		}
+		n.runStream(ctx, s, address)
+		clock.Sleep(ctx, redialPause)
+		s.dropQueued()
 	}
 }
 
@@ -91,44 +96,84 @@
 	}
 }
 
-// runStream sends until the stream is old, which it reports by true, or fails.
-func (n *Node) runStream(ctx context.Context, s *sender, address string) bool {
+// runStream sends until the connection fails or falls silent. The connection is then
+// closed and not used again.
+func (n *Node) runStream(ctx context.Context, s *sender, address string) {
 	select {
 	case <-ctx.Done():
-		return false
 	case first := <-s.queue:
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		stream, err := controlpb.NewDRPCControlClient(n.config.Dial(address)).Deliver(ctx)
 		if err != nil {
-			return false
+			return // the messages are dropped and the algorithm sends again
 		}
-		defer stream.Close()
-		end := time.NewTimer(streamLife)
-		defer end.Stop()
-		for m := first; ; {
-			if err := sendBounded(cancel, stream, m); err != nil {
-				return false
+		confirmed := make(chan struct{}, sendQueue)
+		go receiveConfirmations(ctx, stream, confirmed)
+		silence := time.NewTimer(confirmLimit)
+		defer silence.Stop()
+		for m, waiting := first, 0; ; {
+			limit := confirmLimit + confirmTime(m)
+			pieces, err := sendBounded(cancel, stream, m)
+			if err != nil {
+				return
+			}
+			if waiting == 0 || limit > confirmLimit {
+				silence.Reset(limit)
 			}
-			select {
-			case m = <-s.queue:
-			case <-stream.Context().Done():
-				return false
-			case <-end.C:
-				return true
+			waiting += pieces
+			for m = nil; m == nil; {
+				select {
+				case m = <-s.queue:
+				case <-confirmed:
+					if waiting--; waiting > 0 {
+						silence.Reset(limit)
+					} else {
+						silence.Stop()
+					}
+				case <-silence.C:
+					n.config.Logger.WithFields(logrus.Fields{"peer": address, "unconfirmed": waiting}).Info("control connection silent")
+					return
+				case <-stream.Context().Done():
+					return
+				}
 			}
 		}
 	}
 }
 
-// sendBounded sends one message, in pieces if it has a snapshot.
-func sendBounded(cancel context.CancelFunc, stream controlpb.DRPCControl_DeliverClient, m *controlpb.Message) error {
+// receiveConfirmations passes the confirmations of a stream on until it ends.
+func receiveConfirmations(ctx context.Context, stream controlpb.DRPCControl_DeliverClient, confirmed chan<- struct{}) {
+	for {
+		if _, err := stream.Recv(); err != nil {
+			return // runStream sees the end of the stream
+		}
+		select {
+		case confirmed <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// confirmTime is the time that a large message may take on its way.
+func confirmTime(m *controlpb.Message) time.Duration {
+	size := len(m.GetSnapshot().GetData())
+	for _, e := range m.GetEntries() {
+		size += len(e.GetData())
+	}
+	return time.Duration(float64(size) / confirmRate * float64(time.Second))
+}
+
+// sendBounded sends one message, in pieces if it has a snapshot, and returns how many
+// there were.
+func sendBounded(cancel context.CancelFunc, stream controlpb.DRPCControl_DeliverClient, m *controlpb.Message) (pieces int, err error) {
 	var data []byte
 	if m.GetSnapshot() != nil {
 		data = m.Snapshot.Data
 		m.Snapshot.Data = nil
 	}
-	for {
+	for pieces = 1; ; pieces++ {
 		if m.GetSnapshot() != nil {
 			size := min(len(data), chunkBytes)
 			m.Snapshot.Data, data = data[:size], data[size:]
@@ -138,7 +183,7 @@
 		err := stream.Send(m)
 		timer.Stop()
 		if err != nil || !m.GetMore() {
-			return err
+			return pieces, err
 		}
 		m = &controlpb.Message{Snapshot: &controlpb.Snapshot{}}
 	}
@@ -165,12 +210,12 @@
 }
 
 func receive(stream controlpb.DRPCControl_DeliverStream) (*controlpb.Message, error) {
-	first, err := stream.Recv()
+	first, err := receivePiece(stream)
 	if err != nil {
 		return nil, err
 	}
 	for more := first.GetMore(); more; {
-		next, err := stream.Recv()
+		next, err := receivePiece(stream)
 		if err != nil {
 			return nil, err
 		}
@@ -183,6 +228,14 @@
 	return first, nil
 }
 
+func receivePiece(stream controlpb.DRPCControl_DeliverStream) (*controlpb.Message, error) {
+	m, err := stream.Recv()
+	if err != nil {
+		return nil, err
+	}
+	return m, stream.Send(&controlpb.Empty{})
+}
+
 func (n *Node) step(m core.Message, host string) {
 	n.hosts[m.From] = host
 	n.core.Step(n.now(), m)
