shares: regions share a rate from the start of the whole system

While not every region has reported, a holder now gets one part of as many as there are regions.

TestAllocatorSharesTheStart failed before.

--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -47,6 +47,8 @@
 	Targets  *registry.Table
 	Presence *Presence
 	Dial     func(address string) drpc.Conn
+	// Regions is the number of regions of the deployment.
+	Regions int
 	// Process numbers this process, so that a cursor of an earlier one is not used.
 	Process uint64
 
@@ -178,7 +180,7 @@
 	}
 	s.reported[d.GetHost()] = asOf
 	if s.allocator == nil {
-		s.allocator = shares.NewAllocator(now)
+		s.allocator = shares.NewAllocator(now, s.Regions)
 	}
 	in := make([]shares.Demand, len(d.GetDemands()))
 	for i, w := range d.GetDemands() {
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -74,6 +74,15 @@
 	ColdSlack   float64 `toml:"cold_slack"`
 }
 
+// CountRegions returns the number of regions.
+func (d Deployment) CountRegions() int {
+	regions := map[string]bool{}
+	for _, r := range d.Regions {
+		regions[r] = true
+	}
+	return len(regions)
+}
+
 func (s *Settings) deploymentProblems(fail func(string, ...any)) {
 	d := s.Deployment
 	for key, value := range map[string]string{"name": s.Name, "data_centre": s.DataCentre, "region": s.Region} {
--- a/internal/shares/allocator.go
+++ b/internal/shares/allocator.go
@@ -20,6 +20,9 @@
 	// earlier allocator, until their leases have ended. It is above the part of
 	// one region of three.
 	unknownPart = 0.35
+	// startTime is how long after a start of the whole system the holders of all
+	// regions are expected to report for the first time.
+	startTime = 2 * time.Second
 	// evenPart of a rate is divided evenly, so that a host without demand can
 	// serve the first requests of a workspace.
 	evenPart = 0.25
@@ -54,6 +57,8 @@
 // fractions of all hosts add up to at most 1.
 type Allocator struct {
 	since time.Duration
+	// regions is the number of regions, each of which has one holder.
+	regions int
 	// settled is set once a host has reported that does not come from a start of
 	// the whole system.
 	settled bool
@@ -63,8 +68,8 @@
 // NewAllocator starts with nothing granted. For one lease it
 // keeps a part back, because hosts that it has not heard of may hold a fraction
 // of an earlier allocator.
-func NewAllocator(now time.Duration) *Allocator {
-	return &Allocator{since: now, hosts: map[string]map[string]*holding{}}
+func NewAllocator(now time.Duration, regions int) *Allocator {
+	return &Allocator{since: now, regions: regions, hosts: map[string]map[string]*holding{}}
 }
 
 // Report takes a host's demands and returns its grants. uptime is how long the
@@ -115,7 +120,12 @@
 	}
 	switch age := now - a.since; {
 	case !a.settled:
-		// Every host has just started and holds nothing of an earlier allocator.
+		// Every host has just started and holds nothing of an earlier allocator. What
+		// the first one to report gets beyond its part would be missing to the others
+		// until it has reported twice more.
+		if age < startTime && len(holders) < a.regions {
+			target = 1 / float64(a.regions)
+		}
 	case age < settleTime:
 		free = min(free, d.Held)
 	case age < LeaseTime+leaseMargin:
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -23,7 +23,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		type host struct{ held, until float64 }
 		now := 100 * second
-		a := shares.NewAllocator(now)
+		a := shares.NewAllocator(now, 3)
 		hosts := map[string]*host{}
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * ms
@@ -59,7 +59,7 @@
 // and against one that keeps a reserve although the whole system has just started.
 func TestAllocatorStart(t *testing.T) {
 	demand := []shares.Demand{{Workspace: "w", PerSecond: 10}}
-	a := shares.NewAllocator(0)
+	a := shares.NewAllocator(0, 1)
 	if got := a.Report(100*ms, "a", time.Minute, demand)[0].Fraction; got != 0 {
 		t.Errorf("%.2f granted before hosts in contact could report", got)
 	}
@@ -69,15 +69,43 @@
 	if got := a.Report(6*second, "a", time.Minute, demand)[0].Fraction; got != 1 {
 		t.Errorf("%.2f granted after them", got)
 	}
-	fresh := shares.NewAllocator(0)
+	fresh := shares.NewAllocator(0, 1)
 	if got := fresh.Report(100*ms, "a", second, demand)[0].Fraction; got != 1 {
 		t.Errorf("%.2f granted after a start of the whole system", got)
 	}
 }
 
+// Load: callers of all regions come back after a start of the whole system. Guards
+// against a first host that gets the whole rate, so that the other regions refuse all
+// requests until it has given the rest back.
+func TestAllocatorSharesTheStart(t *testing.T) {
+	a := shares.NewAllocator(0, 3)
+	held := map[string]float64{}
+	for now, step := 100*ms, 0; step < 12; now, step = now+200*ms, step+1 {
+		for _, host := range []string{"a", "b", "c"} {
+			demand := map[string]float64{"a": 80, "b": 10, "c": 10}[host]
+			held[host] = a.Report(now, host, now, []shares.Demand{{Workspace: "w", PerSecond: demand, Held: held[host]}})[0].Fraction
+			if held[host] < 0.15 {
+				t.Errorf("host %s holds %.2f at %s", host, held[host], now)
+			}
+		}
+	}
+	if held["a"] < 0.6 {
+		t.Errorf("the busy region holds %.2f after 2.4 s", held["a"])
+	}
+	// A region that does not come back leaves its part to the others.
+	alone := shares.NewAllocator(0, 3)
+	for now := 100 * ms; now < 3*second; now += 200 * ms {
+		held["a"] = alone.Report(now, "a", now, []shares.Demand{{Workspace: "w", PerSecond: 80, Held: held["a"]}})[0].Fraction
+	}
+	if held["a"] != 1 {
+		t.Errorf("the only region holds %.2f after 3 s", held["a"])
+	}
+}
+
 // Guards against a host that keeps the share of one whose demand has moved to it.
 func TestAllocatorFollowsDemand(t *testing.T) {
-	a := shares.NewAllocator(0)
+	a := shares.NewAllocator(0, 1)
 	held := map[string]float64{}
 	for now, step := 10*second, 0; step < 40; now, step = now+200*ms, step+1 {
 		for host, d := range map[string]float64{"busy": 90, "idle": 10} {
