gateway: callers of a starting host wait for its configuration and targets

They now wait up to 1.6 s of uptime, and up to 2.5 s for targets that starting control hosts do not know yet, within 0.3 of their patience.

TestStart failed before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,10 +52,6 @@
 	sendMargin = 10 * time.Millisecond
 	// settleRetry is when a caller may come back to a host that learns the state.
 	settleRetry = 500 * time.Millisecond
-	// quickStart is how long a host usually takes to its first configuration, and
-	// slowStart how long when the control hosts start at the same time.
-	quickStart = 300 * time.Millisecond
-	slowStart  = 1600 * time.Millisecond
 	// regionSilence is the silence of the control hosts of another region, which
 	// are asked every 0.5 s, after which it counts as out of reach.
 	regionSilence = 1300 * time.Millisecond
@@ -95,6 +91,7 @@
 	draining      atomic.Bool
 	refusing      atomic.Bool
 	open          atomic.Int64
+	waiting       atomic.Int64 // requests that wait for the first configuration
 	measures      measures
 
 	mu       sync.Mutex
@@ -237,6 +234,7 @@
 	if x.call, err = g.Caller.Decode(x.request); err != nil {
 		return refusal.New(refusal.InvalidRequest, refusal.NotRun, "%v", err)
 	}
+	g.awaitConfiguration(x)
 	if err := g.identify(x); err != nil {
 		return err
 	}
@@ -261,9 +259,9 @@
 // identify finds route and workspace in the newest view.
 func (g *Gateway) identify(x *exchange) error {
 	x.view = g.Views.Current()
-	age, known := g.Views.Age(x.started)
+	age, _ := g.Views.Age(x.started)
 	x.age = age
-	if x.view == nil || x.view.Config == nil || !known {
+	if !g.Views.usable() {
 		return refusal.New(refusal.Draining, refusal.NotRun, "this host has no configuration yet").WithRetry(g.startRetry())
 	}
 	host := x.request.Host
@@ -288,16 +286,6 @@
 	return nil
 }
 
-// startRetry is when a host that has just started is likely to serve: at once when
-// the control hosts run, otherwise after they have elected a leader.
-func (g *Gateway) startRetry() time.Duration {
-	up := sinceBoot() - g.begun
-	if up < quickStart {
-		return quickStart
-	}
-	return max(settleRetry, slowStart-up)
-}
-
 // deny refuses for a missing route or key only when the view is fresh.
 func (g *Gateway) deny(age time.Duration, e *refusal.Error) error {
 	if age > g.Bounds.DenyLife {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -193,11 +193,22 @@
 	now := clock.SinceBoot()
 	u := fleetsync.Update{Sent: now, Control: "c", ExchangeResponse: &syncpb.ExchangeResponse{Known: true, AgeMs: age.Milliseconds(), Index: 1, Version: 1,
 		Grants: []*syncpb.Grant{{Workspace: "small", Fraction: 1}}}}
+	u.Records = records(targets)
+	f.Apply(now, u)
+}
+
+// announce tells the gateway of targets.
+func (f *fixture) announce(targets ...*target) {
+	now := clock.SinceBoot()
+	f.Apply(now, fleetsync.Update{Sent: now, Control: "c", ExchangeResponse: &syncpb.ExchangeResponse{}, Records: records(targets)})
+}
+
+func records(targets []*target) (out []registry.Record) {
 	for i, s := range targets {
-		u.Records = append(u.Records, registry.Record{ID: fmt.Sprint("t", i), Sequence: 1, Service: "s", DataCentre: "dc", State: registry.Ready,
+		out = append(out, registry.Record{ID: fmt.Sprint("t", i), Sequence: 1, Service: "s", DataCentre: "dc", State: registry.Ready,
 			Address: strings.TrimPrefix(s.URL, "http://")})
 	}
-	f.Apply(now, u)
+	return out
 }
 
 type result struct {
@@ -364,15 +375,45 @@
 	}
 }
 
-// Guards against a host that serves before it knows any configuration.
-func TestNoConfiguration(t *testing.T) {
-	f := newFixture(t)
-	if got := f.call(t, "/safe/"); got.status != 503 || got.header.Get("Ran") != "not_run" || got.header.Get("Retry") == "" {
-		t.Errorf("answer %+v", got)
+// Load: callers of a host that has just started, beside control hosts that start with
+// it. Guards against a host that serves before it knows any configuration, against
+// refusals of requests that could be served a moment later, and against requests that
+// are held although nothing is about to come.
+func TestStart(t *testing.T) {
+	s := newTarget(t, good)
+	f, alone, begun := newFixture(t), newFixture(t), time.Now()
+	refusedAtOnce := func(patience string) {
+		t.Helper()
+		sent := time.Now()
+		got := f.call(t, "/safe/", "Patience", patience)
+		if got.status != 503 || got.header.Get("Ran") != "not_run" || got.header.Get("Retry") == "" {
+			t.Errorf("answer %+v", got)
+		}
+		if d := time.Since(sent); d > 300*time.Millisecond {
+			t.Errorf("refused after %s", d)
+		}
 	}
+	refusedAtOnce("300") // does not wait as long as the start takes
 	if f.Ready() {
 		t.Error("ready without a configuration")
 	}
+	answers := make(chan result, 1)
+	go func() { answers <- f.call(t, "/safe/", "Patience", "4000") }()
+	time.Sleep(200 * time.Millisecond)
+	f.update(0) // the configuration, without targets
+	time.Sleep(200 * time.Millisecond)
+	select {
+	case got := <-answers:
+		t.Errorf("answer %+v before a target is known", got)
+	default:
+	}
+	f.announce(s)
+	if got := <-answers; got.status != 200 || got.body != "whole" {
+		t.Errorf("answer %+v after the start", got)
+	}
+	time.Sleep(time.Until(begun.Add(2 * time.Second)))
+	f = alone
+	refusedAtOnce("4000")
 }
 
 // Guards against requests above a workspace's rate, and against a refusal without
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -79,6 +79,9 @@
 	var last error
 	for {
 		s, err := g.choose(x)
+		if refused, ok := errors.AsType[*refusal.Error](err); ok && g.awaitTarget(ctx, x, refused) {
+			continue
+		}
 		if err != nil {
 			return endOf(x, last, err)
 		}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -25,14 +25,27 @@
 	current atomic.Pointer[View]
 	// validAsOf is the time up to which the view has every acknowledged change.
 	validAsOf atomic.Int64
+	// first is closed when the first configuration is in force.
+	first chan struct{}
 }
 
 // NewViews returns a store without a view.
-func NewViews(codec ConfigurationCodec) *Views { return &Views{codec: codec} }
+func NewViews(codec ConfigurationCodec) *Views {
+	return &Views{codec: codec, first: make(chan struct{})}
+}
 
 // Current returns the view in force, or nil.
 func (v *Views) Current() *View { return v.current.Load() }
 
+// First returns a channel that is closed when the first configuration is in force.
+func (v *Views) First() <-chan struct{} { return v.first }
+
+// usable reports whether requests can be served by the view.
+func (v *Views) usable() bool {
+	c := v.Current()
+	return c != nil && c.Config != nil && v.validAsOf.Load() != 0
+}
+
 // Age returns how old the view may be. It reports false when there is none.
 func (v *Views) Age(now time.Duration) (time.Duration, bool) {
 	asOf := time.Duration(v.validAsOf.Load())
@@ -57,6 +70,13 @@
 // apply takes an answer of a control host. It reports whether the view changed.
 // Calls are serialised.
 func (v *Views) apply(u fleetsync.Update) (changed bool, err error) {
+	if !v.usable() {
+		defer func() {
+			if v.usable() {
+				close(v.first)
+			}
+		}()
+	}
 	index, version := v.position()
 	if u.GetIndex() > index {
 		next := &View{Index: u.GetIndex(), Evacuated: positions(u.GetEvacuated()), Restored: positions(u.GetRestored())}
