shares: the wait for tokens is bounded

The wait for the cost overflowed to a negative time, the request asked again without a pause, and edge-gijon-a-2 stood still from 3.8 s to 5.7 s (16.5 s of real processor time instead of 4). Forwarded streams stalled and were cut at a planned stop of the host that they came from.

TestBucketWaitIsBounded failed before.

--- a/internal/shares/bucket.go
+++ b/internal/shares/bucket.go
@@ -48,6 +48,14 @@
 	b.spare = tokens
 }
 
+const (
+	// MaxWait bounds the wait that Take returns: within it the fractions follow the
+	// demand, also one that is as small as the rounding error of what others hold.
+	MaxWait = 2500 * time.Millisecond
+	// leastWait keeps callers from asking again at once.
+	leastWait = time.Millisecond
+)
+
 // noShareRetry is when a host without a fraction is likely to have one.
 const noShareRetry = 500 * time.Millisecond
 
@@ -107,11 +115,12 @@
 		b.level -= cost
 		return true, 0
 	}
-	held := b.Held(now)
-	if held <= 0 {
+	perSecond := b.rate * b.Held(now)
+	if perSecond <= 0 {
 		return false, noShareRetry
 	}
-	return false, time.Duration((need - b.level) / (b.rate * held) * float64(time.Second))
+	seconds := (need - b.level) / perSecond
+	return false, max(leastWait, time.Duration(min(seconds, MaxWait.Seconds())*float64(time.Second)))
 }
 
 // Return gives back what a request did not use.
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -270,3 +270,22 @@
 		t.Error("the first fraction gave the first tokens again")
 	}
 }
+
+// Guards against a wait that overflows or is not positive: a host whose fraction is
+// the rounding error of what others hold would ask again and again without a pause.
+func TestBucketWaitIsBounded(t *testing.T) {
+	for _, fraction := range []float64{0, 1e-17, 1e-9, 1e-3, 1} {
+		for _, spare := range []float64{0, 100} {
+			var b shares.Bucket
+			b.SetLimits(0, 1000, 1000)
+			b.SetSpare(spare)
+			b.SetFraction(0, fraction, 5*second)
+			for now := time.Duration(0); now < second; now += 10 * ms {
+				ok, wait := b.Take(now, 5000, now == 0)
+				if !ok && (wait <= 0 || wait > shares.MaxWait) {
+					t.Fatalf("wait %s with fraction %g and spare %g", wait, fraction, spare)
+				}
+			}
+		}
+	}
+}
