placement: requests that would begin after their objective are refused

A region that takes a forwarded request refuses it when it would wait longer than told, and each answer of it brings the load there; the load counts for the region, not for the host that reported it.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -22,6 +22,11 @@
 	// headerRan marks an answer of the host itself and says what is known of the
 	// execution.
 	headerRan = "Geraniumturn-Ran"
+	// headerLoad is how busy the targets of the request's service are in the region
+	// of the host that answers.
+	headerLoad = "Geraniumturn-Load"
+	// ranNowhere in headerRan means that no target was asked.
+	ranNowhere refusal.Ran = "nowhere"
 )
 
 // forwarded is what one entry host tells another with a request.
@@ -29,6 +34,10 @@
 	Service     string `json:"service"`
 	Workspace   string `json:"workspace,omitempty"`
 	RemainingMS int64  `json:"remaining_ms"`
+	// WaitMS is how long the request may wait for its first byte, ObjectiveMS the time
+	// to it that earns full credit.
+	WaitMS      int64  `json:"wait_ms"`
+	ObjectiveMS int64  `json:"objective_ms"`
 	Urgency     int    `json:"urgency"`
 	LastEvent   string `json:"last_event,omitempty"`
 	// Bound requests have homes: their prompts may not leave the region.
@@ -56,23 +65,28 @@
 	started := sinceBoot()
 	var f forwarded
 	if err := json.Unmarshal([]byte(r.Header.Get(headerForward)), &f); err != nil {
-		refuseForward(w, refusal.NotRun, fmt.Errorf("no forwarded request: %w", err))
+		refuseForward(w, ranNowhere, fmt.Errorf("no forwarded request: %w", err))
+		return
+	}
+	if g.refusing.Load() {
+		refuseForward(w, ranNowhere, errors.New("this host is shutting down"))
 		return
 	}
 	call, err := g.Caller.Decode(r)
 	if err != nil {
-		refuseForward(w, refusal.NotRun, err)
+		refuseForward(w, ranNowhere, err)
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, defaultMaxBody))
 	if err != nil {
-		refuseForward(w, refusal.NotRun, err)
+		refuseForward(w, ranNowhere, err)
 		return
 	}
 	x := &exchange{call: call, request: r, body: body, service: f.Service, started: started, ran: refusal.NotRun, last: f.LastEvent,
 		deadline: started + time.Duration(f.RemainingMS)*time.Millisecond, tried: map[string]bool{}, regions: map[string]bool{},
-		route:  &document.Route{Kind: document.Streaming, Resumable: !f.Careful},
-		place:  placement.Request{Service: f.Service, Model: call.Model, Parts: call.Parts, Prompt: call.Prompt, Output: call.Output, Bound: f.Bound},
+		route: &document.Route{Kind: document.Streaming, Resumable: !f.Careful},
+		place: placement.Request{Service: f.Service, Model: call.Model, Parts: call.Parts, Prompt: call.Prompt, Output: call.Output, Bound: f.Bound,
+			Objective: time.Duration(f.ObjectiveMS) * time.Millisecond, Time: time.Duration(f.RemainingMS) * time.Millisecond},
 		header: g.Targets.Header(r.Header)}
 	x.header.Del(headerForward)
 	ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(x.deadline-started))
@@ -84,14 +98,18 @@
 	case err == nil:
 	case x.answered || errors.Is(err, errCallerGone):
 		panic(http.ErrAbortHandler)
+	case x.sends == 0:
+		g.setLoad(w.Header(), f.Service)
+		refuseForward(w, ranNowhere, err)
 	default:
+		g.setLoad(w.Header(), f.Service)
 		refuseForward(w, x.ran, err)
 	}
 }
 
 // runForward sends the request to one target and passes its answer on unread.
 func (g *Gateway) runForward(ctx context.Context, w http.ResponseWriter, x *exchange, f forwarded) error {
-	s, err := g.chooseLocal(x)
+	s, err := g.chooseLocal(x, time.Duration(f.WaitMS)*time.Millisecond)
 	if err != nil {
 		return err
 	}
@@ -113,6 +131,8 @@
 		return fmt.Errorf("target %s rejected the request with status %d", s.target, res.Status)
 	}
 	x.ran = refusal.Unknown
+	res.Header.Del(headerLoad)
+	g.setLoad(w.Header(), f.Service)
 	if err := g.relayStream(w, x, s, res); err != nil {
 		if ctx.Err() == nil {
 			outcome = placement.Failed
@@ -126,8 +146,9 @@
 	return nil
 }
 
-// chooseLocal finds a target of this region for a forwarded request.
-func (g *Gateway) chooseLocal(x *exchange) (*send, error) {
+// chooseLocal finds a target of this region for a forwarded request, whose first byte
+// is expected within the patience.
+func (g *Gateway) chooseLocal(x *exchange, patience time.Duration) (*send, error) {
 	now := sinceBoot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -135,10 +156,31 @@
 	if !ok {
 		return nil, fmt.Errorf("no target of service %s can take the request", x.service)
 	}
+	if patience = max(patience, placement.QueueLimit(x.place.Objective, choice.Alone)); choice.Wait > patience {
+		return nil, fmt.Errorf("the first byte is expected after %s, the request may wait for %s", choice.Wait, patience)
+	}
 	x.target, x.wait = choice.Target.ID, choice.Wait
 	return g.start(now, x, choice), nil
 }
 
+// setLoad adds the load of this region to an answer for another host.
+func (g *Gateway) setLoad(h http.Header, service string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e, ok := g.placer.Usual(sinceBoot(), service); ok {
+		h.Set(headerLoad, fmt.Sprintf("%d,%d", e.Wait.Microseconds(), e.PerToken().Microseconds()))
+	}
+}
+
+// decodeLoad reads a load, and reports false when there is none.
+func decodeLoad(value string) (placement.Load, bool) {
+	var wait, perToken int64
+	if _, err := fmt.Sscanf(value, "%d,%d", &wait, &perToken); err != nil {
+		return placement.Load{}, false
+	}
+	return placement.Load{Wait: time.Duration(wait) * time.Microsecond, PerToken: time.Duration(perToken) * time.Microsecond}, true
+}
+
 func refuseForward(w http.ResponseWriter, ran refusal.Ran, err error) {
 	w.Header().Set(headerRan, string(ran))
 	status := http.StatusServiceUnavailable
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,6 +99,7 @@
 	buckets  map[string]*shares.Bucket
 	budgets  map[string]*shares.Budget
 	hosts    map[string]*peerHost
+	regions  map[string]*placement.Region // other regions, by name
 	restored map[string]restoration
 	// regionHeard is when a control host of a region last answered.
 	regionHeard map[string]time.Duration
@@ -117,8 +118,6 @@
 type peerHost struct {
 	*syncpb.EntryHost
 	heard time.Duration
-	// forwards are the times of the latest requests that were sent there.
-	forwards []time.Duration
 }
 
 // restoration is an evacuation that ended.
@@ -141,7 +140,7 @@
 	g.local.Opened = func() { opened.Inc(1) }
 	g.placer = placement.New(placement.DefaultEngine(readSpeed), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	g.buckets, g.budgets = map[string]*shares.Bucket{}, map[string]*shares.Budget{}
-	g.hosts, g.restored = map[string]*peerHost{}, map[string]restoration{}
+	g.hosts, g.regions, g.restored = map[string]*peerHost{}, map[string]*placement.Region{}, map[string]restoration{}
 	g.regionHeard = map[string]time.Duration{}
 	g.roster = shares.NewRoster(g.Name, g.begun)
 	g.placer.Reachable = func(now time.Duration, region string) bool { return now-g.regionHeard[region] < regionSilence }
@@ -201,7 +200,7 @@
 
 	sends    int // targets that the request was sent to
 	tried    map[string]bool
-	regions  map[string]bool
+	regions  map[string]bool // other regions that it was forwarded to
 	ran      refusal.Ran
 	target   string
 	forward  string
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -12,6 +12,7 @@
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/refusal"
+	"geraniumturn.example/geraniumturn/internal/rendezvous"
 	"geraniumturn.example/geraniumturn/internal/upstream"
 )
 
@@ -29,23 +30,13 @@
 	gapPatience       = 8
 	// rejectedPause is how long a target that has another's address is passed over.
 	rejectedPause = 1500 * time.Millisecond
-	// forwardWay is the time to and from a host of another region.
-	forwardWay = 130 * time.Millisecond
 	// forwardGain is how much less the expected cost must be in another region, as
 	// a part of the credit of a request.
 	forwardGain = 0.12
-	// forwardMemory is the age of another region's report, and forwardLoad what
-	// each request that was sent since adds to the wait there.
-	forwardMemory = 600 * time.Millisecond
-	forwardLoad   = 12 * time.Millisecond
-	// loadAge bounds the age of another host's load.
+	// loadAge is the silence of another host after which it gets no requests.
 	loadAge = 2500 * time.Millisecond
 )
 
-// patienceParts are the parts of a caller's patience that may be planned for the
-// first byte, by the priority of the route.
-var patienceParts = []float64{0.8, 0.55, 0.45}
-
 // attemptError is the end of one send.
 type attemptError struct {
 	ran refusal.Ran
@@ -67,6 +58,10 @@
 	target  string
 	address string
 	forward bool
+	// region is that of a host that the request is forwarded to, and patience how long
+	// it may wait for the first byte there.
+	region   string
+	patience time.Duration
 	// source has parts of the prompt that the target lacks, or "".
 	source string
 	// begun is set at the first byte of the answer.
@@ -178,7 +173,8 @@
 	} else {
 		remote = nil
 	}
-	switch patience := g.patience(x) - (now - x.started); {
+	patience := g.patience(now, x, local.Alone)
+	switch {
 	case remote == nil && !usable:
 		return nil, refusal.New(refusal.NoTarget, refusal.NotRun, "no target of service %s can take the request", x.service).WithRetry(settleRetry)
 	case local.Wait > patience:
@@ -187,11 +183,12 @@
 	}
 	x.wait = local.Wait
 	if remote != nil {
-		x.regions[remote.GetName()] = true
+		x.regions[remote.GetRegion()] = true
 		x.forward, x.target = remote.GetName(), remote.GetName()
-		remote.sent(now)
+		g.region(remote.GetRegion()).Sent(now)
 		g.measures.forwarded.Inc(1)
-		return &send{target: remote.GetName(), address: remote.GetForward(), forward: true}, nil
+		return &send{target: remote.GetName(), address: remote.GetForward(), forward: true, region: remote.GetRegion(),
+			patience: placement.RemotePatience(patience)}, nil
 	}
 	x.tried[local.Target.ID] = true
 	x.target = local.Target.ID
@@ -208,16 +205,14 @@
 	return s
 }
 
-// patience is how long the caller of a request may be made to wait for the first
-// byte. Less urgent routes yield earlier when there is not room for all.
-func (g *Gateway) patience(x *exchange) time.Duration {
-	limit := x.deadline - x.started
+// patience is how much longer the caller of a request may be made to wait for the
+// first byte, where it would wait for some time without other work.
+func (g *Gateway) patience(now time.Duration, x *exchange, alone time.Duration) time.Duration {
+	leave := x.deadline - x.started
 	if x.route.Kind == document.Streaming {
-		leave := max(leastPatience, objectivePatience*x.route.Objective, gapPatience*x.route.MaxGap)
-		limit = min(limit, leave)
+		leave = min(leave, max(leastPatience, objectivePatience*x.route.Objective, gapPatience*x.route.MaxGap))
 	}
-	part := patienceParts[min(max(0, x.route.Priority), len(patienceParts)-1)]
-	return time.Duration(part * float64(limit))
+	return placement.FirstByteLimit(x.route.Priority, x.route.Objective, leave, alone) - (now - x.started)
 }
 
 // elsewhere is what a request may expect in another region.
@@ -226,40 +221,72 @@
 	cost float64
 }
 
-// remoteFor returns the host of another region with the least expected cost, with
-// g.mu held.
+// remoteFor returns a host of the other region with the least expected cost, with
+// g.mu held. Hosts that do not serve callers are a last resort: one that shuts down
+// still takes forwarded requests for a while.
 func (g *Gateway) remoteFor(now time.Duration, x *exchange) (*peerHost, elsewhere) {
 	var best *peerHost
 	var least elsewhere
+	costs := map[string]*elsewhere{} // by region; nil for those that are no choice
 	for _, h := range g.hosts {
-		if g.LocalOnly || h.GetRegion() == g.Region || !h.GetServing() || h.GetForward() == "" || now-h.heard > loadAge || x.regions[h.GetName()] ||
-			!document.Allows(x.route, x.workspace, h.GetRegion()) {
+		if g.LocalOnly || h.GetRegion() == g.Region || h.GetForward() == "" || now-h.heard > loadAge {
 			continue
 		}
-		e, ok := h.expect(x.service, x.place.Output)
-		if !ok {
-			continue
+		c, known := costs[h.GetRegion()]
+		if !known {
+			c = g.expectElsewhere(now, x, h.GetRegion())
+			costs[h.GetRegion()] = c
 		}
-		// Requests that were forwarded since the report are not in it.
-		e.Wait += time.Duration(h.recent(now)) * forwardLoad
-		c := elsewhere{e, placement.RemoteCost(e, &x.place, len(x.body))}
-		if best == nil || c.cost < least.cost || c.cost == least.cost && h.GetName() < best.GetName() {
-			best, least = h, c
+		if c != nil && (best == nil || c.cost < least.cost || c.cost == least.cost && h.before(best, x.call.ID)) {
+			best, least = h, *c
 		}
 	}
 	return best, least
 }
 
-// recent counts the requests that were forwarded to the host within the age of its
-// report.
-func (h *peerHost) recent(now time.Duration) int {
-	for len(h.forwards) > 0 && now-h.forwards[0] > forwardMemory {
-		h.forwards = h.forwards[1:]
+// expectElsewhere returns what a request may expect in another region, or nil when it
+// may not go there.
+func (g *Gateway) expectElsewhere(now time.Duration, x *exchange, region string) *elsewhere {
+	if x.regions[region] || !document.Allows(x.route, x.workspace, region) {
+		return nil
+	}
+	e, ok := g.placer.ExpectIn(now, g.region(region), &x.place)
+	if !ok {
+		return nil
+	}
+	return &elsewhere{e, placement.RemoteCost(e, &x.place, len(x.body))}
+}
+
+// before orders the hosts of a region for a request, so that requests spread over
+// them: those that serve come first.
+func (h *peerHost) before(other *peerHost, id string) bool {
+	if h.GetServing() != other.GetServing() {
+		return h.GetServing()
 	}
-	return len(h.forwards)
+	return rendezvous.Weight(id, h.GetName()) > rendezvous.Weight(id, other.GetName())
 }
 
-func (h *peerHost) sent(now time.Duration) { h.forwards = append(h.forwards, now) }
+// region returns what is known of another region, with g.mu held.
+func (g *Gateway) region(name string) *placement.Region {
+	r := g.regions[name]
+	if r == nil {
+		r = placement.NewRegion()
+		g.regions[name] = r
+	}
+	return r
+}
+
+// learnLoad takes the load that came with the answer of a host of another region.
+func (g *Gateway) learnLoad(x *exchange, s *send, h http.Header) {
+	load, ok := decodeLoad(h.Get(headerLoad))
+	if !ok {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	load.At = sinceBoot()
+	g.region(s.region).Learn(x.service, load)
+}
 
 // attempt sends the request to one destination and passes the answer on.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, x *exchange, s *send) error {
@@ -275,6 +302,14 @@
 		return err
 	}
 	defer res.Close()
+	if s.forward {
+		g.learnLoad(x, s, res.Header)
+		res.Header.Del(headerLoad)
+		if refusal.Ran(res.Header.Get(headerRan)) == ranNowhere {
+			x.sends--
+			return &attemptError{ran: refusal.NotRun, unsent: true, err: fmt.Errorf("host %s refused the request", s.target)}
+		}
+	}
 	verdict := g.judge(s, res)
 	if verdict.NotRun {
 		outcome = placement.Rejected
@@ -342,7 +377,7 @@
 	if s.forward {
 		pool = g.remote
 		if err := setForward(header, forwarded{Service: x.service, Workspace: x.workspaceName(), RemainingMS: remaining.Milliseconds(),
-			Urgency: x.urgency, LastEvent: x.last, Careful: !x.route.Repeatable(), Bound: x.place.Bound}); err != nil {
+			WaitMS: s.patience.Milliseconds(), ObjectiveMS: x.route.Objective.Milliseconds(), Urgency: x.urgency, LastEvent: x.last, Careful: !x.route.Repeatable(), Bound: x.place.Bound}); err != nil {
 			return nil, err
 		}
 	} else {
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
@@ -132,6 +133,10 @@
 	if h.GetRegion() == g.Region {
 		g.roster.Note(h.GetName(), heard)
 	}
+	for _, l := range h.GetLoads() {
+		g.region(h.GetRegion()).Learn(l.GetService(), placement.Load{Wait: clock.Millis(float64(l.GetWaitMs())),
+			PerToken: time.Duration(l.GetTokenUs()) * time.Microsecond, At: heard})
+	}
 	old := g.hosts[h.GetName()]
 	switch {
 	case old == nil:
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/placement"
@@ -74,23 +73,3 @@
 	}
 	return &syncpb.Empty{}, nil
 }
-
-// load returns what the host reported of its targets of a service.
-func (h *peerHost) load(service string) (*syncpb.Load, bool) {
-	for _, l := range h.GetLoads() {
-		if l.GetService() == service {
-			return l, true
-		}
-	}
-	return nil, false
-}
-
-// expect returns what a request may expect that is forwarded to the host.
-func (h *peerHost) expect(service string, output int64) (placement.Expectation, bool) {
-	l, ok := h.load(service)
-	if !ok {
-		return placement.Expectation{}, false
-	}
-	wait := time.Duration(l.GetWaitMs())*time.Millisecond + forwardWay
-	return placement.Expectation{Wait: wait, Total: wait + time.Duration(l.GetTokenUs()*output)*time.Microsecond}, true
-}
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -30,6 +30,8 @@
 type Expectation struct {
 	// Wait is the time to the first byte, Total the time to the end of the answer.
 	Wait, Total time.Duration
+	// Alone is the time to the first byte at a target without other work.
+	Alone time.Duration
 }
 
 // rate estimates how a request would fare at a target. from has the targets that it
@@ -103,6 +105,7 @@
 	chunkTime := p.engine.Chunk / p.engine.ReadSpeed * float64(time.Second)
 	read := (u.Unread + max(0, unread)) / p.engine.ReadSpeed * float64(time.Second) * (1 + step/chunkTime)
 	wait := float64(p.engine.FirstToken) + read
+	alone := float64(p.engine.FirstToken) + p.engine.readTime(unread)
 	if over := u.Running + 1 - t.Slots; over > 0 {
 		wait += t.work * float64(over) / float64(t.Slots)
 	}
@@ -112,14 +115,19 @@
 	// While prompts are read, each step takes a chunk longer.
 	reading := min(1, u.Unread/p.engine.Chunk) * chunkTime / 2
 	total := wait + outputPart*float64(r.Output)*(step+reading)
-	return Expectation{time.Duration(wait), time.Duration(total)}
+	return Expectation{time.Duration(wait), time.Duration(total), time.Duration(alone)}
+}
+
+// readTime is the time in nanoseconds that an idle engine takes to read a prompt.
+func (e Engine) readTime(tokens float64) float64 {
+	return max(0, tokens) / e.ReadSpeed * float64(time.Second) * (1 + float64(e.Step)*e.ReadSpeed/e.Chunk/float64(time.Second))
 }
 
 // expectService models a plain service: requests beyond its slots wait for one.
 func (t *Target) expectService(now time.Duration) Expectation {
 	u := t.use(now)
 	wait := t.work*(1+max(0, float64(u.Running+1-t.Slots))/float64(t.Slots)) + float64(u.Running)*float64(time.Millisecond)
-	return Expectation{time.Duration(wait), time.Duration(wait)}
+	return Expectation{time.Duration(wait), time.Duration(wait), time.Duration(t.work)}
 }
 
 const (
