gateway: streams that break late are resumed

It may now go on within 0.8 of the time in which callers leave without an event.

TestResume (broken after the objective) failed before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -210,6 +210,7 @@
 	status   int
 	answered bool
 	last     string // last event that was delivered
+	lastAt   time.Duration
 }
 
 // ServeHTTP serves a caller.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -162,6 +162,15 @@
 	}
 }
 
+// after sends an event, waits and goes on.
+func after(d time.Duration, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		events(false, 0)(w, r)
+		time.Sleep(d)
+		next(w, r)
+	}
+}
+
 type fixture struct {
 	*gateway.Gateway
 	front *httptest.Server
@@ -340,6 +349,10 @@
 	if last := s.requests[2].Header.Get("Last"); last != "4" {
 		t.Errorf("the third target was asked to go on after %q", last)
 	}
+	late := newTarget(t, after(time.Second, events(true, 1)), events(false, 2))
+	if got := start(t, late, late).call(t, "/resume/"); got.err != nil || !strings.HasSuffix(got.body, "id: 2\ndata: 2\n\n") {
+		t.Errorf("broken after the objective: error %v, stream %q", got.err, got.body)
+	}
 	s = newTarget(t, events(true, 1))
 	if got := start(t, s, s, s, s).call(t, "/resume/"); got.err == nil || s.count() != 3 {
 		t.Errorf("error %v after %d targets, want a cut after 3", got.err, s.count())
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -204,6 +204,7 @@
 			x.last = id
 		}
 	}
+	x.lastAt = sinceBoot()
 	return callerError(http.NewResponseController(w).Flush())
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -28,6 +28,9 @@
 	leastPatience     = 2 * time.Second
 	objectivePatience = 4
 	gapPatience       = 8
+	// gapPart is the part in 100 of the time after which callers leave a stream without
+	// an event that may pass before it goes on.
+	gapPart = 80
 	// rejectedPause is how long a target that has another's address is passed over.
 	rejectedPause = 1500 * time.Millisecond
 	// forwardGain is how much less the expected cost must be in another region, as
@@ -212,6 +215,9 @@
 	if x.route.Kind == document.Streaming {
 		leave = min(leave, max(leastPatience, objectivePatience*x.route.Objective, gapPatience*x.route.MaxGap))
 	}
+	if x.answered { // the caller has a part of the stream and waits for the next event
+		return min(x.deadline, x.lastAt+leave*gapPart/100) - now
+	}
 	return placement.FirstByteLimit(x.route.Priority, x.route.Objective, leave, alone) - (now - x.started)
 }
 
