gateway: the line of a request says what its choice was made from

Running requests, unread prompt and memory of the target, the age of what other hosts said, the cached part of the prompt and the caller's estimate of the answer, also when the request was refused.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -159,7 +159,7 @@
 	if patience = max(patience, placement.QueueLimit(x.place.Objective, choice.Alone)); choice.Wait > patience {
 		return nil, fmt.Errorf("the first byte is expected after %s, the request may wait for %s", choice.Wait, patience)
 	}
-	x.target, x.wait = choice.Target.ID, choice.Wait
+	x.target, x.chosen = choice.Target.ID, choice
 	return g.start(now, x, choice), nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -204,8 +204,8 @@
 	ran      refusal.Ran
 	target   string
 	forward  string
-	first    time.Duration // time to the first byte
-	wait     time.Duration // expected when the target was chosen
+	first    time.Duration    // time to the first byte
+	chosen   placement.Choice // the last one, also when the request was refused
 	resumes  int
 	status   int
 	answered bool
@@ -401,12 +401,16 @@
 	}
 	if x.target != "" {
 		fields["target"], fields["sends"] = x.target, x.sends
-		fields["first_ms"], fields["expected_ms"], fields["status"] = x.first.Milliseconds(), x.wait.Milliseconds(), x.status
+		fields["first_ms"], fields["status"] = x.first.Milliseconds(), x.status
+	}
+	describeChoice(fields, x.chosen)
+	if x.call.Prompt > 0 {
+		fields["prompt"], fields["output"], fields["likely"] = x.call.Prompt, x.call.Output, x.call.Likely
 	}
 	if x.forward != "" {
 		fields["forward"] = x.forward
 	}
-	if x.resumes > 0 {
+	if x.last != "" {
 		fields["resumes"], fields["last_event"] = x.resumes, x.last
 	}
 	if err != nil {
@@ -414,3 +418,15 @@
 	}
 	g.Log.WithFields(fields).Info("request")
 }
+
+// describeChoice adds what a choice was made from.
+func describeChoice(fields logrus.Fields, c placement.Choice) {
+	if c.Wait == 0 {
+		return
+	}
+	fields["expected_ms"] = c.Wait.Milliseconds()
+	if c.Target != nil {
+		fields["running"], fields["unread"], fields["memory"] = c.Found.Running, int64(c.Found.Unread), c.Found.Memory
+		fields["usage_age_ms"], fields["cached"] = c.Age.Milliseconds(), c.Read
+	}
+}
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -22,6 +22,9 @@
 	// Prompt and Output are its tokens; Counted tells that the caller gave them.
 	Prompt, Output int64
 	Counted        bool
+	// Likely is the caller's estimate of the tokens of the answer, of which Output is
+	// the most; 0 when it has none.
+	Likely int64
 	// LastEvent is the last event that the caller has of a broken stream.
 	LastEvent string
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -172,10 +172,11 @@
 	}
 	remote, there := g.remoteFor(now, x)
 	if remote != nil && (!usable || there.cost+forwardGain < local.Cost) {
-		local.Expectation = there.Expectation
+		local = placement.Choice{Expectation: there.Expectation}
 	} else {
 		remote = nil
 	}
+	x.chosen = local
 	patience := g.patience(now, x, local.Alone)
 	switch {
 	case remote == nil && !usable:
@@ -184,7 +185,6 @@
 		return nil, refusal.New(refusal.Overloaded, refusal.NotRun, "the first byte is expected after %s, the caller waits for %s", local.Wait, patience).
 			WithRetry(max(shortRetry, local.Wait-patience))
 	}
-	x.wait = local.Wait
 	if remote != nil {
 		x.regions[remote.GetRegion()] = true
 		x.forward, x.target = remote.GetName(), remote.GetName()
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -38,8 +38,9 @@
 // may fetch parts of the prompt from.
 func (p *Placer) rate(now time.Duration, t *Target, r *Request, from sources) Choice {
 	c := Choice{Target: t}
+	c.Found, c.Age = t.use(now)
 	if t.cache == nil {
-		c.Expectation = t.expectService(now)
+		c.Expectation = t.expectService(c.Found)
 	} else {
 		hit := t.cache.hit(r.keys, r.Parts)
 		c.Cost = missCost * float64(p.recentBeyond(now, r, hit))
@@ -49,7 +50,8 @@
 				c.Source, c.Cost, hit = s.target, fetched, s.tokens
 			}
 		}
-		c.Expectation = p.expectEngine(now, t, r, float64(r.Prompt-hit))
+		c.Read = hit
+		c.Expectation = p.expectEngine(t, c.Found, r, float64(r.Prompt-hit))
 	}
 	c.Cost += delayCost(c.Wait, r.Objective) + t.failureRate(now)
 	if r.Time > 0 && c.Total > r.Time {
@@ -99,8 +101,7 @@
 // expectEngine models an engine: a request waits for a slot and for memory, then
 // its prompt is read behind those that came before, in chunks between the steps of
 // running requests.
-func (p *Placer) expectEngine(now time.Duration, t *Target, r *Request, unread float64) Expectation {
-	u := t.use(now)
+func (p *Placer) expectEngine(t *Target, u Usage, r *Request, unread float64) Expectation {
 	step := float64(p.engine.Step) + float64(p.engine.SlotStep)*float64(min(u.Running, t.Slots))
 	chunkTime := p.engine.Chunk / p.engine.ReadSpeed * float64(time.Second)
 	read := (u.Unread + max(0, unread)) / p.engine.ReadSpeed * float64(time.Second) * (1 + step/chunkTime)
@@ -124,8 +125,7 @@
 }
 
 // expectService models a plain service: requests beyond its slots wait for one.
-func (t *Target) expectService(now time.Duration) Expectation {
-	u := t.use(now)
+func (t *Target) expectService(u Usage) Expectation {
 	wait := t.work*(1+max(0, float64(u.Running+1-t.Slots))/float64(t.Slots)) + float64(u.Running)*float64(time.Millisecond)
 	return Expectation{time.Duration(wait), time.Duration(wait), time.Duration(t.work)}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -122,15 +122,16 @@
 	at time.Duration
 }
 
-// use returns what all hosts occupy at the target, as far as known.
-func (t *Target) use(now time.Duration) Usage {
-	u := t.own
+// use returns what all hosts occupy at the target, as far as known, and how old the
+// oldest part of it is.
+func (t *Target) use(now time.Duration) (u Usage, age time.Duration) {
+	u = t.own
 	for _, o := range t.others {
 		if now-o.at <= peerLife {
-			u = u.add(o.Usage)
+			u, age = u.add(o.Usage), max(age, now-o.at)
 		}
 	}
-	return u
+	return u, age
 }
 
 // Placer holds the targets that this host may use. It is not safe for concurrent
@@ -273,6 +274,11 @@
 	Cost float64
 	// Source has parts of the prompt that Target lacks, or is nil.
 	Source *Target
+	// Found is what occupied the target, as far as known, and Age how old the oldest
+	// part of it is. Read is how much of the prompt the target is believed to have.
+	Found Usage
+	Age   time.Duration
+	Read  int64
 }
 
 // Choose returns the target with the least expected cost among those that are not
