control, controlplane: log membership, the state on disk and answered reads

New lines: control members, control log opened, read. They are written on a change, a start and an operator's read, so their volume does not depend on the load.

--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -194,6 +194,8 @@
 	if loaded.TruncatedBytes > 0 {
 		n.config.Logger.WithField("bytes", loaded.TruncatedBytes).Warn("removed an incomplete record at the end of the control log")
 	}
+	n.config.Logger.WithFields(logrus.Fields{"id": loaded.ID, "term": loaded.State.Term, "vote": loaded.State.Vote,
+		"snapshot": loaded.Snapshot.Index, "last": loaded.Base + uint64(len(loaded.Entries))}).Info("control log opened")
 	n.storage, n.id = disk, loaded.ID
 	n.applied, n.snapshotIndex, n.storedSnapshot, n.appliedBytes = loaded.Snapshot.Index, loaded.Snapshot.Index, loaded.Snapshot, 0
 	n.core = core.New(core.Config{
@@ -510,8 +512,24 @@
 			n.elections.Inc(1)
 		}
 		n.config.Logger.WithFields(logrus.Fields{"term": s.Term, "leader": memberHost(s, s.Leader)}).Info("control term")
-		n.loggedStatus = s
 	}
+	if !slices.Equal(s.Members, n.loggedStatus.Members) {
+		voters, learners := hostsByRole(s.Members)
+		n.config.Logger.WithFields(logrus.Fields{"voters": voters, "learners": learners, "last": s.LastIndex, "commit": s.Commit}).Info("control members")
+	}
+	n.loggedStatus = s
+}
+
+// hostsByRole returns the hosts of the voters and those of the learners.
+func hostsByRole(members []core.Member) (voters, learners []string) {
+	for _, m := range members {
+		if m.Learner {
+			learners = append(learners, m.Host)
+		} else {
+			voters = append(voters, m.Host)
+		}
+	}
+	return voters, learners
 }
 
 func memberHost(s core.Status, id string) string {
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -105,7 +105,10 @@
 		s.Logger.Info("read refused: no contact with the leader")
 		return nil, fmt.Errorf("%w: no contact with the leader", ErrUnavailable)
 	}
+	report := s.Node.Report()
 	state, _ := s.Document.State()
+	s.Logger.WithFields(logrus.Fields{"version": state.Version, "index": state.Index, "role": report.Role, "lease": report.Lease,
+		"term": report.Term, "commit": report.Commit, "leader": report.Leader}).Info("read")
 	if state.Version == 0 {
 		return nil, fmt.Errorf("%w: no document stored yet", ErrUnavailable)
 	}
