control/core: replace a silent voter before the next disk may be lost

Cause: the successor stayed a learner for 10 s (voterReplaceDelay, counted from the election), so the host that was gone still counted as a voter when the next disk was lost: one of three voters was left. The class of fault is a repair that takes longer than the fault model allows between two losses.

Change: a voter that has been silent for 1.5 s is replaced by a learner that has all committed entries. The silence of the former leader counts from its last message.

--- a/internal/control/core/core.go
+++ b/internal/control/core/core.go
@@ -74,6 +74,8 @@
 	role       Role
 	leader     string // the leader that this voter follows
 	termLeader string // the leader of this term, once known
+	// lastLeader sent the last message of a leader, at leaderContactAt.
+	lastLeader string
 	// leaderContactAt is when the last message from a leader arrived, or when this
 	// voter started.
 	leaderContactAt  time.Duration
--- a/internal/control/core/election.go
+++ b/internal/control/core/election.go
@@ -222,6 +222,9 @@
 	c.progress, c.joinRequests = map[string]*progress{}, map[string]*joinRequest{}
 	c.quorumAckedAt, c.leaderSince = c.now, c.now
 	c.trackMembers()
+	if p := c.progress[c.lastLeader]; p != nil {
+		p.silentSince = c.leaderContactAt
+	}
 	c.termStartIndex = c.log.last() + 1
 	c.appendAsLeader(Entry{Kind: EntryNoop})
 	c.broadcast()
--- a/internal/control/core/members.go
+++ b/internal/control/core/members.go
@@ -60,7 +60,7 @@
 			continue
 		}
 		if current[m.ID] = c.progress[m.ID]; current[m.ID] == nil {
-			current[m.ID] = &progress{next: c.log.last() + 1}
+			current[m.ID] = &progress{next: c.log.last() + 1, silentSince: c.now}
 		}
 	}
 	c.progress = current
@@ -137,12 +137,12 @@
 			return
 		}
 	}
-	if next, ok := c.withoutUnresponsiveVoter(); ok {
+	if next, ok := c.withoutSurplusVoter(); ok {
 		c.changeMembers(next)
 		return
 	}
 	for _, m := range c.Members() {
-		if p := c.progress[m.ID]; m.Learner && p != nil && p.match >= c.commit && c.needsVoter() {
+		if c.canPromote(m) && (c.needsVoter() || c.hasUnresponsiveVoter()) {
 			c.changeMembers(c.withPromoted(m.ID))
 			return
 		}
@@ -168,24 +168,38 @@
 	return voters
 }
 
-// withoutUnresponsiveVoter returns the membership without a voter that has been
-// unresponsive for voterReplaceDelay. It reports false unless a learner with all
-// committed entries can replace that voter.
-func (c *Core) withoutUnresponsiveVoter() ([]Member, bool) {
-	if c.voterCount == 0 || c.countVoters() < c.voterCount {
-		return nil, false
-	}
-	ready := slices.ContainsFunc(c.Members(), func(m Member) bool {
+// canPromote reports whether a member is a learner that has all committed entries and
+// responds.
+func (c *Core) canPromote(m Member) bool {
+	p := c.progress[m.ID]
+	return m.Learner && p != nil && p.match >= c.commit && c.now-p.ackedAt < ElectionTimeoutMin
+}
+
+// hasUnresponsiveVoter reports whether a voter has been unresponsive for
+// voterReplaceDelay. A new leader waits for responses to its first messages.
+func (c *Core) hasUnresponsiveVoter() bool {
+	return c.now-c.leaderSince > ElectionTimeoutMin && slices.ContainsFunc(c.Members(), func(m Member) bool {
 		p := c.progress[m.ID]
-		return m.Learner && p != nil && p.match >= c.commit && c.now-p.ackedAt < ElectionTimeoutMin
+		return !m.Learner && p != nil && c.now-max(p.ackedAt, p.silentSince) > voterReplaceDelay
 	})
+}
+
+// withoutSurplusVoter returns the membership without the voter that responded least
+// recently, or reports false unless a learner was promoted to replace a voter. A voter
+// is removed only after that promotion: without it the remaining voters could not bear
+// the loss of another disk, even if the unresponsive voter returns.
+func (c *Core) withoutSurplusVoter() ([]Member, bool) {
+	if c.voterCount == 0 || c.countVoters() <= c.voterCount {
+		return nil, false
+	}
+	oldest := -1
 	for i, m := range c.Members() {
 		p := c.progress[m.ID]
-		if ready && !m.Learner && p != nil && c.now-max(p.ackedAt, c.leaderSince) > voterReplaceDelay {
-			return append(cloneMembers(c.Members()[:i]), c.Members()[i+1:]...), true
+		if !m.Learner && p != nil && (oldest < 0 || p.ackedAt < c.progress[c.Members()[oldest].ID].ackedAt) {
+			oldest = i
 		}
 	}
-	return nil, false
+	return append(cloneMembers(c.Members()[:oldest]), c.Members()[oldest+1:]...), true
 }
 
 func (c *Core) isMember(id string) bool {
--- a/internal/control/core/replication.go
+++ b/internal/control/core/replication.go
@@ -12,6 +12,9 @@
 	// ackedAt is the largest send time that the member has echoed.
 	ackedAt time.Duration
 	acked   bool
+	// silentSince is a time after which the member may have been silent, as long as it
+	// has not acknowledged anything sent later.
+	silentSince time.Duration
 	// stamp and process are the latest values that the member sent.
 	stamp   time.Duration
 	process uint64
@@ -151,6 +154,7 @@
 		c.becomeFollower(m.Term)
 	}
 	c.leader, c.termLeader, c.leaderContactAt, c.leaderSeen = m.From, m.From, c.now, true
+	c.lastLeader = m.From
 	c.resetElectionTimer()
 	if m.Kind == SnapshotRequest {
 		c.onSnapshot(m)
--- a/internal/control/core/types.go
+++ b/internal/control/core/types.go
@@ -40,8 +40,10 @@
 	// trailingBytes limits the size of the entries that are kept before a snapshot.
 	trailingBytes = 4 << 20
 	// voterReplaceDelay is how long a voter may be unresponsive before a learner
-	// replaces it. It is longer than most outages from which a voter returns.
-	voterReplaceDelay = 10 * time.Second
+	// replaces it. Together with an election it must end before the next disk may be
+	// lost, because the unresponsive voter counts against the majority until then. A
+	// voter that returns later joins as a learner, which costs no redundancy.
+	voterReplaceDelay = 1500 * time.Millisecond
 )
 
 // EntryKind is the type of an entry's content.
