control: report state as current only after it is applied

A read of the configuration returned a version that was older than one acknowledged seconds before, right after all control hosts had been killed or had lost power. Entry hosts that asked such a host could also serve from the old configuration and take it for the newest.

Cause: the core counted an entry as applied when it handed it to the driver, so a new leader published its lease while its machines were still applying the log. Node.AwaitCurrent and StateAge trust the lease. The class of fault is authority that is published before the state that it vouches for.

Change: the driver reports what it has applied (Core.Applied).

--- a/internal/control/core/core.go
+++ b/internal/control/core/core.go
@@ -86,7 +86,8 @@
 	firstUnsaved   uint64 // index of the first entry that no Output has returned
 	synced         uint64 // index of the last entry that is durable
 	commit         uint64
-	applied        uint64
+	delivered      uint64   // index of the last entry that an Output returned as committed
+	applied        uint64   // index of the last entry that the driver has applied
 	snapshot       Snapshot // without data
 	pendingInstall *Snapshot
 	memberships    []membership // oldest first; the last one is in force
@@ -108,7 +109,7 @@
 		process: c.Process, voterCount: c.VoterCount,
 		log:      entryLog{base: c.Base, baseTerm: c.BaseTerm},
 		snapshot: Snapshot{Index: c.Snapshot.Index, Term: c.Snapshot.Term, Members: c.Snapshot.Members},
-		commit:   c.Snapshot.Index, applied: c.Snapshot.Index,
+		commit:   c.Snapshot.Index, delivered: c.Snapshot.Index, applied: c.Snapshot.Index,
 		memberships:  []membership{{c.Snapshot.Index, c.Snapshot.Members}},
 		joinRequests: map[string]*joinRequest{},
 	}
@@ -218,7 +219,8 @@
 }
 
 // Output returns the pending work and clears it. The driver syncs the records and
-// then calls Synced before any other input.
+// then calls Synced before any other input, and Applied after it has applied the
+// committed entries or installed the snapshot.
 func (c *Core) Output() Output {
 	out := Output{Messages: c.messages, AfterSync: c.afterSync, Install: c.pendingInstall}
 	c.messages, c.afterSync, c.pendingInstall = nil, nil, nil
@@ -228,17 +230,26 @@
 	}
 	out.Append = c.log.slice(c.firstUnsaved, c.log.last())
 	c.firstUnsaved = c.log.last() + 1
-	if c.commit < c.applied {
-		panic(fmt.Sprintf("control: commit index decreased from %d to %d", c.applied, c.commit))
+	if c.commit < c.delivered {
+		panic(fmt.Sprintf("control: commit index decreased from %d to %d", c.delivered, c.commit))
 	}
-	if c.commit > c.applied {
-		first := c.applied + 1
+	if c.commit > c.delivered {
+		first := c.delivered + 1
 		out.Committed = c.log.slice(first, c.commit)
-		c.applied = c.commit
+		c.delivered = c.commit
 	}
 	return out
 }
 
+// Applied reports to the core that the machines have applied all entries up to the
+// index.
+func (c *Core) Applied(index uint64) {
+	if index < c.applied || index > c.delivered {
+		panic(fmt.Sprintf("control: applied index %d, expected one between %d and %d", index, c.applied, c.delivered))
+	}
+	c.applied = index
+}
+
 // Synced reports to the core that all records of the last Output are durable.
 func (c *Core) Synced() {
 	c.synced = c.firstUnsaved - 1
--- a/internal/control/core/replication.go
+++ b/internal/control/core/replication.go
@@ -209,9 +209,12 @@
 }
 
 // CurrentAsOf returns a time before which no leader has acknowledged an entry that
-// is not committed here. For a leader this is the current time while its lease is
-// valid.
+// is not applied here. It reports false while committed entries are not applied. For a
+// leader the time is the current one while its lease is valid.
 func (c *Core) CurrentAsOf() (asOf time.Duration, ok bool) {
+	if c.applied < c.commit {
+		return 0, false
+	}
 	if c.role == Leader && c.commit >= c.termStartIndex && c.leaseHolds() {
 		return c.now, true
 	}
@@ -254,7 +257,7 @@
 		return
 	}
 	c.log = entryLog{base: s.Index, baseTerm: s.Term}
-	c.firstUnsaved, c.synced, c.commit, c.applied = s.Index+1, s.Index, s.Index, s.Index
+	c.firstUnsaved, c.synced, c.commit, c.delivered = s.Index+1, s.Index, s.Index, s.Index
 	c.snapshot = Snapshot{Index: s.Index, Term: s.Term, Members: s.Members}
 	c.memberships = []membership{{s.Index, s.Members}}
 	c.pendingInstall = s
--- a/internal/control/core/sim_test.go
+++ b/internal/control/core/sim_test.go
@@ -235,6 +235,7 @@
 func (s *sim) step(h *simHost) {
 	s.checkLease()
 	out := h.core.Output()
+	s.checkCurrent(h) // Node.publish reads the core at this point
 	if out.Empty() {
 		return
 	}
@@ -274,6 +275,7 @@
 	for _, e := range out.Committed {
 		s.apply(h, e)
 	}
+	h.core.Applied(h.applied)
 	if h.applied >= h.snapIndex+12 {
 		s.snapshot(h)
 	}
@@ -358,13 +360,16 @@
 	s.acked = append(s.acked, acknowledgement{s.now, e.Index})
 }
 
-// checkCurrent checks that a host whose core reports CurrentAsOf a time has applied
-// every entry that was acknowledged before it.
+// checkCurrent checks that a host has applied every entry that was acknowledged before
+// the time that its core reports with CurrentAsOf or, with a lease, before now.
 func (s *sim) checkCurrent(h *simHost) {
-	if h.core == nil || h.syncing || h.applied < h.core.CommitIndex() {
+	if h.core == nil {
 		return
 	}
 	local, ok := h.core.CurrentAsOf()
+	if _, until, lease := h.core.Lease(); lease && s.localTime(h) < until {
+		local, ok = s.localTime(h), true
+	}
 	if !ok {
 		return
 	}
@@ -486,9 +491,9 @@
 	})
 }
 
-// countVoters counts all voters of the newest committed membership, and those of them
-// that still have their disk.
-func (s *sim) countVoters() (intact, all int) {
+// repaired reports whether the newest committed membership has the intended number of
+// voters, and all members still have their disk.
+func (s *sim) repaired() bool {
 	var members []Member
 	var newest uint64
 	for _, h := range s.hosts {
@@ -496,16 +501,16 @@
 			newest, members = h.core.commit, h.core.MembersAt(h.core.commit)
 		}
 	}
+	voters := 0
 	for _, m := range members {
-		if m.Learner {
-			continue
+		if s.ids[m.ID].disk.id != m.ID {
+			return false
 		}
-		all++
-		if s.ids[m.ID].disk.id == m.ID {
-			intact++
+		if !m.Learner {
+			voters++
 		}
 	}
-	return intact, all
+	return len(members) == len(s.hosts) && voters == s.wantedVoters()
 }
 
 // wantedVoters is the number of voters once all hosts run.
@@ -516,17 +521,16 @@
 	return len(s.hosts)
 }
 
-// loseDisk removes a host's disk if the log tolerates it: all hosts run, the log has all
-// its voters, and none of them has lost its disk. This is the case as soon as the last
-// repaired host has been promoted.
+// loseDisk removes a host's disk if the log tolerates it: all hosts run, and the host
+// that lost its disk last is a member again, as many of the members voters as there
+// should be.
 func (s *sim) loseDisk(h *simHost) {
 	for _, o := range s.hosts {
 		if o.core == nil {
 			return
 		}
 	}
-	intact, all := s.countVoters()
-	if intact != all || all != s.wantedVoters() || all < 3 {
+	if !s.repaired() || s.wantedVoters() < 3 {
 		return
 	}
 	s.lostDisks++
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -138,6 +138,18 @@
 type lease struct {
 	term  uint64
 	until time.Duration
+	// current means that all committed entries are applied. Followers may apply and
+	// acknowledge an entry before the leader has applied it.
+	current bool
+}
+
+// validLease returns the lease of this voter, or nil if it holds none.
+func (n *Node) validLease() *lease {
+	l := n.lease.Load()
+	if l == nil || n.now() >= l.until {
+		return nil
+	}
+	return l
 }
 
 // pendingProposal is a proposal that waits for its result.
@@ -445,6 +457,7 @@
 		n.machineIndex = max(n.machineIndex, e.Index)
 		n.completeProposal(e, result)
 	}
+	n.core.Applied(n.applied)
 	// After the log was reopened the machines can be ahead of the applied index; a
 	// snapshot of them would not match it.
 	if n.applied >= n.machineIndex && (n.applied >= n.snapshotIndex+snapshotEntries || n.appliedBytes > snapshotBytes) {
@@ -498,11 +511,11 @@
 // publish makes the lease and the status visible to other goroutines.
 func (n *Node) publish() {
 	if term, until, ok := n.core.Lease(); ok && term > 0 {
-		n.lease.Store(&lease{term, until})
+		n.lease.Store(&lease{term, until, n.applied >= n.core.CommitIndex()})
 	} else {
 		n.lease.Store(nil)
 	}
-	if asOf, ok := n.core.CurrentAsOf(); ok && n.applied >= n.core.CommitIndex() {
+	if asOf, ok := n.core.CurrentAsOf(); ok {
 		n.currentAsOf.Store(&asOf)
 	}
 	s := n.core.Status()
@@ -543,8 +556,8 @@
 
 // Lease implements Log.
 func (n *Node) Lease() (uint64, bool) {
-	l := n.lease.Load()
-	if l == nil || n.now() >= l.until {
+	l := n.validLease()
+	if l == nil {
 		return 0, false
 	}
 	return l.term, true
@@ -563,7 +576,7 @@
 // acknowledged longer ago is applied. It reports false before the first contact with
 // a leader.
 func (n *Node) StateAge() (time.Duration, bool) {
-	if _, ok := n.Lease(); ok {
+	if l := n.validLease(); l != nil && l.current {
 		return 0, true
 	}
 	asOf := n.currentAsOf.Load()
@@ -581,7 +594,7 @@
 	ticker := time.NewTicker(currentPollInterval)
 	defer ticker.Stop()
 	for {
-		if _, ok := n.Lease(); ok {
+		if l := n.validLease(); l != nil && l.current {
 			return true
 		}
 		if asOf := n.currentAsOf.Load(); asOf != nil && *asOf >= start {
