durable: one implementation of synced writes

The control log, the answers of operations, the fleet's state and the withdrawals each had their own sync of a directory, three of them also their own atomic replacement of a file. They now share internal/durable, which also lets a test fail or observe a sync. No behaviour changes, except that the temporary file of the fleet's state ends with .tmp instead of .new.

--- a/internal/control/storage/storage.go
+++ b/internal/control/storage/storage.go
@@ -13,13 +13,13 @@
 
 	"geraniumturn.example/geraniumturn/internal/control/controlpb"
 	"geraniumturn.example/geraniumturn/internal/control/core"
+	"geraniumturn.example/geraniumturn/internal/durable"
 )
 
 const (
 	idFile       = "id"
 	logFile      = "log"
 	snapshotFile = "snapshot"
-	tempSuffix   = ".tmp"
 	idBytes      = 16
 )
 
@@ -58,8 +58,8 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, nil, fmt.Errorf("control: storage: %w", err)
 	}
-	if err := syncDir(filepath.Dir(dir)); err != nil {
-		return nil, nil, err
+	if err := durable.SyncDir(filepath.Dir(dir)); err != nil {
+		return nil, nil, fmt.Errorf("control: storage: %w", err)
 	}
 	id, err := os.ReadFile(s.path(idFile))
 	if errors.Is(err, os.ErrNotExist) {
@@ -142,7 +142,7 @@
 		if err := s.log.Truncate(end); err != nil {
 			return fmt.Errorf("control: storage: %w", err)
 		}
-		if err := s.log.Sync(); err != nil {
+		if err := durable.Sync(s.log); err != nil {
 			return fmt.Errorf("control: storage: %w", err)
 		}
 	}
@@ -221,7 +221,7 @@
 	if _, err := s.log.Write(frame); err != nil {
 		return fmt.Errorf("control: storage: %w", err)
 	}
-	if err := s.log.Sync(); err != nil {
+	if err := durable.Sync(s.log); err != nil {
 		return fmt.Errorf("control: storage: %w", err)
 	}
 	return nil
@@ -268,39 +268,10 @@
 	return nil
 }
 
-// replaceFile writes a temporary file, syncs it, renames it and syncs the directory, so
-// that a crash leaves either the old or the new content.
 func (s *Storage) replaceFile(name string, data []byte) error {
-	path := s.path(name)
-	f, err := os.OpenFile(path+tempSuffix, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
-	if err != nil {
+	if err := durable.ReplaceFile(s.path(name), data); err != nil {
 		return fmt.Errorf("control: storage: %w", err)
 	}
-	_, err = f.Write(data)
-	if err == nil {
-		err = f.Sync()
-	}
-	if closeErr := f.Close(); err == nil {
-		err = closeErr
-	}
-	if err == nil {
-		err = os.Rename(path+tempSuffix, path)
-	}
-	if err != nil {
-		return fmt.Errorf("control: storage: %w", err)
-	}
-	return syncDir(s.dir)
-}
-
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return fmt.Errorf("control: storage: %w", err)
-	}
-	defer d.Close()
-	if err := d.Sync(); err != nil {
-		return fmt.Errorf("control: storage: sync %s: %w", dir, err)
-	}
 	return nil
 }
 
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"geraniumturn.example/geraniumturn/internal/durable"
 	"geraniumturn.example/geraniumturn/internal/fleet/fleetpb"
 )
 
@@ -33,8 +34,8 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
-	if err := SyncDir(filepath.Dir(dir)); err != nil {
-		return nil, err
+	if err := durable.SyncDir(filepath.Dir(dir)); err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
 	}
 	return &Store{dir: dir}, nil
 }
@@ -54,43 +55,8 @@
 	data = binary.BigEndian.AppendUint64(data, uint64(len(payload)))
 	data = binary.BigEndian.AppendUint32(data, crc32.Checksum(payload, castagnoli))
 	data = append(data, payload...)
-	tempPath := s.Path() + ".new"
-	if err := writeSynced(tempPath, data); err != nil {
-		return err
-	}
-	if err := os.Rename(tempPath, s.Path()); err != nil {
-		return fmt.Errorf("fleet: %w", err)
-	}
-	return SyncDir(s.dir)
-}
-
-func writeSynced(path string, data []byte) error {
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
-	if err != nil {
-		return fmt.Errorf("fleet: %w", err)
-	}
-	_, err = f.Write(data)
-	if err == nil {
-		err = f.Sync()
-	}
-	if closeErr := f.Close(); err == nil {
-		err = closeErr
-	}
-	if err != nil {
-		return fmt.Errorf("fleet: write %s: %w", path, err)
-	}
-	return nil
-}
-
-// SyncDir syncs a directory, so that created and renamed entries are durable.
-func SyncDir(path string) error {
-	d, err := os.Open(path)
-	if err != nil {
-		return fmt.Errorf("fleet: %w", err)
-	}
-	defer d.Close()
-	if err := d.Sync(); err != nil {
-		return fmt.Errorf("fleet: sync %s: %w", path, err)
+	if err := durable.ReplaceFile(s.Path(), data); err != nil {
+		return fmt.Errorf("fleet: write %s: %w", s.Path(), err)
 	}
 	return nil
 }
@@ -137,5 +103,8 @@
 	if err := os.Rename(s.Path(), s.Path()+".damaged"); err != nil {
 		return fmt.Errorf("fleet: %w", err)
 	}
-	return SyncDir(s.dir)
+	if err := durable.SyncDir(s.dir); err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	return nil
 }
--- a/internal/keys/journal.go
+++ b/internal/keys/journal.go
@@ -7,6 +7,8 @@
 	"hash/crc32"
 	"os"
 	"path/filepath"
+
+	"geraniumturn.example/geraniumturn/internal/durable"
 )
 
 // ErrDamaged means that a record of the withdrawals file is invalid, or that an
@@ -66,15 +68,10 @@
 	if err := j.file.Truncate(j.endOffset); err != nil {
 		return err
 	}
-	if err := j.file.Sync(); err != nil {
-		return err
-	}
-	d, err := os.Open(filepath.Dir(j.file.Name()))
-	if err != nil {
+	if err := durable.Sync(j.file); err != nil {
 		return err
 	}
-	defer d.Close()
-	return d.Sync()
+	return durable.SyncDir(filepath.Dir(j.file.Name()))
 }
 
 // Append implements Journal.
@@ -85,7 +82,7 @@
 	record := encodeRecord(w)
 	_, err := j.file.WriteAt(record, j.endOffset)
 	if err == nil {
-		err = j.file.Sync()
+		err = durable.Sync(j.file)
 	}
 	if err != nil {
 		// After a failed write or sync, the content on disk is unknown.
--- a/internal/operations/store.go
+++ b/internal/operations/store.go
@@ -12,6 +12,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"geraniumturn.example/geraniumturn/internal/durable"
 	pb "geraniumturn.example/geraniumturn/internal/operations/operationspb"
 
 	"geraniumturn.example/geraniumturn/internal/rules"
@@ -23,7 +24,6 @@
 	// maxDiskBytes is the maximum size of all answers on a host with a disk.
 	maxDiskBytes = 2 << 30
 	answerSuffix = ".answer"
-	tempSuffix   = ".tmp"
 )
 
 // ResidencyCheck reports whether the rules in force allow data of a workspace to be
@@ -68,8 +68,8 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, fmt.Errorf("operations: answer directory: %w", err)
 	}
-	if err := syncDir(filepath.Dir(dir)); err != nil {
-		return nil, err
+	if err := durable.SyncDir(filepath.Dir(dir)); err != nil {
+		return nil, fmt.Errorf("operations: answer directory: %w", err)
 	}
 	return s, s.load(now)
 }
@@ -137,41 +137,13 @@
 		s.memory[attempt] = data
 		return nil
 	}
-	path := s.path(attempt)
-	if err := writeSynced(path+tempSuffix, data); err != nil {
-		return err
-	}
-	if err := os.Rename(path+tempSuffix, path); err != nil {
-		return fmt.Errorf("operations: answer file: %w", err)
-	}
-	return syncDir(s.dir)
-}
-
-func (s *Store) path(attempt string) string { return filepath.Join(s.dir, attempt+answerSuffix) }
-
-func writeSynced(path string, data []byte) error {
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
-	if err != nil {
-		return fmt.Errorf("operations: answer file: %w", err)
-	}
-	_, err = f.Write(data)
-	err = errors.Join(err, f.Sync(), f.Close())
-	if err != nil {
+	if err := durable.ReplaceFile(s.path(attempt), data); err != nil {
 		return fmt.Errorf("operations: write answer: %w", err)
 	}
 	return nil
 }
 
-func syncDir(path string) error {
-	d, err := os.Open(path)
-	if err != nil {
-		return fmt.Errorf("operations: answer directory: %w", err)
-	}
-	if err := errors.Join(d.Sync(), d.Close()); err != nil {
-		return fmt.Errorf("operations: sync answer directory: %w", err)
-	}
-	return nil
-}
+func (s *Store) path(attempt string) string { return filepath.Join(s.dir, attempt+answerSuffix) }
 
 // Get returns the answer of an attempt, or nil if this host has none that is intact,
 // unexpired and within its residency.
--- a/internal/operations/store_test.go
+++ b/internal/operations/store_test.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"geraniumturn.example/geraniumturn/internal/durable"
 	pb "geraniumturn.example/geraniumturn/internal/operations/operationspb"
 )
 
@@ -47,7 +48,7 @@
 		t.Fatal(err)
 	}
 	data[len(data)/2] ^= 1
-	incomplete := filepath.Join(dir, strings.Repeat("c", attemptLen)+answerSuffix+tempSuffix)
+	incomplete := filepath.Join(dir, strings.Repeat("c", attemptLen)+answerSuffix+durable.TempSuffix)
 	if err := errors.Join(os.WriteFile(path, data, 0o600), os.WriteFile(incomplete, data[:10], 0o600)); err != nil {
 		t.Fatal(err)
 	}
