control/storage, operations, fleet: sync what a former process left unsynced

Cause: a process that is killed between a write or a rename and the sync leaves content that the next process reads from the page cache. A voter counted such entries, and its vote, as synced and acknowledged them to the leader; a loss of power then took them back, while the operator had an acknowledgement that rested on them. A renamed log whose directory was not synced could even bring the former log back with everything after it lost. Answers of operations and the fleet's state had the same gap for their names.

Change: all three sync the files and the directory that they load before anything counts as durable. It costs one or two syncs a start.

--- a/internal/control/storage/storage.go
+++ b/internal/control/storage/storage.go
@@ -134,17 +134,23 @@
 	if loaded.logReplaced {
 		return s.Rewrite(loaded.ID, loaded.State, loaded.Base, loaded.BaseTerm, nil)
 	}
-	return s.truncate(int64(end), loaded.TruncatedBytes > 0)
+	return s.syncLoaded(int64(end), loaded.TruncatedBytes > 0)
 }
 
-func (s *Storage) truncate(end int64, needed bool) error {
-	if needed {
+// syncLoaded makes the loaded log durable up to its end: the former process may have
+// ended between a write and its sync. Whoever opens the voter counts its entries and its
+// vote as durable.
+func (s *Storage) syncLoaded(end int64, truncate bool) error {
+	if truncate {
 		if err := s.log.Truncate(end); err != nil {
 			return fmt.Errorf("control: storage: %w", err)
 		}
-		if err := durable.Sync(s.log); err != nil {
-			return fmt.Errorf("control: storage: %w", err)
-		}
+	}
+	if err := durable.Sync(s.log); err != nil {
+		return fmt.Errorf("control: storage: %w", err)
+	}
+	if err := durable.SyncDir(s.dir); err != nil {
+		return fmt.Errorf("control: storage: %w", err)
 	}
 	if _, err := s.log.Seek(end, 0); err != nil {
 		return fmt.Errorf("control: storage: %w", err)
--- a/internal/control/storage/storage_test.go
+++ b/internal/control/storage/storage_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"geraniumturn.example/geraniumturn/internal/control/core"
+	"geraniumturn.example/geraniumturn/internal/durable"
 )
 
 func entry(index, term uint64) core.Entry {
@@ -203,3 +204,53 @@
 		_ = replay(&loaded, [][]byte{data})
 	})
 }
+
+// syncs records what is durable: the content of files at their last sync, and the
+// directories that were synced.
+type syncs struct {
+	content map[string]string
+	dirs    map[string]bool
+}
+
+func recordSyncs(t *testing.T) *syncs {
+	s := &syncs{content: map[string]string{}, dirs: map[string]bool{}}
+	t.Cleanup(durable.SetSync(func(f *os.File) error {
+		if info, err := f.Stat(); err != nil || info.IsDir() {
+			s.dirs[f.Name()] = true
+			return err
+		}
+		data, err := os.ReadFile(f.Name())
+		s.content[f.Name()] = string(data)
+		return err
+	}))
+	return s
+}
+
+// Guards against a voter that counts entries as durable which its former process wrote
+// but did not sync: a loss of power after the kill would take back what a majority had
+// acknowledged.
+func TestOpenSyncsWhatItLoads(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "control")
+	s, _ := mustOpen(t, dir)
+	mustAppend(t, s, &core.HardState{Term: 1, Vote: "a"}, entry(1, 1))
+	killed := errors.New("killed during the sync")
+	restore := durable.SetSync(func(*os.File) error { return killed })
+	if err := s.Append(nil, []core.Entry{entry(2, 1)}); !errors.Is(err, killed) {
+		t.Fatal(err)
+	}
+	restore()
+
+	recorded := recordSyncs(t)
+	_, loaded := mustOpen(t, dir)
+	path := filepath.Join(dir, logFile)
+	data, err := os.ReadFile(path)
+	if err != nil || len(loaded.Entries) != 2 {
+		t.Fatalf("%d entries, %v", len(loaded.Entries), err)
+	}
+	if recorded.content[path] != string(data) {
+		t.Errorf("%d of %d bytes of the log are durable", len(recorded.content[path]), len(data))
+	}
+	if !recorded.dirs[dir] {
+		t.Error("the names of the files are not durable")
+	}
+}
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -74,6 +74,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %s: %v", ErrDamaged, s.Path(), err)
 	}
+	// The former process may have ended between the rename and the sync of the directory.
+	if err := durable.SyncDir(s.dir); err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
 	return state, nil
 }
 
--- a/internal/operations/store.go
+++ b/internal/operations/store.go
@@ -95,6 +95,10 @@
 		s.add(a, int64(len(data)))
 	}
 	slices.SortStableFunc(s.entries, func(a, b entry) int { return int(a.expiresMS - b.expiresMS) })
+	// The former process may have ended between a rename and the sync of the directory.
+	if err := durable.SyncDir(s.dir); err != nil {
+		return fmt.Errorf("operations: answer directory: %w", err)
+	}
 	return nil
 }
 
--- a/internal/operations/store_test.go
+++ b/internal/operations/store_test.go
@@ -142,3 +142,30 @@
 		}
 	})
 }
+
+// Guards against an answer that counts as stored although a loss of power can still
+// remove its name: the process that renamed it ended before the directory was synced.
+func TestOpenStoreSyncsNames(t *testing.T) {
+	dir := t.TempDir()
+	s := open(t, dir, allowAll)
+	killed := errors.New("killed during the sync")
+	restore := durable.SetSync(func(f *os.File) error {
+		if f.Name() == dir {
+			return killed
+		}
+		return nil
+	})
+	err := s.Put(testAnswer("a"), time.Now())
+	restore()
+	if !errors.Is(err, killed) {
+		t.Fatal(err)
+	}
+	synced := false
+	defer durable.SetSync(func(f *os.File) error {
+		synced = synced || f.Name() == dir
+		return nil
+	})()
+	if s = open(t, dir, allowAll); !synced || s.Get(testAnswer("a").Attempt, time.Now()) == nil {
+		t.Errorf("directory synced: %v, answer: %v", synced, s.Get(testAnswer("a").Attempt, time.Now()))
+	}
+}
