gateway: a region beyond its limit does not hide a target within its limit

Cause: the destination was chosen by cost first and admitted afterwards. The limit of a local choice rises with its idle estimate, that of a remote one hardly does, so a region with the lower estimate could be chosen and then refused although the local target would have been admitted. Without requests neither estimate changed.

Change: a destination that meets its limit goes before a cheaper one that does not, in both directions.

Evidence: TestRefusedRegionDoesNotHideLocalTarget got 429 for 5 of 5 requests before and serves all of them now. The second half of the cause, estimates that no request renews, is a change of its own.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -534,3 +534,38 @@
 		t.Errorf("without a target: %+v", got)
 	}
 }
+
+// slowly responds after d.
+func slowly(d time.Duration, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(d)
+		next(w, r)
+	}
+}
+
+// Guards against a refusal of a request that this region's target could take: another
+// region has the lower estimate, but one that exceeds the limit for that region.
+func TestRefusedRegionDoesNotHideLocalTarget(t *testing.T) {
+	const rounds, parallel = 3, 4
+	script := make([]http.HandlerFunc, rounds*parallel)
+	for i := range script {
+		script[i] = slowly(1200*time.Millisecond, success)
+	}
+	s := newTarget(t, append(script, success)...)
+	f := start(t, s)
+	for range rounds {
+		var wg sync.WaitGroup
+		for range parallel {
+			wg.Go(func() { f.call(t, "/safe/") })
+		}
+		wg.Wait()
+	}
+	now := clock.SinceBoot()
+	f.Apply(now, fleetsync.Update{SentAt: now, ControlAddress: "c", ExchangeResponse: &syncpb.ExchangeResponse{Hosts: []*syncpb.EntryHost{
+		{Name: "other", Region: "elsewhere", Forward: "127.0.0.1:1", Serving: true, Loads: []*syncpb.Load{{Service: "s", WaitMs: 355}}}}}})
+	for range 5 {
+		if got := f.call(t, "/safe/"); got.status != 200 {
+			t.Errorf("response %+v, although the local target is idle", got)
+		}
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -177,14 +177,22 @@
 	if document.AllowsRegion(x.route, x.workspace, g.Region) {
 		choice, usable = g.placer.Choose(now, &x.placementRequest, func(id string) bool { return x.triedTargets[id] })
 	}
+	limit := g.firstByteBudget(now, x, choice.IdleTTFB)
 	remote, estimate := g.bestRemoteHost(now, x)
-	if remote != nil && (!usable || estimate.cost+minForwardGain < choice.Cost) {
-		choice = placement.Choice{Estimate: estimate.Estimate}
-	} else {
-		remote = nil
+	if remote != nil {
+		remoteLimit := g.firstByteBudget(now, x, estimate.IdleTTFB)
+		forward := !usable || estimate.cost+minForwardGain < choice.Cost
+		// A destination with a lower cost must not hide one that can meet its limit.
+		if local := usable && choice.TTFB <= limit; local != (estimate.TTFB <= remoteLimit) {
+			forward = !local
+		}
+		if forward {
+			choice, limit = placement.Choice{Estimate: estimate.Estimate}, remoteLimit
+		} else {
+			remote = nil
+		}
 	}
 	x.choice = choice
-	limit := g.firstByteBudget(now, x, choice.IdleTTFB)
 	switch {
 	case remote == nil && !usable:
 		return nil, refusal.New(refusal.NoTarget, refusal.NotRun, "no target of service %s is available", x.service).WithRetry(stateRetryAfter)
