placement: the estimate of an idle plain target decays

After requests that took 1.2 s, all requests were refused as overloaded for 20 s although the targets answered at once by then (TestSoak).

Cause: the average duration of a plain target is renewed by responses only, so an estimate on which all requests are refused stays for good.

Change: while no request is running at a target, an average above the initial one approaches it, by half in 4 s.

--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -43,7 +43,7 @@
 	c := Choice{Target: t}
 	c.Usage, c.UsageAge = t.totalUsage(now)
 	if t.cache == nil {
-		c.Estimate = t.estimateService(c.Usage)
+		c.Estimate = t.estimateService(now, c.Usage)
 	} else {
 		cached := t.cache.cachedTokens(r.keys, r.Segments)
 		c.Cost = missCostPerToken * float64(p.recentTokensAfter(now, r, cached))
@@ -132,9 +132,20 @@
 
 // estimateService models a plain service: requests beyond its slots wait for a free
 // one.
-func (t *Target) estimateService(u Usage) Estimate {
-	ttfb := t.averageDuration*(1+max(0, float64(u.Running+1-t.Slots))/float64(t.Slots)) + float64(u.Running)*float64(time.Millisecond)
-	return Estimate{time.Duration(ttfb), time.Duration(ttfb), time.Duration(t.averageDuration)}
+func (t *Target) estimateService(now time.Duration, u Usage) Estimate {
+	duration := t.expectedDuration(now, u)
+	ttfb := duration*(1+max(0, float64(u.Running+1-t.Slots))/float64(t.Slots)) + float64(u.Running)*float64(time.Millisecond)
+	return Estimate{time.Duration(ttfb), time.Duration(ttfb), time.Duration(duration)}
+}
+
+// expectedDuration returns the average duration of requests to a plain target. While
+// none is running, an average above the initial one approaches it: a target that was
+// slow would otherwise be avoided for good, because only requests renew its average.
+func (t *Target) expectedDuration(now time.Duration, u Usage) float64 {
+	if u.Running > 0 || t.averageDuration <= initialServiceDuration {
+		return t.averageDuration
+	}
+	return initialServiceDuration + (t.averageDuration-initialServiceDuration)*decay(now-t.durationAt, durationHalfLife)
 }
 
 const (
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -30,6 +30,9 @@
 	// failureHalfLife is the time in which the failure rate of a target that gets no
 	// requests halves, so that the target is used again.
 	failureHalfLife = 4 * time.Second
+	// durationHalfLife is the time in which the average duration of an idle target
+	// approaches the initial one by half.
+	durationHalfLife = 4 * time.Second
 	// minEjection and maxEjection bound the ejection of a target after a connection
 	// failure; the time doubles with each consecutive failure.
 	minEjection = 300 * time.Millisecond
@@ -114,6 +117,8 @@
 	coldPacer shares.Pacer
 	// averageDuration is the moving average of request durations in nanoseconds.
 	averageDuration float64
+	// durationAt is when averageDuration last changed.
+	durationAt      time.Duration
 	lastFailureRate float64
 	failureRateAt   time.Duration
 	ejectedUntil    time.Duration
@@ -354,8 +359,13 @@
 }
 
 func (t *Target) failureRate(now time.Duration) float64 {
-	halfLives := float64(now-t.failureRateAt) / float64(failureHalfLife)
-	return t.lastFailureRate / (1 + halfLives*halfLives)
+	return t.lastFailureRate * decay(now-t.failureRateAt, failureHalfLife)
+}
+
+// decay returns the weight of a value of some age: 1 at first and 1/2 after its half-life.
+func decay(age, halfLife time.Duration) float64 {
+	halfLives := float64(age) / float64(halfLife)
+	return 1 / (1 + halfLives*halfLives)
 }
 
 // Attempt is a request in flight at a target.
@@ -441,6 +451,7 @@
 		t.recordOutcome(now, 0)
 		t.ejection = 0
 		t.averageDuration += durationWeight * (float64(now-a.started) - t.averageDuration)
+		t.durationAt = now
 	case Rejected, Failed:
 		t.recordOutcome(now, 1)
 	case Unreachable, Broken:
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -287,3 +287,29 @@
 		})
 	}
 }
+
+// Load: requests that a plain target answered slowly, then none. Guards against an
+// estimate that stays high for good, because requests that are refused on it would be
+// needed to renew it.
+func TestEstimateOfIdleTargetDecays(t *testing.T) {
+	p := newPlacer([]placement.Spec{{ID: "a", Service: "shop", Slots: 6}})
+	r := &placement.Request{Service: "shop", Objective: 500 * ms, TimeLeft: 5 * second}
+	now := second
+	for range 12 {
+		attempt := p.Start(now, choose(t, p, now, r).Target, r)
+		now += 1200 * ms
+		p.RecordBytes(now, attempt)
+		p.Done(now, attempt, placement.Served)
+	}
+	if got := choose(t, p, now, r).TTFB; got < 700*ms {
+		t.Fatalf("estimate %s right after responses that took 1.2 s", got)
+	}
+	attempt := p.Start(now, choose(t, p, now, r).Target, r)
+	if got := choose(t, p, now+8*second, r).TTFB; got < 700*ms {
+		t.Errorf("estimate %s while a request is running", got)
+	}
+	p.Done(now, attempt, placement.Served)
+	if got := choose(t, p, now+8*second, r).TTFB; got > 250*ms {
+		t.Errorf("estimate %s after 8 s without a request", got)
+	}
+}
