gateway: the wait for a start does not count against the first-byte limit

Cause: the time that the gateway let the request wait was subtracted from the limit for the first byte (0.95 x the objective), so a request that had waited longer than that was refused although a target was free by then.

Change: that time extends the limit, up to the caller's own timeout.

Evidence: TestStartWaitDoesNotCountAgainstLimit (a wait of 700 ms, limit 475 ms) got 429 before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -202,6 +202,7 @@
 	request          *http.Request
 	placementRequest placement.Request
 	started          time.Duration
+	startWait        time.Duration // spent waiting for the start of this host
 	deadline         time.Duration
 	reservation      *reservation
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -432,6 +432,22 @@
 	refusedImmediately("4000")
 }
 
+// Guards against a request that is refused after it was held for the start of the host:
+// the wait must not count against the limit for the first byte.
+func TestStartWaitDoesNotCountAgainstLimit(t *testing.T) {
+	s := newTarget(t, success)
+	f := newFixture(t)
+	results := make(chan result, 1)
+	go func() { results <- f.call(t, "/safe/", "Timeout-Ms", "4000") }()
+	time.Sleep(300 * time.Millisecond)
+	f.update(0)
+	time.Sleep(400 * time.Millisecond)
+	f.announce(s)
+	if got := <-results; got.status != 200 {
+		t.Errorf("response %+v after a wait of 700 ms, above the limit of 475 ms", got)
+	}
+}
+
 // Guards against requests above a workspace's rate, and against a refusal without a
 // retry time.
 func TestRate(t *testing.T) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -234,7 +234,13 @@
 	if x.responseStarted { // the caller waits for the next event of the stream
 		return min(x.deadline, x.lastEventAt+callerTimeout*resumeTimeoutPercent/100) - now
 	}
-	return placement.FirstByteLimit(x.route.Priority, x.route.FirstByteObjective, callerTimeout, idleTTFB) - (now - x.started)
+	limit := placement.FirstByteLimit(x.route.Priority, x.route.FirstByteObjective, callerTimeout, idleTTFB)
+	if x.startWait > 0 {
+		// The objective may be missed by the wait that the gateway has imposed, but the
+		// caller's timeout may not.
+		limit = min(limit+x.startWait, placement.FirstByteLimit(x.route.Priority, 0, callerTimeout, 0))
+	}
+	return limit - (now - x.started)
 }
 
 // remoteEstimate is the expected latency and cost of a request in another region.
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -38,6 +38,8 @@
 	}
 	g.awaitingConfig.Add(1)
 	defer g.awaitingConfig.Add(-1)
+	began := sinceBoot()
+	defer func() { x.startWait += sinceBoot() - began }()
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
@@ -64,6 +66,8 @@
 	if x.sends > 0 || refused.Code != refusal.NoTarget && refused.Code != refusal.Overloaded || g.startWaitLeft(x, targetDiscoveryTime) <= 0 {
 		return false
 	}
+	began := sinceBoot()
+	defer func() { x.startWait += sinceBoot() - began }()
 	return clock.Sleep(ctx, targetPollInterval)
 }
 
