fleetsync: relay at once that an entry host starts or stops serving

Cause: a control host relayed the entry hosts that report to it every fourth round only, so the others learned up to 600 ms later than callers that a host serves.

Change: a host that has started, or serves or no longer serves, is relayed with the report that says so, and an entry host reports as soon as its configuration is fresh.

--- a/internal/fleetsync/client.go
+++ b/internal/fleetsync/client.go
@@ -125,10 +125,14 @@
 			table, cursor, respondedAt = out.GetTable(), out.GetCursor(), now
 			c.addControls(out.GetControls())
 			c.recordResponse(address, now)
+			wasFresh := c.ConfigurationFresh()
 			c.applyMu.Lock()
 			c.Apply(now, Update{SentAt: sentAt, ControlAddress: address, Region: c.regionOf(address), ExchangeResponse: out, Records: decodeRecords(now, out.GetTargets())})
 			c.applyMu.Unlock()
 			wait = c.pollInterval(address)
+			if !wasFresh && c.ConfigurationFresh() {
+				wait = 0 // report at once that this host serves
+			}
 		} else if !c.ConfigurationFresh() {
 			wait = sameRegionInterval
 		} else if now-respondedAt > controlRetention && c.removeControl(address, seeds()) {
--- a/internal/fleetsync/hosts_test.go
+++ b/internal/fleetsync/hosts_test.go
@@ -70,3 +70,30 @@
 		t.Error("a report that is 1.5 s older got a grant")
 	}
 }
+
+// Guards against a directory of another region that learns later than callers that an
+// entry host serves, and against a relay of hosts that have not changed.
+func TestServingChangeIsRelayedAtOnce(t *testing.T) {
+	p := NewPresence()
+	report := func(started int64, serving bool) []*syncpb.EntryHost {
+		p.RecordEntry(time.Second, &syncpb.EntryHost{Name: "e", Started: started, Serving: serving}, true)
+		select {
+		case <-p.changed:
+			return p.TakeChangedEntries(time.Second)
+		default:
+			return nil
+		}
+	}
+	for i, step := range []struct {
+		started int64
+		serving bool
+		relayed bool
+	}{{1, false, true}, {1, false, false}, {1, true, true}, {1, true, false}, {2, true, true}, {2, false, true}} {
+		if got := report(step.started, step.serving); (len(got) == 1) != step.relayed || step.relayed && got[0].GetServing() != step.serving {
+			t.Errorf("report %d: relayed %v, want %v", i, got, step.relayed)
+		}
+	}
+	if got := p.TakeDirectEntries(time.Second); len(got) != 1 {
+		t.Errorf("the regular report has %d hosts", len(got))
+	}
+}
--- a/internal/fleetsync/presence.go
+++ b/internal/fleetsync/presence.go
@@ -27,6 +27,9 @@
 	entries       map[string]*entryRecord   // by name
 	controls      map[string]*controlRecord // by peer address
 	directEntries map[string]bool           // entry hosts that reported to this host since the last relay
+	// changedEntries are those of directEntries that started, or began or stopped serving.
+	changedEntries map[string]bool
+	changed        chan struct{} // buffered; receives when changedEntries becomes non-empty
 }
 
 type entryRecord struct {
@@ -41,7 +44,8 @@
 
 // NewPresence returns an empty table.
 func NewPresence() *Presence {
-	return &Presence{entries: map[string]*entryRecord{}, controls: map[string]*controlRecord{}, directEntries: map[string]bool{}}
+	return &Presence{entries: map[string]*entryRecord{}, controls: map[string]*controlRecord{}, directEntries: map[string]bool{},
+		changedEntries: map[string]bool{}, changed: make(chan struct{}, 1)}
 }
 
 // RecordEntry adds or updates an entry host that reported at heardAt. direct means that
@@ -58,8 +62,16 @@
 		return
 	}
 	p.entries[h.GetName()] = &entryRecord{h, heardAt}
-	if direct {
-		p.directEntries[h.GetName()] = true
+	if !direct {
+		return
+	}
+	p.directEntries[h.GetName()] = true
+	if old == nil || old.host.GetStarted() != h.GetStarted() || old.host.GetServing() != h.GetServing() {
+		p.changedEntries[h.GetName()] = true
+		select {
+		case p.changed <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -98,13 +110,27 @@
 func (p *Presence) TakeDirectEntries(now time.Duration) []*syncpb.EntryHost {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	clear(p.changedEntries)
+	return p.take(now, p.directEntries)
+}
+
+// TakeChangedEntries returns the entry hosts that reported to this host since the last
+// call of either method that they have started, or that they serve or no longer serve.
+func (p *Presence) TakeChangedEntries(now time.Duration) []*syncpb.EntryHost {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.take(now, p.changedEntries)
+}
+
+// take returns the entry hosts with these names and clears the names. p.mu must be held.
+func (p *Presence) take(now time.Duration, names map[string]bool) []*syncpb.EntryHost {
 	var out []*syncpb.EntryHost
-	for name := range p.directEntries {
+	for name := range names {
 		if e := p.entries[name]; e != nil {
 			out = append(out, copyWithAge(e, now))
 		}
 	}
-	clear(p.directEntries)
+	clear(names)
 	return out
 }
 
--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -244,10 +244,30 @@
 			s.Presence.RecordControl(now, &syncpb.ControlHost{Peer: a}, false)
 		}
 		s.relay(ctx, now, seeds(), round%roundsPerPresenceReport == 0)
+		if !s.awaitRound(ctx, ticker) {
+			return nil
+		}
+	}
+}
+
+// awaitRound waits for the next relay round. Until then it relays entry hosts that start
+// or stop serving: the directory of every region must not learn of them later than
+// callers. It reports false when ctx ends.
+func (s *Server) awaitRound(ctx context.Context, ticker *time.Ticker) bool {
+	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return false
 		case <-ticker.C:
+			return true
+		case <-s.Presence.changed:
+			now := clock.SinceBoot()
+			request := &syncpb.RelayRequest{From: s.Self, Hosts: s.Presence.TakeChangedEntries(now)}
+			for _, c := range s.Presence.Controls(now) {
+				if address := c.GetPeer(); address != s.Self.GetPeer() && len(request.GetHosts()) > 0 {
+					go s.relayTo(ctx, address, request)
+				}
+			}
 		}
 	}
 }
