suspects, gateway: quarantine what crashes targets, by part of the request

The class of fault is containment on an identity that the cause does not have.

Change: a request has several keys, one for each segment that it may share and one for its whole content. When a response breaks off before or just after its first byte, the host checks with one connection whether the target refuses connections; if so, the keys of all such requests there are present in a crash. A key is quarantined for 10 minutes after three crashes without a completion in between; a key whose crashes another key explains better is not, and a completion ends the quarantine. From two crashes on requests are no longer retried. Entry hosts tell each other crashes, completions and quarantined keys with their usage reports. A quarantined request is refused at once, before it takes tokens, as not run with the end of the quarantine.

--- a/internal/fleetsync/usage.go
+++ b/internal/fleetsync/usage.go
@@ -42,7 +42,9 @@
 		peers := s.Peers()
 		if len(peers) > 0 {
 			report := s.Report()
-			if len(report.GetTargets()) == 0 && len(report.GetPrompts()) == 0 && s.Interval == CrossRegionUsageInterval {
+			empty := len(report.GetTargets()) == 0 && len(report.GetPrompts()) == 0 && len(report.GetCrashes()) == 0 &&
+				len(report.GetServed()) == 0 && len(report.GetQuarantined()) == 0
+			if empty && s.Interval == CrossRegionUsageInterval {
 				peers = nil
 			}
 			for _, a := range peers {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -110,16 +110,18 @@
 
 // sendForwarded sends the request to one target and streams the response as it arrives.
 func (g *Gateway) sendForwarded(ctx context.Context, w http.ResponseWriter, x *requestState, f forwardedRequest) error {
+	x.workspace, x.urgency = &document.Workspace{Name: f.Workspace}, f.Urgency
+	x.suspectKeys = suspectKeys(x)
 	s, err := g.chooseLocalTarget(x, time.Duration(f.WaitMS)*time.Millisecond)
 	if err != nil {
 		return err
 	}
 	outcome := placement.Cancelled
-	defer func() { g.finishAttempt(s.attempt, outcome) }()
-	x.workspace, x.urgency = &document.Workspace{Name: f.Workspace}, f.Urgency
+	defer func() { g.finishAttempt(x, s, outcome) }()
 	res, err := g.dispatch(ctx, x, s)
 	if err != nil {
 		outcome = attemptOutcome(ctx, err)
+		g.recordFailure(ctx, x, s, err)
 		if failed, ok := errors.AsType[*attemptError](err); ok {
 			x.ran = failed.ran
 		}
@@ -138,6 +140,7 @@
 		if ctx.Err() == nil {
 			outcome = placement.Failed
 		}
+		g.recordFailure(ctx, x, s, err)
 		return err
 	}
 	outcome = placement.Failed
@@ -153,6 +156,9 @@
 	now := sinceBoot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if err := g.refuseSuspect(now, x); err != nil {
+		return nil, err
+	}
 	choice, ok := g.placer.Choose(now, &x.placementRequest, nil)
 	if !ok {
 		return nil, fmt.Errorf("no target of service %s is available", x.service)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/registry"
 	"geraniumturn.example/geraniumturn/internal/shares"
+	"geraniumturn.example/geraniumturn/internal/suspects"
 	"geraniumturn.example/geraniumturn/internal/upstream"
 )
 
@@ -117,6 +118,8 @@
 	// divided.
 	peerSet        *shares.PeerSet
 	coldLimitHosts []string
+	quarantine     *suspects.Quarantine
+	crashChecks    map[string]*crashCheck // by target
 }
 
 // peerHost is another entry host.
@@ -132,8 +135,8 @@
 }
 
 type requestMetrics struct {
-	requests, served, refused, broken, retries, forwarded, resumed metrics.Counter
-	firstByte, total                                               metrics.Timer
+	requests, served, refused, broken, retries, forwarded, resumed, quarantined metrics.Counter
+	firstByte, total                                                            metrics.Timer
 }
 
 // Init prepares the gateway after its fields are set. prefillSpeed is the prefill speed
@@ -147,13 +150,14 @@
 	g.buckets, g.retryBudgets = map[string]*shares.Bucket{}, map[string]*shares.RetryBudget{}
 	g.hosts, g.remoteRegions, g.endedEvacuations = map[string]*peerHost{}, map[string]*placement.RemoteRegion{}, map[string]endedEvacuation{}
 	g.regionLastHeard = map[string]time.Duration{}
+	g.quarantine, g.crashChecks = suspects.NewQuarantine(), map[string]*crashCheck{}
 	g.peerSet = shares.NewPeerSet(g.Name, g.startedAt)
 	g.placer.Reachable = func(now time.Duration, region string) bool { return now-g.regionLastHeard[region] < regionTimeout }
 	counter := func(name string) metrics.Counter {
 		return metrics.GetOrRegisterCounter("gateway."+name, g.Metrics)
 	}
 	g.requestMetrics = requestMetrics{requests: counter("requests"), served: counter("served"), refused: counter("refused"),
-		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"),
+		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"),
 		firstByte: metrics.GetOrRegisterTimer("gateway.first_byte", g.Metrics),
 		total:     metrics.GetOrRegisterTimer("gateway.total", g.Metrics)}
 }
@@ -201,6 +205,7 @@
 	body             []byte
 	request          *http.Request
 	placementRequest placement.Request
+	suspectKeys      []uint64
 	started          time.Duration
 	startWait        time.Duration // spent waiting for the start of this host
 	deadline         time.Duration
@@ -251,6 +256,10 @@
 	if err := g.readBody(w, x); err != nil {
 		return err
 	}
+	x.suspectKeys = suspectKeys(x)
+	if err := g.checkQuarantine(x); err != nil {
+		return err
+	}
 	if err := g.reserve(ctx, x); err != nil {
 		return err
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"geraniumturn.example/geraniumturn/internal/fleetsync"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/gateway"
+	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/registry"
 )
@@ -30,6 +31,9 @@
 
 func (protocol) Decode(r *http.Request) (gateway.Call, error) {
 	c := gateway.Call{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), LastEvent: r.Header.Get("Last")}
+	for id := range strings.FieldsSeq(r.Header.Get("Segments")) {
+		c.Segments = append(c.Segments, placement.PromptSegment{ID: id, Tokens: 10})
+	}
 	if ms, err := strconv.Atoi(r.Header.Get("Timeout-Ms")); err == nil {
 		c.Timeout = time.Duration(ms) * time.Millisecond
 	}
@@ -585,3 +589,50 @@
 		}
 	}
 }
+
+// Guards against a prompt segment that crashes one target after the other, in requests
+// that are otherwise all different, and against a refusal of sound requests with the
+// other segments of those requests.
+func TestSegmentThatCrashesTargetsIsQuarantined(t *testing.T) {
+	var targets []*target
+	for range 5 {
+		s := newTarget(t)
+		s.script = []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+			if strings.Contains(r.Header.Get("Segments"), "deadly") {
+				_ = s.Listener.Close()
+				panic(http.ErrAbortHandler)
+			}
+			success(w, r)
+		}}
+		targets = append(targets, s)
+	}
+	f := start(t, targets...)
+	crashes := 0
+	for i := range 8 {
+		got := f.call(t, "/once/", "Id", fmt.Sprint("deadly-", i), "Segments", fmt.Sprintf("common deadly own%d", i))
+		if got.header.Get("Ran") != "not_run" {
+			crashes++
+		} else if got.header.Get("Code") != string(refusal.CrashesTargets) || got.header.Get("Retry") == "" {
+			t.Errorf("refusal %+v", got)
+		}
+		time.Sleep(200 * time.Millisecond) // the target is found to refuse connections
+		if got := f.call(t, "/safe/", "Id", fmt.Sprint("sound-", i), "Segments", fmt.Sprintf("common own%d", i)); got.status != 200 {
+			t.Errorf("sound request %d: %+v", i, got)
+		}
+	}
+	if crashes != 3 {
+		t.Errorf("%d targets crashed, want 3", crashes)
+	}
+}
+
+// Guards against a quarantine after responses that targets break off without crashing.
+func TestBrokenResponsesAreNotCrashes(t *testing.T) {
+	s := newTarget(t, hangUp)
+	f := start(t, s)
+	for i := range 6 {
+		if got := f.call(t, "/once/", "Id", fmt.Sprint("i", i), "Segments", "a b c"); got.header.Get("Code") == string(refusal.CrashesTargets) {
+			t.Fatalf("request %d refused: %+v", i, got)
+		}
+		time.Sleep(120 * time.Millisecond)
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -85,7 +85,7 @@
 	if s.firstByteSeen {
 		return
 	}
-	s.firstByteSeen = true
+	s.firstByteSeen, s.firstByteAt = true, sinceBoot()
 	if x.ttfb == 0 {
 		x.ttfb = sinceBoot() - x.started
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -72,8 +72,9 @@
 	// cacheSource is the address of a target that has parts of the prompt in its cache
 	// that this target lacks, or "".
 	cacheSource string
-	// firstByteSeen is set at the first byte of the response.
+	// firstByteSeen is set at the first byte of the response, which came at firstByteAt.
 	firstByteSeen bool
+	firstByteAt   time.Duration
 }
 
 // run attempts the request until a response was relayed or no retry is allowed.
@@ -172,6 +173,9 @@
 	x.placementRequest.TimeLeft = x.deadline - now
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if err := g.refuseSuspect(now, x); err != nil {
+		return nil, err
+	}
 	var choice placement.Choice
 	usable := false
 	if document.AllowsRegion(x.route, x.workspace, g.Region) {
@@ -325,10 +329,11 @@
 	res, err := g.dispatch(ctx, x, s)
 	outcome := placement.Cancelled
 	if s.attempt != nil {
-		defer func() { g.finishAttempt(s.attempt, outcome) }()
+		defer func() { g.finishAttempt(x, s, outcome) }()
 	}
 	if err != nil {
 		outcome = attemptOutcome(ctx, err)
+		g.recordFailure(ctx, x, s, err)
 		return err
 	}
 	defer res.Close()
@@ -364,6 +369,7 @@
 		if outcome == placement.Cancelled && ctx.Err() == nil {
 			outcome = placement.Failed
 		}
+		g.recordFailure(ctx, x, s, err)
 		return err
 	}
 	if class.Success {
@@ -383,10 +389,14 @@
 	return placement.Broken
 }
 
-func (g *Gateway) finishAttempt(a *placement.Attempt, o placement.Outcome) {
+func (g *Gateway) finishAttempt(x *requestState, s *sendAttempt, o placement.Outcome) {
+	now := sinceBoot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.placer.Done(sinceBoot(), a, o)
+	g.placer.Done(now, s.attempt, o)
+	if o == placement.Served {
+		g.quarantine.RecordServed(now, x.suspectKeys)
+	}
 }
 
 func (g *Gateway) eject(a *placement.Attempt) {
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -43,6 +43,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out := &syncpb.UsageReport{Host: g.Name, Relay: scope == placement.OtherRegions}
+	g.addSuspects(sinceBoot(), out)
 	if scope == placement.SameRegion {
 		for id, u := range g.placer.OwnUsage() {
 			out.Targets = append(out.Targets, &syncpb.TargetUsage{Target: id, Running: int32(u.Running), Memory: u.MemoryTokens, Unread: int64(u.PrefillTokens)})
@@ -64,6 +65,7 @@
 	defer g.mu.Unlock()
 	now := sinceBoot()
 	g.placer.SetHostUsage(now, in.GetHost(), usage)
+	g.mergeSuspects(now, in)
 	for _, p := range in.GetPrompts() {
 		placed := placement.PlacedPrompt{Target: p.GetTarget(), Keys: p.GetKeys(), Tokens: p.GetTokens()}
 		g.placer.RecordPlacedPrompt(now, placed)
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -243,6 +243,16 @@
 	return records
 }
 
+// Get returns the record of a target.
+func (t *Table) Get(id string) (Record, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.rows[id]; r != nil {
+		return r.Record, true
+	}
+	return Record{}, false
+}
+
 // Revision returns a number that increases with every change that ChangedSince returns.
 func (t *Table) Revision() uint64 {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/suspects/quarantine_test.go
@@ -0,0 +1,183 @@
+package suspects
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+const (
+	common  = uint64(1) // in most requests
+	subject = uint64(2) // in few requests
+	deadly  = uint64(3)
+)
+
+func crash(n int, at time.Duration, keys ...uint64) Crash {
+	return Crash{Target: fmt.Sprint("t", n), Incarnation: 1, At: at, Keys: keys}
+}
+
+// Guards against a key that goes on crashing targets, and against the quarantine of keys
+// that are often present but also complete.
+func TestKeyThatCrashesTargetsIsQuarantined(t *testing.T) {
+	q := NewQuarantine()
+	now := time.Duration(0)
+	for n := range quarantineCrashes {
+		now += time.Second
+		if _, refused := q.Refused(now, []uint64{common, deadly}, false); refused {
+			t.Fatalf("refused after %d crashes", n)
+		}
+		q.RecordCrash(now, crash(n, now, common, subject, deadly))
+		q.RecordCrash(now, crash(n, now, common, deadly)) // another host saw the same crash
+		now += 100 * time.Millisecond
+		q.RecordServed(now, []uint64{common, subject})
+	}
+	for key, want := range map[uint64]bool{common: false, subject: false, deadly: true} {
+		if _, refused := q.Refused(now, []uint64{key}, false); refused != want {
+			t.Errorf("key %d refused: %v, want %v", key, refused, want)
+		}
+	}
+	if _, refused := q.Refused(now+quarantineDuration, []uint64{deadly}, false); refused {
+		t.Error("the quarantine does not end")
+	}
+}
+
+// Guards against the quarantine of a sound key that was present in every crash and has
+// not completed since: the deadly key explains those crashes.
+func TestExplainedKeyIsNotQuarantined(t *testing.T) {
+	q := NewQuarantine()
+	q.RecordServed(time.Second, []uint64{subject})
+	for n := range quarantineCrashes {
+		q.RecordCrash(2*time.Second, crash(n, 2*time.Second, subject, deadly))
+	}
+	if _, refused := q.Refused(2*time.Second, []uint64{subject}, false); refused {
+		t.Error("a key that completed before is quarantined beside one that never did")
+	}
+	if _, refused := q.Refused(2*time.Second, []uint64{deadly}, false); !refused {
+		t.Error("the deadly key is not quarantined")
+	}
+}
+
+// Guards against retries that crash further targets, and against refusals of retries of
+// requests whose keys complete.
+func TestRetryIsRefusedEarlier(t *testing.T) {
+	q := NewQuarantine()
+	for n := range retryCrashes {
+		q.RecordCrash(time.Second, crash(n, time.Second, subject, deadly))
+	}
+	q.RecordServed(2*time.Second, []uint64{subject})
+	if _, refused := q.Refused(2*time.Second, []uint64{deadly}, true); !refused {
+		t.Error("a retry of a request that was present in two crashes is allowed")
+	}
+	if _, refused := q.Refused(2*time.Second, []uint64{deadly}, false); refused {
+		t.Error("a first attempt is refused")
+	}
+	if _, refused := q.Refused(2*time.Second, []uint64{subject}, true); refused {
+		t.Error("a retry with a key that has completed since is refused")
+	}
+}
+
+// Guards against hosts that each see too few crashes to act, and against completions and
+// quarantines that do not reach the other hosts.
+func TestHostsShareCrashes(t *testing.T) {
+	hosts := []*Quarantine{NewQuarantine(), NewQuarantine(), NewQuarantine()}
+	now := time.Second
+	exchange := func() {
+		now += 100 * time.Millisecond
+		for _, from := range hosts {
+			for _, to := range hosts {
+				to.Merge(now, from.Recent(now))
+			}
+		}
+	}
+	for n := range quarantineCrashes {
+		hosts[n].RecordCrash(now, crash(n, now, common, deadly))
+		exchange()
+		hosts[0].RecordServed(now, []uint64{common})
+		exchange()
+	}
+	for i, h := range hosts {
+		if _, refused := h.Refused(now, []uint64{deadly}, false); !refused {
+			t.Errorf("host %d sends the deadly key", i)
+		}
+		if _, refused := h.Refused(now, []uint64{common}, true); refused {
+			t.Errorf("host %d refuses a key that completes", i)
+		}
+	}
+	late := NewQuarantine()
+	now += 5 * time.Second
+	late.Merge(now, hosts[1].Recent(now))
+	if _, refused := late.Refused(now, []uint64{deadly}, false); !refused {
+		t.Error("a host that starts later sends the deadly key")
+	}
+}
+
+// Guards against a sound key that stays quarantined after crashes in a row that no
+// completion separated, on any host.
+func TestCompletionEndsQuarantine(t *testing.T) {
+	a, b := NewQuarantine(), NewQuarantine()
+	now := time.Second
+	for n := range quarantineCrashes {
+		a.RecordCrash(now, crash(n, now, common, deadly))
+	}
+	b.Merge(now, a.Recent(now))
+	now += 300 * time.Millisecond
+	a.RecordServed(now, []uint64{common})
+	for range 2 { // b tells a of its quarantine, then a tells b of the completion
+		a.Merge(now, b.Recent(now))
+		b.Merge(now, a.Recent(now))
+	}
+	for i, q := range []*Quarantine{a, b} {
+		if _, refused := q.Refused(now, []uint64{common}, false); refused {
+			t.Errorf("host %d refuses a key that has completed since", i)
+		}
+		if _, refused := q.Refused(now, []uint64{deadly}, false); !refused {
+			t.Errorf("host %d sends the deadly key", i)
+		}
+	}
+}
+
+// Guards against sound keys that are quarantined, and deadly ones that are not, in random
+// mixes: each request has a common, a subject and sometimes the deadly key. A request
+// completes unless a crash follows while it is among the last eight.
+func TestRandomCrashesQuarantineOnlyTheCause(t *testing.T) {
+	const seeds, requests = 300, 3000
+	soundRefused := 0
+	for seed := range uint64(seeds) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		q := NewQuarantine()
+		now, crashes := time.Duration(0), 0
+		subjects, share := 20+r.IntN(150), 0.01+0.1*r.Float64()
+		var young []uint64
+		for i := range requests {
+			now += time.Duration(r.IntN(60)) * time.Millisecond
+			keys := []uint64{common, uint64(100 + r.IntN(subjects))}
+			if i >= 100 && r.Float64() < share {
+				keys = append(keys, deadly)
+			}
+			if _, refused := q.Refused(now, keys, false); refused {
+				if !slices.Contains(keys, deadly) {
+					soundRefused++
+				}
+				continue
+			}
+			young = append(young, keys...)
+			if slices.Contains(keys, deadly) {
+				q.RecordCrash(now, crash(crashes, now, young...))
+				crashes++
+				young = nil // all of them broke off
+			} else if len(young) > 16 {
+				q.RecordServed(now, young[:2])
+				young = young[2:]
+			}
+		}
+		if crashes != quarantineCrashes {
+			t.Fatalf("seed %d: %d crashes", seed, crashes)
+		}
+	}
+	if share := float64(soundRefused) / (seeds * requests); share > 0.005 {
+		t.Errorf("%.4f of the requests without the deadly key are refused", share)
+	}
+	t.Logf("%d of %d requests without the deadly key refused", soundRefused, seeds*requests)
+}
