gateway: a stream that ends within an event is broken off

A caller could take a broken stream for a complete one: on routes that are not resumable, a stream with neither a length nor chunks that its target broke off within an event ended like a whole one.

Cause: bytes were copied until the connection ended, and only resumable routes looked at events. For an unframed response the end of the connection is the only end there is.

Change: an event stream that does not end with a blank line aborts the caller's connection. Unframed responses that are whole pass, as before.

Evidence: TestResponseThatEndsWithItsConnection; its cases within an event and before the blank line got a complete 200 before.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -136,7 +136,7 @@
 	x.ran = refusal.Unknown
 	res.Header.Del(headerLoad)
 	g.setLoadHeader(w.Header(), f.Service)
-	if err := g.relayStream(w, x, s, res); err != nil {
+	if err := g.relayStream(w, x, s, res, res); err != nil {
 		if ctx.Err() == nil {
 			outcome = placement.Failed
 		}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -636,3 +636,41 @@
 		time.Sleep(120 * time.Millisecond)
 	}
 }
+
+// unframed sends a response with neither a length nor chunks that ends with its
+// connection.
+func unframed(t *testing.T, contentType, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: sig\r\nContent-Type: %s\r\n\r\n%s", r.Header.Get("Id"), contentType, body)
+	}
+}
+
+// Guards against a whole response that is refused because it ends with its connection,
+// and against a stream that looks complete although it ended within an event.
+func TestResponseThatEndsWithItsConnection(t *testing.T) {
+	for _, c := range []struct {
+		name, path, body string
+		whole            bool
+	}{
+		{"plain", "/safe/", "whole\n\n", true},
+		{"stream", "/stream/", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", true},
+		{"empty stream", "/stream/", "", true},
+		{"within an event", "/stream/", "id: 1\ndata: a\n\nid: 2\nda", false},
+		{"before the blank line", "/stream/", "id: 1\ndata: a\n\nid: 2\ndata: b\n", false},
+		{"within an event, resumable", "/resume/", "id: 1\ndata: a\n\nid: 2\nda", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newTarget(t, unframed(t, "text/event-stream", c.body))
+			got := start(t, s).call(t, c.path)
+			if whole := got.status == 200 && got.err == nil; whole != c.whole || whole && got.body != c.body {
+				t.Errorf("response %+v, want whole: %v", got, c.whole)
+			}
+		})
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -36,7 +37,10 @@
 	case x.route.Resumable:
 		return g.relayEvents(ctx, cancel, w, x, s, res)
 	}
-	return g.relayStream(w, x, s, res)
+	if mediaType, _, _ := mime.ParseMediaType(res.Header.Get("Content-Type")); mediaType == "text/event-stream" {
+		return g.relayStream(w, x, s, &eventReader{Reader: res}, res)
+	}
+	return g.relayStream(w, x, s, res, res)
 }
 
 // relayBuffered buffers the response in full, up to maxBufferedBytes, before it writes it.
@@ -97,22 +101,43 @@
 	}
 }
 
-// relayStream writes a stream to the caller as it arrives.
-func (g *Gateway) relayStream(w http.ResponseWriter, x *requestState, s *sendAttempt, res *upstream.Response) error {
+// relayStream writes the body of a response to the caller as it arrives.
+func (g *Gateway) relayStream(w http.ResponseWriter, x *requestState, s *sendAttempt, body io.Reader, res *upstream.Response) error {
 	buffer := make([]byte, copyBufferBytes)
-	n, err := g.readChunk(s, res, buffer)
+	n, err := g.readChunk(s, body, buffer)
 	if n == 0 && err != nil && err != io.EOF {
 		return &attemptError{ran: refusal.Unknown, err: err}
 	}
 	g.recordFirstByte(x, s)
 	g.startResponse(w, x, res)
 	w.WriteHeader(res.Status)
-	return g.copyStream(w, s, res, buffer, n, err)
+	return g.copyStream(w, s, body, buffer, n, err)
+}
+
+// eventReader reads an event stream. A stream that ends within an event returns
+// io.ErrUnexpectedEOF instead of io.EOF: it may have neither a length nor chunks, so
+// that nothing else shows that it was broken off.
+type eventReader struct {
+	io.Reader
+	tail []byte // the last maxBlankLineBytes bytes
+}
+
+func (r *eventReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	r.tail = append(r.tail, b[:n]...)
+	r.tail = r.tail[max(0, len(r.tail)-maxBlankLineBytes):]
+	if err == io.EOF && len(r.tail) > 0 && !bytes.HasSuffix(r.tail, []byte("\n\n")) && !bytes.HasSuffix(r.tail, []byte("\n\r\n")) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
 }
 
+// maxBlankLineBytes is the length of the longest end of an event.
+const maxBlankLineBytes = 3
+
 // readChunk reads a part of a stream and records that its target is alive.
-func (g *Gateway) readChunk(s *sendAttempt, res *upstream.Response, buffer []byte) (int, error) {
-	n, err := res.Read(buffer)
+func (g *Gateway) readChunk(s *sendAttempt, body io.Reader, buffer []byte) (int, error) {
+	n, err := body.Read(buffer)
 	if n > 0 && s.attempt != nil {
 		g.mu.Lock()
 		g.placer.RecordBytes(sinceBoot(), s.attempt)
@@ -123,7 +148,7 @@
 
 // copyStream writes the first n bytes of the buffer, then copies the remaining stream.
 // err is the error of the read that returned the n bytes.
-func (g *Gateway) copyStream(w http.ResponseWriter, s *sendAttempt, res *upstream.Response, buffer []byte, n int, err error) error {
+func (g *Gateway) copyStream(w http.ResponseWriter, s *sendAttempt, body io.Reader, buffer []byte, n int, err error) error {
 	for {
 		if n > 0 {
 			if werr := writeAndFlush(w, buffer[:n]); werr != nil {
@@ -136,7 +161,7 @@
 		case err != nil:
 			return fmt.Errorf("%w: %v", errTruncated, err)
 		}
-		n, err = g.readChunk(s, res, buffer)
+		n, err = g.readChunk(s, body, buffer)
 	}
 }
 
