upstream: bound the head of a response

A target that sends bytes without end in place of a response head could use up the memory of a host: the head was parsed in memory until the request's deadline (1.2 GB read in 4.6 s in a test, hosts have 280 MB and more).

Cause: http.ReadResponse has no limit of its own. Interim responses without end kept the request busy until its deadline in the same way.

Change: at most 256 KiB are read before the headers end, interim responses included; more counts as a broken response. Skipped responses to other requests and buffered events were bounded already.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -234,6 +234,18 @@
 }
 
 func (f *fixture) call(t *testing.T, path string, header ...string) result {
+	t.Helper()
+	res, err := f.send(t, path, header...)
+	if err != nil {
+		return result{err: err}
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return result{res.StatusCode, string(body), res.Header, err}
+}
+
+// send sends a request and returns the response with its body unread.
+func (f *fixture) send(t *testing.T, path string, header ...string) (*http.Response, error) {
 	t.Helper()
 	r, err := http.NewRequest("POST", f.front.URL+path, strings.NewReader("the body"))
 	if err != nil {
@@ -245,13 +257,7 @@
 	for i := 0; i+1 < len(header); i += 2 {
 		r.Header.Set(header[i], header[i+1])
 	}
-	res, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
-	if err != nil {
-		return result{err: err}
-	}
-	defer res.Body.Close()
-	body, err := io.ReadAll(res.Body)
-	return result{res.StatusCode, string(body), res.Header, err}
+	return (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
 }
 
 // Guards against a request that reaches its target modified, without its workspace or
@@ -639,7 +645,7 @@
 
 // unframed sends a response with neither a length nor chunks that ends with its
 // connection.
-func unframed(t *testing.T, contentType, body string) http.HandlerFunc {
+func unframed(t *testing.T, body string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
@@ -647,7 +653,7 @@
 			return
 		}
 		defer conn.Close()
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: sig\r\nContent-Type: %s\r\n\r\n%s", r.Header.Get("Id"), contentType, body)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: sig\r\nContent-Type: text/event-stream\r\n\r\n%s", r.Header.Get("Id"), body)
 	}
 }
 
@@ -666,7 +672,7 @@
 		{"within an event, resumable", "/resume/", "id: 1\ndata: a\n\nid: 2\nda", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			s := newTarget(t, unframed(t, "text/event-stream", c.body))
+			s := newTarget(t, unframed(t, c.body))
 			got := start(t, s).call(t, c.path)
 			if whole := got.status == 200 && got.err == nil; whole != c.whole || whole && got.body != c.body {
 				t.Errorf("response %+v, want whole: %v", got, c.whole)
@@ -674,3 +680,58 @@
 		})
 	}
 }
+
+// endless sends a part again and again until the connection is closed.
+func endless(signed bool, part string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if signed {
+			w.Header().Set("Signed", "sig")
+		}
+		chunk := []byte(strings.Repeat(part, 1+16_000/len(part)))
+		for r.Context().Err() == nil {
+			if _, err := w.Write(chunk); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// Guards against a body without end that looks complete to the caller, outlasts the
+// route's timeout or keeps its target busy after that.
+func TestEndlessBody(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, part string
+		signed     bool
+	}{
+		"plain":                      {"/safe/", "x", true},
+		"plain, not a response":      {"/safe/", "x", false},
+		"stream without events":      {"/stream/", "x", true},
+		"resumable without events":   {"/resume/", "x", true},
+		"resumable, repeated events": {"/resume/", "id: 1\ndata: a\n\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan struct{}, 8)
+			handler := endless(c.signed, c.part)
+			s := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+				handler(w, r)
+				ended <- struct{}{}
+			})
+			f := start(t, s)
+			started := time.Now()
+			res, err := f.send(t, c.path, "Timeout-Ms", "1000")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer res.Body.Close()
+			n, err := io.Copy(io.Discard, res.Body)
+			if took := time.Since(started); took > 1500*time.Millisecond || res.StatusCode == 200 && err == nil {
+				t.Errorf("status %d, %d bytes, error %v after %s", res.StatusCode, n, err, took)
+			}
+			select {
+			case <-ended:
+			case <-time.After(time.Second):
+				t.Error("the target is still writing")
+			}
+		})
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -17,6 +17,9 @@
 	maxForeignResponses = 3
 	// maxForeignBytes bounds the body of such a response.
 	maxForeignBytes = 1 << 20
+	// maxHeadBytes bounds what is read before the headers of a response have ended,
+	// interim responses included.
+	maxHeadBytes = 256 << 10
 	// writeGrace is how long to wait for the end of the write after the response has
 	// ended. A target that responded early may never read the rest of the request.
 	writeGrace = 2 * time.Millisecond
@@ -25,6 +28,9 @@
 	recentConnIdle = 2 * time.Second
 )
 
+// errHeadTooLarge means that the head of a response exceeds maxHeadBytes.
+var errHeadTooLarge = errors.New("response head too large")
+
 // Request is one request to one address.
 type Request struct {
 	Address string
@@ -124,6 +130,9 @@
 // interim responses and up to maxForeignResponses responses to other requests.
 func (o *Response) readHead(r *Request) error {
 	request := &http.Request{Method: r.Method}
+	source := &o.conn.source
+	source.limited, source.left = true, maxHeadBytes
+	defer func() { source.limited = false }()
 	for foreign := 0; ; {
 		res, err := http.ReadResponse(o.conn.reader, request)
 		if err != nil {
@@ -145,9 +154,11 @@
 		if foreign > maxForeignResponses || !delimited || res.Close {
 			return fmt.Errorf("received a response to another request")
 		}
+		source.limited = false
 		if n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxForeignBytes)); err != nil || n == maxForeignBytes {
 			return fmt.Errorf("response to another request not read to its end: %v", err)
 		}
+		source.limited, source.left = true, maxHeadBytes
 	}
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -56,7 +57,8 @@
 
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	source headLimiter
+	reader *bufio.Reader // reads from source
 	// expires is when the peer may close the idle connection.
 	expires   time.Time
 	idleSince time.Time
@@ -106,7 +108,29 @@
 	if p.OnDial != nil {
 		p.OnDial()
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferBytes)}, nil
+	c := &conn{Conn: raw, source: headLimiter{Reader: raw}}
+	c.reader = bufio.NewReaderSize(&c.source, bufferBytes)
+	return c, nil
+}
+
+// headLimiter bounds the bytes that are read while a limit is set: a response head is
+// parsed in memory, and a faulty target may send one without end.
+type headLimiter struct {
+	io.Reader
+	limited bool
+	left    int
+}
+
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if !l.limited {
+		return l.Reader.Read(b)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.Reader.Read(b[:min(len(b), l.left)])
+	l.left -= n
+	return n, err
 }
 
 // noInput reports whether nothing has arrived on an idle connection, neither data nor
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -259,3 +259,79 @@
 		t.Error("the connection is still open 2 s after the request was cancelled")
 	}
 }
+
+// serveEndless accepts connections and, after a request, sends start and then repeats a
+// part until the peer closes. It counts the bytes that were written.
+func serveEndless(t *testing.T, start, repeat string) (address string, written *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	written = &atomic.Int64{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				chunk := []byte(strings.Repeat(repeat, 1+16_000/len(repeat)))
+				for data := []byte(start); ; data = chunk {
+					n, err := c.Write(data)
+					written.Add(int64(n))
+					if err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), written
+}
+
+// Guards against a target that sends bytes without end in place of the head of a
+// response: they must fill neither the memory nor the time of the request.
+func TestEndlessHead(t *testing.T) {
+	const maxWritten = 8 << 20 // what socket buffers hold, and more
+	for name, c := range map[string]struct{ start, repeat string }{
+		"no response":       {"", "x"},
+		"header lines":      {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"header value":      {"HTTP/1.1 200 OK\r\nA: ", "b"},
+		"folded value":      {"HTTP/1.1 200 OK\r\nA: b\r\n", " c\r\n"},
+		"interim responses": {"", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"},
+		"binary":            {"", "\x00\xff"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, written := serveEndless(t, c.start, c.repeat)
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			started := time.Now()
+			_, err := upstream.NewPool(time.Second).Do(ctx, &upstream.Request{Address: address, Method: "GET", RequestURI: "/", Host: "h"})
+			if !errors.Is(err, upstream.ErrBroken) || errors.Is(err, upstream.ErrNotSent) {
+				t.Errorf("error %v, want ErrBroken", err)
+			}
+			if took := time.Since(started); took > 2*time.Second || written.Load() > maxWritten {
+				t.Errorf("read %d bytes in %s", written.Load(), took)
+			}
+		})
+	}
+}
+
+// Guards against a response that is skipped because it belongs to another request and
+// never ends.
+func TestEndlessForeignResponse(t *testing.T) {
+	address, written := serveEndless(t, "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n")
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	_, err := upstream.NewPool(time.Second).Do(ctx, &upstream.Request{Address: address, Method: "GET", RequestURI: "/", Host: "h",
+		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == "mine" }})
+	if !errors.Is(err, upstream.ErrBroken) || ctx.Err() != nil || written.Load() > 32<<20 {
+		t.Errorf("error %v after %d bytes", err, written.Load())
+	}
+}
