--- a/internal/control/core/sim_test.go
+++ b/internal/control/core/sim_test.go
@@ -750,29 +750,34 @@
 // until another voter loses its disk, while all other hosts lose power.
 func TestReplacedHostThenLostDisk(t *testing.T) {
 	for seed := range uint64(*simSchedules) {
-		s := newSim(t, seed, 3, 3, 3)
-		s.lateRate = 0
-		s.runUntil(4 * time.Second)
-		gone := s.hosts[seed%3]
-		if seed%2 == 0 {
-			gone = s.leaderOr(gone)
-		}
-		s.crash(gone)
-		s.boot(s.addHost())
-		s.runUntil(s.now + replacementTime)
-		wiped := s.hosts[(seed+1)%3]
-		if wiped == gone {
-			wiped = s.hosts[(seed+2)%3]
-		}
-		s.newDisk(wiped)
-		for _, h := range s.hosts {
-			if h != gone {
-				s.crashAndBoot(h, 500*time.Millisecond)
-			}
-		}
-		s.runUntil(s.now + 6*time.Second)
-		if leader := s.leaderOr(gone); leader == gone || !s.leaseHeld(leader) {
-			s.fail("no leader 6 s after the lost disk: %s", s.describe())
+		replaceHostThenLoseDisk(t, seed)
+	}
+	t.Run("seed-2278", func(t *testing.T) { replaceHostThenLoseDisk(t, 2278) }) // three split votes in a row
+}
+
+func replaceHostThenLoseDisk(t *testing.T, seed uint64) {
+	s := newSim(t, seed, 3, 3, 3)
+	s.lateRate = 0
+	s.runUntil(4 * time.Second)
+	gone := s.hosts[seed%3]
+	if seed%2 == 0 {
+		gone = s.leaderOr(gone)
+	}
+	s.crash(gone)
+	s.boot(s.addHost())
+	s.runUntil(s.now + replacementTime)
+	wiped := s.hosts[(seed+1)%3]
+	if wiped == gone {
+		wiped = s.hosts[(seed+2)%3]
+	}
+	s.newDisk(wiped)
+	for _, h := range s.hosts {
+		if h != gone {
+			s.crashAndBoot(h, 500*time.Millisecond)
 		}
 	}
+	s.runUntil(s.now + 6*time.Second)
+	if leader := s.leaderOr(gone); leader == gone || !s.leaseHeld(leader) {
+		s.fail("no leader 6 s after the lost disk: %s", s.describe())
+	}
 }
