suspects: bound the work and the memory of completions

Every usage report that repeats known crashes evaluated all keys of all crashes, which grows with the square of the crashes when a region is lost, and above 50,000 keys each completion searched the whole table. A report that brings nothing new now costs a lookup a key, only the keys of a changed crash are evaluated, and completions are kept in two generations. Completions are told to other hosts only when they follow a crash.

TestCompletionsAreBounded is new.

--- a/internal/suspects/quarantine.go
+++ b/internal/suspects/quarantine.go
@@ -20,7 +20,8 @@
 	maxSuspectKeys = 256
 	// shareDuration is how long a new crash or completion is reported to other hosts.
 	shareDuration = 2 * time.Second
-	// maxServedKeys is the number of keys above which old completions are forgotten.
+	// maxServedKeys is the number of completions after which a new generation begins.
+	// The generation before the last one is forgotten.
 	maxServedKeys = 50_000
 )
 
@@ -63,13 +64,14 @@
 // are still running. It does no I/O and is not safe for concurrent use. Times are those of this host.
 type Quarantine struct {
 	crashes     map[crashID]*crashRecord
-	served      map[uint64]servedRecord
 	quarantined map[uint64]time.Duration // end, by key
+	// served has the last completion of each key, in two generations.
+	served, olderServed map[uint64]servedRecord
 }
 
 // NewQuarantine returns an empty quarantine.
 func NewQuarantine() *Quarantine {
-	return &Quarantine{crashes: map[crashID]*crashRecord{}, served: map[uint64]servedRecord{}, quarantined: map[uint64]time.Duration{}}
+	return &Quarantine{crashes: map[crashID]*crashRecord{}, quarantined: map[uint64]time.Duration{}, served: map[uint64]servedRecord{}}
 }
 
 // RecordCrash records a crash, or further keys of a known one. It returns the keys that
@@ -85,30 +87,49 @@
 		r = &crashRecord{at: c.At, learnedAt: now, keys: map[uint64]bool{}}
 		q.crashes[id] = r
 	}
+	changed := false
 	for _, k := range c.Keys {
 		if !r.keys[k] && len(r.keys) < maxSuspectKeys {
-			r.keys[k] = true
-			r.learnedAt = now
+			r.keys[k], changed = true, true
 		}
 	}
-	return q.evaluate(now)
+	if !changed {
+		return nil
+	}
+	r.learnedAt = now
+	return q.evaluate(now, r)
 }
 
 // RecordServed records that a request with the keys has completed.
 func (q *Quarantine) RecordServed(now time.Duration, keys []uint64) {
-	if len(q.served) > maxServedKeys {
-		maps.DeleteFunc(q.served, func(_ uint64, r servedRecord) bool { return now-r.at > crashWindow })
-	}
 	for _, k := range keys {
-		q.recordServed(k, servedRecord{now, now})
+		q.recordServed(now, k, now)
 	}
 }
 
-func (q *Quarantine) recordServed(key uint64, r servedRecord) {
-	q.served[key] = r
-	if until, ok := q.quarantined[key]; ok && r.at > until-quarantineDuration {
+// recordServed records a completion at a time. It is reported to other hosts only if it
+// follows a crash or ends a quarantine: most keys complete all the time.
+func (q *Quarantine) recordServed(now time.Duration, key uint64, at time.Duration) {
+	old, _ := q.lastServed(key)
+	r := servedRecord{at, old.learnedAt}
+	if until, ok := q.quarantined[key]; ok && at > until-quarantineDuration {
 		delete(q.quarantined, key)
+		r.learnedAt = now
+	} else if len(q.crashesOf(now, key)) > 0 {
+		r.learnedAt = now
 	}
+	if len(q.served) >= maxServedKeys {
+		q.olderServed, q.served = q.served, map[uint64]servedRecord{}
+	}
+	q.served[key] = r
+}
+
+func (q *Quarantine) lastServed(key uint64) (servedRecord, bool) {
+	r, ok := q.served[key]
+	if !ok {
+		r, ok = q.olderServed[key]
+	}
+	return r, ok
 }
 
 // Refused returns the end of the quarantine of the first of the keys that is
@@ -132,7 +153,7 @@
 // crashesOf returns the crashes in which a key was present since its last completion.
 func (q *Quarantine) crashesOf(now time.Duration, key uint64) []crashID {
 	var out []crashID
-	served, known := q.served[key]
+	served, known := q.lastServed(key)
 	for id, r := range q.crashes {
 		if r.keys[key] && now-r.at <= crashWindow && (!known || r.at > served.at) {
 			out = append(out, id)
@@ -141,18 +162,15 @@
 	return out
 }
 
-// evaluate quarantines the keys that have crashed enough targets and returns the new
-// ones.
-func (q *Quarantine) evaluate(now time.Duration) []uint64 {
+// evaluate quarantines the keys of a crash that have crashed enough targets and returns
+// the new ones.
+func (q *Quarantine) evaluate(now time.Duration, r *crashRecord) []uint64 {
 	candidates := map[uint64][]crashID{}
-	for _, r := range q.crashes {
-		for k := range r.keys {
-			if _, done := candidates[k]; !done {
-				candidates[k] = q.crashesOf(now, k)
-			}
+	for k := range r.keys {
+		if crashes := q.crashesOf(now, k); len(crashes) >= quarantineCrashes {
+			candidates[k] = crashes
 		}
 	}
-	maps.DeleteFunc(candidates, func(_ uint64, crashes []crashID) bool { return len(crashes) < quarantineCrashes })
 	var out []uint64
 	for k, crashes := range candidates {
 		if now < q.quarantined[k] || q.explained(k, crashes, candidates) {
@@ -170,12 +188,12 @@
 // likely to be the cause: it was present in further crashes or, unlike this key, no
 // request with it has ever completed.
 func (q *Quarantine) explained(key uint64, crashes []crashID, candidates map[uint64][]crashID) bool {
-	_, served := q.served[key]
+	_, served := q.lastServed(key)
 	for other, otherCrashes := range candidates {
 		if other == key {
 			continue
 		}
-		_, otherServed := q.served[other]
+		_, otherServed := q.lastServed(other)
 		if len(otherCrashes) == len(crashes) && (!served || otherServed) || len(otherCrashes) < len(crashes) {
 			continue
 		}
@@ -205,7 +223,7 @@
 		}
 	}
 	for k := range suspects {
-		if r, ok := q.served[k]; ok && now-r.learnedAt <= shareDuration {
+		if r, ok := q.lastServed(k); ok && r.learnedAt > 0 && now-r.learnedAt <= shareDuration {
 			out.Served = append(out.Served, KeyTime{k, r.at})
 		}
 	}
@@ -221,13 +239,13 @@
 // because of it.
 func (q *Quarantine) Merge(now time.Duration, u Update) []uint64 {
 	for _, s := range u.Served {
-		if r, ok := q.served[s.Key]; !ok || s.At > r.at {
-			q.recordServed(s.Key, servedRecord{s.At, now})
+		if r, ok := q.lastServed(s.Key); !ok || s.At > r.at {
+			q.recordServed(now, s.Key, s.At)
 		}
 	}
 	var out []uint64
 	for _, k := range u.Quarantined {
-		if r, ok := q.served[k.Key]; ok && r.at > k.At-quarantineDuration {
+		if r, ok := q.lastServed(k.Key); ok && r.at > k.At-quarantineDuration {
 			q.served[k.Key] = servedRecord{r.at, now} // the other host does not know of it
 			continue
 		}
--- a/internal/suspects/quarantine_test.go
+++ b/internal/suspects/quarantine_test.go
@@ -181,3 +181,17 @@
 	}
 	t.Logf("%d of %d requests without the deadly key refused", soundRefused, seeds*requests)
 }
+
+// Guards against memory that grows with every request that completes.
+func TestCompletionsAreBounded(t *testing.T) {
+	q := NewQuarantine()
+	for k := range uint64(3 * maxServedKeys) {
+		q.RecordServed(time.Second, []uint64{k})
+	}
+	if n := len(q.served) + len(q.olderServed); n > 2*maxServedKeys {
+		t.Errorf("%d completions are kept", n)
+	}
+	if _, ok := q.lastServed(3*maxServedKeys - 1); !ok {
+		t.Error("the newest completion is forgotten")
+	}
+}
