suspects: crashes at the same moment count as one

Found while reading the change again; not seen in a run. When a region with three or more targets lost its power, the segment that all requests share was present in three crashes with no completion in between. It would have been quarantined, and with no target left to complete a request nothing would have ended that for 10 minutes.

Change: crashes less than 0.1 s apart count as one, for quarantines and for retries.

Evidence: TestSimultaneousCrashesAreOneEvent failed before.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -604,7 +604,7 @@
 	for range 5 {
 		s := newTarget(t)
 		s.script = []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
-			if strings.Contains(r.Header.Get("Segments"), "deadly") {
+			if strings.Contains(r.Header.Get("Segments"), "poison") {
 				_ = s.Listener.Close()
 				panic(http.ErrAbortHandler)
 			}
@@ -615,7 +615,7 @@
 	f := start(t, targets...)
 	crashes := 0
 	for i := range 8 {
-		got := f.call(t, "/once/", "Id", fmt.Sprint("deadly-", i), "Segments", fmt.Sprintf("common deadly own%d", i))
+		got := f.call(t, "/once/", "Id", fmt.Sprint("crash-", i), "Segments", fmt.Sprintf("common poison own%d", i))
 		if got.header.Get("Ran") != "not_run" {
 			crashes++
 		} else if got.header.Get("Code") != string(refusal.CrashesTargets) || got.header.Get("Retry") == "" {
--- a/internal/suspects/quarantine.go
+++ b/internal/suspects/quarantine.go
@@ -11,6 +11,9 @@
 	// retryCrashes the number after which requests with it are no longer retried.
 	quarantineCrashes = 3
 	retryCrashes      = 2
+	// crashInterval is the time within which several crashes count as one: targets that
+	// lose their power together do not crash because of a request.
+	crashInterval = 100 * time.Millisecond
 	// quarantineDuration is how long requests with a quarantined key are refused.
 	quarantineDuration = 10 * time.Minute
 	// crashWindow is how long a crash counts, and maxCrashRecords how many are kept.
@@ -61,7 +64,8 @@
 // was present in several crashes since a request with it last completed: a sound
 // segment completes again and again, even if it is often present when a target crashes.
 // A completion also ends the quarantine of a key: requests that were sent before it began
-// are still running. It does no I/O and is not safe for concurrent use. Times are those of this host.
+// are still running. It does no I/O and is not safe for concurrent use. Times are those
+// of this host.
 type Quarantine struct {
 	crashes     map[crashID]*crashRecord
 	quarantined map[uint64]time.Duration // end, by key
@@ -143,7 +147,7 @@
 		if until := q.quarantined[k]; now < until {
 			return until, true
 		}
-		if retry && len(q.crashesOf(now, k)) >= retryCrashes {
+		if retry && q.countApart(q.crashesOf(now, k)) >= retryCrashes {
 			return now, true
 		}
 	}
@@ -162,12 +166,28 @@
 	return out
 }
 
+// countApart counts crashes that are at least crashInterval apart.
+func (q *Quarantine) countApart(crashes []crashID) int {
+	times := make([]time.Duration, len(crashes))
+	for i, id := range crashes {
+		times[i] = q.crashes[id].at
+	}
+	slices.Sort(times)
+	n, last := 0, time.Duration(0)
+	for _, at := range times {
+		if n == 0 || at-last >= crashInterval {
+			n, last = n+1, at
+		}
+	}
+	return n
+}
+
 // evaluate quarantines the keys of a crash that have crashed enough targets and returns
 // the new ones.
 func (q *Quarantine) evaluate(now time.Duration, r *crashRecord) []uint64 {
 	candidates := map[uint64][]crashID{}
 	for k := range r.keys {
-		if crashes := q.crashesOf(now, k); len(crashes) >= quarantineCrashes {
+		if crashes := q.crashesOf(now, k); q.countApart(crashes) >= quarantineCrashes {
 			candidates[k] = crashes
 		}
 	}
