gateway: log whether a response ends with its connection

A response that was broken off could not be told from a complete one afterwards: no log line had the framing of the response. The request, forward and attempt lines now have it, and gateway.unframed_responses counts such responses. No decision changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,7 +135,7 @@
 }
 
 type requestMetrics struct {
-	requests, served, refused, broken, retries, forwarded, resumed, quarantined metrics.Counter
+	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed metrics.Counter
 	firstByte, total                                                            metrics.Timer
 }
 
@@ -157,7 +157,7 @@
 		return metrics.GetOrRegisterCounter("gateway."+name, g.Metrics)
 	}
 	g.requestMetrics = requestMetrics{requests: counter("requests"), served: counter("served"), refused: counter("refused"),
-		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"),
+		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"),
 		firstByte: metrics.GetOrRegisterTimer("gateway.first_byte", g.Metrics),
 		total:     metrics.GetOrRegisterTimer("gateway.total", g.Metrics)}
 }
@@ -221,6 +221,7 @@
 	choice          placement.Choice // the latest one, also if the request was then refused
 	resumes         int
 	status          int
+	unframed        bool // the latest response from a target has neither a length nor chunks
 	responseStarted bool
 	lastEvent       string // id of the last event written to the caller
 	lastEventAt     time.Duration
@@ -428,6 +429,9 @@
 	if x.forwardHost != "" {
 		fields["forward"] = x.forwardHost
 	}
+	if x.unframed {
+		fields["unframed"] = true
+	}
 	if x.lastEvent != "" {
 		fields["resumes"], fields["last_event"] = x.resumes, x.lastEvent
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -141,7 +141,7 @@
 
 func (g *Gateway) logAttempt(x *requestState, s *sendAttempt, failed *attemptError) {
 	g.Log.WithFields(logrus.Fields{"id": x.call.ID, "target": s.target, "forward": s.forwarded, "ran": string(failed.ran),
-		"unsent": failed.unsent, "error": failed.Error(), "last_event": x.lastEvent}).Info("attempt failed")
+		"unsent": failed.unsent, "unframed": x.unframed, "error": failed.Error(), "last_event": x.lastEvent}).Info("attempt failed")
 }
 
 // mayRetry reports whether a request may be retried. A retry of a request that
@@ -439,6 +439,9 @@
 		}
 		return nil, &attemptError{ran: refusal.Unknown, err: err}
 	}
+	if x.unframed = res.Unframed; res.Unframed {
+		g.requestMetrics.unframed.Inc(1)
+	}
 	return res, nil
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -54,6 +54,9 @@
 	Header http.Header
 	// Length is the length of the body, or -1 if unknown.
 	Length int64
+	// Unframed means that the body has neither a length nor chunks and ends with its
+	// connection.
+	Unframed bool
 
 	pool       *Pool
 	address    string
@@ -143,10 +146,8 @@
 		}
 		if r.Matches == nil || r.Matches(res.StatusCode, res.Header) {
 			o.Status, o.Header, o.Length, o.body = res.StatusCode, res.Header, res.ContentLength, res.Body
-			if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
-				res.Close = true
-			}
-			o.reusable = !res.Close
+			o.Unframed = res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Body != http.NoBody
+			o.reusable = !res.Close && !o.Unframed
 			return nil
 		}
 		foreign++
