gateway: tests of responses that end with the connection of a crashed target

A response with neither a length nor chunks ends with its connection, and so does one whose target crashes: 13 cases of TestUnframedResponseOfCrashedTarget get a clean 200, forwarded or not.

TestResponseThatEndsWithItsConnection expected that a stream without a single event is whole. That was wrong: an unframed stream that ends before its first event is what a crash at that moment leaves, and nothing shows that it is complete. The case now expects the opposite, except when a stream is resumed after its last event. Cases of other content types and of forwarded requests are new.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,7 +136,7 @@
 
 type requestMetrics struct {
 	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed metrics.Counter
-	firstByte, total                                                            metrics.Timer
+	firstByte, total                                                                      metrics.Timer
 }
 
 // Init prepares the gateway after its fields are set. prefillSpeed is the prefill speed
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -645,7 +645,7 @@
 
 // unframed sends a response with neither a length nor chunks that ends with its
 // connection.
-func unframed(t *testing.T, body string) http.HandlerFunc {
+func unframed(t *testing.T, contentType, body string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
@@ -653,34 +653,116 @@
 			return
 		}
 		defer conn.Close()
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: sig\r\nContent-Type: text/event-stream\r\n\r\n%s", r.Header.Get("Id"), body)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: sig\r\nContent-Type: %s\r\n\r\n%s", r.Header.Get("Id"), contentType, body)
 	}
 }
 
+const (
+	eventStream = "text/event-stream"
+	twoEvents   = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+)
+
 // Guards against a whole response that is refused because it ends with its connection,
-// and against a stream that looks complete although it ended within an event.
+// and against a stream that looks complete although it ended within an event or before
+// the first one.
 func TestResponseThatEndsWithItsConnection(t *testing.T) {
 	for _, c := range []struct {
-		name, path, body string
-		whole            bool
+		name, path, contentType, body string
+		whole                         bool
+		header                        []string
 	}{
-		{"plain", "/safe/", "whole\n\n", true},
-		{"stream", "/stream/", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", true},
-		{"empty stream", "/stream/", "", true},
-		{"within an event", "/stream/", "id: 1\ndata: a\n\nid: 2\nda", false},
-		{"before the blank line", "/stream/", "id: 1\ndata: a\n\nid: 2\ndata: b\n", false},
-		{"within an event, resumable", "/resume/", "id: 1\ndata: a\n\nid: 2\nda", false},
+		{"plain", "/safe/", "text/plain", "whole\n\n", true, nil},
+		{"stream", "/stream/", eventStream, twoEvents, true, nil},
+		{"stream, resumable", "/resume/", eventStream, twoEvents, true, nil},
+		{"nothing left to resume", "/resume/", eventStream, "", true, []string{"Last", "2"}},
+		{"empty stream", "/stream/", eventStream, "", false, nil},
+		{"empty stream, resumable", "/resume/", eventStream, "", false, nil},
+		{"within an event", "/stream/", eventStream, "id: 1\ndata: a\n\nid: 2\nda", false, nil},
+		{"within an event, other content type", "/stream/", "text/plain", "id: 1\ndata: a\n\nid: 2\nda", false, nil},
+		{"before the blank line", "/stream/", eventStream, "id: 1\ndata: a\n\nid: 2\ndata: b\n", false, nil},
+		{"within an event, resumable", "/resume/", eventStream, "id: 1\ndata: a\n\nid: 2\nda", false, nil},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			s := newTarget(t, unframed(t, c.body))
-			got := start(t, s).call(t, c.path)
-			if whole := got.status == 200 && got.err == nil; whole != c.whole || whole && got.body != c.body {
-				t.Errorf("response %+v, want whole: %v", got, c.whole)
-			}
-		})
+		for _, forwarded := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, forwarded %v", c.name, forwarded), func(t *testing.T) {
+				s := newTarget(t, unframed(t, c.contentType, c.body))
+				f := start(t, s)
+				if forwarded {
+					f = forwardTo(t, f)
+				}
+				started := time.Now()
+				got := f.call(t, c.path, c.header...)
+				if whole := got.status == 200 && got.err == nil; whole != c.whole || whole && got.body != c.body {
+					t.Errorf("response %+v, want whole: %v", got, c.whole)
+				}
+				if took := time.Since(started); c.whole && took > 300*time.Millisecond {
+					t.Errorf("took %s", took)
+				}
+			})
+		}
 	}
 }
 
+// forwardTo returns a gateway without targets of its own that forwards to f.
+func forwardTo(t *testing.T, f *fixture) *fixture {
+	t.Helper()
+	forward := httptest.NewServer(f.ForwardHandler())
+	t.Cleanup(forward.Close)
+	local := start(t)
+	now := clock.SinceBoot()
+	local.Apply(now, fleetsync.Update{SentAt: now, ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, Hosts: []*syncpb.EntryHost{
+		{Name: "there", Region: "elsewhere", Forward: strings.TrimPrefix(forward.URL, "http://"), Serving: true, Loads: []*syncpb.Load{{Service: "s", WaitMs: 10}}}}}})
+	return local
+}
+
+// Guards against a response of a crashed target that looks complete, because it has
+// neither a length nor chunks and ends at a place where a whole one could end.
+func TestUnframedResponseOfCrashedTarget(t *testing.T) {
+	for _, c := range []struct{ name, path, contentType, body string }{
+		{"plain, may run once", "/once/", "text/plain", "half"},
+		{"plain, repeatable", "/safe/", "text/plain", "half"},
+		{"stream", "/stream/", eventStream, "id: 1\ndata: a\n\n"},
+		{"stream, resumable", "/resume/", eventStream, "id: 1\ndata: a\n\n"},
+		{"stream, other content type", "/stream/", "text/plain", "id: 1\ndata: a\n\n"},
+		{"over the buffer limit", "/safe/", "text/plain", strings.Repeat("x", 2<<20)},
+	} {
+		for _, forwarded := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, forwarded %v", c.name, forwarded), func(t *testing.T) {
+				s := newTarget(t)
+				s.script = []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+					_ = s.Listener.Close()
+					unframed(t, c.contentType, c.body)(w, r)
+				}}
+				f := start(t, s)
+				if forwarded {
+					f = forwardTo(t, f)
+				}
+				if got := f.call(t, c.path); got.status == 200 && got.err == nil {
+					t.Errorf("a response of %d bytes looks complete", len(got.body))
+				} else if got.header.Get("Ran") == "not_run" {
+					t.Error("refused with not_run, although the target ran the request")
+				}
+			})
+		}
+	}
+	t.Run("continues at another target", func(t *testing.T) {
+		s := newTarget(t)
+		crash := newTarget(t)
+		s.script = []http.HandlerFunc{unframed(t, eventStream, "id: 2\ndata: b\n\n")}
+		crash.script = []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+			_ = crash.Listener.Close()
+			unframed(t, eventStream, "id: 1\ndata: a\n\n")(w, r)
+		}}
+		f := newFixture(t)
+		// A silent target is a last resort, so the other one is chosen first.
+		f.Table.Merge(clock.SinceBoot(), registry.Record{ID: "spare", Sequence: 1, Service: "s", DataCentre: "dc", State: registry.Ready,
+			Address: strings.TrimPrefix(s.URL, "http://"), Silent: true})
+		f.update(0, crash)
+		if got := f.call(t, "/resume/"); got.err != nil || got.body != twoEvents {
+			t.Errorf("error %v, stream %q", got.err, got.body)
+		}
+	})
+}
+
 // endless sends a part again and again until the connection is closed.
 func endless(signed bool, part string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
