upstream: confirm the end of a response that ends with its connection

Callers got a clean 200 with a short body when a target crashed while it sent a response with neither a length nor chunks: plain responses, and streams that broke off between two events, on resumable routes too.

Cause: the orderly end of the connection was taken for the end of the response. A process that crashes closes its connections in the same way. The class of fault is an end that is inferred from the absence of more input.

Change: when such a response ends, the connection that the pool lost is replaced at once. A target that still runs accepts it, and the next request uses it; a crashed one refuses it, and the response counts as broken off: it is aborted, repeated or resumed as any other. The check is in the one place that reads responses of targets, so forwarded requests have it too. A whole response waits for one more round trip within the region before its end; its bytes are not delayed.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -66,6 +66,8 @@
 	written    chan struct{} // closed when the whole request is written
 	stopCancel func() bool
 	bodyRead   bool
+	// confirmEnd checks an unframed body that has ended; nil if there is nothing to check.
+	confirmEnd func() error
 }
 
 // Do sends the request and returns when the headers of the response have arrived.
@@ -102,9 +104,24 @@
 		}
 		return nil, fmt.Errorf("%w: %v", ErrBroken, err)
 	}
+	if out.Unframed {
+		out.confirmEnd = func() error { return p.replaceConn(ctx, r.Address, out.keepAliveTime()) }
+	}
 	return out, nil
 }
 
+// replaceConn opens a connection and adds it to the pool. A response that ends with its
+// connection is followed by a new connection to the same address if the target still
+// runs: a process that has crashed refuses it.
+func (p *Pool) replaceConn(ctx context.Context, address string, idle time.Duration) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return fmt.Errorf("the response ended with its connection, and the target accepts no other: %v", err)
+	}
+	p.putIdle(address, c, idle)
+	return nil
+}
+
 // encode returns the request as written to the connection. A body always has a
 // Content-Length.
 func (r *Request) encode() []byte {
@@ -166,6 +183,13 @@
 // Read reads the body. An error other than io.EOF means that the body is incomplete.
 func (o *Response) Read(b []byte) (int, error) {
 	n, err := o.body.Read(b)
+	if err == io.EOF && o.confirmEnd != nil {
+		if unconfirmed := o.confirmEnd(); unconfirmed != nil {
+			err = unconfirmed
+		} else {
+			o.confirmEnd = nil
+		}
+	}
 	switch {
 	case err == io.EOF:
 		o.bodyRead = true
