gateway: an unframed stream without events, or within one, is broken off

A stream with neither a length nor chunks that ended before its first event reached its caller as complete, and so did one with a content type other than text/event-stream that ended within an event, on routes that cannot be resumed.

Cause: the check of events looked at the content type that the target sent instead of the kind of the route, and took no bytes for a complete stream.

Change: on a streaming route an unframed response is read as events whatever its content type is. Without a single event it counts as broken off, unless the caller resumes after its last event. The host that forwards a request tells the other one that the route is streaming, as only the host beside the target knows how the response was framed.

Evidence: six cases of TestResponseThatEndsWithItsConnection failed before and pass; whole unframed streams end within 300 ms in the same test.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -45,6 +45,8 @@
 	RegionBound bool `json:"bound"`
 	// AtMostOnce requests must not be executed twice.
 	AtMostOnce bool `json:"careful"`
+	// Streaming requests have a response that is a series of events.
+	Streaming bool `json:"streaming,omitempty"`
 }
 
 func setForwardHeader(h http.Header, f forwardedRequest) error {
@@ -136,7 +138,11 @@
 	x.ran = refusal.Unknown
 	res.Header.Del(headerLoad)
 	g.setLoadHeader(w.Header(), f.Service)
-	if err := g.relayStream(w, x, s, res, res); err != nil {
+	body := io.Reader(res)
+	if f.Streaming && class.Success {
+		body = streamBody(x, res)
+	}
+	if err := g.relayStream(w, x, s, body, res); err != nil {
 		if ctx.Err() == nil {
 			outcome = placement.Failed
 		}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -37,12 +37,28 @@
 	case x.route.Resumable:
 		return g.relayEvents(ctx, cancel, w, x, s, res)
 	}
-	if mediaType, _, _ := mime.ParseMediaType(res.Header.Get("Content-Type")); mediaType == "text/event-stream" {
-		return g.relayStream(w, x, s, &eventReader{Reader: res}, res)
+	return g.relayStream(w, x, s, streamBody(x, res), res)
+}
+
+// streamBody returns the body of a successful response on a streaming route. The events
+// of a stream are checked unless the framing of a response with another content type
+// already shows where it ends.
+func streamBody(x *requestState, res *upstream.Response) io.Reader {
+	mediaType, _, _ := mime.ParseMediaType(res.Header.Get("Content-Type"))
+	if mediaType != "text/event-stream" && !res.Unframed {
+		return res
 	}
-	return g.relayStream(w, x, s, res, res)
+	return &eventReader{Reader: res, needsEvent: res.Unframed && !x.resumesStream()}
 }
 
+// resumesStream reports whether the caller has received events of the stream before. The
+// rest of such a stream may be empty.
+func (x *requestState) resumesStream() bool { return x.lastEvent != "" || x.call.LastEvent != "" }
+
+// errNoEvents means that a stream that ends with its connection has no event, so that
+// nothing shows that it is complete.
+var errNoEvents = errors.New("gateway: the stream ended before its first event")
+
 // relayBuffered buffers the response in full, up to maxBufferedBytes, before it writes it.
 func (g *Gateway) relayBuffered(w http.ResponseWriter, x *requestState, s *sendAttempt, res *upstream.Response) error {
 	if x.responseStarted {
@@ -119,7 +135,8 @@
 // that nothing else shows that it was broken off.
 type eventReader struct {
 	io.Reader
-	tail []byte // the last maxBlankLineBytes bytes
+	needsEvent bool   // a stream without an event returns errNoEvents
+	tail       []byte // the last maxBlankLineBytes bytes
 }
 
 func (r *eventReader) Read(b []byte) (int, error) {
@@ -129,6 +146,9 @@
 	if err == io.EOF && len(r.tail) > 0 && !bytes.HasSuffix(r.tail, []byte("\n\n")) && !bytes.HasSuffix(r.tail, []byte("\n\r\n")) {
 		err = io.ErrUnexpectedEOF
 	}
+	if err == io.EOF && len(r.tail) == 0 && r.needsEvent {
+		err = errNoEvents
+	}
 	return n, err
 }
 
@@ -191,6 +211,8 @@
 		}
 		pending = incomplete
 		switch {
+		case err == io.EOF && res.Unframed && !x.responseStarted && !x.resumesStream():
+			err = errNoEvents
 		case err == io.EOF && len(bytes.TrimSpace(pending)) == 0:
 			if !x.responseStarted {
 				g.recordFirstByte(x, s)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -417,7 +417,8 @@
 	if s.forwarded {
 		pool = g.remotePool
 		if err := setForwardHeader(header, forwardedRequest{Service: x.service, Workspace: x.workspaceName(), RemainingMS: remaining.Milliseconds(),
-			WaitMS: s.firstByteLimit.Milliseconds(), ObjectiveMS: x.route.FirstByteObjective.Milliseconds(), Urgency: x.urgency, LastEvent: x.lastEvent, AtMostOnce: !x.route.Repeatable(), RegionBound: x.placementRequest.RegionBound}); err != nil {
+			WaitMS: s.firstByteLimit.Milliseconds(), ObjectiveMS: x.route.FirstByteObjective.Milliseconds(), Urgency: x.urgency, LastEvent: x.lastEvent, AtMostOnce: !x.route.Repeatable(),
+			RegionBound: x.placementRequest.RegionBound, Streaming: x.route.Kind == document.Streaming}); err != nil {
 			return nil, err
 		}
 	} else {
