gateway: log software versions and resumed streams

The logs could not tell a stream that this host resumes on other software from one that a caller takes up: the lines of targets, attempts and requests now have the version of the target's software, and the line of a request says after which event and for which attempt its caller resumes a stream. No decision changes.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -95,7 +95,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(x.deadline-started))
 	defer cancel()
 	err = g.sendForwarded(ctx, w, x, f)
-	g.Log.WithFields(logrus.Fields{"id": call.ID, "service": f.Service, "workspace": f.Workspace, "target": x.target, "ran": string(x.ran), "unframed": x.unframed,
+	g.Log.WithFields(logrus.Fields{"id": call.ID, "service": f.Service, "workspace": f.Workspace, "target": x.target, "software": x.software, "ran": string(x.ran), "unframed": x.unframed,
 		"total_ms": (sinceBoot() - started).Milliseconds(), "error": fmt.Sprint(err)}).Info("forwarded request")
 	switch {
 	case err == nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -216,6 +216,7 @@
 	triedRegions    map[string]bool // other regions that the request was forwarded to
 	ran             refusal.Ran
 	target          string
+	software        string // of the latest target in this region
 	forwardHost     string
 	ttfb            time.Duration    // time to first byte
 	choice          placement.Choice // the latest one, also if the request was then refused
@@ -432,6 +433,12 @@
 	if x.unframed {
 		fields["unframed"] = true
 	}
+	if x.software != "" {
+		fields["software"] = x.software
+	}
+	if x.call.LastEvent != "" {
+		fields["after_event"], fields["resumed_attempt"] = x.call.LastEvent, x.call.Resumes
+	}
 	if x.lastEvent != "" {
 		fields["resumes"], fields["last_event"] = x.resumes, x.lastEvent
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -30,7 +30,7 @@
 type protocol struct{}
 
 func (protocol) Decode(r *http.Request) (gateway.Call, error) {
-	c := gateway.Call{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), LastEvent: r.Header.Get("Last")}
+	c := gateway.Call{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), LastEvent: r.Header.Get("Last"), Resumes: r.Header.Get("Resumes")}
 	for id := range strings.FieldsSeq(r.Header.Get("Segments")) {
 		c.Segments = append(c.Segments, placement.PromptSegment{ID: id, Tokens: 10})
 	}
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -29,6 +29,8 @@
 	// LastEvent is the id of the last event that the caller received of an interrupted
 	// stream.
 	LastEvent string
+	// Resumes is the id of the attempt that brought the first event of that stream, or "".
+	Resumes string
 }
 
 // CallerProtocol decodes the requests of callers and encodes refusals.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -64,6 +64,7 @@
 	attempt   *placement.Attempt // nil for a forwarded request
 	target    string
 	address   string
+	software  string // version of the target's software
 	forwarded bool
 	// region is the region that the request is forwarded to, and firstByteLimit how long
 	// it may wait for the first byte there.
@@ -140,7 +141,7 @@
 }
 
 func (g *Gateway) logAttempt(x *requestState, s *sendAttempt, failed *attemptError) {
-	g.Log.WithFields(logrus.Fields{"id": x.call.ID, "target": s.target, "forward": s.forwarded, "ran": string(failed.ran),
+	g.Log.WithFields(logrus.Fields{"id": x.call.ID, "target": s.target, "software": s.software, "forward": s.forwarded, "ran": string(failed.ran),
 		"unsent": failed.unsent, "unframed": x.unframed, "error": failed.Error(), "last_event": x.lastEvent}).Info("attempt failed")
 }
 
@@ -219,7 +220,8 @@
 
 // startAttempt records an attempt at a target with the placer. g.mu must be held.
 func (g *Gateway) startAttempt(now time.Duration, x *requestState, c placement.Choice) *sendAttempt {
-	s := &sendAttempt{target: c.Target.ID, address: c.Target.Address}
+	s := &sendAttempt{target: c.Target.ID, address: c.Target.Address, software: c.Target.Software}
+	x.software = s.software
 	if c.Source != nil {
 		s.cacheSource = c.Source.Address
 	}
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -76,7 +76,7 @@
 	}
 	for _, r := range u.Records {
 		if g.Table.Merge(now, r) {
-			g.Log.WithFields(logrus.Fields{"target": r.ID, "service": r.Service, "address": r.Address, "state": r.State.String(),
+			g.Log.WithFields(logrus.Fields{"target": r.ID, "service": r.Service, "address": r.Address, "software": r.Software, "state": r.State.String(),
 				"sequence": r.Sequence, "cold_ms": max(0, r.ColdUntil-now).Milliseconds(), "silent": r.Silent, "control": u.ControlAddress}).Info("target changed")
 		}
 	}
@@ -186,7 +186,7 @@
 }
 
 func (g *Gateway) targetSpec(r registry.Record, s *document.Service) placement.Spec {
-	spec := placement.Spec{ID: r.ID, Address: r.Address, Service: r.Service, DataCentre: r.DataCentre, Slots: r.Slots,
+	spec := placement.Spec{ID: r.ID, Address: r.Address, Service: r.Service, DataCentre: r.DataCentre, Software: r.Software, Slots: r.Slots,
 		ColdUntil: r.ColdUntil, Suspect: r.Silent}
 	if s.Engine != nil {
 		spec.CacheTokens = s.Engine.CacheTokens
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -79,7 +79,9 @@
 // Spec describes a target as it is registered.
 type Spec struct {
 	ID, Address, Service, DataCentre string
-	Slots                            int
+	// Software is the version of the target's software.
+	Software string
+	Slots    int
 	// CacheTokens is the memory of an engine; 0 for a plain service.
 	CacheTokens int64
 	// ColdUntil is the end of the warm-up of the target. Until then a paced target gets
