gateway: resume a stream only on the software that began it

A stream that broke off was resumed, within one response, at a target with another version of the service's software; nothing in the response showed that its events come from two versions.

Cause: the choice of a target knows services, load and caches, but not the version of the software, which the registry had all along. The class of fault is a choice among alternatives that are not interchangeable.

Change: the first attempt that sends an event binds the stream to the service and the software of its target. Later attempts choose among local targets and regions with that version, the forward header carries it to the other host, and the response of that host names the version that serves. If the target was replaced by another process under its id between the choice and the first event, or the version is unknown, as from a host of an earlier release, the stream is passed on but not resumed. Without a target of the version the response is cut at once, so that the caller can come back.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -25,6 +26,8 @@
 	// headerLoad is the load of the targets of the request's service in the region of
 	// the responding host.
 	headerLoad = "Geraniumturn-Load"
+	// headerSoftware is the quoted version of the software of the responding target.
+	headerSoftware = "Geraniumturn-Software"
 	// ranNotAttempted in headerRan means that the request was sent to no target.
 	ranNotAttempted refusal.Ran = "nowhere"
 )
@@ -45,6 +48,9 @@
 	RegionBound bool `json:"bound"`
 	// AtMostOnce requests must not be executed twice.
 	AtMostOnce bool `json:"careful"`
+	// Software is the version of the software that the target must have, because it began
+	// the stream; nil allows all.
+	Software *string `json:"software,omitempty"`
 	// Streaming requests have a response that is a series of events.
 	Streaming bool `json:"streaming,omitempty"`
 }
@@ -88,7 +94,7 @@
 	x := &requestState{call: call, request: r, body: body, service: f.Service, started: started, ran: refusal.NotRun, lastEvent: f.LastEvent,
 		deadline: started + time.Duration(f.RemainingMS)*time.Millisecond, triedTargets: map[string]bool{}, triedRegions: map[string]bool{},
 		route: &document.Route{Kind: document.Streaming, Resumable: !f.AtMostOnce},
-		placementRequest: placement.Request{Service: f.Service, Model: call.Model, Segments: call.Segments, PromptTokens: call.PromptTokens, OutputTokens: call.MaxOutputTokens, RegionBound: f.RegionBound,
+		placementRequest: placement.Request{Service: f.Service, Model: call.Model, Segments: call.Segments, PromptTokens: call.PromptTokens, OutputTokens: call.MaxOutputTokens, RegionBound: f.RegionBound, Software: f.Software,
 			Objective: time.Duration(f.ObjectiveMS) * time.Millisecond, TimeLeft: time.Duration(f.RemainingMS) * time.Millisecond},
 		header: g.TargetProtocol.RequestHeader(r.Header)}
 	x.header.Del(headerForward)
@@ -137,7 +143,11 @@
 	}
 	x.ran = refusal.Unknown
 	res.Header.Del(headerLoad)
+	res.Header.Del(headerSoftware)
 	g.setLoadHeader(w.Header(), f.Service)
+	if g.softwareUnchanged(s) {
+		w.Header().Set(headerSoftware, strconv.QuoteToASCII(s.software))
+	}
 	body := io.Reader(res)
 	if f.Streaming && class.Success {
 		body = streamBody(x, res)
@@ -195,6 +205,13 @@
 	return placement.Load{TTFB: time.Duration(ttfb) * time.Microsecond, TimePerToken: time.Duration(perToken) * time.Microsecond}, true
 }
 
+// decodeSoftware decodes headerSoftware. It reports false if there is none, as from a
+// host of an earlier release.
+func decodeSoftware(h http.Header) (string, bool) {
+	software, err := strconv.Unquote(h.Get(headerSoftware))
+	return software, err == nil
+}
+
 func writeForwardRefusal(w http.ResponseWriter, ran refusal.Ran, err error) {
 	w.Header().Set(headerRan, string(ran))
 	status := http.StatusServiceUnavailable
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/origins"
 	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/registry"
@@ -225,7 +226,9 @@
 	unframed        bool // the latest response from a target has neither a length nor chunks
 	responseStarted bool
 	lastEvent       string // id of the last event written to the caller
-	lastEventAt     time.Duration
+	// origin is what began the stream; nil before its first event, or if it is unknown.
+	origin      *origins.Origin
+	lastEventAt time.Duration
 }
 
 // ServeHTTP serves a caller's request.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -214,6 +214,9 @@
 		case err == io.EOF && res.Unframed && !x.responseStarted && !x.resumesStream():
 			err = errNoEvents
 		case err == io.EOF && len(bytes.TrimSpace(pending)) == 0:
+			if err := g.checkOrigin(x, s); err != nil {
+				return err
+			}
 			if !x.responseStarted {
 				g.recordFirstByte(x, s)
 				g.startResponse(w, x, res)
@@ -240,6 +243,9 @@
 		if id != "" && !follows(id, x.lastEvent) {
 			continue
 		}
+		if err := g.checkOrigin(x, s); err != nil {
+			return err
+		}
 		if !x.responseStarted {
 			g.startResponse(w, x, res)
 			w.WriteHeader(res.Status)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -61,11 +61,17 @@
 
 // sendAttempt is one attempt to send a request to a target or to another host.
 type sendAttempt struct {
-	attempt   *placement.Attempt // nil for a forwarded request
-	target    string
-	address   string
-	software  string // version of the target's software
-	forwarded bool
+	attempt *placement.Attempt // nil for a forwarded request
+	target  string
+	address string
+	// software is the version of the target's software and startMillis the start of its
+	// process. Those of a forwarded request are known from its response; softwareKnown is
+	// false until then.
+	software      string
+	startMillis   int64
+	softwareKnown bool
+	originChecked bool
+	forwarded     bool
 	// region is the region that the request is forwarded to, and firstByteLimit how long
 	// it may wait for the first byte there.
 	region         string
@@ -109,7 +115,7 @@
 		default:
 			x.ran = refusal.Unknown
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || x.responseStarted && x.origin == nil {
 			return finalError(x, last, err)
 		}
 		if unsent > maxUnsentAttempts || rejected > maxRejections || !failed.retryTaken && !g.mayRetry(x, failed) {
@@ -200,7 +206,7 @@
 	x.choice = choice
 	switch {
 	case remote == nil && !usable:
-		return nil, refusal.New(refusal.NoTarget, refusal.NotRun, "no target of service %s is available", x.service).WithRetry(stateRetryAfter)
+		return nil, noTarget(x).WithRetry(stateRetryAfter)
 	case choice.TTFB > limit:
 		return nil, refusal.New(refusal.Overloaded, refusal.NotRun, "expected time to first byte of %s exceeds the limit of %s", choice.TTFB, limit).
 			WithRetry(max(minRetryAfter, choice.TTFB-limit))
@@ -218,9 +224,16 @@
 	return g.startAttempt(now, x, choice), nil
 }
 
+func noTarget(x *requestState) *refusal.Error {
+	if x.origin != nil {
+		return refusal.New(refusal.NoTarget, refusal.NotRun, "no target of service %s with software %s, which began the stream, is available", x.service, x.origin.Software)
+	}
+	return refusal.New(refusal.NoTarget, refusal.NotRun, "no target of service %s is available", x.service)
+}
+
 // startAttempt records an attempt at a target with the placer. g.mu must be held.
 func (g *Gateway) startAttempt(now time.Duration, x *requestState, c placement.Choice) *sendAttempt {
-	s := &sendAttempt{target: c.Target.ID, address: c.Target.Address, software: c.Target.Software}
+	s := &sendAttempt{target: c.Target.ID, address: c.Target.Address, software: c.Target.Software, startMillis: c.Target.StartMillis, softwareKnown: true}
 	x.software = s.software
 	if c.Source != nil {
 		s.cacheSource = c.Source.Address
@@ -284,6 +297,9 @@
 	if x.triedRegions[region] || !document.AllowsRegion(x.route, x.workspace, region) {
 		return nil
 	}
+	if x.origin != nil && !g.placer.ServedIn(region, &x.placementRequest) {
+		return nil
+	}
 	e, ok := g.placer.EstimateRemote(now, g.remoteRegion(region), &x.placementRequest)
 	if !ok {
 		return nil
@@ -342,6 +358,8 @@
 	if s.forwarded {
 		g.recordRemoteLoad(x, s, res.Header)
 		res.Header.Del(headerLoad)
+		s.software, s.softwareKnown = decodeSoftware(res.Header)
+		res.Header.Del(headerSoftware)
 		if refusal.Ran(res.Header.Get(headerRan)) == ranNotAttempted {
 			x.sends--
 			return &attemptError{ran: refusal.NotRun, unsent: true, err: fmt.Errorf("host %s refused the forwarded request", s.target)}
@@ -420,7 +438,7 @@
 		pool = g.remotePool
 		if err := setForwardHeader(header, forwardedRequest{Service: x.service, Workspace: x.workspaceName(), RemainingMS: remaining.Milliseconds(),
 			WaitMS: s.firstByteLimit.Milliseconds(), ObjectiveMS: x.route.FirstByteObjective.Milliseconds(), Urgency: x.urgency, LastEvent: x.lastEvent, AtMostOnce: !x.route.Repeatable(),
-			RegionBound: x.placementRequest.RegionBound, Streaming: x.route.Kind == document.Streaming}); err != nil {
+			RegionBound: x.placementRequest.RegionBound, Software: x.placementRequest.Software, Streaming: x.route.Kind == document.Streaming}); err != nil {
 			return nil, err
 		}
 	} else {
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -186,7 +186,7 @@
 }
 
 func (g *Gateway) targetSpec(r registry.Record, s *document.Service) placement.Spec {
-	spec := placement.Spec{ID: r.ID, Address: r.Address, Service: r.Service, DataCentre: r.DataCentre, Software: r.Software, Slots: r.Slots,
+	spec := placement.Spec{ID: r.ID, Address: r.Address, Service: r.Service, DataCentre: r.DataCentre, Software: r.Software, StartMillis: r.StartMillis, Slots: r.Slots,
 		ColdUntil: r.ColdUntil, Suspect: r.Silent}
 	if s.Engine != nil {
 		spec.CacheTokens = s.Engine.CacheTokens
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -70,18 +70,25 @@
 	PromptTokens, OutputTokens int64
 	// RegionBound means that the prompt may not leave the region.
 	RegionBound bool
+	// Software is the version of the software that targets must have; nil allows all.
+	Software *string
 	// Objective is the TTFB up to which the request earns full credit, TimeLeft the time
 	// until the caller's timeout.
 	Objective, TimeLeft time.Duration
 	keys                []uint64
 }
 
+// Allows reports whether the software of the target may serve the request.
+func (r *Request) Allows(t *Target) bool { return r.Software == nil || *r.Software == t.Software }
+
 // Spec describes a target as it is registered.
 type Spec struct {
 	ID, Address, Service, DataCentre string
-	// Software is the version of the target's software.
-	Software string
-	Slots    int
+	// Software is the version of the target's software, StartMillis the Unix time of its
+	// start in milliseconds.
+	Software    string
+	StartMillis int64
+	Slots       int
 	// CacheTokens is the memory of an engine; 0 for a plain service.
 	CacheTokens int64
 	// ColdUntil is the end of the warm-up of the target. Until then a paced target gets
@@ -317,7 +324,7 @@
 			p.drawnPair = map[int]bool{p.rand.IntN(n): true, p.rand.IntN(n): true}
 		}
 		for _, t := range p.byService[r.Service] {
-			if excluded != nil && excluded(t.ID) || !t.usable(now, pass > 0) {
+			if excluded != nil && excluded(t.ID) || !r.Allows(t) || !t.usable(now, pass > 0) {
 				continue
 			}
 			c := p.evaluate(now, t, r, sources)
--- a/internal/placement/region.go
+++ b/internal/placement/region.go
@@ -69,6 +69,16 @@
 	return Estimate{TTFB: ttfb, Total: ttfb + time.Duration(request.OutputTokens)*load.TimePerToken, IdleTTFB: idleTTFB}, true
 }
 
+// ServedIn reports whether a target in another region may serve the request.
+func (p *Placer) ServedIn(region string, r *Request) bool {
+	for _, t := range p.remoteByService[r.Service] {
+		if t.Region == region && r.Allows(t) {
+			return true
+		}
+	}
+	return false
+}
+
 // sentSince counts the recent requests that had not reached the region at a time, so
 // that a load measured then does not include them.
 func (r *RemoteRegion) sentSince(now, at time.Duration) int {
