gateway, fleetsync: a caller resumes a stream only on the software that began it

A caller that came back with the id of its last event got the rest of its stream from any target, also from one with other software. After all entry hosts were killed at once no host could have known better.

Cause: what began a stream was remembered nowhere, and a request that resumes one was treated as new. The class of fault is an answer from a host's own memory about something that happened elsewhere or before its start.

Change: an entry host records, before it writes the first event of a resumable stream, which service and software sends it, under the attempt that the caller later names. The regular exchange takes these origins to the control hosts of the region, and those relay them to all others; a process that starts later gets them again. For a request that resumes a stream, the host looks in its own records, then asks all control hosts. If nobody knows, the stream goes on only when every control host responds and no other version has served for as long as a stream may last. Everything else is refused as not run, with the new code unknown_origin. A route that no longer leads to the service that began the stream refuses too.

--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -61,6 +61,7 @@
 			}
 			entry.Info("control host")
 		}}
+	g.OriginClient = client
 	front, err := d.addServer(p.Front, g)
 	if err != nil {
 		return nil, err
--- a/internal/fleetsync/client.go
+++ b/internal/fleetsync/client.go
@@ -50,11 +50,11 @@
 type Client struct {
 	Region string
 	Dial   func(address string) drpc.Conn
-	// NewRequest returns the report of this host; the client adds its position in the
-	// target table. Control hosts of the same region get full reports and relay them.
+	// NewRequest returns the report of this host, with the origins of streams after a
+	// cursor; the client adds its position in the target table. Control hosts of the same region get full reports and relay them.
 	// Those of other regions get full reports only while none of the same region
 	// responds.
-	NewRequest func(now time.Duration, full bool) *syncpb.ExchangeRequest
+	NewRequest func(now time.Duration, full bool, originCursor uint64) *syncpb.ExchangeRequest
 	// ConfigurationFresh reports whether the configuration is recent enough to serve.
 	ConfigurationFresh func() bool
 	// Apply processes an update. Calls are serialised.
@@ -101,12 +101,12 @@
 
 // poll exchanges with one control host until ctx ends or the host is removed.
 func (c *Client) poll(ctx context.Context, address string, seeds func() []string) {
-	var table, cursor uint64
+	var table, cursor, originCursor uint64
 	reachable := true
 	respondedAt := clock.SinceBoot()
 	for ctx.Err() == nil {
 		sentAt := clock.SinceBoot()
-		in := c.NewRequest(sentAt, c.needsFullReport(address, sentAt))
+		in := c.NewRequest(sentAt, c.needsFullReport(address, sentAt), originCursor)
 		in.Table, in.Cursor = table, cursor
 		timeout := exchangeTimeout
 		if !c.ConfigurationFresh() {
@@ -122,6 +122,10 @@
 		}
 		wait := retryInterval
 		if err == nil {
+			originCursor = in.GetOriginCursor()
+			if out.GetTable() != table {
+				originCursor = 0 // a new process of the control host, which has no origins yet
+			}
 			table, cursor, respondedAt = out.GetTable(), out.GetCursor(), now
 			c.addControls(out.GetControls())
 			c.recordResponse(address, now)
--- a/internal/fleetsync/client_test.go
+++ b/internal/fleetsync/client_test.go
@@ -13,6 +13,7 @@
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/origins"
 	"geraniumturn.example/geraniumturn/internal/peer"
 	"geraniumturn.example/geraniumturn/internal/registry"
 )
@@ -27,14 +28,22 @@
 // startControlHost starts a server on a loopback address and returns it with the address.
 func startControlHost(t *testing.T) (*fleetsync.Server, string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	s, address, stop := startProcess(t, "127.0.0.1:0", 7)
+	t.Cleanup(stop)
+	return s, address
+}
+
+// startProcess starts a process of a control host and returns the function that ends it.
+func startProcess(t *testing.T, address string, incarnation uint64) (*fleetsync.Server, string, func()) {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := listener.Addr().String()
+	address = listener.Addr().String()
 	transport := peer.New(address, &clock.HLC{}, nil)
 	s := &fleetsync.Server{Self: &syncpb.ControlHost{Peer: address, Region: "here"}, Leadership: stubLog{true}, Document: document.NewMachine(),
-		Targets: registry.NewTable(), Presence: fleetsync.NewPresence(), Dial: transport.Dial, Incarnation: 7}
+		Targets: registry.NewTable(), Presence: fleetsync.NewPresence(), Dial: transport.Dial, Incarnation: incarnation}
 	s.Init()
 	if err := transport.Register(s, syncpb.DRPCSyncDescription{}); err != nil {
 		t.Fatal(err)
@@ -42,13 +51,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = transport.Serve(ctx, listener) }()
-	t.Cleanup(func() { cancel(); <-done; _ = transport.Close() })
-	return s, address
+	return s, address, func() { cancel(); <-done; _ = transport.Close() }
 }
 
 // recordingClient records the updates of an entry host until the test ends.
 type recordingClient struct {
 	*fleetsync.Client
+	origins *origins.Store
 	mu      sync.Mutex
 	updates []fleetsync.Update
 }
@@ -56,13 +65,14 @@
 func startClient(t *testing.T, configurationFresh bool, seeds ...string) *recordingClient {
 	t.Helper()
 	transport := peer.New("entry", &clock.HLC{}, nil)
-	c := &recordingClient{}
+	c := &recordingClient{origins: origins.NewStore()}
 	c.Client = &fleetsync.Client{Region: "here", Dial: func(a string) drpc.Conn { return transport.Dial(a) }, ConfigurationFresh: func() bool { return configurationFresh },
-		NewRequest: func(_ time.Duration, full bool) *syncpb.ExchangeRequest {
+		NewRequest: func(now time.Duration, full bool, originCursor uint64) *syncpb.ExchangeRequest {
 			if !full {
-				return &syncpb.ExchangeRequest{}
+				return &syncpb.ExchangeRequest{OriginCursor: originCursor}
 			}
-			return &syncpb.ExchangeRequest{WantHosts: true, Host: &syncpb.EntryHost{Name: "entry", Region: "here", Front: "f", Serving: true},
+			began, next := c.origins.Since(now, originCursor)
+			return &syncpb.ExchangeRequest{Origins: fleetsync.EncodeOrigins(began), OriginCursor: next, WantHosts: true, Host: &syncpb.EntryHost{Name: "entry", Region: "here", Front: "f", Serving: true},
 				Demands: []*syncpb.Demand{{Workspace: "w", PerSecond: 5}}, UptimeMs: 10}
 		},
 		Apply: func(_ time.Duration, u fleetsync.Update) {
--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -15,6 +15,7 @@
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/origins"
 	"geraniumturn.example/geraniumturn/internal/registry"
 	"geraniumturn.example/geraniumturn/internal/shares"
 )
@@ -55,14 +56,17 @@
 	// Incarnation identifies this process, so that a cursor issued by an earlier one
 	// is not used.
 	Incarnation uint64
-
-	mu        sync.Mutex
-	allocator *shares.Allocator
+	startedAt   time.Duration
+	origins     *origins.Store // of the streams that entry hosts have reported
+	mu          sync.Mutex
+	allocator   *shares.Allocator
 	// newestReport is the time at which each host sent the newest report that the
 	// allocator has processed.
 	newestReport map[string]time.Duration
 	demands      map[string]*hostDemands // to relay to the leader, by host
 	grants       map[string]*hostGrants  // from the leader, by host
+	// originCursors are by the address of the control host.
+	originCursors map[string]relayCursor
 }
 
 type hostDemands struct {
@@ -78,6 +82,7 @@
 
 // Init prepares the server. It must run before the server is registered for calls.
 func (s *Server) Init() {
+	s.startedAt, s.origins, s.originCursors = clock.SinceBoot(), origins.NewStore(), map[string]relayCursor{}
 	s.demands, s.grants, s.newestReport = map[string]*hostDemands{}, map[string]*hostGrants{}, map[string]time.Duration{}
 }
 
@@ -85,6 +90,7 @@
 func (s *Server) Exchange(_ context.Context, in *syncpb.ExchangeRequest) (*syncpb.ExchangeResponse, error) {
 	now := clock.SinceBoot()
 	s.Presence.RecordEntry(now, in.GetHost(), true)
+	addOrigins(now, in.GetOrigins(), s.origins.Record)
 	out := &syncpb.ExchangeResponse{Controls: s.Presence.Controls(now)}
 	// The age is read before the state, so that it is an upper bound on the age of the
 	// state.
@@ -215,7 +221,8 @@
 	for _, h := range in.GetHosts() {
 		s.Presence.RecordEntry(now-time.Duration(h.GetHeardMs())*time.Millisecond, h, false)
 	}
-	out := &syncpb.RelayResponse{Controls: s.Presence.Controls(now)}
+	addOrigins(now, in.GetOrigins(), s.origins.Merge)
+	out := &syncpb.RelayResponse{Controls: s.Presence.Controls(now), Process: s.Incarnation}
 	if !s.Leadership.IsLeader() {
 		return out, nil
 	}
@@ -292,11 +299,19 @@
 	delete(addresses, s.Self.GetPeer())
 	var g errgroup.Group
 	for a := range addresses {
+		in := request
+		if a == leader {
+			in = withDemands
+		}
+		in, next := s.withOrigins(now, a, in)
+		if a != leader && !withPresence && len(in.GetTargets()) == 0 && len(in.GetOrigins()) == 0 {
+			continue
+		}
 		g.Go(func() error {
-			if a == leader {
-				s.relayTo(ctx, a, withDemands)
-			} else if withPresence || len(request.GetTargets()) > 0 {
-				s.relayTo(ctx, a, request)
+			if process, ok := s.relayTo(ctx, a, in); ok {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.recordRelayed(a, process, next)
 			}
 			return nil
 		})
@@ -321,13 +336,14 @@
 	return out
 }
 
-func (s *Server) relayTo(ctx context.Context, address string, in *syncpb.RelayRequest) {
+// relayTo returns the process of the other control host, or false without a response.
+func (s *Server) relayTo(ctx context.Context, address string, in *syncpb.RelayRequest) (process uint64, ok bool) {
 	sent := clock.SinceBoot()
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	out, err := syncpb.NewDRPCSyncClient(s.Dial(address)).Relay(ctx, in)
 	if err != nil {
-		return // the next rounds relay later heartbeats, reports and demands
+		return 0, false // the next rounds relay later heartbeats, reports and demands
 	}
 	now := clock.SinceBoot()
 	for _, c := range out.GetControls() {
@@ -341,6 +357,7 @@
 			s.grants[g.GetHost()] = &hostGrants{g.GetGrants(), asOf}
 		}
 	}
+	return out.GetProcess(), true
 }
 
 func encodeRecords(now time.Duration, records []registry.Record) []*syncpb.Target {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,8 @@
 	LocalOnly bool
 	// RateClient takes tokens from the rate holders on other hosts.
 	RateClient RateClient
+	// OriginClient asks the control hosts which software began a stream.
+	OriginClient OriginClient
 	// Front, Forward and Peer are the addresses of this host for callers, for
 	// forwarded requests and for RPCs from other hosts.
 	Front, Forward, Peer string
@@ -119,6 +121,7 @@
 	// divided.
 	peerSet        *shares.PeerSet
 	coldLimitHosts []string
+	origins        *origins.Store // of the streams that began at this host
 	quarantine     *suspects.Quarantine
 	crashChecks    map[string]*crashCheck // by target
 }
@@ -151,6 +154,7 @@
 	g.buckets, g.retryBudgets = map[string]*shares.Bucket{}, map[string]*shares.RetryBudget{}
 	g.hosts, g.remoteRegions, g.endedEvacuations = map[string]*peerHost{}, map[string]*placement.RemoteRegion{}, map[string]endedEvacuation{}
 	g.regionLastHeard = map[string]time.Duration{}
+	g.origins = origins.NewStore()
 	g.quarantine, g.crashChecks = suspects.NewQuarantine(), map[string]*crashCheck{}
 	g.peerSet = shares.NewPeerSet(g.Name, g.startedAt)
 	g.placer.Reachable = func(now time.Duration, region string) bool { return now-g.regionLastHeard[region] < regionTimeout }
@@ -227,8 +231,10 @@
 	responseStarted bool
 	lastEvent       string // id of the last event written to the caller
 	// origin is what began the stream; nil before its first event, or if it is unknown.
-	origin      *origins.Origin
-	lastEventAt time.Duration
+	origin *origins.Origin
+	// originSource is how the origin of a stream that its caller resumes was found, or "".
+	originSource string
+	lastEventAt  time.Duration
 }
 
 // ServeHTTP serves a caller's request.
@@ -265,6 +271,9 @@
 	if err := g.checkQuarantine(x); err != nil {
 		return err
 	}
+	if err := g.findOrigin(ctx, x); err != nil {
+		return err
+	}
 	if err := g.reserve(ctx, x); err != nil {
 		return err
 	}
@@ -440,7 +449,7 @@
 		fields["software"] = x.software
 	}
 	if x.call.LastEvent != "" {
-		fields["after_event"], fields["resumed_attempt"] = x.call.LastEvent, x.call.Resumes
+		fields["after_event"], fields["resumed_attempt"], fields["origin"] = x.call.LastEvent, x.call.Resumes, x.originSource
 	}
 	if x.lastEvent != "" {
 		fields["resumes"], fields["last_event"] = x.resumes, x.lastEvent
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -193,7 +193,7 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	g := &gateway.Gateway{Name: "g", DataCentre: "dc", Region: "here", RegionByDataCentre: map[string]string{"dc": "here"},
+	g := &gateway.Gateway{Name: "g", DataCentre: "dc", Region: "here", RegionByDataCentre: map[string]string{"dc": "here", "far": "elsewhere"},
 		Bounds:         gateway.Bounds{KeyMaxStaleness: 5 * time.Second, DenyMaxStaleness: 3 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50},
 		CallerProtocol: protocol{}, TargetProtocol: protocol{}, Views: gateway.NewViewStore(protocol{}.codec()), Table: registry.NewTable(), Log: log, Metrics: metrics.NewRegistry()}
 	g.Init(90_000)
@@ -689,6 +689,7 @@
 				if forwarded {
 					f = forwardTo(t, f)
 				}
+				f.OriginClient = fixedAnswer{Complete: true, Versions: []string{""}}
 				started := time.Now()
 				got := f.call(t, c.path, c.header...)
 				if whole := got.status == 200 && got.err == nil; whole != c.whole || whole && got.body != c.body {
@@ -709,7 +710,11 @@
 	t.Cleanup(forward.Close)
 	local := start(t)
 	now := clock.SinceBoot()
-	local.Apply(now, fleetsync.Update{SentAt: now, ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, Hosts: []*syncpb.EntryHost{
+	far := f.Table.Registered()
+	for i := range far {
+		far[i].DataCentre = "far"
+	}
+	local.Apply(now, fleetsync.Update{SentAt: now, Records: far, ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, Hosts: []*syncpb.EntryHost{
 		{Name: "there", Region: "elsewhere", Forward: strings.TrimPrefix(forward.URL, "http://"), Serving: true, Loads: []*syncpb.Load{{Service: "s", WaitMs: 10}}}}}})
 	return local
 }
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -1,14 +1,17 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/fleetsync"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/origins"
 	"geraniumturn.example/geraniumturn/internal/registry"
 )
 
@@ -98,18 +101,46 @@
 // Guards against a stream that continues at a guess at a host that does not know which
 // software began it.
 func TestUnknownOriginIsRefused(t *testing.T) {
-	for name, header := range map[string][]string{
-		"unknown attempt": {"Last", "1", "Resumes", "elsewhere"},
-		"no attempt":      {"Last", "1"},
+	unknownAttempt, noAttempt := []string{"Last", "1", "Resumes", "elsewhere"}, []string{"Last", "1"}
+	for name, c := range map[string]struct {
+		header  []string
+		answer  fleetsync.OriginAnswer
+		resumed bool
+	}{
+		"unknown attempt":          {unknownAttempt, fleetsync.OriginAnswer{}, false},
+		"no attempt":               {noAttempt, fleetsync.OriginAnswer{}, false},
+		"no attempt, two versions": {noAttempt, fleetsync.OriginAnswer{Complete: true, Versions: []string{"v1", "v2"}}, false},
+		"one version, incomplete":  {noAttempt, fleetsync.OriginAnswer{Versions: []string{"v1"}}, false},
+		"one version":              {noAttempt, fleetsync.OriginAnswer{Complete: true, Versions: []string{"v1"}}, true},
+		"known to a control host": {unknownAttempt, fleetsync.OriginAnswer{Found: true,
+			Origin: origins.Origin{Service: "s", Software: "v1"}}, true},
+		"of a service that the route left": {unknownAttempt, fleetsync.OriginAnswer{Found: true,
+			Origin: origins.Origin{Service: "other", Software: "v1"}}, false},
+		"of software that has no target": {unknownAttempt, fleetsync.OriginAnswer{Found: true,
+			Origin: origins.Origin{Service: "s", Software: "v0"}}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newTarget(t, events(false, 2, 3))
 			f := newFixture(t)
+			f.OriginClient = fixedAnswer(c.answer)
 			f.announceSoftware(map[string]*target{"v1-a": s, "v2-a": s})
-			got := f.call(t, "/resume/", header...)
+			got := f.call(t, "/resume/", append(c.header, "Timeout-Ms", "2000")...)
+			if c.resumed {
+				if got.status != http.StatusOK || s.count() != 1 || s.requests[0].Header.Get("Target") != "v1-a" {
+					t.Errorf("response %+v after %d sends", got, s.count())
+				}
+				return
+			}
 			if got.status != http.StatusServiceUnavailable || got.header.Get("Ran") != "not_run" || s.count() != 0 {
 				t.Errorf("response %+v after %d sends", got, s.count())
 			}
 		})
 	}
 }
+
+// fixedAnswer gives the same answer for every stream.
+type fixedAnswer fleetsync.OriginAnswer
+
+func (a fixedAnswer) FindOrigin(context.Context, origins.Key, string, time.Duration) fleetsync.OriginAnswer {
+	return fleetsync.OriginAnswer(a)
+}
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -23,17 +23,20 @@
 // ExchangeRequest builds the request of the periodic exchange with a control host. If
 // full is false, the request has no report of this host and only fetches changes. While
 // this host waits for its share of a rate, every request is full, because each control
-// host may be the leader, which grants the shares.
-func (g *Gateway) ExchangeRequest(now time.Duration, full bool) *syncpb.ExchangeRequest {
+// host may be the leader, which grants the shares. A full request has the origins of
+// streams after originCursor.
+func (g *Gateway) ExchangeRequest(now time.Duration, full bool, originCursor uint64) *syncpb.ExchangeRequest {
 	index, version := g.Views.position()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !full && !g.awaitsRateShare(now) {
-		return &syncpb.ExchangeRequest{Index: index, Version: version}
+		return &syncpb.ExchangeRequest{Index: index, Version: version, OriginCursor: originCursor}
 	}
+	began, originCursor := g.origins.Since(now, originCursor)
 	out := &syncpb.ExchangeRequest{Index: index, Version: version, WantHosts: g.wantsHosts(now), UptimeMs: (now - g.startedAt).Milliseconds(),
 		Host: &syncpb.EntryHost{Name: g.Name, DataCentre: g.DataCentre, Region: g.Region, Front: g.Front, Forward: g.Forward, Peer: g.Peer,
-			Started: g.Started, Serving: g.Ready()}}
+			Started: g.Started, Serving: g.Ready()},
+		Origins: fleetsync.EncodeOrigins(began), OriginCursor: originCursor}
 	for _, name := range slices.Sorted(maps.Keys(g.buckets)) {
 		b := g.buckets[name]
 		if g.rateHolder(now, name) != nil {
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -52,6 +52,9 @@
 	Draining     Code = "draining"
 	TargetFailed Code = "target_failed"
 	Loop         Code = "loop"
+	// UnknownOrigin means that a stream cannot be resumed, because it is not known which
+	// software began it.
+	UnknownOrigin Code = "unknown_origin"
 
 	Deadline Code = "deadline"
 )
@@ -77,6 +80,7 @@
 	Draining:          http.StatusServiceUnavailable,
 	TargetFailed:      http.StatusServiceUnavailable,
 	Loop:              http.StatusServiceUnavailable,
+	UnknownOrigin:     http.StatusServiceUnavailable,
 	Deadline:          http.StatusGatewayTimeout,
 }
 
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -89,10 +90,17 @@
 	// heartbeatIDs are the targets that sent a heartbeat to this host, or deregistered
 	// here, since the last call of TakeHeartbeats.
 	heartbeatIDs map[string]bool
+	// pastSoftware has when a target of a service was last registered with a version of the
+	// software that it no longer has.
+	pastSoftware map[serviceSoftware]time.Duration
 }
 
+type serviceSoftware struct{ service, software string }
+
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{rows: map[string]*row{}, heartbeatIDs: map[string]bool{}} }
+func NewTable() *Table {
+	return &Table{rows: map[string]*row{}, heartbeatIDs: map[string]bool{}, pastSoftware: map[serviceSoftware]time.Duration{}}
+}
 
 // Heartbeat merges a heartbeat that a target sent to this host. It reports whether the
 // record counts as changed for ChangedSince; a higher sequence number alone does not.
@@ -127,6 +135,7 @@
 	}
 	changed := current.StartMillis != r.StartMillis || current.State != r.State || current.Address != r.Address || current.Service != r.Service ||
 		current.Silent != r.Silent || current.Slots != r.Slots || current.DataCentre != r.DataCentre || r.coldDiffers(current.Record, now)
+	t.recordPastSoftware(now, current.Record)
 	current.Record, current.lastHeard = r, now
 	if changed {
 		t.markChanged(current)
@@ -155,6 +164,7 @@
 	}
 	for _, other := range t.rows {
 		if other.ID != r.ID && other.Address == r.Address && other.State != Left && other.StartMillis < r.StartMillis {
+			t.recordPastSoftware(now, other.Record)
 			other.State, other.lastHeard = Left, now
 			t.markChanged(other)
 		}
@@ -174,17 +184,46 @@
 	if startMillis != 0 && startMillis < current.StartMillis || current.State == Left {
 		return false
 	}
+	t.recordPastSoftware(now, current.Record)
 	current.State, current.lastHeard = Left, now
 	t.markChanged(current)
 	t.heartbeatIDs[id] = true
 	return true
 }
 
+// recordPastSoftware records the software of a target that changes or leaves. t.mu must
+// be held.
+func (t *Table) recordPastSoftware(now time.Duration, old Record) {
+	if old.Service != "" && old.State != Left {
+		t.pastSoftware[serviceSoftware{old.Service, old.Software}] = now
+	}
+}
+
+// SoftwareVersions returns the versions of the software that registered targets of a
+// service had within the window, sorted. Silent targets are registered.
+func (t *Table) SoftwareVersions(now time.Duration, service string, window time.Duration) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	versions := map[string]bool{}
+	for _, r := range t.rows {
+		if r.Service == service && r.State != Left {
+			versions[r.Software] = true
+		}
+	}
+	for past, at := range t.pastSoftware {
+		if past.service == service && now-at <= window {
+			versions[past.software] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(versions))
+}
+
 // Expire marks targets without recent heartbeats as silent and deletes expired
 // tombstones.
 func (t *Table) Expire(now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	maps.DeleteFunc(t.pastSoftware, func(_ serviceSoftware, at time.Duration) bool { return now-at > tombstoneTTL })
 	for id, r := range t.rows {
 		silence := now - r.lastHeard
 		switch {
--- a/internal/registry/table_test.go
+++ b/internal/registry/table_test.go
@@ -1,6 +1,7 @@
 package registry_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -131,3 +132,31 @@
 		t.Errorf("got %v, cursor %d after %d", got, next, cursor)
 	}
 }
+
+// Guards against a version of the software that is forgotten while streams that it began
+// may still be resumed: of targets that left, were replaced at their address, or started
+// again under their id with other software.
+func TestSoftwareVersions(t *testing.T) {
+	record := func(id, address, software string, start int64) registry.Record {
+		return registry.Record{ID: id, StartMillis: start, Sequence: 1, Service: "s", Address: address, Software: software, State: registry.Ready}
+	}
+	table := registry.NewTable()
+	table.Heartbeat(0, record("left", "a", "v1", 1))
+	table.Heartbeat(0, record("replaced", "b", "v2", 1))
+	table.Heartbeat(0, record("restarted", "c", "v3", 1))
+	table.Heartbeat(0, record("stays", "d", "v4", 1))
+	now := 10 * time.Second
+	table.Deregister(now, "left", 1)
+	table.Heartbeat(now, record("new", "b", "v4", 2))
+	table.Heartbeat(now, record("restarted", "c", "v4", 2))
+	table.Expire(now + 20*time.Second)
+	if got := table.SoftwareVersions(now+20*time.Second, "s", time.Minute); fmt.Sprint(got) != "[v1 v2 v3 v4]" {
+		t.Errorf("within the window: %v", got)
+	}
+	if got := table.SoftwareVersions(now+70*time.Second, "s", time.Minute); fmt.Sprint(got) != "[v4]" {
+		t.Errorf("after the window: %v", got)
+	}
+	if got := table.SoftwareVersions(now, "other", time.Minute); len(got) != 0 {
+		t.Errorf("another service: %v", got)
+	}
+}
