gateway: a resumed stream may wait as long as its caller waits for an event

Cause: the limit protects the time to the first event, which such a stream has had; its caller waits for the next event, and only abandons it after seconds. Change: the limit is the one for a stream that this host resumes itself. A refusal because no target with the software responds names the time that a crashed target takes to come back; when the last such target has left, it names none.

Evidence: TestResumedStreamMayWaitForItsNextEvent failed before and passes.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -12,6 +12,7 @@
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/refusal"
+	"geraniumturn.example/geraniumturn/internal/registry"
 	"geraniumturn.example/geraniumturn/internal/rendezvous"
 	"geraniumturn.example/geraniumturn/internal/upstream"
 )
@@ -39,6 +40,8 @@
 	// minForwardGain is how much lower the expected cost in another region must be for
 	// a request to be forwarded, as a fraction of the credit of the request.
 	minForwardGain = 0.12
+	// targetRestartTime is how long a crashed target usually takes to serve again.
+	targetRestartTime = 3 * time.Second
 	// hostTimeout is how long another host may be silent before it gets no requests.
 	hostTimeout = 2500 * time.Millisecond
 )
@@ -206,7 +209,7 @@
 	x.choice = choice
 	switch {
 	case remote == nil && !usable:
-		return nil, noTarget(x).WithRetry(stateRetryAfter)
+		return nil, g.noTarget(x)
 	case choice.TTFB > limit:
 		return nil, refusal.New(refusal.Overloaded, refusal.NotRun, "expected time to first byte of %s exceeds the limit of %s", choice.TTFB, limit).
 			WithRetry(max(minRetryAfter, choice.TTFB-limit))
@@ -224,11 +227,20 @@
 	return g.startAttempt(now, x, choice), nil
 }
 
-func noTarget(x *requestState) *refusal.Error {
-	if x.origin != nil {
-		return refusal.New(refusal.NoTarget, refusal.NotRun, "no target of service %s with software %s, which began the stream, is available", x.service, x.origin.Software)
+// noTarget returns the refusal of a request for which there is no target. A stream cannot
+// continue any more when the last target with its software has left.
+func (g *Gateway) noTarget(x *requestState) *refusal.Error {
+	if x.origin == nil {
+		return refusal.New(refusal.NoTarget, refusal.NotRun, "no target of service %s is available", x.service).WithRetry(stateRetryAfter)
+	}
+	refused := refusal.New(refusal.NoTarget, refusal.NotRun, "no target of service %s with software %s, which began the stream, is available", x.service, x.origin.Software)
+	for _, r := range g.Table.Registered() {
+		if r.Service == x.origin.Service && r.Software == x.origin.Software && r.State == registry.Ready &&
+			document.AllowsRegion(x.route, x.workspace, g.RegionByDataCentre[r.DataCentre]) {
+			return refused.WithRetry(targetRestartTime)
+		}
 	}
-	return refusal.New(refusal.NoTarget, refusal.NotRun, "no target of service %s is available", x.service)
+	return refused
 }
 
 // startAttempt records an attempt at a target with the placer. g.mu must be held.
@@ -253,6 +265,9 @@
 	if x.responseStarted { // the caller waits for the next event of the stream
 		return min(x.deadline, x.lastEventAt+callerTimeout*resumeTimeoutPercent/100) - now
 	}
+	if x.originSource != "" { // the caller of a resumed stream waits for its next event
+		return min(x.deadline, x.started+callerTimeout*resumeTimeoutPercent/100) - now
+	}
 	limit := placement.FirstByteLimit(x.route.Priority, x.route.FirstByteObjective, callerTimeout, idleTTFB)
 	if x.startWait > 0 {
 		// The objective may be missed by the wait that the gateway has imposed, but the
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -134,6 +135,9 @@
 			if got.status != http.StatusServiceUnavailable || got.header.Get("Ran") != "not_run" || s.count() != 0 {
 				t.Errorf("response %+v after %d sends", got, s.count())
 			}
+			if got.header.Get("Retry") != "" {
+				t.Errorf("the caller is told to come back after %s, although nothing will change", got.header.Get("Retry"))
+			}
 		})
 	}
 }
@@ -144,3 +148,33 @@
 func (a fixedAnswer) FindOrigin(context.Context, origins.Key, string, time.Duration) fleetsync.OriginAnswer {
 	return fleetsync.OriginAnswer(a)
 }
+
+// Guards against a resumed stream that is refused because its next event would come
+// later than the first event of a new stream may.
+func TestResumedStreamMayWaitForItsNextEvent(t *testing.T) {
+	slow := slowly(700*time.Millisecond, events(false, 2, 3))
+	s := newTarget(t, slow)
+	f := newFixture(t)
+	f.OriginClient = fixedAnswer{Found: true, Origin: origins.Origin{Service: "s", Software: "v1"}}
+	f.announceSoftware(map[string]*target{"v1-a": s})
+	for range 6 { // until the expected duration is near the actual one
+		var wg sync.WaitGroup
+		for range 4 {
+			wg.Go(func() { f.call(t, "/safe/") })
+		}
+		wg.Wait()
+	}
+	f.announceSoftware(map[string]*target{"v1-a": s}) // confirms the configuration
+	var busy sync.WaitGroup
+	defer busy.Wait()
+	for range 4 {
+		busy.Go(func() { f.call(t, "/safe/") })
+	}
+	time.Sleep(50 * time.Millisecond)
+	if got := f.call(t, "/resume/", "Id", "new"); got.status != http.StatusTooManyRequests {
+		t.Fatalf("the target is not loaded enough to refuse a new stream: %+v", got)
+	}
+	if got := f.call(t, "/resume/", "Id", "again", "Last", "1", "Resumes", "new"); got.status != http.StatusOK {
+		t.Errorf("response %+v", got)
+	}
+}
