registry: a changed software version is a change

A target that started again under its id, with other software and without the time of its start, kept its old version on all hosts but the one that took its heartbeat: a changed Software alone did not count as a change and was not passed on. Streams of the old version could then continue there.

Evidence: TestChangedSoftwareIsAChange failed before and passes.

--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -133,7 +133,7 @@
 	if current.State == Left && r.StartMillis == current.StartMillis && r.State != Left {
 		return false // the heartbeat was in flight when the target left
 	}
-	changed := current.StartMillis != r.StartMillis || current.State != r.State || current.Address != r.Address || current.Service != r.Service ||
+	changed := current.StartMillis != r.StartMillis || current.State != r.State || current.Address != r.Address || current.Service != r.Service || current.Software != r.Software ||
 		current.Silent != r.Silent || current.Slots != r.Slots || current.DataCentre != r.DataCentre || r.coldDiffers(current.Record, now)
 	t.recordPastSoftware(now, current.Record)
 	current.Record, current.lastHeard = r, now
--- a/internal/registry/table_test.go
+++ b/internal/registry/table_test.go
@@ -160,3 +160,19 @@
 		t.Errorf("another service: %v", got)
 	}
 }
+
+// Guards against a target that starts again under its id with other software, without the
+// time of its start, and that other hosts take for one with the old software.
+func TestChangedSoftwareIsAChange(t *testing.T) {
+	table := registry.NewTable()
+	record := registry.Record{ID: "t", Sequence: 1, Service: "s", Address: "a", Software: "v1", State: registry.Ready}
+	table.Heartbeat(0, record)
+	_, cursor := table.ChangedSince(0)
+	record.Sequence, record.Software = 2, "v2"
+	if !table.Heartbeat(time.Second, record) {
+		t.Error("not reported as a change")
+	}
+	if records, _ := table.ChangedSince(cursor); len(records) != 1 || records[0].Software != "v2" {
+		t.Errorf("records %v", records)
+	}
+}
