dispatch, targets: resume a stream only on the software that began it

Targets did not even announce a version of their software, so what two versions write could be joined.

Change: an announcement has the optional field software, which hosts relay as they relay the rest, and a stream continues only on a target that announces the same. Targets that announce none count as one version, as before. A stream that began in another data centre is still not resumed here.

Evidence: TestStreamIsResumedOnSameSoftware fails without the check.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -195,6 +195,46 @@
 	}
 }
 
+// Guards against a stream that is resumed on a target with other software than the one
+// that began it.
+func TestStreamIsResumedOnSameSoftware(t *testing.T) {
+	begin := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(w, "data: {\"n\":0}\n\ndata: {")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	resume := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set(headerResumeAfter, r.Header.Get(headerResumeAfter))
+		fmt.Fprint(w, "data: {\"n\":1}\n\ndata: [DONE]\n\n")
+	}
+	run := func(software ...string) (string, error) {
+		var list []*targets.Target
+		for i, version := range software {
+			serve := resume
+			if i == 0 {
+				serve = begin
+			}
+			target := newTarget(t, fmt.Sprint("t", i), []string{featureResume}, serve)
+			target.Software = version
+			list = append(list, target)
+		}
+		req := request("POST", true)
+		req.Kind, req.Stream = rules.Engine, true
+		sink := &memorySink{}
+		_, err := newDispatcher(list...).Do(t.Context(), req, sink)
+		return sink.body.String(), err
+	}
+	const whole = "data: {\"n\":0}\n\ndata: {\"n\":1}\n\ndata: [DONE]\n\n"
+	if got, err := run("v1", "v2"); !errors.Is(err, ErrResponseTruncated) || got == whole {
+		t.Errorf("other software: %q, %v", got, err)
+	}
+	if got, err := run("v1", "v2", "v1"); err != nil || got != whole {
+		t.Errorf("same software: %q, %v", got, err)
+	}
+}
+
 // Guards against a stream that is refused as truncated although its terminating event
 // arrived, and against one without it that looks complete, when the response has
 // neither a length nor chunks.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -58,6 +58,8 @@
 	req   *Request
 	out   *responseSink
 	tried Tried
+	// software is the version of the software that began the response.
+	software string
 	// ran combines what the attempts show about execution. It never goes back to
 	// not_run.
 	ran            refusal.Ran
@@ -129,7 +131,12 @@
 		return Result{}, &attemptError{err: fmt.Errorf("%w: target %s cannot resume", errTargetFailed, choice.Target.Name),
 			ran: refusal.Unknown, started: true, retryable: true}
 	}
+	if r.out.started && choice.Target.Software != r.software {
+		return Result{}, &attemptError{err: fmt.Errorf("%w: target %s has software %q, the stream began on %q", errTargetFailed, choice.Target.Name, choice.Target.Software, r.software),
+			ran: refusal.Unknown, started: true, retryable: true}
+	}
 	r.dispatchesLeft--
+	r.software = choice.Target.Software
 	return r.runLocal(ctx, choice.Target)
 }
 
--- a/internal/targets/announcement.go
+++ b/internal/targets/announcement.go
@@ -70,6 +70,9 @@
 	LagMS int64 `json:"lag_ms,omitempty"`
 	// Features lists optional features: priority, resume, cancel, kv_export, echo_request_id.
 	Features []string `json:"features,omitempty"`
+	// Software is the version of the target's software. A stream is resumed only on a
+	// target with the version that began it.
+	Software string `json:"software,omitempty"`
 	// HonoursFencing is true when the target rejects requests with an outdated fencing token.
 	HonoursFencing bool `json:"honours_fencing,omitempty"`
 	// Leaving is true while the target drains: it must get no new requests.
@@ -116,6 +119,9 @@
 			}
 		}
 	}
+	if a.Software != "" && !validName(a.Software) {
+		return fmt.Errorf("%w: software %q must have at most %d printable ASCII characters without spaces", ErrInvalid, a.Software, maxNameBytes)
+	}
 	return nil
 }
 
