placement: fetch cached prompts only from targets with the same software

While two versions served, a target was told to fetch cached parts of a prompt from a target with the other version. What two versions write does not fit together, and targets do not check it.

Change: the targets with the longest cached prefix are kept by version, and a target fetches only from its own. Caches count as before in the cost of reading a prompt again.

Evidence: TestFetchOnlyFromSameSoftware failed before and passes.

--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -38,8 +38,8 @@
 }
 
 // evaluate estimates the latency and the cost of a request at a target. sources are
-// the targets from which it may fetch cached segments of the prompt.
-func (p *Placer) evaluate(now time.Duration, t *Target, r *Request, sources fetchSources) Choice {
+// the targets from which it may fetch cached segments of the prompt, by software.
+func (p *Placer) evaluate(now time.Duration, t *Target, r *Request, sources map[string]*fetchSources) Choice {
 	c := Choice{Target: t}
 	c.Usage, c.UsageAge = t.totalUsage(now)
 	if t.cache == nil {
@@ -47,7 +47,7 @@
 	} else {
 		cached := t.cache.cachedTokens(r.keys, r.Segments)
 		c.Cost = missCostPerToken * float64(p.recentTokensAfter(now, r, cached))
-		if source := sources.excluding(t); source.target != nil {
+		if source := sources[t.Software].excluding(t); source.target != nil {
 			fetchCost := missCostPerToken*float64(p.recentTokensAfter(now, r, source.tokens)) + fetchCostPerToken*float64(source.tokens-cached)
 			if fetchCost < c.Cost {
 				c.Source, c.Cost, cached = source.target, fetchCost, source.tokens
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -313,3 +313,21 @@
 		t.Errorf("estimate %s after 8 s without a request", got)
 	}
 }
+
+// Guards against a target that fetches cached parts of a prompt from one with other
+// software.
+func TestFetchOnlyFromSameSoftware(t *testing.T) {
+	p := newPlacer(engines(1))
+	first := longRequest(1, 1)
+	p.Start(second, choose(t, p, second, first).Target, first)
+	placed := p.TakePlacedPrompts(placement.OtherRegions)[0]
+	for _, software := range []string{"v1", "v2"} {
+		source, target := engines(2)[0], engines(2)[1]
+		source.Remote, source.Software, target.Software = true, "v1", software
+		p := newPlacer([]placement.Spec{target, source})
+		p.RecordPlacedPrompt(second, placed)
+		if c := choose(t, p, 2*second, longRequest(1, 2)); (c.Source != nil) != (software == "v1") {
+			t.Errorf("from v1 to %s: source %v", software, c.Source)
+		}
+	}
+}
--- a/internal/placement/sources.go
+++ b/internal/placement/sources.go
@@ -24,7 +24,10 @@
 
 // excluding returns the target with the longest cached prefix other than t. The result
 // has a nil target if no other target has any of the prompt.
-func (s fetchSources) excluding(t *Target) fetchSource {
+func (s *fetchSources) excluding(t *Target) fetchSource {
+	if s == nil {
+		return fetchSource{}
+	}
 	if s.best.target == t {
 		return s.second
 	}
@@ -32,9 +35,10 @@
 }
 
 // findSources returns the targets of this and of other regions from which cached
-// segments of a prompt may be fetched.
-func (p *Placer) findSources(now time.Duration, r *Request) fetchSources {
-	var found fetchSources
+// segments of a prompt may be fetched, by the version of their software: a target cannot
+// use what another version has cached.
+func (p *Placer) findSources(now time.Duration, r *Request) map[string]*fetchSources {
+	found := map[string]*fetchSources{}
 	if len(r.keys) == 0 {
 		return found
 	}
@@ -43,7 +47,10 @@
 			if t.cache == nil || t.Suspect || now < t.ejectedUntil || t.stalled(now) || t.Remote && p.Reachable != nil && !p.Reachable(now, t.Region) {
 				continue
 			}
-			found.add(t, t.cache.cachedTokens(r.keys, r.Segments))
+			if found[t.Software] == nil {
+				found[t.Software] = &fetchSources{}
+			}
+			found[t.Software].add(t, t.cache.cachedTokens(r.keys, r.Segments))
 		}
 	}
 	return found
