gateway: an attempt without an id has no origin

The origin of a stream whose attempt has no id was recorded under the empty id, so a later request that resumes another stream and names no attempt was taken for it. Such streams are not recorded any more, and cannot be resumed unless the service has had one version only.

Evidence: TestAttemptsWithoutIDAreNotOneStream failed before and passes.

--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -13,8 +13,9 @@
 	"geraniumturn.example/geraniumturn/internal/refusal"
 )
 
-// checkOrigin runs before the first event, or the end, of an attempt is written. The first attempt
-// that sends an event binds the stream to its software; a later one must have the same.
+// checkOrigin runs before the first event, or the end, of an attempt is written. The
+// first attempt that sends an event binds the stream to its software; a later one must
+// have the same.
 func (g *Gateway) checkOrigin(x *requestState, s *sendAttempt) error {
 	if s.originChecked {
 		return nil
@@ -24,7 +25,7 @@
 	switch {
 	case x.origin == nil && known:
 		x.bindOrigin(origins.Origin{Service: x.service, Software: s.software})
-		if x.route.Resumable {
+		if x.route.Resumable && x.call.ID != "" {
 			g.origins.Record(sinceBoot(), origins.KeyOf(x.workspaceName(), x.call.ID), *x.origin)
 		}
 	case x.origin == nil: // the stream is sent, but cannot be resumed
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -99,6 +99,21 @@
 	}
 }
 
+// Guards against a stream that is taken for another one because neither attempt has an
+// id.
+func TestAttemptsWithoutIDAreNotOneStream(t *testing.T) {
+	s := newTarget(t, events(false, 1, 2))
+	f := newFixture(t)
+	f.announceSoftware(map[string]*target{"v1-a": s})
+	if got := f.call(t, "/resume/", "Id", ""); got.status != http.StatusOK {
+		t.Fatalf("response %+v", got)
+	}
+	f.announceSoftware(map[string]*target{"v1-a": s, "v2-a": s})
+	if got := f.call(t, "/resume/", "Id", "", "Last", "1"); got.status != http.StatusServiceUnavailable || s.count() != 1 {
+		t.Errorf("response %+v after %d sends", got, s.count())
+	}
+}
+
 // Guards against a stream that continues at a guess at a host that does not know which
 // software began it.
 func TestUnknownOriginIsRefused(t *testing.T) {
