gateway: one version only needs a response from every region

A stream of unknown origin continued on the only version that all known control hosts had seen. Control hosts of a region that has been out of reach for a minute are forgotten, and its entry hosts may have begun the stream on another version meanwhile.

Change: the answer names the regions of the control hosts that responded, and the conclusion needs all regions of the deployment.

Evidence: the case of a region out of reach in TestUnknownOriginIsRefused failed before and passes.

--- a/internal/fleetsync/origins.go
+++ b/internal/fleetsync/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -80,6 +81,8 @@
 	// can have begun the stream.
 	Complete bool
 	Versions []string
+	// Regions are those of the control hosts that have responded.
+	Regions []string
 }
 
 // FindOrigin asks all control hosts which software began a stream of a service that has
@@ -88,29 +91,33 @@
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
 	c.mu.Lock()
-	var addresses []string
-	for a := range c.regionByControl {
-		addresses = append(addresses, a)
-	}
+	controls := maps.Clone(c.regionByControl)
 	c.mu.Unlock()
 	in := &syncpb.OriginRequest{Key: uint64(key), Service: service, WindowMs: window.Milliseconds()}
-	responses := make(chan *syncpb.OriginResponse, len(addresses))
-	for _, a := range addresses {
+	type response struct {
+		*syncpb.OriginResponse
+		region string
+	}
+	responses := make(chan response, len(controls))
+	for a, region := range controls {
 		go func() {
 			out, err := syncpb.NewDRPCSyncClient(c.Dial(a)).FindOrigin(ctx, in)
 			if err != nil {
 				out = nil // the answer is then incomplete
 			}
-			responses <- out
+			responses <- response{out, region}
 		}()
 	}
-	answer := OriginAnswer{Complete: len(addresses) > 0}
-	for range addresses {
+	answer := OriginAnswer{Complete: len(controls) > 0}
+	for range controls {
 		out := <-responses
 		if out.GetFound() {
 			return OriginAnswer{Origin: origins.Origin{Service: out.GetService(), Software: out.GetSoftware()}, Found: true}
 		}
-		if out == nil || out.GetUptimeMs() < window.Milliseconds() {
+		if out.OriginResponse != nil {
+			answer.Regions = append(answer.Regions, out.region)
+		}
+		if out.OriginResponse == nil || out.GetUptimeMs() < window.Milliseconds() {
 			answer.Complete = false
 		}
 		answer.Versions = append(answer.Versions, out.GetVersions()...)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -689,7 +689,7 @@
 				if forwarded {
 					f = forwardTo(t, f)
 				}
-				f.OriginClient = fixedAnswer{Complete: true, Versions: []string{""}}
+				f.OriginClient = fixedAnswer{Complete: true, Versions: []string{""}, Regions: bothRegions}
 				started := time.Now()
 				got := f.call(t, c.path, c.header...)
 				if whole := got.status == 200 && got.err == nil; whole != c.whole || whole && got.body != c.body {
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -77,7 +77,7 @@
 		switch {
 		case answer.Found:
 			return g.resumeOn(x, answer.Origin, originControl)
-		case answer.Complete && len(answer.Versions) == 1 && len(x.route.Split) == 1:
+		case answer.Complete && len(answer.Versions) == 1 && len(x.route.Split) == 1 && g.coverAllRegions(answer.Regions):
 			return g.resumeOn(x, origins.Origin{Service: x.service, Software: answer.Versions[0]}, originVersion)
 		case x.call.Resumes == "" || sinceBoot()-began > originWait || !clock.Sleep(ctx, originPollInterval):
 			return refusal.New(refusal.UnknownOrigin, refusal.NotRun, "it is not known which software began the stream")
@@ -85,6 +85,18 @@
 	}
 }
 
+// coverAllRegions reports whether the names include each region of the deployment. The
+// control hosts of a region that is out of reach for long are forgotten, while its hosts
+// may still serve.
+func (g *Gateway) coverAllRegions(names []string) bool {
+	for region := range g.allRegions() {
+		if !slices.Contains(names, region) {
+			return false
+		}
+	}
+	return true
+}
+
 // resumeOn binds a stream that its caller resumes to its origin, if the route still leads
 // to the service.
 func (g *Gateway) resumeOn(x *requestState, o origins.Origin, source string) error {
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -123,11 +123,12 @@
 		answer  fleetsync.OriginAnswer
 		resumed bool
 	}{
-		"unknown attempt":          {unknownAttempt, fleetsync.OriginAnswer{}, false},
-		"no attempt":               {noAttempt, fleetsync.OriginAnswer{}, false},
-		"no attempt, two versions": {noAttempt, fleetsync.OriginAnswer{Complete: true, Versions: []string{"v1", "v2"}}, false},
-		"one version, incomplete":  {noAttempt, fleetsync.OriginAnswer{Versions: []string{"v1"}}, false},
-		"one version":              {noAttempt, fleetsync.OriginAnswer{Complete: true, Versions: []string{"v1"}}, true},
+		"unknown attempt":                    {unknownAttempt, fleetsync.OriginAnswer{}, false},
+		"no attempt":                         {noAttempt, fleetsync.OriginAnswer{}, false},
+		"no attempt, two versions":           {noAttempt, fleetsync.OriginAnswer{Complete: true, Versions: []string{"v1", "v2"}, Regions: bothRegions}, false},
+		"one version, incomplete":            {noAttempt, fleetsync.OriginAnswer{Versions: []string{"v1"}, Regions: bothRegions}, false},
+		"one version":                        {noAttempt, fleetsync.OriginAnswer{Complete: true, Versions: []string{"v1"}, Regions: bothRegions}, true},
+		"one version, a region out of reach": {noAttempt, fleetsync.OriginAnswer{Complete: true, Versions: []string{"v1"}, Regions: bothRegions[:1]}, false},
 		"known to a control host": {unknownAttempt, fleetsync.OriginAnswer{Found: true,
 			Origin: origins.Origin{Service: "s", Software: "v1"}}, true},
 		"of a service that the route left": {unknownAttempt, fleetsync.OriginAnswer{Found: true,
@@ -157,6 +158,9 @@
 	}
 }
 
+// bothRegions are the regions of the fixture.
+var bothRegions = []string{"here", "elsewhere"}
+
 // fixedAnswer gives the same answer for every stream.
 type fixedAnswer fleetsync.OriginAnswer
 
