reach, gateway: a host without a path to its targets serves through other hosts

Callers saw: first tries at an entry host that had lost the path to all targets failed far more often than at the others. Cause: a failed connection was evidence about the target only. Nothing said that the host itself reached nothing, so each request tried one or two unreachable targets, lost 0.3 s or more with them and was then refused, and hosts of its own region that do reach the targets were no alternative. Class: a fault of the observer that is booked on what it observes. Change: internal/reach decides from failed connections to several targets, with probes of a few others, that the path is lost, and from the first success that it is back. A detached host sends requests to a host of its region, or of another one by homes, over the existing forward protocol (one hop, one deadline, one count of sends). It says so in usage reports, exchanges and refusals of forwarded requests, reports no loads, and is named by the directory only if its whole region is detached. Limits of a request no longer shrink by failed connections.

--- a/internal/controlplane/directory.go
+++ b/internal/controlplane/directory.go
@@ -50,19 +50,25 @@
 // chooseEntries returns the entry hosts of the caller's region. If there are none, it
 // returns hosts of other regions that are home regions of every route of the host name
 // that needs a key, because request bodies must stay in the home regions. Hosts that
-// are starting or draining are returned only if none is serving.
+// are starting or draining are returned only if none is serving, and hosts without a path
+// to targets only if no other host of the region is: they serve through other hosts.
 func chooseEntries(hosts []*syncpb.EntryHost, region string, routes []*document.Route) []string {
 	for _, serving := range []bool{true, false} {
-		var preferred, fallback []string
+		var preferred, detached, fallback []string
 		for _, h := range hosts {
 			switch {
 			case h.GetServing() != serving:
+			case h.GetRegion() == region && h.GetDetached():
+				detached = append(detached, h.GetFront())
 			case h.GetRegion() == region:
 				preferred = append(preferred, h.GetFront())
 			case allRoutesAllow(routes, h.GetRegion()):
 				fallback = append(fallback, h.GetFront())
 			}
 		}
+		if len(preferred) == 0 {
+			preferred = detached
+		}
 		if len(preferred) == 0 {
 			preferred = fallback
 		}
--- a/internal/controlplane/directory_test.go
+++ b/internal/controlplane/directory_test.go
@@ -85,3 +85,27 @@
 		}
 	}
 }
+
+// Guards against callers that are sent to hosts without a path to targets although other
+// hosts of their region have one, and against callers that are sent to another region
+// while hosts of their own can serve them through others.
+func TestChooseEntriesPrefersHostsWithPath(t *testing.T) {
+	host := func(name, region string, detached bool) *syncpb.EntryHost {
+		return &syncpb.EntryHost{Name: name, Region: region, Front: name, Serving: true, Detached: detached}
+	}
+	for name, c := range map[string]struct {
+		hosts []*syncpb.EntryHost
+		want  []string
+	}{
+		"one of three":         {[]*syncpb.EntryHost{host("a1", "a", true), host("a2", "a", false), host("a3", "a", false), host("b1", "b", false)}, []string{"a2", "a3"}},
+		"all of the region":    {[]*syncpb.EntryHost{host("a1", "a", true), host("a2", "a", true), host("b1", "b", false)}, []string{"a1", "a2"}},
+		"none in this region":  {[]*syncpb.EntryHost{host("b1", "b", false)}, []string{"b1"}},
+		"only in other region": {[]*syncpb.EntryHost{host("a1", "a", false), host("b1", "b", true)}, []string{"a1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := chooseEntries(c.hosts, "a", nil); !slices.Equal(got, c.want) {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/fleetsync/hosts_test.go
+++ b/internal/fleetsync/hosts_test.go
@@ -97,3 +97,16 @@
 		t.Errorf("the regular report has %d hosts", len(got))
 	}
 }
+
+// Guards against hosts that learn late that another one has lost or regained the path to
+// its targets.
+func TestDetachedChangeIsRelayedAtOnce(t *testing.T) {
+	p := NewPresence()
+	for i, detached := range []bool{false, true, true, false} {
+		p.RecordEntry(time.Second, &syncpb.EntryHost{Name: "e", Started: 1, Serving: true, Detached: detached}, true)
+		relayed := p.TakeChangedEntries(time.Second)
+		if changed := i != 2; (len(relayed) == 1) != changed || changed && relayed[0].GetDetached() != detached {
+			t.Errorf("report %d: relayed %v", i, relayed)
+		}
+	}
+}
--- a/internal/fleetsync/presence.go
+++ b/internal/fleetsync/presence.go
@@ -27,7 +27,8 @@
 	entries       map[string]*entryRecord   // by name
 	controls      map[string]*controlRecord // by peer address
 	directEntries map[string]bool           // entry hosts that reported to this host since the last relay
-	// changedEntries are those of directEntries that started, or began or stopped serving.
+	// changedEntries are those of directEntries that started, that began or stopped
+	// serving, or that lost or regained the path to their targets.
 	changedEntries map[string]bool
 	changed        chan struct{} // buffered; receives when changedEntries becomes non-empty
 }
@@ -66,7 +67,7 @@
 		return
 	}
 	p.directEntries[h.GetName()] = true
-	if old == nil || old.host.GetStarted() != h.GetStarted() || old.host.GetServing() != h.GetServing() {
+	if old == nil || old.host.GetStarted() != h.GetStarted() || old.host.GetServing() != h.GetServing() || old.host.GetDetached() != h.GetDetached() {
 		p.changedEntries[h.GetName()] = true
 		select {
 		case p.changed <- struct{}{}:
@@ -102,7 +103,7 @@
 func copyWithAge(e *entryRecord, now time.Duration) *syncpb.EntryHost {
 	h := e.host
 	return &syncpb.EntryHost{Name: h.GetName(), DataCentre: h.GetDataCentre(), Region: h.GetRegion(), Front: h.GetFront(),
-		Forward: h.GetForward(), Started: h.GetStarted(), Serving: h.GetServing(), Loads: h.GetLoads(), Peer: h.GetPeer(), HeardMs: (now - e.heardAt).Milliseconds()}
+		Forward: h.GetForward(), Started: h.GetStarted(), Serving: h.GetServing(), Loads: h.GetLoads(), Peer: h.GetPeer(), Detached: h.GetDetached(), HeardMs: (now - e.heardAt).Milliseconds()}
 }
 
 // TakeDirectEntries returns the entry hosts that reported to this host since the last
@@ -115,7 +116,7 @@
 }
 
 // TakeChangedEntries returns the entry hosts that reported to this host since the last
-// call of either method that they have started, or that they serve or no longer serve.
+// call of either method that one of the states in changedEntries has changed.
 func (p *Presence) TakeChangedEntries(now time.Duration) []*syncpb.EntryHost {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/detached_test.go
+++ b/internal/gateway/detached_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -16,20 +18,16 @@
 	"geraniumturn.example/geraniumturn/internal/registry"
 )
 
-// refusingAddress returns an address that refuses connections.
+// refusingAddress returns an address that refuses connections. Its socket stays bound, so
+// that no other process gets the port.
 func refusingAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	_, address := bindSocket(t)
+	return address
 }
 
-// silentAddress returns an address at which connection attempts hang, because the queue
-// of its listener is full.
-func silentAddress(t *testing.T) string {
+// bindSocket binds a TCP socket to a free port of the loopback address.
+func bindSocket(t *testing.T) (fd int, address string) {
 	t.Helper()
 	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
 	if err != nil {
@@ -39,14 +37,21 @@
 	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
 		t.Fatal(err)
 	}
-	if err := unix.Listen(fd, 0); err != nil {
-		t.Fatal(err)
-	}
 	name, err := unix.Getsockname(fd)
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
+	return fd, fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
+}
+
+// silentAddress returns an address at which connection attempts hang, because the queue
+// of its listener is full.
+func silentAddress(t *testing.T) string {
+	t.Helper()
+	fd, address := bindSocket(t)
+	if err := unix.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
 	for {
 		c, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
 		if err != nil {
@@ -112,3 +117,130 @@
 		})
 	}
 }
+
+// Guards against callers of a region whose hosts have all lost the path to its targets:
+// they are served by another region, and the hosts do not pass requests to each other.
+func TestDetachedRegionUsesAnotherRegion(t *testing.T) {
+	s := newTarget(t, success)
+	a, b, far := detachedHost(t, refusingAddress), detachedHost(t, refusingAddress), start(t, s, s, s, s)
+	a.announceHost(t, "b", "here", b)
+	b.announceHost(t, "a", "here", a)
+	for _, f := range []*fixture{a, b} {
+		f.warmUp(t)
+	}
+	for _, f := range []*fixture{a, b} {
+		began := time.Now()
+		got := f.call(t, "/once/")
+		if took := time.Since(began); got.header.Get("Ran") != "not_run" || got.header.Get("Retry") == "" || took > 250*time.Millisecond {
+			t.Errorf("no host reaches a target: status %d, header %v after %s", got.status, got.header, took)
+		}
+	}
+	a.announceHost(t, "far", "elsewhere", far)
+	for i := range 6 {
+		if got := a.call(t, "/open/"); got.status != 200 {
+			t.Errorf("request %d: status %d, %s", i, got.status, got.header.Get("Code"))
+		}
+	}
+}
+
+// Guards against a host that goes on sending its requests through others after it has
+// regained the path to its targets, and against one that reports loads of targets that it
+// does not reach.
+func TestDetachedHostRegainsPath(t *testing.T) {
+	viaPeer, direct := newTarget(t, success), newTarget(t, success)
+	f := newFixture(t)
+	addresses := map[string]string{}
+	var sockets []int
+	for i := range 4 {
+		fd, address := bindSocket(t)
+		sockets, addresses[fmt.Sprint("t", i)] = append(sockets, fd), address
+	}
+	f.announceAddresses(addresses)
+	f.announceHost(t, "peer", "here", start(t, viaPeer, viaPeer, viaPeer, viaPeer))
+	f.warmUp(t)
+	if report := f.ExchangeRequest(clock.SinceBoot(), true, 0).GetHost(); !report.GetDetached() || len(report.GetLoads()) > 0 {
+		t.Errorf("detached host reports %v", report)
+	}
+	for _, fd := range sockets {
+		serveSocket(t, fd, direct)
+	}
+	for deadline := time.Now().Add(3 * time.Second); f.Detached() && time.Now().Before(deadline); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	before := viaPeer.count()
+	for i := range 6 {
+		if got := f.call(t, "/open/"); got.status != 200 {
+			t.Errorf("request %d: status %d, %s", i, got.status, got.header.Get("Code"))
+		}
+	}
+	if viaPeer.count() != before || direct.count() != 6 {
+		t.Errorf("%d requests through the peer and %d direct, want 0 and 6", viaPeer.count()-before, direct.count())
+	}
+	if report := f.ExchangeRequest(clock.SinceBoot(), true, 0).GetHost(); report.GetDetached() || len(report.GetLoads()) == 0 {
+		t.Errorf("host reports %v", report)
+	}
+}
+
+// serveSocket accepts connections for the handler on a bound socket.
+func serveSocket(t *testing.T, fd int, handler http.Handler) {
+	t.Helper()
+	if err := unix.Listen(fd, 64); err != nil {
+		t.Fatal(err)
+	}
+	duplicate, err := unix.Dup(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(duplicate), "listener")
+	l, err := net.FileListener(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = file.Close() // the listener has a descriptor of its own
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+}
+
+// refuseConnections lets a target refuse new connections. Its port stays bound, so that no
+// other process gets it.
+func (s *target) refuseConnections(t *testing.T) {
+	t.Helper()
+	raw, err := s.Listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var shutdownErr error
+	if err := raw.Control(func(fd uintptr) { shutdownErr = unix.Shutdown(int(fd), unix.SHUT_RD) }); err != nil || shutdownErr != nil {
+		t.Fatal(err, shutdownErr)
+	}
+}
+
+// Guards against callers that are refused while open connections to targets live on and
+// new ones are refused.
+func TestNewConnectionsRefused(t *testing.T) {
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		success(w, r)
+	}
+	var targets []*target
+	for range 4 {
+		targets = append(targets, newTarget(t, slow))
+	}
+	s := newTarget(t, slow)
+	f := start(t, targets...)
+	f.announceHost(t, "peer", "here", start(t, s, s, s, s))
+	f.warmUp(t)
+	for _, s := range targets {
+		s.refuseConnections(t)
+	}
+	statuses := make(chan result, 60)
+	for range cap(statuses) {
+		go func() { statuses <- f.call(t, "/open/") }()
+	}
+	for range cap(statuses) {
+		if got := <-statuses; got.status != 200 {
+			t.Errorf("status %d, %s, ran %s: %s", got.status, got.header.Get("Code"), got.header.Get("Ran"), got.body)
+		}
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -81,6 +81,11 @@
 		writeForwardRefusal(w, ranNotAttempted, errors.New("this host is shutting down"))
 		return
 	}
+	if g.Detached() {
+		w.Header().Set(headerDetached, "1")
+		writeForwardRefusal(w, ranNotAttempted, errors.New("this host reaches no target of its region"))
+		return
+	}
 	call, err := g.CallerProtocol.Decode(r)
 	if err != nil {
 		writeForwardRefusal(w, ranNotAttempted, err)
@@ -191,6 +196,9 @@
 func (g *Gateway) setLoadHeader(h http.Header, service string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.path.Detached() {
+		return // the load of targets that this host does not reach is unknown
+	}
 	if e, ok := g.placer.TypicalEstimate(sinceBoot(), service); ok {
 		h.Set(headerLoad, fmt.Sprintf("%d,%d", e.TTFB.Microseconds(), e.TimePerToken().Microseconds()))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/origins"
 	"geraniumturn.example/geraniumturn/internal/placement"
+	"geraniumturn.example/geraniumturn/internal/reach"
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/registry"
 	"geraniumturn.example/geraniumturn/internal/shares"
@@ -104,6 +105,8 @@
 
 	mu               sync.Mutex
 	placer           *placement.Placer
+	path             *reach.Monitor // to the targets of this region
+	probing          bool           // probeTargets runs
 	buckets          map[string]*shares.Bucket
 	retryBudgets     map[string]*shares.RetryBudget
 	hosts            map[string]*peerHost
@@ -129,7 +132,8 @@
 // peerHost is another entry host.
 type peerHost struct {
 	*syncpb.EntryHost
-	lastHeard time.Duration
+	lastHeard  time.Duration
+	detachment detachment
 }
 
 // endedEvacuation records the end of an evacuation of a data centre.
@@ -139,8 +143,8 @@
 }
 
 type requestMetrics struct {
-	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed metrics.Counter
-	firstByte, total                                                                      metrics.Timer
+	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed, detached metrics.Counter
+	firstByte, total                                                                                metrics.Timer
 }
 
 // Init prepares the gateway after its fields are set. prefillSpeed is the prefill speed
@@ -148,8 +152,8 @@
 func (g *Gateway) Init(prefillSpeed float64) {
 	g.startedAt = sinceBoot()
 	g.localPool, g.remotePool = upstream.NewPool(localDialTimeout), upstream.NewPool(remoteDialTimeout)
-	dials := metrics.GetOrRegisterCounter("gateway.connections_opened", g.Metrics)
-	g.localPool.OnDial = func() { dials.Inc(1) }
+	g.path = reach.NewMonitor()
+	g.localPool.OnDial = g.recordDial
 	g.placer = placement.New(placement.DefaultEngine(prefillSpeed), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	g.buckets, g.retryBudgets = map[string]*shares.Bucket{}, map[string]*shares.RetryBudget{}
 	g.hosts, g.remoteRegions, g.endedEvacuations = map[string]*peerHost{}, map[string]*placement.RemoteRegion{}, map[string]endedEvacuation{}
@@ -162,7 +166,7 @@
 		return metrics.GetOrRegisterCounter("gateway."+name, g.Metrics)
 	}
 	g.requestMetrics = requestMetrics{requests: counter("requests"), served: counter("served"), refused: counter("refused"),
-		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"),
+		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"), detached: counter("detached"),
 		firstByte: metrics.GetOrRegisterTimer("gateway.first_byte", g.Metrics),
 		total:     metrics.GetOrRegisterTimer("gateway.total", g.Metrics)}
 }
@@ -212,7 +216,7 @@
 	placementRequest placement.Request
 	suspectKeys      []uint64
 	started          time.Duration
-	startWait        time.Duration // spent waiting for the start of this host
+	hostWait         time.Duration // spent waiting for the start of this host, or for connections that failed
 	deadline         time.Duration
 	reservation      *reservation
 
--- /dev/null
+++ b/internal/gateway/path.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/placement"
+)
+
+// headerDetached marks the refusal of a forwarded request by a host that reaches no target
+// of its region.
+const headerDetached = "Geraniumturn-Detached"
+
+// recordDial records the outcome of a connection attempt to a target of this region.
+func (g *Gateway) recordDial(address string, err error) {
+	now := sinceBoot()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err == nil {
+		metrics.GetOrRegisterCounter("gateway.connections_opened", g.Metrics).Inc(1)
+		if outage, ended := g.path.Reached(now); ended {
+			g.placer.ResetConnectFailures()
+			g.Log.WithFields(logrus.Fields{"address": address, "outage_ms": outage.Milliseconds()}).Info("path to targets regained")
+		}
+		return
+	}
+	targets := g.placer.LocalAddresses()
+	if g.path.Failed(now, address, targets) {
+		g.requestMetrics.detached.Inc(1)
+		g.Log.WithFields(logrus.Fields{"address": address, "targets": len(targets)}).WithError(err).Warn("path to targets lost")
+	}
+	if g.path.Active() && !g.probing {
+		g.probing = true
+		go g.probeTargets()
+	}
+}
+
+// probeTargets connects to targets until the latest failure is explained or, if this host
+// has lost the path to all of them, until one of them is reached.
+func (g *Gateway) probeTargets() {
+	for {
+		g.mu.Lock()
+		addresses := g.path.Probes(sinceBoot(), g.placer.LocalAddresses())
+		if !g.path.Active() {
+			g.probing = false
+			g.mu.Unlock()
+			return
+		}
+		g.mu.Unlock()
+		for _, a := range addresses {
+			// The pool reports the outcome to recordDial.
+			go func() { _ = g.localPool.Connect(context.Background(), a) }()
+		}
+		clock.Sleep(context.Background(), g.path.ProbeInterval())
+	}
+}
+
+// Detached reports whether this host reaches no target of its region. It still serves its
+// callers through other hosts.
+func (g *Gateway) Detached() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.path.Detached()
+}
+
+// detachment is what another host last said about its path to the targets of its region.
+type detachment struct {
+	detached bool
+	at       time.Duration
+}
+
+// recordDetached records what another host said at a time. Usage reports, responses and
+// the list of hosts arrive in any order. g.mu must be held.
+func (g *Gateway) recordDetached(h *peerHost, at time.Duration, detached bool) {
+	if at < h.detachment.at {
+		return
+	}
+	if detached != h.detachment.detached {
+		g.Log.WithFields(logrus.Fields{"host": h.GetName(), "detached": detached}).Info("path of another host changed")
+	}
+	h.detachment = detachment{detached, at}
+}
+
+// estimatePeer returns the estimate of a request at another host of this region, or nil if
+// the request may not be sent there. g.mu must be held.
+func (g *Gateway) estimatePeer(now time.Duration, x *requestState) *remoteEstimate {
+	c, ok := g.placer.EstimatePeer(now, &x.placementRequest)
+	if !ok {
+		return nil
+	}
+	return &remoteEstimate{c.Estimate, c.Cost}
+}
+
+// detachedLimit adds to the limit of a request what its way to another host takes, if this
+// host has no path of its own to targets. g.mu must be held.
+func (g *Gateway) detachedLimit(limit time.Duration) time.Duration {
+	if g.path.Detached() {
+		return placement.DetachedFirstByteLimit(limit)
+	}
+	return limit
+}
+
+// recordDetachedHost records the refusal of another host that reaches no target. If it is
+// in this region, another one may still serve the request.
+func (g *Gateway) recordDetachedHost(x *requestState, s *sendAttempt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(x.triedRegions, s.region)
+	if h := g.hosts[s.target]; h != nil {
+		g.recordDetached(h, sinceBoot(), true)
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -99,6 +99,7 @@
 		if err != nil {
 			return finalError(x, last, err)
 		}
+		began := sinceBoot()
 		err = g.attempt(ctx, w, x, s)
 		if err == nil || errors.Is(err, errCallerGone) {
 			return err
@@ -113,6 +114,7 @@
 		switch {
 		case failed.unsent:
 			unsent++
+			x.hostWait += sinceBoot() - began
 		case failed.ran == refusal.NotRun:
 			rejected++
 		default:
@@ -188,14 +190,14 @@
 	}
 	var choice placement.Choice
 	usable := false
-	if document.AllowsRegion(x.route, x.workspace, g.Region) {
+	if document.AllowsRegion(x.route, x.workspace, g.Region) && !g.path.Detached() {
 		choice, usable = g.placer.Choose(now, &x.placementRequest, func(id string) bool { return x.triedTargets[id] })
 	}
 	limit := g.firstByteBudget(now, x, choice.IdleTTFB)
-	remote, estimate := g.bestRemoteHost(now, x)
+	remote, estimate := g.bestRemoteHost(now, x, !usable || choice.Unreachable)
 	if remote != nil {
-		remoteLimit := g.firstByteBudget(now, x, estimate.IdleTTFB)
-		forward := !usable || estimate.cost+minForwardGain < choice.Cost
+		remoteLimit := g.detachedLimit(g.firstByteBudget(now, x, estimate.IdleTTFB))
+		forward := !usable || choice.Unreachable || estimate.cost+minForwardGain < choice.Cost
 		// A destination with a lower cost must not hide one that can meet its limit.
 		if local := usable && choice.TTFB <= limit; local != (estimate.TTFB <= remoteLimit) {
 			forward = !local
@@ -219,8 +221,11 @@
 		x.forwardHost, x.target = remote.GetName(), remote.GetName()
 		g.remoteRegion(remote.GetRegion()).RecordSent(now)
 		g.requestMetrics.forwarded.Inc(1)
-		return &sendAttempt{target: remote.GetName(), address: remote.GetForward(), forwarded: true, region: remote.GetRegion(),
-			firstByteLimit: placement.RemoteFirstByteLimit(limit)}, nil
+		firstByteLimit := limit
+		if remote.GetRegion() != g.Region {
+			firstByteLimit = placement.RemoteFirstByteLimit(limit)
+		}
+		return &sendAttempt{target: remote.GetName(), address: remote.GetForward(), forwarded: true, region: remote.GetRegion(), firstByteLimit: firstByteLimit}, nil
 	}
 	x.triedTargets[choice.Target.ID] = true
 	x.target = choice.Target.ID
@@ -269,10 +274,10 @@
 		return min(x.deadline, x.started+callerTimeout*resumeTimeoutPercent/100) - now
 	}
 	limit := placement.FirstByteLimit(x.route.Priority, x.route.FirstByteObjective, callerTimeout, idleTTFB)
-	if x.startWait > 0 {
+	if x.hostWait > 0 {
 		// The objective may be missed by the wait that the gateway has imposed, but the
 		// caller's timeout may not.
-		limit = min(limit+x.startWait, placement.FirstByteLimit(x.route.Priority, 0, callerTimeout, 0))
+		limit = min(limit+x.hostWait, placement.FirstByteLimit(x.route.Priority, 0, callerTimeout, 0))
 	}
 	return limit - (now - x.started)
 }
@@ -284,14 +289,15 @@
 }
 
 // bestRemoteHost returns a host of the region with the lowest expected cost among the
-// other regions, or nil. Hosts that do not serve callers are a last resort: a host
-// that is shutting down still accepts forwarded requests for a while. g.mu must be held.
-func (g *Gateway) bestRemoteHost(now time.Duration, x *requestState) (*peerHost, remoteEstimate) {
+// other regions, or nil. With peers, the other hosts of this region are considered too.
+// Hosts that do not serve callers are a last resort: a host that is shutting down still
+// accepts forwarded requests for a while. g.mu must be held.
+func (g *Gateway) bestRemoteHost(now time.Duration, x *requestState, peers bool) (*peerHost, remoteEstimate) {
 	var best *peerHost
 	var bestEstimate remoteEstimate
 	estimates := map[string]*remoteEstimate{} // by region; nil for regions that are excluded
 	for _, h := range g.hosts {
-		if g.LocalOnly || h.GetRegion() == g.Region || h.GetForward() == "" || now-h.lastHeard > hostTimeout {
+		if g.LocalOnly || h.GetRegion() == g.Region && !peers || h.GetForward() == "" || now-h.lastHeard > hostTimeout || h.detachment.detached {
 			continue
 		}
 		e, known := estimates[h.GetRegion()]
@@ -312,6 +318,9 @@
 	if x.triedRegions[region] || !document.AllowsRegion(x.route, x.workspace, region) {
 		return nil
 	}
+	if region == g.Region {
+		return g.estimatePeer(now, x)
+	}
 	if x.origin != nil && !g.placer.ServedIn(region, &x.placementRequest) {
 		return nil
 	}
@@ -377,6 +386,9 @@
 		res.Header.Del(headerSoftware)
 		if refusal.Ran(res.Header.Get(headerRan)) == ranNotAttempted {
 			x.sends--
+			if res.Header.Get(headerDetached) != "" {
+				g.recordDetachedHost(x, s)
+			}
 			return &attemptError{ran: refusal.NotRun, unsent: true, err: fmt.Errorf("host %s refused the forwarded request", s.target)}
 		}
 	}
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -39,7 +39,7 @@
 	g.awaitingConfig.Add(1)
 	defer g.awaitingConfig.Add(-1)
 	began := sinceBoot()
-	defer func() { x.startWait += sinceBoot() - began }()
+	defer func() { x.hostWait += sinceBoot() - began }()
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
@@ -67,7 +67,7 @@
 		return false
 	}
 	began := sinceBoot()
-	defer func() { x.startWait += sinceBoot() - began }()
+	defer func() { x.hostWait += sinceBoot() - began }()
 	return clock.Sleep(ctx, targetPollInterval)
 }
 
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -35,7 +35,7 @@
 	began, originCursor := g.origins.Since(now, originCursor)
 	out := &syncpb.ExchangeRequest{Index: index, Version: version, WantHosts: g.wantsHosts(now), UptimeMs: (now - g.startedAt).Milliseconds(),
 		Host: &syncpb.EntryHost{Name: g.Name, DataCentre: g.DataCentre, Region: g.Region, Front: g.Front, Forward: g.Forward, Peer: g.Peer,
-			Started: g.Started, Serving: g.Ready()},
+			Started: g.Started, Serving: g.Ready(), Detached: g.path.Detached()},
 		Origins: fleetsync.EncodeOrigins(began), OriginCursor: originCursor}
 	for _, name := range slices.Sorted(maps.Keys(g.buckets)) {
 		b := g.buckets[name]
@@ -49,6 +49,9 @@
 		out.Demands = append(out.Demands, &syncpb.Demand{Workspace: name, PerSecond: b.Demand(now), Held: b.HeldFraction(now)})
 	}
 	for _, name := range g.placer.Services() {
+		if g.path.Detached() {
+			break // the load of targets that this host does not reach is unknown
+		}
 		if e, ok := g.placer.TypicalEstimate(now, name); ok {
 			out.Host.Loads = append(out.Host.Loads, &syncpb.Load{Service: name, WaitMs: e.TTFB.Milliseconds(), TokenUs: e.TimePerToken().Microseconds()})
 		}
@@ -146,10 +149,12 @@
 	old := g.hosts[h.GetName()]
 	switch {
 	case old == nil:
-		g.hosts[h.GetName()] = &peerHost{EntryHost: h, lastHeard: heard}
+		old = &peerHost{EntryHost: h, lastHeard: heard}
+		g.hosts[h.GetName()] = old
 	case heard > old.lastHeard:
 		old.EntryHost, old.lastHeard = h, heard
 	}
+	g.recordDetached(old, heard, h.GetDetached())
 }
 
 func (g *Gateway) applyGrants(now time.Duration, u fleetsync.Update) {
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -42,7 +42,7 @@
 func (g *Gateway) UsageReport(scope placement.Scope) *syncpb.UsageReport {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := &syncpb.UsageReport{Host: g.Name, Relay: scope == placement.OtherRegions}
+	out := &syncpb.UsageReport{Host: g.Name, Relay: scope == placement.OtherRegions, Detached: g.path.Detached()}
 	g.addSuspects(sinceBoot(), out)
 	if scope == placement.SameRegion {
 		for id, u := range g.placer.OwnUsage() {
@@ -66,6 +66,9 @@
 	now := sinceBoot()
 	g.placer.SetHostUsage(now, in.GetHost(), usage)
 	g.mergeSuspects(now, in)
+	if h := g.hosts[in.GetHost()]; h != nil {
+		g.recordDetached(h, now, in.GetDetached())
+	}
 	for _, p := range in.GetPrompts() {
 		placed := placement.PlacedPrompt{Target: p.GetTarget(), Keys: p.GetKeys(), Tokens: p.GetTokens()}
 		g.placer.RecordPlacedPrompt(now, placed)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -132,6 +132,8 @@
 	failureRateAt   time.Duration
 	ejectedUntil    time.Duration
 	ejection        time.Duration
+	// connectFailed means that the latest connection attempt of this host failed.
+	connectFailed bool
 	// lastByteAt is when the last byte arrived from the target, or when a request was
 	// sent to it while it had none in flight.
 	lastByteAt time.Duration
@@ -308,6 +310,8 @@
 	Usage        Usage
 	UsageAge     time.Duration
 	CachedTokens int64
+	// Unreachable means that Target is a last resort: this host could not connect to it.
+	Unreachable bool
 }
 
 // Choose returns the target with the lowest cost among those that are not excluded.
@@ -328,6 +332,7 @@
 				continue
 			}
 			c := p.evaluate(now, t, r, sources)
+			c.Unreachable = t.unreachable(now)
 			p.applyBaseline(&c, considered)
 			considered++
 			switch {
@@ -458,7 +463,7 @@
 	switch o {
 	case Served:
 		t.recordOutcome(now, 0)
-		t.ejection = 0
+		t.ejection, t.connectFailed = 0, false
 		t.averageDuration += durationWeight * (float64(now-a.started) - t.averageDuration)
 		t.durationAt = now
 	case Rejected, Failed:
@@ -467,6 +472,7 @@
 		if o == Broken {
 			t.recordOutcome(now, 1)
 		}
+		t.connectFailed = o == Unreachable
 		t.ejection = min(maxEjection, max(minEjection, 2*t.ejection))
 		t.ejectedUntil = now + t.ejection
 	case Cancelled:
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -42,8 +42,9 @@
 type Pool struct {
 	// DialTimeout bounds the time to establish a connection.
 	DialTimeout time.Duration
-	// OnDial is called for each new connection, if it is set.
-	OnDial func()
+	// OnDial is called with the outcome of each connection attempt, if it is set. An
+	// attempt that its caller cancelled has none.
+	OnDial func(address string, err error)
 
 	mu        sync.Mutex
 	idle      map[string][]*conn
@@ -98,15 +99,15 @@
 	return c
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.DialTimeout)
+func (p *Pool) dial(caller context.Context, address string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(caller, p.DialTimeout)
 	defer cancel()
 	raw, err := sockets.Dialer(ackTimeout).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
+	if p.OnDial != nil && (err == nil || caller.Err() == nil) {
+		p.OnDial(address, err)
 	}
-	if p.OnDial != nil {
-		p.OnDial()
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	c := &conn{Conn: raw, source: headLimiter{Reader: raw}}
 	c.reader = bufio.NewReaderSize(&c.source, bufferBytes)
@@ -157,6 +158,16 @@
 	return err == nil && empty
 }
 
+// Connect opens a connection to an address and keeps it for the next request.
+func (p *Pool) Connect(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.putIdle(address, c, defaultIdleTime)
+	return nil
+}
+
 // putIdle adds an idle connection to the pool for the given time.
 func (p *Pool) putIdle(address string, c *conn, idle time.Duration) {
 	now := time.Now()
