gateway: refused connections of a host that lost its path are not crashes

Callers saw: nothing yet. A host whose connections to all targets are reset and refused took each target for crashed by the requests that ran there; three such crashes quarantine prompt segments on all hosts. Cause: the crash check asks the suspect only. Change: a refused connection counts as a crash only if another target accepts one; the check's connections are kept for requests. Evidence: TestLostPathIsNotACrash reported 5 crashes before, and 0 after; with four of five targets crashed the crashes are still reported.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -13,7 +13,6 @@
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/refusal"
-	"geraniumturn.example/geraniumturn/internal/sockets"
 	"geraniumturn.example/geraniumturn/internal/suspects"
 )
 
@@ -62,6 +61,7 @@
 // crashCheck collects the requests whose response broke at a target until it is known
 // whether the target has crashed.
 type crashCheck struct {
+	address   string
 	startedAt time.Duration
 	keys      []uint64
 }
@@ -86,7 +86,7 @@
 	defer g.mu.Unlock()
 	check := g.crashChecks[s.target]
 	if check == nil {
-		check = &crashCheck{startedAt: now}
+		check = &crashCheck{address: s.address, startedAt: now}
 		g.crashChecks[s.target] = check
 		go g.checkCrash(s.target, s.address, check)
 	}
@@ -99,15 +99,17 @@
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckDelay+crashCheckTimeout)
 	defer cancel()
 	clock.Sleep(ctx, crashCheckDelay)
-	conn, err := sockets.Dialer(crashCheckTimeout).DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = conn.Close() // nothing was written
-	}
+	err := g.localPool.Connect(ctx, address)
+	refused := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	crashed := refused && g.targetsAnswer(address)
 	record, _ := g.Table.Get(target)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.crashChecks, target)
-	if !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET) {
+	if !crashed {
+		if refused {
+			g.Log.WithFields(logrus.Fields{"target": target, "suspects": len(check.keys)}).Info("refused connection not taken for a crash")
+		}
 		return
 	}
 	g.Log.WithFields(logrus.Fields{"target": target, "suspects": len(check.keys)}).Info("target crashed")
--- a/internal/gateway/detached_test.go
+++ b/internal/gateway/detached_test.go
@@ -15,6 +15,7 @@
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/fleetsync"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/registry"
 )
 
@@ -244,3 +245,39 @@
 		}
 	}
 }
+
+// Guards against requests that are quarantined on all hosts, because one host lost the
+// path to all targets and took the refused connections for crashes.
+func TestLostPathIsNotACrash(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		t.Run(fmt.Sprint("path lost ", lost), func(t *testing.T) {
+			var targets []*target
+			for range 5 {
+				targets = append(targets, newTarget(t, hangUp))
+			}
+			f := start(t, targets...)
+			refusing := targets
+			if !lost {
+				refusing = targets[:4]
+			}
+			for _, s := range targets {
+				for _, r := range refusing {
+					if s == r {
+						s.script = []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+							s.refuseConnections(t)
+							hangUp(w, r)
+						}}
+					}
+				}
+			}
+			for i := range 5 {
+				f.call(t, "/once/", "Id", fmt.Sprint("i", i), "Segments", fmt.Sprintf("common own%d", i))
+			}
+			time.Sleep(600 * time.Millisecond) // the targets are found to refuse connections
+			report := f.UsageReport(placement.SameRegion)
+			if crashes := len(report.GetCrashes()); lost == (crashes > 0) {
+				t.Errorf("%d crashes reported", crashes)
+			}
+		})
+	}
+}
--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -95,6 +95,43 @@
 	return &remoteEstimate{c.Estimate, c.Cost}
 }
 
+// controlConnections bounds the other targets to which a connection is tried before a
+// refused connection counts as the crash of a target.
+const controlConnections = 8
+
+// targetsAnswer reports whether another target than the one at an address accepts a
+// connection. If none does, this host may have lost its path, and a refused connection does
+// not prove that the target has crashed.
+func (g *Gateway) targetsAnswer(address string) bool {
+	g.mu.Lock()
+	checked := map[string]bool{address: true}
+	for _, check := range g.crashChecks {
+		checked[check.address] = true
+	}
+	var others, suspected []string // suspected targets may have crashed too
+	for _, a := range g.placer.LocalAddresses() {
+		switch {
+		case !checked[a]:
+			others = append(others, a)
+		case a != address:
+			suspected = append(suspected, a)
+		}
+	}
+	g.mu.Unlock()
+	others = append(others, suspected...)
+	others = others[:min(len(others), controlConnections)]
+	outcomes := make(chan error, len(others))
+	for _, a := range others {
+		go func() { outcomes <- g.localPool.Connect(context.Background(), a) }()
+	}
+	for range others {
+		if <-outcomes == nil {
+			return true
+		}
+	}
+	return len(others) == 0
+}
+
 // detachedLimit adds to the limit of a request what its way to another host takes, if this
 // host has no path of its own to targets. g.mu must be held.
 func (g *Gateway) detachedLimit(limit time.Duration) time.Duration {
