gateway, controlplane: hosts with a path take a bounded share of the others' requests

Two hosts of eight had a path; the directory sent all callers of the region to them and the detached hosts all forwards, and their processors and links were exhausted: calls for shares of rates took over 150 ms. Cause: estimates know the load of targets, not that of hosts. Change: a detached host prefers its peers only for as many requests as they get directly, by the hash of the request, and other regions for the rest; the directory leaves detached hosts out only while the others are at least as many. Evidence: TestPeersTakeTheirShare, TestChooseEntriesPrefersHostsWithPath.

--- a/internal/controlplane/directory.go
+++ b/internal/controlplane/directory.go
@@ -51,7 +51,7 @@
 // returns hosts of other regions that are home regions of every route of the host name
 // that needs a key, because request bodies must stay in the home regions. Hosts that
 // are starting or draining are returned only if none is serving, and hosts without a path
-// to targets only if no other host of the region is: they serve through other hosts.
+// to targets only if they are most of the region: they serve through other hosts.
 func chooseEntries(hosts []*syncpb.EntryHost, region string, routes []*document.Route) []string {
 	for _, serving := range []bool{true, false} {
 		var preferred, detached, fallback []string
@@ -66,8 +66,8 @@
 				fallback = append(fallback, h.GetFront())
 			}
 		}
-		if len(preferred) == 0 {
-			preferred = detached
+		if len(preferred) < len(detached) {
+			preferred = append(preferred, detached...) // too few to take over all callers
 		}
 		if len(preferred) == 0 {
 			preferred = fallback
--- a/internal/controlplane/directory_test.go
+++ b/internal/controlplane/directory_test.go
@@ -87,8 +87,8 @@
 }
 
 // Guards against callers that are sent to hosts without a path to targets although other
-// hosts of their region have one, and against callers that are sent to another region
-// while hosts of their own can serve them through others.
+// hosts of their region have one and can take them over, and against callers that are sent
+// to another region while hosts of their own can serve them through others.
 func TestChooseEntriesPrefersHostsWithPath(t *testing.T) {
 	host := func(name, region string, detached bool) *syncpb.EntryHost {
 		return &syncpb.EntryHost{Name: name, Region: region, Front: name, Serving: true, Detached: detached}
@@ -98,6 +98,7 @@
 		want  []string
 	}{
 		"one of three":         {[]*syncpb.EntryHost{host("a1", "a", true), host("a2", "a", false), host("a3", "a", false), host("b1", "b", false)}, []string{"a2", "a3"}},
+		"most of the region":   {[]*syncpb.EntryHost{host("a1", "a", true), host("a2", "a", false), host("a3", "a", true), host("b1", "b", false)}, []string{"a2", "a1", "a3"}},
 		"all of the region":    {[]*syncpb.EntryHost{host("a1", "a", true), host("a2", "a", true), host("b1", "b", false)}, []string{"a1", "a2"}},
 		"none in this region":  {[]*syncpb.EntryHost{host("b1", "b", false)}, []string{"b1"}},
 		"only in other region": {[]*syncpb.EntryHost{host("a1", "a", false), host("b1", "b", true)}, []string{"a1"}},
--- a/internal/gateway/detached_test.go
+++ b/internal/gateway/detached_test.go
@@ -281,3 +281,27 @@
 		})
 	}
 }
+
+// Guards against the few hosts of a region with a path to its targets that are overwhelmed
+// by the requests of all others, while hosts of another region have room.
+func TestPeersTakeTheirShare(t *testing.T) {
+	peer, far := newTarget(t, success), newTarget(t, success)
+	f := detachedHost(t, refusingAddress)
+	f.announceHost(t, "peer", "here", start(t, peer, peer, peer, peer))
+	f.announceHost(t, "far", "elsewhere", start(t, far, far, far, far))
+	now := clock.SinceBoot()
+	f.Apply(now, fleetsync.Update{SentAt: now, ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, Hosts: []*syncpb.EntryHost{
+		{Name: "d1", Region: "here", Forward: "127.0.0.1:1", Serving: true, Detached: true}, {Name: "d2", Region: "here", Forward: "127.0.0.1:1", Serving: true, Detached: true}}}})
+	f.warmUp(t)
+	atPeer, atFar := peer.count(), far.count()
+	const requests = 60
+	for i := range requests {
+		if got := f.call(t, "/open/", "Id", fmt.Sprint("i", i)); got.status != 200 {
+			t.Errorf("request %d: status %d, %s", i, got.status, got.header.Get("Code"))
+		}
+	}
+	// One of three detached hosts, with one attached peer, sends it a third.
+	if n := peer.count() - atPeer; n < requests/6 || n > requests/2 || far.count()-atFar != requests-n {
+		t.Errorf("%d requests at the peer and %d in the other region", n, far.count()-atFar)
+	}
+}
--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -9,6 +9,7 @@
 
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/placement"
+	"geraniumturn.example/geraniumturn/internal/rendezvous"
 )
 
 // headerDetached marks the refusal of a forwarded request by a host that reaches no target
@@ -85,6 +86,10 @@
 	h.detachment = detachment{detached, at}
 }
 
+// peerOverloadCost is added to the cost of a request at the hosts of this region if they
+// have their share already, as a fraction of the credit of the request.
+const peerOverloadCost = 0.6
+
 // estimatePeer returns the estimate of a request at another host of this region, or nil if
 // the request may not be sent there. g.mu must be held.
 func (g *Gateway) estimatePeer(now time.Duration, x *requestState) *remoteEstimate {
@@ -92,7 +97,29 @@
 	if !ok {
 		return nil
 	}
-	return &remoteEstimate{c.Estimate, c.Cost}
+	e := &remoteEstimate{c.Estimate, c.Cost}
+	if g.path.Detached() && !g.peersHaveRoom(now, x.call.ID) {
+		e.cost += peerOverloadCost
+	}
+	return e
+}
+
+// peersHaveRoom reports whether a request of this detached host is one of those that the
+// attached hosts of the region should take: as many requests as come to them directly.
+// Estimates know the load of targets, but not that of the processors and links of hosts.
+// g.mu must be held.
+func (g *Gateway) peersHaveRoom(now time.Duration, id string) bool {
+	attached, detached := 0, 1
+	for _, h := range g.hosts {
+		switch {
+		case h.GetRegion() != g.Region || now-h.lastHeard > hostTimeout:
+		case h.detachment.detached:
+			detached++
+		default:
+			attached++
+		}
+	}
+	return int(rendezvous.Weight(id, g.Region)%uint64(detached)) < attached
 }
 
 // controlConnections bounds the other targets to which a connection is tried before a
