--- a/internal/reach/monitor.go
+++ b/internal/attachment/monitor.go
@@ -1,4 +1,4 @@
-package reach
+package attachment
 
 import (
 	"slices"
--- a/internal/reach/monitor_test.go
+++ b/internal/attachment/monitor_test.go
@@ -1,4 +1,4 @@
-package reach_test
+package attachment_test
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"geraniumturn.example/geraniumturn/internal/reach"
+	"geraniumturn.example/geraniumturn/internal/attachment"
 )
 
 func addresses(n int) (out []string) {
@@ -36,7 +36,7 @@
 		{"no targets", 0, []string{"a0"}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			m := reach.NewMonitor()
+			m := attachment.NewMonitor()
 			for i, a := range c.failed {
 				m.Failed(time.Duration(i), a, addresses(c.targets))
 			}
@@ -64,7 +64,7 @@
 		}
 		lostAt := time.Duration(1+r.IntN(5)) * time.Second
 		foundAt := lostAt + time.Duration(2+r.IntN(12))*time.Second
-		m := reach.NewMonitor()
+		m := attachment.NewMonitor()
 		type outcome struct {
 			at      time.Duration
 			address string
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,11 +15,11 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"geraniumturn.example/geraniumturn/internal/attachment"
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/origins"
 	"geraniumturn.example/geraniumturn/internal/placement"
-	"geraniumturn.example/geraniumturn/internal/reach"
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/registry"
 	"geraniumturn.example/geraniumturn/internal/shares"
@@ -105,8 +105,8 @@
 
 	mu               sync.Mutex
 	placer           *placement.Placer
-	path             *reach.Monitor // to the targets of this region
-	probing          bool           // probeTargets runs
+	path             *attachment.Monitor // to the targets of this region
+	probing          bool                // probeTargets runs
 	buckets          map[string]*shares.Bucket
 	retryBudgets     map[string]*shares.RetryBudget
 	hosts            map[string]*peerHost
@@ -152,7 +152,7 @@
 func (g *Gateway) Init(prefillSpeed float64) {
 	g.startedAt = sinceBoot()
 	g.localPool, g.remotePool = upstream.NewPool(localDialTimeout), upstream.NewPool(remoteDialTimeout)
-	g.path = reach.NewMonitor()
+	g.path = attachment.NewMonitor()
 	g.localPool.OnDial = g.recordDial
 	g.placer = placement.New(placement.DefaultEngine(prefillSpeed), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	g.buckets, g.retryBudgets = map[string]*shares.Bucket{}, map[string]*shares.RetryBudget{}
