registry, fleetsync, platform: one odd record does not stop the list of targets

What callers would see: a heartbeat whose ID is not UTF-8 (percent-encoded in the path) was recorded. From then on protobuf refused every message with that record, so the control host answered no exchange and relayed nothing: entry hosts stopped following configuration and targets, and after configuration_ms refused keys. A heartbeat under the ID of a sound target with a port out of range, a negative or huge number of slots, a warm-up of centuries, or a sequence or start that outranks all later ones replaced the sound record, in the latter two cases until the target's next start.

Cause: decodeHeartbeat checked that fields were present, not what they held, and fleetsync passed on and took over whatever a table held. Records also lost bits on the way: a state of 257 became "ready", a long warm-up overflowed a duration.

Fix: registry.Record.Validate says which records describe a target. The good record of the same target holds.

--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -223,6 +223,11 @@
 	}
 }
 
+// logInvalidRecords logs target records of another control host that were skipped.
+func (d *deploymentDaemon) logInvalidRecords(control string, err error) {
+	d.log.WithError(err).WithField("control", control).Warn("invalid target records")
+}
+
 func (d *deploymentDaemon) seedPeers() []string { return *d.seeds.Load() }
 
 // metricsHandler writes counters, gauges and timers as text, one value per line. The
--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -54,6 +54,7 @@
 	g.SetPolicy(placement.Policy(s.Policy.Target))
 	g.LocalOnly = s.Policy.DataCentre == alwaysLocal
 	client := &fleetsync.Client{Region: s.Region, Dial: d.transport.Dial, NewRequest: g.ExchangeRequest, Apply: g.Apply, ConfigurationFresh: g.ConfigurationFresh,
+		InvalidRecords: d.logInvalidRecords,
 		ReachabilityChanged: func(control string, reachable bool, err error) {
 			entry := d.log.WithFields(logrus.Fields{"control": control, "reachable": reachable})
 			if err != nil {
--- a/internal/fleetsync/client.go
+++ b/internal/fleetsync/client.go
@@ -61,6 +61,9 @@
 	Apply func(now time.Duration, u Update)
 	// ReachabilityChanged is called when a control host stops or starts responding.
 	ReachabilityChanged func(control string, reachable bool, err error)
+	// InvalidRecords is called with the address of a control host that sent records that
+	// were skipped.
+	InvalidRecords func(control string, err error)
 
 	mu                sync.Mutex
 	regionByControl   map[string]string // region by peer address
@@ -130,8 +133,12 @@
 			c.addControls(out.GetControls())
 			c.recordResponse(address, now)
 			wasFresh := c.ConfigurationFresh()
+			records, invalid := decodeRecords(now, out.GetTargets())
+			if invalid != nil {
+				c.InvalidRecords(address, invalid)
+			}
 			c.applyMu.Lock()
-			c.Apply(now, Update{SentAt: sentAt, ControlAddress: address, Region: c.regionOf(address), ExchangeResponse: out, Records: decodeRecords(now, out.GetTargets())})
+			c.Apply(now, Update{SentAt: sentAt, ControlAddress: address, Region: c.regionOf(address), ExchangeResponse: out, Records: records})
 			c.applyMu.Unlock()
 			wait = c.pollInterval(address)
 			if !wasFresh && c.ConfigurationFresh() {
--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"errors"
+	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -51,6 +53,9 @@
 	Targets    *registry.Table
 	Presence   *Presence
 	Dial       func(address string) drpc.Conn
+	// InvalidRecords is called with the address of a control host that sent records that
+	// were skipped.
+	InvalidRecords func(control string, err error)
 	// RegionCount is the number of regions of the deployment.
 	RegionCount int
 	// Incarnation identifies this process, so that a cursor issued by an earlier one
@@ -215,7 +220,11 @@
 	for _, c := range in.GetControls() {
 		s.Presence.RecordControl(now, c, false)
 	}
-	for _, r := range decodeRecords(now, in.GetTargets()) {
+	records, err := decodeRecords(now, in.GetTargets())
+	if err != nil {
+		s.InvalidRecords(in.GetFrom().GetPeer(), err)
+	}
+	for _, r := range records {
 		s.Targets.Merge(now, r)
 	}
 	for _, h := range in.GetHosts() {
@@ -360,25 +369,41 @@
 	return out.GetProcess(), true
 }
 
+// encodeRecords leaves out records that protobuf would refuse together with the whole
+// message.
 func encodeRecords(now time.Duration, records []registry.Record) []*syncpb.Target {
-	out := make([]*syncpb.Target, len(records))
-	for i, r := range records {
-		out[i] = &syncpb.Target{Id: r.ID, Born: r.StartMillis, Sequence: r.Sequence, Service: r.Service, Address: r.Address,
+	out := make([]*syncpb.Target, 0, len(records))
+	for _, r := range records {
+		if r.Validate() != nil {
+			continue
+		}
+		out = append(out, &syncpb.Target{Id: r.ID, Born: r.StartMillis, Sequence: r.Sequence, Service: r.Service, Address: r.Address,
 			DataCentre: r.DataCentre, Software: r.Software, Slots: int32(r.Slots), State: uint32(r.State),
-			ColdMs: max(0, r.ColdUntil-now).Milliseconds(), Silent: r.Silent}
+			ColdMs: max(0, r.ColdUntil-now).Milliseconds(), Silent: r.Silent})
 	}
 	return out
 }
 
-func decodeRecords(now time.Duration, targets []*syncpb.Target) []registry.Record {
-	out := make([]registry.Record, len(targets))
-	for i, t := range targets {
-		out[i] = registry.Record{ID: t.GetId(), StartMillis: t.GetBorn(), Sequence: t.GetSequence(), Service: t.GetService(),
+// decodeRecords returns the valid records and an error that names the others.
+func decodeRecords(now time.Duration, targets []*syncpb.Target) ([]registry.Record, error) {
+	out := make([]registry.Record, 0, len(targets))
+	var invalid error
+	for _, t := range targets {
+		r := registry.Record{ID: t.GetId(), StartMillis: t.GetBorn(), Sequence: t.GetSequence(), Service: t.GetService(),
 			Address: t.GetAddress(), DataCentre: t.GetDataCentre(), Software: t.GetSoftware(), Slots: int(t.GetSlots()),
-			State: registry.State(t.GetState()), Silent: t.GetSilent()}
+			State: registry.State(min(t.GetState(), math.MaxUint8)), Silent: t.GetSilent()}
+		err := r.Validate()
+		if err == nil && t.GetColdMs() > registry.MaxWarmup.Milliseconds() {
+			err = fmt.Errorf("%w: target %q: cold for %d ms", registry.ErrInvalid, r.ID, t.GetColdMs())
+		}
+		if err != nil {
+			invalid = errors.Join(invalid, err)
+			continue
+		}
 		if t.GetColdMs() > 0 {
-			out[i].ColdUntil = now + time.Duration(t.GetColdMs())*time.Millisecond
+			r.ColdUntil = now + time.Duration(t.GetColdMs())*time.Millisecond
 		}
+		out = append(out, r)
 	}
-	return out
+	return out, invalid
 }
