--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -61,6 +61,7 @@
 	h.Set("Target", d.Target)
 	h.Set("Workspace", d.Workspace)
 	h.Set("Remaining", d.Remaining.String())
+	h.Set("Urgency", strconv.Itoa(d.Urgency))
 	if d.LastEvent != "" {
 		h.Set("Last", d.LastEvent)
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -516,7 +516,7 @@
 	if x.workspace != nil && !x.route.Public {
 		priority = x.workspace.Priority
 	}
-	return min(maxUrgency, urgencyStep*max(0, priority))
+	return min(maxUrgency, urgencyStep*min(maxUrgency, max(0, priority)))
 }
 
 // classify classifies a response by its status and headers.
