upstream: a response that names no request counts on a new connection only

What callers saw: a target that wrote a rejection, or an error, of an earlier request once more on a kept connection, after it had read the next request, answered that request with it. It was then told "not run, try again", or ran at a second target, while the first one ran it; a signed error of another request went to the caller as its own.

Cause: targets may leave the id out of rejections and server errors, and MatchesRequest accepted such a response on any connection. The pool's check for input sees only what arrived before the request was written.

Fix: a response is matched as own, foreign or unidentified. Unidentified ones count as the first response on a connection only, where no other request can be owed one; later they mean that the outcome is unknown, and the connection is closed. A connection on which a response to another request arrived is not reused. Responses to another request are skipped as before, at most three of them. Between hosts, which answer each request once, nothing changes.

Cost: a target that leaves the id out of a genuine rejection on a kept connection makes the outcome of that request unknown.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/registry"
+	"geraniumturn.example/geraniumturn/internal/upstream"
 )
 
 // protocol is a simple protocol between callers, gateway and targets, so that the
@@ -67,7 +68,15 @@
 	}
 }
 
-func (protocol) MatchesRequest(id string, _ int, h http.Header) bool { return h.Get("Id") == id }
+func (protocol) MatchRequest(id string, status int, h http.Header) upstream.Match {
+	switch echoed := h.Get("Id"); {
+	case echoed == id:
+		return upstream.Own
+	case echoed == "" && (h.Get("Not-Run") != "" || status >= http.StatusInternalServerError):
+		return upstream.Unidentified
+	}
+	return upstream.Foreign
+}
 
 func (protocol) Classify(status int, h http.Header) gateway.Classification {
 	return gateway.Classification{NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", Success: h.Get("Signed") != "" && status == http.StatusOK}
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -7,6 +7,7 @@
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/refusal"
+	"geraniumturn.example/geraniumturn/internal/upstream"
 )
 
 // Call is a caller's request, decoded from its headers.
@@ -76,8 +77,8 @@
 	RequestHeader(caller http.Header) http.Header
 	// SetDispatch adds d to headers that RequestHeader returned.
 	SetDispatch(h http.Header, d Dispatch)
-	// MatchesRequest reports whether a response belongs to the request with the id.
-	MatchesRequest(id string, status int, response http.Header) bool
+	// MatchRequest tells whether a response belongs to the request with the id.
+	MatchRequest(id string, status int, response http.Header) upstream.Match
 	Classify(status int, response http.Header) Classification
 	// ResponseHeader returns the response headers that may be sent to the caller.
 	ResponseHeader(response http.Header) http.Header
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -462,8 +462,12 @@
 	g.countSend(x, now)
 	res, err := pool.Do(ctx, &upstream.Request{Address: s.address, Method: x.request.Method, RequestURI: x.request.RequestURI,
 		Host: x.request.Host, Header: header, Body: x.body, RecentConnOnly: !x.route.Repeatable(),
-		Matches: func(status int, h http.Header) bool {
-			return s.forwarded && h.Get(headerRan) != "" || g.TargetProtocol.MatchesRequest(x.call.ID, status, h)
+		Match: func(status int, h http.Header) upstream.Match {
+			match := g.TargetProtocol.MatchRequest(x.call.ID, status, h)
+			if s.forwarded && (h.Get(headerRan) != "" || match == upstream.Unidentified) {
+				return upstream.Own // a host answers a request once, and passes on a response without an id
+			}
+			return match
 		}})
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -43,11 +43,25 @@
 	// RecentConnOnly restricts reuse to connections that were used recently. If an older
 	// connection breaks, it is unknown whether the request ran.
 	RecentConnOnly bool
-	// Matches reports whether a response belongs to this request. If it is nil, every
-	// response does.
-	Matches func(status int, header http.Header) bool
+	// Match tells which request a response belongs to. If it is nil, every response
+	// belongs to this one.
+	Match func(status int, header http.Header) Match
 }
 
+// Match is which request a response belongs to.
+type Match uint8
+
+// The matches.
+const (
+	// Own responses belong to this request.
+	Own Match = iota
+	// Foreign responses belong to another request.
+	Foreign
+	// Unidentified responses name no request. They count as this request's only as the
+	// first response on a connection: later ones may repeat an earlier response.
+	Unidentified
+)
+
 // Response is a response whose body has not been read yet.
 type Response struct {
 	Status int
@@ -161,10 +175,17 @@
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.Matches == nil || r.Matches(res.StatusCode, res.Header) {
+		match := Own
+		if r.Match != nil {
+			match = r.Match(res.StatusCode, res.Header)
+		}
+		if match == Unidentified && (o.conn.used || foreign > 0) {
+			return fmt.Errorf("received a response with status %d that names no request, on a connection that has had others", res.StatusCode)
+		}
+		if match != Foreign {
 			o.Status, o.Header, o.Length, o.body = res.StatusCode, res.Header, res.ContentLength, res.Body
 			o.Unframed = res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Body != http.NoBody
-			o.reusable = !res.Close && !o.Unframed
+			o.reusable = !res.Close && !o.Unframed && foreign == 0
 			return nil
 		}
 		foreign++
@@ -206,6 +227,7 @@
 	if !o.stopCancel() {
 		return o.conn.Close()
 	}
+	o.conn.used = true
 	if o.bodyRead && o.reusable && o.wasWritten() && o.conn.reader.Buffered() == 0 {
 		o.pool.putIdle(o.address, o.conn, o.keepAliveTime())
 		return nil
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -59,6 +59,7 @@
 	net.Conn
 	source headLimiter
 	reader *bufio.Reader // reads from source
+	used   bool          // a request was sent on the connection before
 	// expires is when the peer may close the idle connection.
 	expires   time.Time
 	idleSince time.Time
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -70,7 +70,20 @@
 
 func request(s *script, id string) *upstream.Request {
 	return &upstream.Request{Address: s.Addr().String(), Method: "POST", RequestURI: "/a%2Fb?q=1", Host: "h.example", Header: http.Header{"Id": {id}}, Body: []byte("body"),
-		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == id }}
+		Match: matchID(id)}
+}
+
+// matchID matches responses by the header Id. Rejections may come without it.
+func matchID(id string) func(int, http.Header) upstream.Match {
+	return func(status int, h http.Header) upstream.Match {
+		switch echoed := h.Get("Id"); {
+		case echoed == id:
+			return upstream.Own
+		case echoed == "" && status == http.StatusServiceUnavailable:
+			return upstream.Unidentified
+		}
+		return upstream.Foreign
+	}
 }
 
 func read(t *testing.T, p *upstream.Pool, r *upstream.Request) (string, error) {
@@ -135,6 +148,51 @@
 	}
 }
 
+// Guards against a rejection that names no request and counts as that of a request,
+// although the connection has had others whose rejection it may repeat. On a new
+// connection it can belong to no other request.
+func TestUnidentifiedResponse(t *testing.T) {
+	const rejection = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
+	s, p := serve(t, rejection), upstream.NewPool(time.Second)
+	for i, want := range []bool{true, false, true} {
+		if _, err := read(t, p, request(s, fmt.Sprint("id", i))); (err == nil) != want || err != nil && !errors.Is(err, upstream.ErrBroken) {
+			t.Errorf("rejection %d: error %v", i+1, err)
+		}
+	}
+	if got := s.connections.Load(); got != 2 {
+		t.Errorf("%d connections, want 2", got)
+	}
+	// The connection that confirms the end of a response carries no request before the next.
+	s, p = serve(t, "HTTP/1.1 200 OK\r\nId: ID\r\n\r\nok", rejection), upstream.NewPool(time.Second)
+	for i := range 2 {
+		if _, err := read(t, p, request(s, fmt.Sprint("id", i))); err != nil {
+			t.Errorf("request %d: error %v", i+1, err)
+		}
+	}
+	// After a response to another request, the rejection may belong to that one, too.
+	late := "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 4\r\n\r\nlate"
+	s, p = serve(t, late+rejection), upstream.NewPool(time.Second)
+	if _, err := read(t, p, request(s, "mine")); !errors.Is(err, upstream.ErrBroken) {
+		t.Errorf("after a response to another request: error %v", err)
+	}
+}
+
+// Guards against reuse of a connection on which responses to other requests arrive: the
+// number of them that a request skips is bounded.
+func TestConnectionWithForeignResponsesIsNotReused(t *testing.T) {
+	late := "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 4\r\n\r\nlate"
+	s, p := serve(t, late+ok), upstream.NewPool(time.Second)
+	for i := range 3 {
+		if body, err := read(t, p, request(s, "mine")); err != nil || body != "ok" || s.connections.Load() != int64(i+1) {
+			t.Errorf("body %q, error %v, %d connections", body, err, s.connections.Load())
+		}
+	}
+	s, p = serve(t, strings.Repeat(late, 4)+ok), upstream.NewPool(time.Second)
+	if _, err := read(t, p, request(s, "mine")); !errors.Is(err, upstream.ErrBroken) {
+		t.Errorf("after four responses to other requests: error %v", err)
+	}
+}
+
 // Guards against a truncated response that is taken as complete.
 func TestTruncatedResponse(t *testing.T) {
 	for name, response := range map[string]string{
@@ -331,7 +389,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	_, err := upstream.NewPool(time.Second).Do(ctx, &upstream.Request{Address: address, Method: "GET", RequestURI: "/", Host: "h",
-		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == "mine" }})
+		Match: matchID("mine")})
 	if !errors.Is(err, upstream.ErrBroken) || ctx.Err() != nil || written.Load() > 32<<20 {
 		t.Errorf("error %v after %d bytes", err, written.Load())
 	}
