gateway: the test of repeated responses records a request before it answers

TestRepeatedResponse failed once in a run of the whole package: "the request went elsewhere" with status 503 and ran unknown, which is the wanted answer. The target of the test noted the request as run after it had written the repeated response, so the answer could reach the check first. It notes it before now; the checks are the same. go test -race -count=20 ./internal/gateway -run TestRepeatedResponse passes.

--- a/internal/gateway/repeated_test.go
+++ b/internal/gateway/repeated_test.go
@@ -58,12 +58,12 @@
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
 		id := request.Header.Get("Id")
-		if !first {
-			_, _ = io.WriteString(c, strings.Repeat(r.response, r.repeats))
-		}
 		r.mu.Lock()
 		r.ran = append(r.ran, id)
 		r.mu.Unlock()
+		if !first {
+			_, _ = io.WriteString(c, strings.Repeat(r.response, r.repeats))
+		}
 		time.Sleep(20 * time.Millisecond)
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nSigned: sig\r\nId: "+id+"\r\nContent-Length: 5\r\n\r\nwhole")
 	}
