gateway: a response that does not continue a stream is no part of it

What callers saw: a stream had begun and broke off, and the target at which it was resumed answered with a signed 2xx that was not the rest of the stream. The text of the error, with its head if the text had one, came in the middle of the stream wherever it had an empty line; after a 204, a 205 or an empty text the stream ended as if it were complete, one or more events too soon. After a signed error (404, 500, 504, 301) the stream broke off, although another target could have continued it.

Cause: relayEvents took every success for the rest of the stream, whatever its status and content type. The check that the response had started stood in relayBuffered only and gave up without another target.

Fix: once the response has started, an attempt must answer with success and with the status, media type and encoding that the caller has seen. All others are failed attempts before their body is read: the stream continues at another target or the connection breaks.

The protocol of the tests takes every signed 2xx for a success now, like the platform's.

--- /dev/null
+++ b/internal/gateway/continue_test.go
@@ -0,0 +1,159 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/fleetsync"
+	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/registry"
+)
+
+// typed sets the content type of a response.
+func typed(contentType string, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", contentType)
+		next(w, r)
+	}
+}
+
+// raw writes bytes in place of a response, with the id of the request for ID, and ends the
+// connection; reset ends it with a reset.
+func raw(text string, reset bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, strings.ReplaceAll(text, "ID", r.Header.Get("Id")))
+		if tcp, ok := conn.(*net.TCPConn); ok && reset {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
+// noContinuation are responses to a request to resume a stream that do not continue it.
+func noContinuation() map[string]http.HandlerFunc {
+	const text = "an error\n\nHTTP/1.1 500 Oops\r\nX: y\r\n\r\nid: 3\ndata: error\n\n"
+	const framed = "Id: ID\r\nSigned: sig\r\nContent-Type: text/event-stream\r\n"
+	return map[string]http.HandlerFunc{
+		"rejected, with text":             respond(503, text, "Not-Run", "1"),
+		"rejected early, as an event":     typed(eventStream, respond(503, "id: 3\ndata: error\n\n", "Not-Run", "1")),
+		"misdirected":                     respond(421, text, "Not-Run", "1"),
+		"signed 500":                      respond(500, text, "Signed", "sig"),
+		"signed 500, as an event":         typed(eventStream, respond(500, "id: 3\ndata: error\n\n", "Signed", "sig")),
+		"signed 404":                      respond(404, text, "Signed", "sig"),
+		"signed 504":                      respond(504, text, "Signed", "sig"),
+		"signed 301":                      respond(301, "", "Signed", "sig", "Location", "/elsewhere"),
+		"unsigned 502":                    respond(502, text),
+		"unsigned 400":                    respond(400, text),
+		"unsigned 200":                    typed(eventStream, respond(200, text)),
+		"signed 200, text":                typed("text/plain", respond(200, text, "Signed", "sig")),
+		"signed 200, JSON":                typed("application/json", respond(200, "{\"error\":\"x\"}\n\n", "Signed", "sig")),
+		"signed 200, empty text":          typed("text/plain", respond(200, "", "Signed", "sig")),
+		"signed 200, text without a type": typed("", respond(200, text, "Signed", "sig")),
+		"signed 202, as an event":         typed(eventStream, respond(202, "id: 3\ndata: later\n\n", "Signed", "sig")),
+		"signed 204":                      respond(204, "", "Signed", "sig"),
+		"signed 205":                      typed(eventStream, respond(205, "", "Signed", "sig")),
+		"signed 206":                      typed(eventStream, respond(206, "id: 3\ndata: 3\n\n", "Signed", "sig")),
+		"another request":                 typed(eventStream, respond(200, "id: 3\ndata: error\n\n", "Signed", "sig", "Id", "other", "Connection", "close")),
+		"no id":                           raw("HTTP/1.1 200 OK\r\n"+strings.Replace(framed, "Id: ID\r\n", "", 1)+"Content-Length: 20\r\n\r\nid: 3\ndata: error\n\n\n", false),
+		"bytes, no response":              raw(text, false),
+		"bytes, no text":                  raw("\x00\xff\xfe\r\n\r\n", false),
+		"head only":                       raw("HTTP/1.1 200 OK\r\n"+framed, false),
+		"shorter than its length":         raw("HTTP/1.1 200 OK\r\n"+framed+"Content-Length: 99\r\n\r\nan error", false),
+		"chunks without an end":           raw("HTTP/1.1 200 OK\r\n"+framed+"Transfer-Encoding: chunked\r\n\r\n8\r\nan error\r\n", false),
+		"chunks that are none":            raw("HTTP/1.1 200 OK\r\n"+framed+"Transfer-Encoding: chunked\r\n\r\nan error\r\n\r\n", false),
+		"unframed text within an event":   raw("HTTP/1.1 200 OK\r\n"+framed+"\r\nan error", false),
+		"event without an end":            typed(eventStream, respond(200, "data: error", "Signed", "sig")),
+		"reset":                           raw("", true),
+		"reset within the head":           raw("HTTP/1.1 200 OK\r\nId", true),
+		"closed":                          hangUp,
+	}
+}
+
+// Guards against the text of an error, or its head, within a stream that broke off and
+// that its next target answers with the error, and against such a stream that looks
+// complete.
+func TestResponseThatDoesNotContinueStream(t *testing.T) {
+	begin := typed(eventStream, events(true, 1, 2))
+	rest := typed(eventStream, events(false, 3))
+	const twoOfThree = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+	for name, bad := range noContinuation() {
+		t.Run(name+", no other target", func(t *testing.T) {
+			s := newTarget(t, begin, bad)
+			got := start(t, s, s, s).call(t, "/resume/")
+			if got.status != 200 || got.err == nil || got.body != twoOfThree {
+				t.Errorf("status %d, error %v, stream %q", got.status, got.err, got.body)
+			}
+			if s.count() < 2 {
+				t.Error("the stream was not resumed")
+			}
+		})
+		t.Run(name+", another target", func(t *testing.T) {
+			s := newTarget(t, begin, bad, rest)
+			if got := start(t, s, s, s).call(t, "/resume/"); got.status != 200 || got.err != nil || got.body != threeEvents {
+				t.Errorf("status %d, error %v, stream %q", got.status, got.err, got.body)
+			}
+		})
+		t.Run(name+", forwarded", func(t *testing.T) {
+			first, second := newTarget(t, begin), newTarget(t, bad)
+			f := forwardTo(t, start(t, second))
+			f.announceLocal(first)
+			got := f.call(t, "/resume/")
+			if got.status != 200 || got.err == nil || got.body != twoOfThree {
+				t.Errorf("status %d, error %v, stream %q", got.status, got.err, got.body)
+			}
+			if first.count() != 1 || second.count() != 1 {
+				t.Errorf("%d and %d requests", first.count(), second.count())
+			}
+		})
+	}
+	t.Run("forwarded, whole", func(t *testing.T) {
+		first, second := newTarget(t, begin), newTarget(t, rest)
+		f := forwardTo(t, start(t, second))
+		f.announceLocal(first)
+		if got := f.call(t, "/resume/"); got.err != nil || got.body != threeEvents || first.count() != 1 {
+			t.Errorf("error %v, stream %q", got.err, got.body)
+		}
+	})
+	t.Run("nothing is left", func(t *testing.T) {
+		s := newTarget(t, begin, typed(eventStream, respond(200, "", "Signed", "sig")))
+		if got := start(t, s, s, s).call(t, "/resume/"); got.err != nil || got.body != twoOfThree {
+			t.Errorf("error %v, stream %q", got.err, got.body)
+		}
+	})
+}
+
+// announceLocal makes a target of the gateway's own region known.
+func (f *fixture) announceLocal(s *target) {
+	now := clock.SinceBoot()
+	f.Apply(now, fleetsync.Update{SentAt: now, ControlAddress: "c", ExchangeResponse: &syncpb.ExchangeResponse{}, Records: []registry.Record{{ID: "local", Sequence: 1,
+		Service: "s", DataCentre: "dc", State: registry.Ready, Address: strings.TrimPrefix(s.URL, "http://")}}})
+}
+
+// Guards against an error of a target that is appended to a stream that cannot be resumed,
+// local or forwarded, and against one that looks complete.
+func TestBrokenStreamIsNotContinued(t *testing.T) {
+	for name, bad := range noContinuation() {
+		for _, forwarded := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, forwarded %v", name, forwarded), func(t *testing.T) {
+				s := newTarget(t, typed(eventStream, events(true, 1, 2)), bad)
+				f := start(t, s, s, s)
+				if forwarded {
+					f = forwardTo(t, f)
+				}
+				got := f.call(t, "/stream/")
+				if got.status != 200 || got.err == nil || !strings.HasPrefix("id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 99\nda", got.body) || s.count() != 1 {
+					t.Errorf("status %d, error %v after %d requests, stream %q", got.status, got.err, s.count(), got.body)
+				}
+			})
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -229,7 +229,8 @@
 	status          int
 	unframed        bool // the latest response from a target has neither a length nor chunks
 	responseStarted bool
-	lastEvent       string // id of the last event written to the caller
+	form            responseForm // of the started response
+	lastEvent       string       // id of the last event written to the caller
 	// origin is what began the stream; nil before its first event, or if it is unknown.
 	origin *origins.Origin
 	// originSource is how the origin of a stream that its caller resumes was found, or "".
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -79,7 +79,7 @@
 }
 
 func (protocol) Classify(status int, h http.Header) gateway.Classification {
-	return gateway.Classification{NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", Success: h.Get("Signed") != "" && status == http.StatusOK}
+	return gateway.Classification{NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", Success: h.Get("Signed") != "" && status >= http.StatusOK && status < http.StatusMultipleChoices}
 }
 
 func (protocol) ResponseHeader(h http.Header) http.Header { return h.Clone() }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -61,9 +61,6 @@
 
 // relayBuffered buffers the response in full, up to maxBufferedBytes, before it writes it.
 func (g *Gateway) relayBuffered(w http.ResponseWriter, x *requestState, s *sendAttempt, res *upstream.Response) error {
-	if x.responseStarted {
-		return fmt.Errorf("%w: status %d while resuming a stream", errTruncated, res.Status)
-	}
 	body, err := io.ReadAll(io.LimitReader(res, maxBufferedBytes+1))
 	if err != nil {
 		return &attemptError{ran: refusal.Unknown, err: err}
@@ -82,10 +79,35 @@
 	return g.copyStream(w, s, res, body, len(body), nil)
 }
 
+// responseForm is what the caller knows of a response once it has started. The responses
+// of all attempts that continue it have the same.
+type responseForm struct {
+	status              int
+	mediaType, encoding string
+}
+
+func formOf(res *upstream.Response) responseForm {
+	mediaType, _, err := mime.ParseMediaType(res.Header.Get("Content-Type"))
+	if err != nil {
+		mediaType = res.Header.Get("Content-Type")
+	}
+	return responseForm{res.Status, mediaType, res.Header.Get("Content-Encoding")}
+}
+
+// checkContinuation returns an error if the response to the caller has started and res
+// does not continue it: the body of res would then be text of its own in the middle of the
+// caller's stream.
+func (x *requestState) checkContinuation(s *sendAttempt, res *upstream.Response, class Classification) error {
+	if form := formOf(res); x.responseStarted && (!class.Success || form != x.form) {
+		return &attemptError{ran: refusal.Unknown, err: fmt.Errorf("target %s does not continue the response: %+v after %+v", s.target, form, x.form)}
+	}
+	return nil
+}
+
 // startResponse sets the response headers. From then on the response can only be
 // completed or aborted, and no longer be replaced by a refusal.
 func (g *Gateway) startResponse(w http.ResponseWriter, x *requestState, res *upstream.Response) {
-	x.responseStarted = true
+	x.responseStarted, x.form = true, formOf(res)
 	for name, values := range g.TargetProtocol.ResponseHeader(res.Header) {
 		w.Header()[name] = values
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -388,6 +388,10 @@
 		}
 		return &attemptError{ran: refusal.NotRun, err: fmt.Errorf("target %s rejected the request with status %d", s.target, res.Status)}
 	}
+	if err := x.checkContinuation(s, res, class); err != nil {
+		outcome = placement.Failed
+		return err
+	}
 	x.status = res.Status
 	switch {
 	case class.Success:
@@ -396,7 +400,7 @@
 		return &attemptError{ran: refusal.Unknown, err: fmt.Errorf("response with status %d has no target signature", res.Status)}
 	default:
 		outcome = placement.Failed
-		if failed := (&attemptError{ran: refusal.Unknown, retryTaken: true, err: fmt.Errorf("target failed with status %d", res.Status)}); !x.responseStarted && g.mayRetry(x, failed) {
+		if failed := (&attemptError{ran: refusal.Unknown, retryTaken: true, err: fmt.Errorf("target failed with status %d", res.Status)}); g.mayRetry(x, failed) {
 			return failed
 		}
 	}
