gateway: a stream whose events have no ids is not begun again

What callers saw: on a resumable route, a stream whose events have data but no ids broke off and was asked of another target without a last event. That target began at the first event, so that the caller received events twice within one response that looked complete.

Cause: whether a stream can be continued depended on the software that began it only, not on whether the last event that the caller has received can be named.

Fix: after an event with data and without an id the stream is not continued; the connection breaks. Comments do not count.

Evidence, before: TestStreamWithoutIDsIsNotResumed, "error <nil> after 2 requests, stream : comment, data: a, data: a, data: b". It passes now, with go test -race ./internal/gateway -run 'DoesNotContinue|BrokenStreamIs|WithoutIDs|Resume|Unframed|TestResponseThat|Software'.

--- a/internal/gateway/continue_test.go
+++ b/internal/gateway/continue_test.go
@@ -157,3 +157,24 @@
 		}
 	}
 }
+
+// Guards against events that are repeated when a stream whose events have no ids is begun
+// again at another target.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	unnumbered := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Signed", "sig")
+		_, _ = io.WriteString(w, ": comment\n\ndata: a\n\n")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	for _, forwarded := range []bool{false, true} {
+		s := newTarget(t, typed(eventStream, unnumbered), typed(eventStream, respond(200, "data: a\n\ndata: b\n\n", "Signed", "sig")))
+		f := start(t, s, s, s)
+		if forwarded {
+			f = forwardTo(t, f)
+		}
+		if got := f.call(t, "/resume/"); got.err == nil || got.body != ": comment\n\ndata: a\n\n" || s.count() != 1 {
+			t.Errorf("forwarded %v: error %v after %d requests, stream %q", forwarded, got.err, s.count(), got.body)
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -231,6 +231,7 @@
 	responseStarted bool
 	form            responseForm // of the started response
 	lastEvent       string       // id of the last event written to the caller
+	unnumbered      bool         // an event with data but without id was written
 	// origin is what began the stream; nil before its first event, or if it is unknown.
 	origin *origins.Origin
 	// originSource is how the origin of a stream that its caller resumes was found, or "".
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -279,6 +279,7 @@
 		if id != "" {
 			x.lastEvent = id
 		}
+		x.unnumbered = x.unnumbered || id == "" && hasData(e)
 	}
 	x.lastEventAt = sinceBoot()
 	return wrapCallerError(http.NewResponseController(w).Flush())
@@ -313,6 +314,20 @@
 	return ""
 }
 
+// hasData reports whether an event has data; others are comments.
+func hasData(e []byte) bool {
+	for line := range bytes.Lines(e) {
+		if bytes.HasPrefix(line, []byte("data")) {
+			return true
+		}
+	}
+	return false
+}
+
+// continuable reports whether another attempt can continue the started response: the
+// software that began it is known, and so is the last event that the caller has received.
+func (x *requestState) continuable() bool { return x.origin != nil && !x.unnumbered }
+
 // follows reports whether the event id comes after last. It reports true if one of the
 // ids is not a number.
 func follows(id, last string) bool {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -118,7 +118,7 @@
 		default:
 			x.ran = refusal.Unknown
 		}
-		if ctx.Err() != nil || x.responseStarted && x.origin == nil {
+		if ctx.Err() != nil || x.responseStarted && !x.continuable() {
 			return finalError(x, last, err)
 		}
 		if unsent > maxUnsentAttempts || rejected > maxRejections || !failed.retryTaken && !g.mayRetry(x, failed) {
