dispatch: a resumed stream is a series of events

What callers saw: a stream broke off and the target at which it was resumed confirmed the resumption, but sent a text or JSON. Its text came in the middle of the stream, and the stream ended as complete, without [DONE].

Cause: the content type of a resumed response was not looked at; only that of the first one decides whether a terminating event is needed, and the scanner of the second attempt, for a text, asked for none.

Fix: a resumed response must have the content type text/event-stream, besides status 200 and the confirmed number. Others are failed attempts.

Evidence: TestResponseThatDoesNotContinueStream, 38 subtests, failed in 8 before: "stream data: {n:0} an error HTTP/1.1 500 Oops ..., error <nil>". go test -race ./internal/dispatch ./internal/entry passes now.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -255,6 +255,78 @@
 	}
 }
 
+// Guards against the text of an error, or its head, within a stream that broke off and
+// that its next target answers with the error, and against such a stream that looks
+// complete.
+func TestResponseThatDoesNotContinueStream(t *testing.T) {
+	const first = "data: {\"n\":0}\n\n"
+	const last = "data: {\"n\":1}\n\ndata: [DONE]\n\n"
+	const text = "an error\n\nHTTP/1.1 500 Oops\r\nX: y\r\n\r\ndata: error\n\ndata: [DONE]\n\n"
+	const events, confirmed = "Content-Type: text/event-stream\r\n", "Geraniumturn-Resume-After: 1\r\n"
+	framed := func(status, header, body string) string {
+		return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, header, len(body), body)
+	}
+	begin := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(w, first+"data: {")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	rest := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set(headerResumeAfter, r.Header.Get(headerResumeAfter))
+		fmt.Fprint(w, last)
+	}
+	for name, response := range map[string]string{
+		"refused, with text":      framed("503 No", "Geraniumturn-Not-Run: true\r\n", text),
+		"error, confirmed":        framed("500 No", events+confirmed, text),
+		"not found, confirmed":    framed("404 No", events+confirmed, text),
+		"redirect, confirmed":     framed("301 No", events+confirmed+"Location: /\r\n", text),
+		"partial, confirmed":      framed("206 Part", events+confirmed, last),
+		"no content, confirmed":   "HTTP/1.1 204 None\r\n" + events + confirmed + "\r\n",
+		"success, not confirmed":  framed("200 OK", events, text),
+		"success, another number": framed("200 OK", events+"Geraniumturn-Resume-After: 0\r\n", first+last),
+		"text, confirmed":         framed("200 OK", "Content-Type: text/plain\r\n"+confirmed, text),
+		"JSON, confirmed":         framed("200 OK", "Content-Type: application/json\r\n"+confirmed, "{\"error\":1}\n\n"),
+		"no type, confirmed":      framed("200 OK", confirmed, "an error"),
+		"empty, confirmed":        framed("200 OK", events+confirmed, ""),
+		"empty text, confirmed":   framed("200 OK", "Content-Type: text/plain\r\n"+confirmed, ""),
+		"within an event":         framed("200 OK", events+confirmed, "data: err"),
+		"unframed":                "HTTP/1.1 200 OK\r\n" + events + confirmed + "\r\ndata: err",
+		"chunks without an end":   "HTTP/1.1 200 OK\r\n" + events + confirmed + "Transfer-Encoding: chunked\r\n\r\n9\r\ndata: err\r\n",
+		"bytes, no response":      text,
+		"head only":               "HTTP/1.1 500 No\r\n",
+		"closed":                  "",
+	} {
+		for _, more := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, another target %v", name, more), func(t *testing.T) {
+				bad := func(w http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					conn, _, err := http.NewResponseController(w).Hijack()
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					defer conn.Close()
+					_, _ = io.WriteString(conn, response)
+				}
+				list := []*targets.Target{newTarget(t, "t1", nil, begin), newTarget(t, "t2", []string{featureResume}, bad)}
+				want := first
+				if more {
+					list, want = append(list, newTarget(t, "t3", []string{featureResume}, rest)), first+last
+				}
+				req := request("POST", true)
+				req.Kind, req.Stream = rules.Engine, true
+				sink := &memorySink{}
+				_, err := newDispatcher(list...).Do(t.Context(), req, sink)
+				if got := sink.body.String(); got != want || (err == nil) != more || !more && !errors.Is(err, ErrResponseTruncated) {
+					t.Errorf("stream %q, error %v", got, err)
+				}
+			})
+		}
+	}
+}
+
 // Guards against a stream that is resumed on a target with other software than the one
 // that began it.
 func TestStreamIsResumedOnSameSoftware(t *testing.T) {
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -118,8 +118,8 @@
 // of events.
 func checkResumed(response *http.Response, after int) error {
 	got := response.Header.Get(headerResumeAfter)
-	if response.StatusCode != http.StatusOK || got != strconv.Itoa(after) {
-		return &attemptError{err: fmt.Errorf("%w: status %d, resume after %q instead of %d", errTargetFailed, response.StatusCode, got, after),
+	if response.StatusCode != http.StatusOK || got != strconv.Itoa(after) || !isEventStream(response) {
+		return &attemptError{err: fmt.Errorf("%w: status %d, %q, resume after %q instead of %d", errTargetFailed, response.StatusCode, response.Header.Get("Content-Type"), got, after),
 			ran: refusal.Unknown, started: true, retryable: true}
 	}
 	return nil
--- a/internal/dispatch/scan.go
+++ b/internal/dispatch/scan.go
@@ -40,10 +40,14 @@
 	engine := req.Kind == rules.Engine && response.StatusCode < 300
 	return &usageScanner{
 		engine:        engine,
-		isEventStream: engine && strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream"),
+		isEventStream: engine && isEventStream(response),
 	}
 }
 
+func isEventStream(response *http.Response) bool {
+	return strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+}
+
 func (s *usageScanner) feed(p []byte) {
 	switch {
 	case !s.engine:
