gateway, platform: odd target records are borne by all processes

TestOddTargetRecords gives a gateway 16 odd records past all checks; requests are served by the sound target in all.

--- a/internal/gateway/configuration_test.go
+++ b/internal/gateway/configuration_test.go
@@ -6,11 +6,57 @@
 	"strconv"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
+
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/document"
+	"geraniumturn.example/geraniumturn/internal/fleetsync"
+	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/gateway"
+	"geraniumturn.example/geraniumturn/internal/registry"
 )
 
+// Guards against an odd record of a target that ends the process, or with which requests
+// fail although a sound target serves.
+func TestOddTargetRecords(t *testing.T) {
+	for name, change := range map[string]func(r *registry.Record){
+		"port out of range":       func(r *registry.Record) { r.Address = "127.0.0.1:99999" },
+		"negative port":           func(r *registry.Record) { r.Address = "127.0.0.1:-1" },
+		"no address":              func(r *registry.Record) { r.Address = "" },
+		"bytes as address":        func(r *registry.Record) { r.Address = "\x00\xff" },
+		"largest number of slots": func(r *registry.Record) { r.Slots = math.MaxInt },
+		"least number of slots":   func(r *registry.Record) { r.Slots = math.MinInt },
+		"cold for ever":           func(r *registry.Record) { r.ColdUntil = math.MaxInt64 },
+		"cold before time":        func(r *registry.Record) { r.ColdUntil = math.MinInt64 },
+		"largest sequence":        func(r *registry.Record) { r.Sequence, r.StartMillis = math.MaxUint64, math.MaxInt64 },
+		"least start":             func(r *registry.Record) { r.StartMillis = math.MinInt64 },
+		"unknown data centre":     func(r *registry.Record) { r.DataCentre = "nowhere" },
+		"no data centre":          func(r *registry.Record) { r.DataCentre = "" },
+		"unknown service":         func(r *registry.Record) { r.Service = "none" },
+		"unknown state":           func(r *registry.Record) { r.State = 200 },
+		"no ID":                   func(r *registry.Record) { r.ID = "" },
+		"bytes as ID":             func(r *registry.Record) { r.ID = "\x00\xff" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, newTarget(t, success))
+			odd := registry.Record{ID: "odd", Sequence: 1, Service: "s", DataCentre: "dc", Address: "127.0.0.1:1", State: registry.Ready}
+			change(&odd)
+			now := clock.SinceBoot()
+			f.Apply(now, fleetsync.Update{SentAt: now, ControlAddress: "c", ExchangeResponse: &syncpb.ExchangeResponse{}, Records: []registry.Record{odd}})
+			for range 12 {
+				for _, path := range []string{"/safe/", "/once/"} {
+					if got := f.call(t, path); got.status != 200 || got.body != "whole" {
+						t.Errorf("%s: status %d, body %q, error %v", path, got.status, got.body, got.err)
+					}
+				}
+			}
+			if _, err := proto.Marshal(f.ExchangeRequest(clock.SinceBoot(), true, 0)); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
 // changedCodec changes the document of the tests.
 type changedCodec struct {
 	codec
