platform, controlplane: a refused heartbeat leaves a log line

A heartbeat or deregistration that describes no target was answered with 400 and left no trace at the control host, so that nobody could see why a target is not used.

--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -127,6 +127,14 @@
 	}
 }
 
+// InvalidHeartbeat logs a heartbeat or deregistration that was refused.
+func (s *Service) InvalidHeartbeat(id string, err error) {
+	s.Logger.WithError(err).WithField("target", id[:min(len(id), maxLoggedID)]).Warn("heartbeat refused")
+}
+
+// maxLoggedID bounds an ID that may be invalid.
+const maxLoggedID = 64
+
 // Deregister marks a target as left. startMillis is 0 if the target did not report its
 // start time.
 func (s *Service) Deregister(id string, startMillis int64) {
