targets, gateway: tests of odd announcements and of a stream begun elsewhere

TestOddAnnouncementsAreRefused shows that the own interface bears odd announcements: 17 of them are refused, and in a relay message the entries beside them are taken over. TestResponseThatDoesNotContinue- Stream also has each response after a beginning that another host forwarded. go test -race ./internal/targets and ./internal/gateway -run DoesNotContinue pass.

--- a/internal/gateway/continue_test.go
+++ b/internal/gateway/continue_test.go
@@ -115,6 +115,21 @@
 			}
 		})
 	}
+	for name, bad := range noContinuation() {
+		t.Run(name+", after a forwarded beginning", func(t *testing.T) {
+			second := newTarget(t, bad)
+			var f *fixture
+			first := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+				f.announceLocal(second)
+				begin(w, r)
+			})
+			f = forwardTo(t, start(t, first))
+			got := f.call(t, "/resume/")
+			if got.status != 200 || got.err == nil || got.body != twoOfThree || first.count() != 1 || second.count() != 1 {
+				t.Errorf("status %d, error %v after %d and %d requests, stream %q", got.status, got.err, first.count(), second.count(), got.body)
+			}
+		})
+	}
 	t.Run("forwarded, whole", func(t *testing.T) {
 		first, second := newTarget(t, begin), newTarget(t, rest)
 		f := forwardTo(t, start(t, second))
--- a/internal/targets/table_test.go
+++ b/internal/targets/table_test.go
@@ -3,8 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
+
+	"geraniumturn.example/geraniumturn/internal/targets/targetspb"
 )
 
 // Guards against unbounded growth of the table and of the prefix indexes.
@@ -184,3 +188,53 @@
 	b = NewTable("b", "here")
 	check("the restart of b")
 }
+
+// Guards against an odd announcement, from a target or in a relay message, that replaces
+// the entry of a sound target or keeps the other announcements of the message away.
+func TestOddAnnouncementsAreRefused(t *testing.T) {
+	const good = `{"name":"t1","incarnation":1,"sequence":9,"address":"127.0.0.1:9","pool":"p","data_centre":"here","slots":4}`
+	deep := strings.Repeat("[", 12_000) + strings.Repeat("]", 12_000)
+	for name, odd := range map[string]string{
+		"nested deeply":              deep,
+		"field nested deeply":        strings.Replace(good, `"slots":4`, `"slots":4,"more":`+deep, 1),
+		"models nested":              strings.Replace(good, `"slots":4`, `"slots":4,"models":`+deep, 1),
+		"port out of range":          strings.Replace(good, ":9\"", ":99999\"", 1),
+		"negative port":              strings.Replace(good, ":9\"", ":-9\"", 1),
+		"port 0":                     strings.Replace(good, ":9\"", ":0\"", 1),
+		"no port":                    strings.Replace(good, ":9\"", "\"", 1),
+		"slots out of range":         strings.Replace(good, `"slots":4`, `"slots":9000000000000000000`, 1),
+		"slots beyond an integer":    strings.Replace(good, `"slots":4`, `"slots":1e30`, 1),
+		"negative slots":             strings.Replace(good, `"slots":4`, `"slots":-4`, 1),
+		"lag out of range":           strings.Replace(good, `"slots":4`, `"slots":4,"lag_ms":9223372036854775807`, 1),
+		"memory out of range":        strings.Replace(good, `"slots":4`, `"slots":4,"free_kv_tokens":9223372036854775807`, 1),
+		"sequence beyond an integer": strings.Replace(good, `"sequence":9`, `"sequence":99999999999999999999`, 1),
+		"fractional incarnation":     strings.Replace(good, `"incarnation":1`, `"incarnation":1.5`, 1),
+		"name not UTF-8":             strings.Replace(good, `"t1"`, "\"t\xff\"", 1),
+		"name without end":           strings.Replace(good, `"t1"`, `"`+strings.Repeat("x", 100_000)+`"`, 1),
+		"bytes":                      "\x00\xff",
+	} {
+		t.Run(name, func(t *testing.T) {
+			if _, err := DecodeAnnouncement([]byte(odd)); !errors.Is(err, ErrInvalid) {
+				t.Errorf("error %v, want ErrInvalid", err)
+			}
+			table, now := NewTable("host", "here"), time.Unix(1000, 0)
+			m := &targetspb.RelayRequest{}
+			for _, a := range []string{odd, good, odd, strings.Replace(good, "t1", "t2", 1), odd} {
+				m.Reports = append(m.Reports, &targetspb.Report{Announcement: []byte(a)})
+			}
+			if _, err := table.Receive(now, "other", m); !errors.Is(err, ErrInvalid) {
+				t.Errorf("relay: error %v, want ErrInvalid", err)
+			}
+			var names []string
+			for _, known := range table.All() {
+				names = append(names, known.Name)
+				if known.Address != "127.0.0.1:9" || known.Slots != 4 || known.Sequence != 9 {
+					t.Errorf("%+v", known.Announcement)
+				}
+			}
+			if slices.Sort(names); !slices.Equal(names, []string{"t1", "t2"}) {
+				t.Errorf("targets %q", names)
+			}
+		})
+	}
+}
