gateway, placement: requests of a detached host compete on equal terms

Cause: under overload the region that is left runs at the limit of its own callers. The estimate of a detached host is higher than the one there (way, requests sent since the last report, prompt parts taken for uncached), so it refused requests that the other host would have accepted: 41 of 84 refusals of edge-santander-a-1 were its own estimates, just above the limit. Change: a detached host sends a request up to a quarter of the objective beyond the limit; the other host decides by the limit of its own callers.

--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -159,13 +159,13 @@
 	return len(others) == 0
 }
 
-// detachedLimit adds to the limit of a request what its way to another host takes, if this
-// host has no path of its own to targets. g.mu must be held.
-func (g *Gateway) detachedLimit(limit time.Duration) time.Duration {
+// remoteLimits returns the limit on the TTFB that another host applies to a request, and the
+// expected TTFB up to which the request is sent there. g.mu must be held.
+func (g *Gateway) remoteLimits(limit, objective time.Duration) (hostLimit, accepted time.Duration) {
 	if g.path.Detached() {
-		return placement.DetachedFirstByteLimit(limit)
+		return placement.DetachedLimits(limit, objective)
 	}
-	return limit
+	return limit, limit
 }
 
 // recordDetachedHost records the refusal of another host that reaches no target. If it is
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -194,16 +194,17 @@
 		choice, usable = g.placer.Choose(now, &x.placementRequest, func(id string) bool { return x.triedTargets[id] })
 	}
 	limit := g.firstByteBudget(now, x, choice.IdleTTFB)
+	var hostLimit time.Duration // that the other host applies
 	remote, estimate := g.bestRemoteHost(now, x, !usable || choice.Unreachable)
 	if remote != nil {
-		remoteLimit := g.detachedLimit(g.firstByteBudget(now, x, estimate.IdleTTFB))
+		remoteLimit, accepted := g.remoteLimits(g.firstByteBudget(now, x, estimate.IdleTTFB), x.route.FirstByteObjective)
 		forward := !usable || choice.Unreachable || estimate.cost+minForwardGain < choice.Cost
 		// A destination with a lower cost must not hide one that can meet its limit.
-		if local := usable && choice.TTFB <= limit; local != (estimate.TTFB <= remoteLimit) {
+		if local := usable && choice.TTFB <= limit; local != (estimate.TTFB <= accepted) {
 			forward = !local
 		}
 		if forward {
-			choice, limit = placement.Choice{Estimate: estimate.Estimate}, remoteLimit
+			choice, limit, hostLimit = placement.Choice{Estimate: estimate.Estimate}, accepted, remoteLimit
 		} else {
 			remote = nil
 		}
@@ -221,11 +222,10 @@
 		x.forwardHost, x.target = remote.GetName(), remote.GetName()
 		g.remoteRegion(remote.GetRegion()).RecordSent(now)
 		g.requestMetrics.forwarded.Inc(1)
-		firstByteLimit := limit
 		if remote.GetRegion() != g.Region {
-			firstByteLimit = placement.RemoteFirstByteLimit(limit)
+			hostLimit = placement.RemoteFirstByteLimit(hostLimit)
 		}
-		return &sendAttempt{target: remote.GetName(), address: remote.GetForward(), forwarded: true, region: remote.GetRegion(), firstByteLimit: firstByteLimit}, nil
+		return &sendAttempt{target: remote.GetName(), address: remote.GetForward(), forwarded: true, region: remote.GetRegion(), firstByteLimit: hostLimit}, nil
 	}
 	x.triedTargets[choice.Target.ID] = true
 	x.target = choice.Target.ID
--- a/internal/placement/path.go
+++ b/internal/placement/path.go
@@ -49,7 +49,11 @@
 	return c, ok
 }
 
-// DetachedFirstByteLimit returns the limit on the TTFB at other hosts for the requests of a
-// host without a path to its targets. Its callers compete with those of the other hosts on
-// equal terms, although their requests take longer to arrive.
-func DetachedFirstByteLimit(limit time.Duration) time.Duration { return limit + regionRTT }
+// DetachedLimits returns the limit on the TTFB at other hosts for a request of a host
+// without a path to its targets, and the expected TTFB up to which it is sent there. Its
+// callers compete with those of the other hosts on equal terms: the limit includes the way,
+// and the other host decides, because its estimate is better than one from here.
+func DetachedLimits(limit, objective time.Duration) (hostLimit, accepted time.Duration) {
+	hostLimit = limit + regionRTT
+	return hostLimit, hostLimit + scale(queueFraction, objective)
+}
