gateway: TestUnframedResponseEndsInTime tells a delay from a missing processor

Cause: not the gateway. With 8 to 12 processes of the test beside other load (load average 30 to 57 on 8 cores, -race), unframed forwarded responses took 0.3 to 1.9 s. Each step was stamped, and the waits of all threads for a processor were read from /proc/self/task/*/schedstat every 20 ms. In a run of 12 processes, the longest step of 25 of 26 cases above 300 ms (52 of 61 above 150 ms) matched the wait of a single thread. It was any step: from the caller's connect to the accept, from accept to the first byte, between the target's close and the log line. The rest fell together with waits of ksoftirqd, the kernel threads that deliver packets on loopback: four processes stalled at one moment, as ksoftirqd waited 328 ms, with 18 to 104 ms of waits of their own threads. The three failures themselves left no trace; that they are of this kind is an inference.

Change: the bound stays 300 ms and is still required of a whole measurement, of each of the six cases. A longer measurement fails, unless waits for a processor (own threads and ksoftirqd) account for the excess: then it is repeated, at most ten times. A constant delay above the bound therefore never passes.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/gateway"
 	"geraniumturn.example/geraniumturn/internal/placement"
+	"geraniumturn.example/geraniumturn/internal/proctest"
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/registry"
 )
@@ -706,19 +707,41 @@
 		{"/safe/", "text/plain", "whole"}, {"/stream/", eventStream, twoEvents}, {"/resume/", eventStream, twoEvents},
 	} {
 		for _, forwarded := range []bool{false, true} {
-			f := start(t, newTarget(t, unframed(t, c.contentType, c.body)))
-			if forwarded {
-				f = forwardTo(t, f)
-			}
-			started := time.Now()
-			got := f.call(t, c.path)
-			if took := time.Since(started); got.err != nil || got.body != c.body || took > 300*time.Millisecond {
-				t.Errorf("%s, forwarded %v: response %+v after %s", c.path, forwarded, got, took)
-			}
+			t.Run(fmt.Sprintf("%s, forwarded %v", strings.Trim(c.path, "/"), forwarded), func(t *testing.T) {
+				for measurement := 1; ; measurement++ {
+					f := start(t, newTarget(t, unframed(t, c.contentType, c.body)))
+					if forwarded {
+						f = forwardTo(t, f)
+					}
+					waited, started := proctest.ProcessorWait(t), time.Now()
+					got := f.call(t, c.path)
+					took := time.Since(started)
+					waited = proctest.ProcessorWait(t) - waited
+					if got.err != nil || got.body != c.body {
+						t.Fatalf("response %+v after %s", got, took)
+					}
+					if took <= maxHoldBack {
+						return
+					}
+					// Beside other load, the processor may be missing for longer than the
+					// bound. Such a measurement shows nothing and is repeated.
+					if waited < took-maxHoldBack || measurement == maxMeasurements {
+						t.Fatalf("the response took %s, of which threads waited %s for a processor", took, waited)
+					}
+					t.Logf("not counted: %s, of which threads waited %s for a processor", took, waited)
+				}
+			})
 		}
 	}
 }
 
+const (
+	// maxHoldBack is the longest pause between events that is still on time.
+	maxHoldBack = 300 * time.Millisecond
+	// maxMeasurements bounds the measurements that are repeated.
+	maxMeasurements = 10
+)
+
 // forwardTo returns a gateway without targets of its own that forwards to f.
 func forwardTo(t *testing.T, f *fixture) *fixture {
 	t.Helper()
--- a/internal/proctest/usage.go
+++ b/internal/proctest/usage.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"testing"
 	"time"
 )
 
@@ -29,25 +30,55 @@
 	return 0
 }
 
-// CPU returns the processor time that a host's process has used, from the
-// scheduler's nanosecond counters of its threads.
+// CPU returns the processor time that a host's process has used.
 func (f *Fleet) CPU(name string) time.Duration {
 	f.t.Helper()
-	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", f.process(name).cmd.Process.Pid))
+	used, _ := threadTimes(f.t, f.process(name).cmd.Process.Pid)
+	return used
+}
+
+// ProcessorWait returns how long the threads of this process, and the kernel threads that
+// deliver packets, have waited for a processor.
+func ProcessorWait(t testing.TB) time.Duration {
+	t.Helper()
+	_, sum := threadTimes(t, os.Getpid())
+	names, err := filepath.Glob("/proc/[0-9]*/comm")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range names {
+		name, err := os.ReadFile(path)
+		if err != nil || !strings.HasPrefix(string(name), "ksoftirqd/") {
+			continue // the process has ended, or is another one
+		}
+		pid, err := strconv.Atoi(filepath.Base(filepath.Dir(path)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, waited := threadTimes(t, pid)
+		sum += waited
+	}
+	return sum
+}
+
+// threadTimes returns how long the threads of a process have run and how long they have
+// waited for a processor, from the scheduler's nanosecond counters.
+func threadTimes(t testing.TB, pid int) (run, wait time.Duration) {
+	t.Helper()
+	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
 	if err != nil || len(tasks) == 0 {
-		f.t.Fatalf("no threads of %s in /proc: %v", name, err)
+		t.Fatalf("no threads of process %d in /proc: %v", pid, err)
 	}
-	var sum time.Duration
 	for _, task := range tasks {
 		data, err := os.ReadFile(task)
 		if err != nil {
 			continue // the thread has ended
 		}
-		ns, err := strconv.ParseInt(strings.Fields(string(data))[0], 10, 64)
-		if err != nil {
-			f.t.Fatal(err)
+		var ran, waited time.Duration
+		if _, err := fmt.Sscan(string(data), &ran, &waited); err != nil {
+			t.Fatal(err)
 		}
-		sum += time.Duration(ns)
+		run, wait = run+ran, wait+waited
 	}
-	return sum
+	return run, wait
 }
