gateway: a request adds to one retry budget only

Cause: a host added a request to its budget whenever it first sent it, so a forwarded request counted at the host of its caller and again at the host that it was forwarded to. An attempt that turned out not to be sent counted again with the next one.

Change: a request counts once, at the host that its caller sent it to, before its first attempt.

Test: TestForwardedRequestAddsToOneRetryBudget; before, the host sent the only request of its own caller three times, on the budget of 60 forwarded ones.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -562,6 +562,29 @@
 	}
 }
 
+// Load: targets reject most requests, many of which are forwarded. Guards against hosts
+// that together retry more than the budget allows, because a forwarded request adds to
+// the budget of both hosts.
+func TestForwardedRequestAddsToOneRetryBudget(t *testing.T) {
+	const requests = 60
+	script := make([]http.HandlerFunc, requests)
+	for i := range script {
+		script[i] = success
+	}
+	s := newTarget(t, append(script, reject)...)
+	remote := start(t, s, s, s)
+	remote.Bounds.RetrySlack = 0
+	local := forwardTo(t, remote)
+	for i := range requests {
+		if got := local.call(t, "/safe/"); got.status != 200 {
+			t.Fatalf("request %d: %+v", i, got)
+		}
+	}
+	if got := remote.call(t, "/safe/"); got.status != 429 || s.count() != requests+1 {
+		t.Errorf("status %d after %d sends of the only request of a caller of this host, want 429 after 1", got.status, s.count()-requests)
+	}
+}
+
 // slowly responds after d.
 func slowly(d time.Duration, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -89,6 +89,7 @@
 
 // run attempts the request until a response was relayed or no retry is allowed.
 func (g *Gateway) run(ctx context.Context, w http.ResponseWriter, x *requestState) error {
+	g.recordRequest(x)
 	unsent, rejected := 0, 0
 	var last error
 	for {
@@ -459,7 +460,7 @@
 	} else {
 		g.TargetProtocol.SetDispatch(header, Dispatch{Target: s.target, Workspace: x.workspaceName(), Remaining: remaining, Urgency: x.urgency, LastEvent: x.lastEvent, CacheSource: s.cacheSource})
 	}
-	g.countSend(x, now)
+	x.sends++
 	res, err := pool.Do(ctx, &upstream.Request{Address: s.address, Method: x.request.Method, RequestURI: x.request.RequestURI,
 		Host: x.request.Host, Header: header, Body: x.body, RecentConnOnly: !x.route.Repeatable(),
 		Matches: func(status int, h http.Header) bool {
@@ -481,16 +482,12 @@
 	return res, nil
 }
 
-// countSend counts an attempt that is sent. The first one of a request adds to the
-// retry budget.
-func (g *Gateway) countSend(x *requestState, now time.Duration) {
-	x.sends++
-	if x.sends > 1 {
-		return
-	}
+// recordRequest adds a caller's request to the retry budget of its service. A forwarded
+// request counts at the host that its caller sent it to.
+func (g *Gateway) recordRequest(x *requestState) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.retryBudget(x.service).RecordRequest(now)
+	g.retryBudget(x.service).RecordRequest(sinceBoot())
 }
 
 func (x *requestState) workspaceName() string {
--- a/internal/shares/window.go
+++ b/internal/shares/window.go
@@ -53,7 +53,8 @@
 	return &RetryBudget{requests: NewWindow(window), retries: NewWindow(window), ratio: ratio}
 }
 
-// RecordRequest counts the first attempt of a request.
+// RecordRequest counts a request. Each request of a caller must be counted once over all
+// hosts, however often it is sent.
 func (b *RetryBudget) RecordRequest(now time.Duration) { b.requests.Add(now, 1) }
 
 // TakeRetry takes one retry from the budget. It returns false if the budget is
