shares: starting hosts do not spend the retry slack twice

Cause: a host that had just started used its whole share of the slack of the retry budget, although its previous process might have spent the same share in the same window; and until its first exchange it took all of the slack, as it knew of no other host. After a start of all hosts, a control host that has just started reports one host to the first that asks.

Change: no slack while the number of hosts is unknown. Control hosts report the number once they have run for the discovery period. In the first window after its start a host has a tenth of the slack divided by the hosts instead of six tenths, which covers four starts of each host in a window. Retries within the ratio to its own requests are allowed at once, as before.

The fixtures of the gateway's tests now report the number of hosts, as control hosts do.

--- a/internal/fleetsync/hosts_test.go
+++ b/internal/fleetsync/hosts_test.go
@@ -10,6 +10,7 @@
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/registry"
+	"geraniumturn.example/geraniumturn/internal/shares"
 )
 
 // Uses a fleet of 300 hosts. Guards against a response that grows with the whole fleet,
@@ -41,6 +42,27 @@
 	}
 }
 
+// Guards against entry hosts that start together with the control hosts and each use the
+// whole of a limit that all hosts divide: the first to report would be the only one known.
+func TestNumberOfHostsIsUnknownAfterStart(t *testing.T) {
+	s := &Server{Leadership: alwaysLeader{}, Presence: NewPresence(), Targets: registry.NewTable(), Document: document.NewMachine()}
+	s.Init()
+	total := func() int64 {
+		out, err := s.Exchange(context.Background(), &syncpb.ExchangeRequest{Host: &syncpb.EntryHost{Name: "e"}, WantHosts: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return out.GetTotalHosts()
+	}
+	if got := total(); got != 0 {
+		t.Errorf("%d hosts right after the start, want unknown", got)
+	}
+	s.startedAt -= shares.DiscoveryPeriod
+	if got := total(); got != 1 {
+		t.Errorf("%d hosts after the discovery period, want 1", got)
+	}
+}
+
 // alwaysLeader is a Leadership of which this host is the leader.
 type alwaysLeader struct{}
 
--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -111,7 +111,10 @@
 		// A silent host may still send requests to targets, so the other hosts of its
 		// region go on reserving its part of the shared limits.
 		all := s.Presence.entriesHeardWithin(now, entryRetention)
-		out.Hosts, out.TotalHosts = hostsForRegion(all, in.GetHost().GetRegion()), int64(len(all))
+		out.Hosts = hostsForRegion(all, in.GetHost().GetRegion())
+		if now-s.startedAt >= shares.DiscoveryPeriod {
+			out.TotalHosts = int64(len(all))
+		}
 	}
 	if in.GetHost().GetName() == "" {
 		return out, nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,7 +112,7 @@
 	// regionLastHeard is when a control host of a region last responded.
 	regionLastHeard map[string]time.Duration
 	// hostsRequestedAt is when the list of hosts was last requested. totalHosts is the
-	// number of entry hosts, including those that the list omits.
+	// number of entry hosts, including those that the list omits; 0 if it is unknown.
 	hostsRequestedAt time.Duration
 	totalHosts       int
 	placedRevision   uint64 // revision of Table that the placer uses
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -207,7 +207,7 @@
 // age is the maximum age of its configuration.
 func (f *fixture) update(age time.Duration, targets ...*target) {
 	now := clock.SinceBoot()
-	u := fleetsync.Update{SentAt: now, ControlAddress: "c", ExchangeResponse: &syncpb.ExchangeResponse{Known: true, AgeMs: age.Milliseconds(), Index: 1, Version: 1,
+	u := fleetsync.Update{SentAt: now, ControlAddress: "c", ExchangeResponse: &syncpb.ExchangeResponse{Known: true, AgeMs: age.Milliseconds(), Index: 1, Version: 1, TotalHosts: 1,
 		Grants: []*syncpb.Grant{{Workspace: "small", Fraction: 1}}}}
 	u.Records = records(targets)
 	f.Apply(now, u)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -213,23 +213,19 @@
 func (g *Gateway) retryBudget(service string) *shares.RetryBudget {
 	b := g.retryBudgets[service]
 	if b == nil {
-		b = shares.NewRetryBudget(g.Bounds.RetryWindow, g.Bounds.RetryRatio*retryRatioShare)
+		b = shares.NewRetryBudget(g.startedAt, g.Bounds.RetryWindow, g.Bounds.RetryRatio, g.Bounds.RetrySlack)
 		g.retryBudgets[service] = b
 	}
 	return b
 }
 
-const (
-	// retryRatioShare and retrySlackShare are the parts of Bounds.RetryRatio and
-	// Bounds.RetrySlack that are used. The remainder covers the offset between the
-	// windows of the hosts, and unknown hosts.
-	retryRatioShare = 0.8
-	retrySlackShare = 0.6
-)
-
-// retrySlack returns this host's share of Bounds.RetrySlack. g.mu must be held.
-func (g *Gateway) retrySlack(now time.Duration) float64 {
-	return g.Bounds.RetrySlack * retrySlackShare / float64(max(g.totalHosts, 1+g.countPeers(now)))
+// countHosts returns the number of entry hosts that may be serving, including this one,
+// or 0 if it is unknown. g.mu must be held.
+func (g *Gateway) countHosts(now time.Duration) int {
+	if g.totalHosts == 0 {
+		return 0
+	}
+	return max(g.totalHosts, 1+g.countPeers(now))
 }
 
 // countPeers returns the number of other known entry hosts that may be serving. g.mu
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -170,7 +170,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.retryBudget(x.service).TakeRetry(now, g.retrySlack(now)) {
+	if !g.retryBudget(x.service).TakeRetry(now, g.countHosts(now)) {
 		return false
 	}
 	g.requestMetrics.retries.Inc(1)
--- a/internal/gateway/software_test.go
+++ b/internal/gateway/software_test.go
@@ -20,7 +20,7 @@
 // before the dash.
 func (f *fixture) announceSoftware(targets map[string]*target) {
 	now := clock.SinceBoot()
-	u := fleetsync.Update{SentAt: now, ControlAddress: "c", ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1}}
+	u := fleetsync.Update{SentAt: now, ControlAddress: "c", ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, TotalHosts: 1}}
 	for id, s := range targets {
 		software, _, _ := strings.Cut(id, "-")
 		u.Records = append(u.Records, registry.Record{ID: id, Sequence: 1, Service: "s", DataCentre: "dc", State: registry.Ready,
--- a/internal/shares/peerset.go
+++ b/internal/shares/peerset.go
@@ -12,10 +12,10 @@
 	// hostTTL is how long a silent host is assumed to be running: a host that loses
 	// contact continues with its last known state.
 	hostTTL = 30 * time.Second
-	// discoveryPeriod is the time after its start in which a host may not know all
+	// DiscoveryPeriod is the time after its start in which a host may not know all
 	// others. Hosts that lost power together start within 1.5 s of each other, and a
 	// report takes up to 1.4 s to reach all of them.
-	discoveryPeriod = 3 * time.Second
+	DiscoveryPeriod = 3 * time.Second
 )
 
 // PeerSet tracks the hosts that share a limit with this one. Invariant: while each host
@@ -42,7 +42,7 @@
 // returns none during the discovery period.
 func (p *PeerSet) ActiveHosts(now time.Duration) []string {
 	maps.DeleteFunc(p.lastHeard, func(_ string, heard time.Duration) bool { return now-heard > hostTTL })
-	if now-p.startedAt < discoveryPeriod {
+	if now-p.startedAt < DiscoveryPeriod {
 		return nil
 	}
 	hosts := append(slices.Collect(maps.Keys(p.lastHeard)), p.self)
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -218,7 +218,7 @@
 func TestRetryBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const window, ratio, slack = 10 * second, 0.2, 5.0
-		b := shares.NewRetryBudget(window, ratio)
+		b := shares.NewRetryBudget(0, window, ratio, slack)
 		now := time.Duration(0)
 		var requests, retries []time.Duration
 		for range rapid.IntRange(1, 400).Draw(t, "steps") {
@@ -226,7 +226,7 @@
 			if rapid.Bool().Draw(t, "first") {
 				b.RecordRequest(now)
 				requests = append(requests, now)
-			} else if b.TakeRetry(now, slack) {
+			} else if b.TakeRetry(now, 1) {
 				retries = append(retries, now)
 			}
 		}
--- a/internal/shares/window.go
+++ b/internal/shares/window.go
@@ -41,16 +41,31 @@
 	return w.total
 }
 
-// RetryBudget bounds the retries of one host for one service. The sum over all hosts
-// stays within ratio x requests + slack if each host uses only its share of the slack.
+// RetryBudget bounds the retries of one host for one service. The retries of all hosts in
+// any window stay within ratio x requests + slack.
 type RetryBudget struct {
 	requests, retries *Window
-	ratio             float64
+	ratio, slack      float64
+	fullSlackAt       time.Duration
 }
 
-// NewRetryBudget returns a budget over a sliding window.
-func NewRetryBudget(window time.Duration, ratio float64) *RetryBudget {
-	return &RetryBudget{requests: NewWindow(window), retries: NewWindow(window), ratio: ratio}
+const (
+	// retryRatioShare is the part of the ratio that is used. The remainder covers the
+	// offset between the windows of the hosts.
+	retryRatioShare = 0.8
+	// runningSlackShare is the part of the slack that running hosts divide. A host that
+	// has started less than a window ago has a share of startingSlackShare only, because
+	// its previous processes may have spent theirs in the same window. The parts cover
+	// four starts of each host in a window.
+	runningSlackShare  = 0.6
+	startingSlackShare = 0.1
+)
+
+// NewRetryBudget returns the budget of a host that started at a time. ratio and slack
+// are those of all hosts together.
+func NewRetryBudget(startedAt, window time.Duration, ratio, slack float64) *RetryBudget {
+	return &RetryBudget{requests: NewWindow(window), retries: NewWindow(window), ratio: ratio * retryRatioShare, slack: slack,
+		fullSlackAt: startedAt + window}
 }
 
 // RecordRequest counts a request. Each request of a caller must be counted once over all
@@ -58,15 +73,25 @@
 func (b *RetryBudget) RecordRequest(now time.Duration) { b.requests.Add(now, 1) }
 
 // TakeRetry takes one retry from the budget. It returns false if the budget is
-// exhausted. slack is this host's share of the slack.
-func (b *RetryBudget) TakeRetry(now time.Duration, slack float64) bool {
-	if float64(b.retries.Count(now)+1) > b.ratio*float64(b.requests.Count(now))+slack {
+// exhausted. hosts is the number of hosts that divide the slack, or 0 if it is unknown.
+func (b *RetryBudget) TakeRetry(now time.Duration, hosts int) bool {
+	if float64(b.retries.Count(now)+1) > b.ratio*float64(b.requests.Count(now))+b.slackShare(now, hosts) {
 		return false
 	}
 	b.retries.Add(now, 1)
 	return true
 }
 
+func (b *RetryBudget) slackShare(now time.Duration, hosts int) float64 {
+	switch {
+	case hosts == 0:
+		return 0
+	case now < b.fullSlackAt:
+		return b.slack * startingSlackShare / float64(hosts)
+	}
+	return b.slack * runningSlackShare / float64(hosts)
+}
+
 // Pacer bounds the requests to one target in any second. Invariant: if only
 // allowed requests are sent and each is added, no second has more than limit requests.
 type Pacer struct{ sent []time.Duration }
