--- a/internal/proctest/relay.go
+++ b/internal/proctest/relay.go
@@ -1,16 +1,20 @@
 package proctest
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Relay is a TCP proxy that injects network faults: it can cut, reset, blackhole or
-// delay the connections that pass through it.
+// delay the connections that pass through it, and refuse or hang new ones.
 type Relay struct {
-	listener    net.Listener
+	address     string
 	destination string
 	cut         atomic.Bool
 	delay       atomic.Int64
@@ -20,6 +24,11 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
+	// listener is nil while connections are refused. fillers occupy its queue while
+	// connections hang; accepting is closed when they no longer do.
+	listener  *net.TCPListener
+	fillers   []net.Conn
+	accepting chan struct{}
 }
 
 // NewRelay listens on one address and forwards its connections to another.
@@ -28,13 +37,91 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: listener, destination: to, conns: map[net.Conn]struct{}{}}
-	go r.accept()
+	r := &Relay{address: listener.Addr().String(), destination: to, conns: map[net.Conn]struct{}{}}
+	r.listener = listener.(*net.TCPListener)
+	go r.accept(r.listener)
 	return r, nil
 }
 
 // Address returns the address that the relay listens on.
-func (r *Relay) Address() string { return r.listener.Addr().String() }
+func (r *Relay) Address() string { return r.address }
+
+// RefuseNew refuses new connections until AcceptNew. Open ones go on.
+func (r *Relay) RefuseNew() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.listener == nil {
+		return nil
+	}
+	err := errors.Join(r.endHang(), r.listener.Close())
+	r.listener = nil
+	return err
+}
+
+// fillTimeout is the time after which a connection to the relay counts as hanging.
+const fillTimeout = 20 * time.Millisecond
+
+// HangNew makes attempts to connect hang until AcceptNew, as the queue of the listener is
+// full. Open connections go on.
+func (r *Relay) HangNew() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.listener == nil || r.accepting != nil {
+		return nil
+	}
+	r.accepting = make(chan struct{})
+	// The pending Accept returns and waits until connections no longer hang.
+	if err := errors.Join(r.listener.SetDeadline(time.Now()), r.setBacklog(0)); err != nil {
+		return err
+	}
+	for {
+		c, err := net.DialTimeout("tcp", r.address, fillTimeout)
+		if err != nil {
+			return nil
+		}
+		r.fillers = append(r.fillers, c)
+	}
+}
+
+// setBacklog sets the length of the listener's queue. r.mu must be held.
+func (r *Relay) setBacklog(n int) error {
+	raw, err := r.listener.SyscallConn()
+	if err != nil {
+		return err
+	}
+	controlErr := raw.Control(func(fd uintptr) { err = unix.Listen(int(fd), n) })
+	return errors.Join(controlErr, err)
+}
+
+// AcceptNew ends RefuseNew and HangNew.
+func (r *Relay) AcceptNew() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.listener == nil {
+		listener, err := net.Listen("tcp", r.address)
+		if err != nil {
+			return err
+		}
+		r.listener = listener.(*net.TCPListener)
+		go r.accept(r.listener)
+	}
+	return r.endHang()
+}
+
+// endHang ends HangNew. r.mu must be held.
+func (r *Relay) endHang() error {
+	if r.accepting == nil {
+		return nil
+	}
+	for _, c := range r.fillers {
+		_ = c.Close()
+	}
+	r.fillers = nil
+	err := errors.Join(r.setBacklog(unix.SOMAXCONN), r.listener.SetDeadline(time.Time{}))
+	close(r.accepting)
+	r.accepting = nil
+	return err
+}
 
 // Cut closes all connections, and new ones as soon as they are accepted, until Heal.
 func (r *Relay) Cut() {
@@ -74,17 +161,20 @@
 
 // Close stops the relay and closes its connections.
 func (r *Relay) Close() {
-	_ = r.listener.Close()
+	_ = r.RefuseNew()
 	r.Cut()
 }
 
-func (r *Relay) accept() {
+func (r *Relay) accept(listener net.Listener) {
 	for {
-		in, err := r.listener.Accept()
-		if err != nil {
+		in, err := listener.Accept()
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			r.awaitAccepting()
+			continue
+		case err != nil:
 			return
-		}
-		if r.cut.Load() {
+		case r.cut.Load():
 			_ = in.Close()
 			continue
 		}
@@ -92,6 +182,15 @@
 	}
 }
 
+func (r *Relay) awaitAccepting() {
+	r.mu.Lock()
+	accepting := r.accepting
+	r.mu.Unlock()
+	if accepting != nil {
+		<-accepting
+	}
+}
+
 func (r *Relay) connect(in net.Conn) {
 	out, err := net.Dial("tcp", r.destination)
 	if err != nil {
