gateway: send nothing more to a target that says it is leaving

Cause: a target may state in each response that its process is leaving. Only its record in the registry was read, which may lag or never say so, so requests went to it until it was gone. The target is then not even a last resort, its idle connections are closed, an attempt that was assigned before is checked again right before it is sent, and the other hosts of the region learn it from the next usage report. A newer start of the target ends it. A misdirected response says nothing about the target. Responses reach callers unchanged. Measured: with the statement ignored, four tests of internal/gateway and two of internal/placement fail; with idle connections kept, TestIdleConnectionsToLeavingTargetAreClosed fails.

--- /dev/null
+++ b/internal/gateway/availability_test.go
@@ -0,0 +1,137 @@
+package gateway_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/fleetsync"
+	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/placement"
+	"geraniumturn.example/geraniumturn/internal/registry"
+)
+
+// register applies the record of a process of target number n.
+func (f *fixture) register(n int, s *target, startMillis int64, sequence uint64) {
+	now := clock.SinceBoot()
+	r := records([]*target{s})[0]
+	r.ID, r.StartMillis, r.Sequence = targetID(n), startMillis, sequence
+	f.Apply(now, fleetsync.Update{SentAt: now, ControlAddress: "c", ExchangeResponse: &syncpb.ExchangeResponse{}, Records: []registry.Record{r}})
+}
+
+// impatient is the time-out of requests that do not wait for targets that a host may not
+// know yet shortly after its start.
+var impatient = []string{"Timeout-Ms", "300"}
+
+func targetID(n int) string { return "t" + string(rune('0'+n)) }
+
+// Guards against requests to a target that has said that it is leaving: as a last resort
+// and when a heartbeat that was in flight names it ready again. Its response reaches the
+// caller unchanged.
+func TestLeavingTargetGetsNoRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		path   string
+		script []http.HandlerFunc
+		status int
+	}{
+		"success":  {"/once/", []http.HandlerFunc{respond(200, "whole", "Signed", "sig", "Leaving", "1"), success}, 200},
+		"failure":  {"/once/", []http.HandlerFunc{respond(500, "broken", "Signed", "sig", "Leaving", "1"), success}, 500},
+		"rejected": {"/once/", []http.HandlerFunc{respond(503, "", "Not-Run", "1", "Leaving", "1"), success}, 503},
+		"stream":   {"/stream/", []http.HandlerFunc{respond(200, "data: 1\n\n", "Signed", "sig", "Leaving", "1"), success}, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTarget(t, c.script...)
+			f := start(t, s)
+			f.register(0, s, 1, 1)
+			got := f.call(t, c.path)
+			if got.status != c.status || c.status != 503 && got.header.Get("Leaving") != "1" {
+				t.Fatalf("response %+v", got)
+			}
+			f.register(0, s, 1, 2)
+			if got := f.call(t, "/safe/", impatient...); got.status != 503 || got.header.Get("Code") != "no_target" || got.header.Get("Ran") != "not_run" || s.count() != 1 {
+				t.Errorf("response %+v, %d requests at the leaving target", got, s.count())
+			}
+			f.register(0, s, 2, 1)
+			if got := f.call(t, "/safe/"); got.status != 200 {
+				t.Errorf("response %+v from the next process", got)
+			}
+		})
+	}
+}
+
+// Guards against a target that is taken out of use because another process at its address
+// is leaving.
+func TestMisdirectedResponseSaysNothingOfTarget(t *testing.T) {
+	s := newTarget(t, respond(http.StatusMisdirectedRequest, "", "Not-Run", "1", "Leaving", "1"), success)
+	f := start(t, s)
+	f.call(t, "/safe/")
+	if got := f.call(t, "/safe/"); got.status != 200 {
+		t.Errorf("response %+v", got)
+	}
+}
+
+// Guards against a stream that is resumed at a target that is leaving, and against a retry
+// there.
+func TestRetriesAvoidLeavingTarget(t *testing.T) {
+	leaving := newTarget(t, respond(200, "whole", "Signed", "sig", "Leaving", "1"))
+	f := start(t, leaving)
+	f.call(t, "/safe/")
+	broken := newTarget(t, events(true, 1), reject, events(false, 2))
+	f.announce(leaving, broken)
+	f.call(t, "/resume/")
+	f.call(t, "/safe/")
+	f.call(t, "/safe/")
+	if leaving.count() != 1 {
+		t.Errorf("%d requests at the leaving target, want 1", leaving.count())
+	}
+}
+
+// Guards against requests of the other hosts of the region to a leaving target until it
+// has told each of them.
+func TestHostsShareLeavingTargets(t *testing.T) {
+	s := newTarget(t, respond(200, "whole", "Signed", "sig", "Leaving", "1"), success)
+	first, other := start(t, s), start(t, s)
+	first.call(t, "/safe/")
+	if _, err := other.Share(context.Background(), first.UsageReport(placement.SameRegion)); err != nil {
+		t.Fatal(err)
+	}
+	if got := other.call(t, "/safe/", impatient...); got.status != 503 || s.count() != 1 {
+		t.Errorf("response %+v, %d requests at the leaving target", got, s.count())
+	}
+	if r := first.UsageReport(placement.OtherRegions); len(r.GetAvailability()) > 0 {
+		t.Errorf("hosts of other regions, which do not send to the target, get %v", r.GetAvailability())
+	}
+}
+
+// Guards against idle connections that are kept to a leaving target.
+func TestIdleConnectionsToLeavingTargetAreClosed(t *testing.T) {
+	var open atomic.Int64
+	s := &target{script: []http.HandlerFunc{success, respond(200, "whole", "Signed", "sig", "Leaving", "1")}}
+	s.Server = httptest.NewUnstartedServer(s)
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			open.Add(1)
+		case http.StateClosed:
+			open.Add(-1)
+		}
+	}
+	s.Start()
+	t.Cleanup(s.Close)
+	f := start(t, s)
+	f.call(t, "/safe/")
+	if open.Load() != 1 {
+		t.Fatalf("%d connections to a ready target, want 1", open.Load())
+	}
+	f.call(t, "/safe/")
+	for deadline := time.Now().Add(2 * time.Second); open.Load() > 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d connections to the leaving target", open.Load())
+		}
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -137,6 +137,7 @@
 	}
 	defer res.Close()
 	class := g.TargetProtocol.Classify(res.Status, res.Header)
+	g.observe(s, class)
 	if class.NotRun {
 		outcome = placement.Rejected
 		return fmt.Errorf("target %s rejected the request with status %d", s.target, res.Status)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -141,6 +141,7 @@
 type requestMetrics struct {
 	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed metrics.Counter
 	firstByte, total                                                                      metrics.Timer
+	leftOut                                                                               map[placement.Cause]metrics.Counter
 }
 
 // Init prepares the gateway after its fields are set. prefillSpeed is the prefill speed
@@ -163,6 +164,7 @@
 	}
 	g.requestMetrics = requestMetrics{requests: counter("requests"), served: counter("served"), refused: counter("refused"),
 		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"),
+		leftOut:   map[placement.Cause]metrics.Counter{placement.CauseLeaving: counter("targets_leaving")},
 		firstByte: metrics.GetOrRegisterTimer("gateway.first_byte", g.Metrics),
 		total:     metrics.GetOrRegisterTimer("gateway.total", g.Metrics)}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -69,7 +69,8 @@
 func (protocol) MatchesRequest(id string, _ int, h http.Header) bool { return h.Get("Id") == id }
 
 func (protocol) Classify(status int, h http.Header) gateway.Classification {
-	return gateway.Classification{NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", Success: h.Get("Signed") != "" && status == http.StatusOK}
+	return gateway.Classification{NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Signed: h.Get("Signed") != "", Success: h.Get("Signed") != "" && status == http.StatusOK,
+		Leaving: h.Get("Leaving") != ""}
 }
 
 func (protocol) ResponseHeader(h http.Header) http.Header { return h.Clone() }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -381,6 +381,7 @@
 		}
 	}
 	class := g.classify(s, res)
+	g.observe(s, class)
 	if class.NotRun {
 		outcome = placement.Rejected
 		if class.Misdirected && s.attempt != nil {
@@ -429,6 +430,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.placer.Done(now, s.attempt, o)
+	g.closeIfLeaving(s)
 	if o == placement.Served {
 		g.quarantine.RecordServed(now, x.suspectKeys)
 	}
@@ -447,6 +449,9 @@
 	if remaining <= 0 {
 		return nil, &attemptError{ran: refusal.NotRun, unsent: true, err: fmt.Errorf("deadline reached before the request was sent")}
 	}
+	if err := g.checkAccepted(s); err != nil {
+		return nil, err
+	}
 	header := x.header.Clone()
 	pool := g.localPool
 	if s.forwarded {
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -45,6 +45,7 @@
 	out := &syncpb.UsageReport{Host: g.Name, Relay: scope == placement.OtherRegions}
 	g.addSuspects(sinceBoot(), out)
 	if scope == placement.SameRegion {
+		g.addAvailability(sinceBoot(), out)
 		for id, u := range g.placer.OwnUsage() {
 			out.Targets = append(out.Targets, &syncpb.TargetUsage{Target: id, Running: int32(u.Running), Memory: u.MemoryTokens, Unread: int64(u.PrefillTokens)})
 		}
@@ -66,6 +67,7 @@
 	now := sinceBoot()
 	g.placer.SetHostUsage(now, in.GetHost(), usage)
 	g.mergeSuspects(now, in)
+	g.mergeAvailability(now, in)
 	for _, p := range in.GetPrompts() {
 		placed := placement.PlacedPrompt{Target: p.GetTarget(), Keys: p.GetKeys(), Tokens: p.GetTokens()}
 		g.placer.RecordPlacedPrompt(now, placed)
--- /dev/null
+++ b/internal/placement/availability.go
@@ -0,0 +1,135 @@
+package placement
+
+import (
+	"maps"
+	"time"
+)
+
+const (
+	// leavingReportTime is how long the other hosts are told that a target is leaving. A
+	// host that was out of contact for longer learns it from the target.
+	leavingReportTime = 5 * time.Second
+	// availabilityRetention is how long the state of a process is kept after its last
+	// statement if its target is not registered. It exceeds the time for which the
+	// registry keeps the records of targets that left.
+	availabilityRetention = 10 * time.Minute
+)
+
+// Statement is what a response says about the process of its target.
+type Statement struct {
+	// Leaving means that the process takes no new requests.
+	Leaving bool
+}
+
+// Change is a change of the availability of a target, for the log.
+type Change struct {
+	Target, Service string
+	Cause           Cause
+}
+
+// Cause is why a target is left out.
+type Cause string
+
+// The causes.
+const CauseLeaving Cause = "leaving"
+
+// availability is what one process of a target has stated. It is kept apart from the
+// Target, because it must outlive the target's absence from the registry.
+type availability struct {
+	startMillis int64
+	statedAt    time.Duration // time of the last statement
+	leaving     bool
+	// reportUntil is until when the other hosts are told that the process is leaving.
+	reportUntil time.Duration
+}
+
+// process returns the state of a process of a target. A process replaces an earlier one;
+// nil is returned for a process that was replaced.
+func (p *Placer) process(target string, startMillis int64) *availability {
+	a := p.availability[target]
+	if a == nil || startMillis > a.startMillis {
+		a = &availability{startMillis: startMillis}
+		p.availability[target] = a
+		if t := p.targets[target]; t != nil {
+			t.availability = a
+		}
+	}
+	if startMillis < a.startMillis {
+		return nil
+	}
+	return a
+}
+
+// registerProcess returns the state that applies to a target as it is registered: that of
+// the newest known process, which may not be registered yet.
+func (p *Placer) registerProcess(s Spec) *availability {
+	if a := p.process(s.ID, s.StartMillis); a != nil {
+		return a
+	}
+	return p.availability[s.ID]
+}
+
+// Observe records the statement of a response and returns what it changed.
+func (p *Placer) Observe(now time.Duration, a *Attempt, s Statement) []Change {
+	state := a.availability
+	if p.availability[a.target.ID] != state {
+		return nil // another process has replaced the one that responded
+	}
+	state.statedAt = now
+	var out []Change
+	if s.Leaving && !state.leaving {
+		state.leaving, state.reportUntil = true, now+leavingReportTime
+		out = append(out, Change{Target: a.target.ID, Service: a.target.Service, Cause: CauseLeaving})
+	}
+	return out
+}
+
+// Accepts reports whether the target of an attempt that is not sent yet still takes
+// requests from this host.
+func (p *Placer) Accepts(a *Attempt) bool { return !a.availability.leaving }
+
+// Leaving reports whether the target of an attempt is leaving.
+func (p *Placer) Leaving(a *Attempt) bool { return a.availability.leaving }
+
+// LeavingTarget is a process of a target that takes no new requests.
+type LeavingTarget struct {
+	Target      string
+	StartMillis int64
+}
+
+// RecentlyLeaving returns the processes that have recently told this host that they are
+// leaving.
+func (p *Placer) RecentlyLeaving(now time.Duration) (out []LeavingTarget) {
+	for id, a := range p.availability {
+		if a.leaving && now < a.reportUntil {
+			out = append(out, LeavingTarget{id, a.startMillis})
+		}
+	}
+	return out
+}
+
+// RecordLeaving records that a process has told another host that it is leaving. It
+// reports whether that was unknown.
+func (p *Placer) RecordLeaving(now time.Duration, l LeavingTarget) (Change, bool) {
+	a := p.process(l.Target, l.StartMillis)
+	if a == nil || a.leaving {
+		return Change{}, false
+	}
+	a.statedAt, a.leaving = now, true
+	return p.change(l.Target, CauseLeaving), true
+}
+
+func (p *Placer) change(target string, cause Cause) Change {
+	c := Change{Target: target, Cause: cause}
+	if t := p.targets[target]; t != nil {
+		c.Service = t.Service
+	}
+	return c
+}
+
+// DropDeparted drops the state of processes that are gone.
+func (p *Placer) DropDeparted(now time.Duration) {
+	maps.DeleteFunc(p.availability, func(id string, a *availability) bool {
+		return p.targets[id] == nil && now-a.statedAt > availabilityRetention
+	})
+}
--- /dev/null
+++ b/internal/placement/availability_test.go
@@ -0,0 +1,95 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"geraniumturn.example/geraniumturn/internal/placement"
+)
+
+func start(t *testing.T, p *placement.Placer, now time.Duration, id string) *placement.Attempt {
+	t.Helper()
+	r := shortRequest(1)
+	return p.Start(now, mustTarget(t, p, now, r, id), r)
+}
+
+func chosen(p *placement.Placer, now time.Duration) map[string]bool {
+	out := map[string]bool{}
+	tried := map[string]bool{}
+	for {
+		c, ok := p.Choose(now, shortRequest(1), func(id string) bool { return tried[id] })
+		if !ok {
+			return out
+		}
+		tried[c.Target.ID], out[c.Target.ID] = true, true
+	}
+}
+
+// Guards against requests to a target that has said that it is leaving: as a last resort,
+// after it was absent from the registry and when a heartbeat that was in flight names it
+// ready again.
+func TestLeavingTargetGetsNoRequests(t *testing.T) {
+	specs := engines(1)
+	specs[0].StartMillis = 1000
+	p := newPlacer(specs)
+	a, unsent := start(t, p, second, "e0"), start(t, p, second, "e0")
+	if changes := p.Observe(second, a, placement.Statement{Leaving: true}); len(changes) != 1 || changes[0].Cause != placement.CauseLeaving {
+		t.Fatalf("changes %+v", changes)
+	}
+	if changes := p.Observe(second, a, placement.Statement{Leaving: true}); len(changes) != 0 {
+		t.Errorf("the second statement changes %+v", changes)
+	}
+	p.Observe(2*second, a, placement.Statement{})
+	if p.Accepts(unsent) {
+		t.Error("a request that was assigned to the target before may still be sent")
+	}
+	for _, update := range [][]placement.Spec{specs, nil, specs} {
+		p.SetTargets(update)
+		p.DropDeparted(2 * second)
+		if got := chosen(p, 2*second); len(got) > 0 {
+			t.Fatalf("chose %v", got)
+		}
+	}
+	specs[0].StartMillis = 2000
+	p.SetTargets(specs)
+	if !chosen(p, 2*second)["e0"] {
+		t.Error("the next process of the target gets no requests")
+	}
+	p.Observe(2*second, a, placement.Statement{Leaving: true})
+	if !chosen(p, 2*second)["e0"] {
+		t.Error("a late response of the previous process takes the next one out of use")
+	}
+}
+
+// Guards against requests of other hosts to a leaving target until it has told each of
+// them, and against taking out its next process because of an old report.
+func TestHostsShareLeavingTargets(t *testing.T) {
+	specs := engines(2)
+	specs[0].StartMillis, specs[1].StartMillis = 1000, 1000
+	first, other := newPlacer(specs), newPlacer(specs)
+	first.Observe(second, start(t, first, second, "e0"), placement.Statement{Leaving: true})
+	reports := first.RecentlyLeaving(2 * second)
+	if len(reports) != 1 {
+		t.Fatalf("reports %+v", reports)
+	}
+	if _, changed := other.RecordLeaving(2*second, reports[0]); !changed {
+		t.Error("the report changes nothing")
+	}
+	if _, changed := other.RecordLeaving(2*second, reports[0]); changed {
+		t.Error("the repeated report is a change")
+	}
+	if got := chosen(other, 2*second); got["e0"] || !got["e1"] {
+		t.Errorf("chose %v", got)
+	}
+	if got := other.RecentlyLeaving(2 * second); len(got) > 0 {
+		t.Errorf("passes on %+v, which it knows only from another host", got)
+	}
+	if got := first.RecentlyLeaving(time.Minute); len(got) > 0 {
+		t.Errorf("still reports %+v", got)
+	}
+	specs[0].StartMillis = 2000
+	other.SetTargets(specs)
+	if _, changed := other.RecordLeaving(3*second, reports[0]); changed || !chosen(other, 3*second)["e0"] {
+		t.Error("a report about the previous process takes the next one out of use")
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -134,7 +134,8 @@
 	ejection        time.Duration
 	// lastByteAt is when the last byte arrived from the target, or when a request was
 	// sent to it while it had none in flight.
-	lastByteAt time.Duration
+	lastByteAt   time.Duration
+	availability *availability
 }
 
 type reportedUsage struct {
@@ -173,7 +174,8 @@
 	byService       map[string][]*Target
 	remoteByService map[string][]*Target
 	rand            *rand.Rand
-	drawnPair       map[int]bool // indexes of the targets that TwoChoices has drawn
+	drawnPair       map[int]bool             // indexes of the targets that TwoChoices has drawn
+	availability    map[string]*availability // of the newest known process, by target
 	// placedPrompts are the prompts that were sent since the last call of
 	// TakePlacedPrompts, by scope.
 	placedPrompts [scopeCount][]PlacedPrompt
@@ -250,7 +252,8 @@
 
 // New returns a placer without targets.
 func New(engine Engine, r *rand.Rand) *Placer {
-	return &Placer{ReuseWindow: defaultReuseWindow, lastUsed: map[uint64]time.Duration{}, engine: engine, targets: map[string]*Target{}, byService: map[string][]*Target{}, rand: r}
+	return &Placer{ReuseWindow: defaultReuseWindow, lastUsed: map[uint64]time.Duration{}, engine: engine, targets: map[string]*Target{}, byService: map[string][]*Target{}, rand: r,
+		availability: map[string]*availability{}}
 }
 
 // SetTargets replaces the targets. A target with the same ID, address and service keeps
@@ -264,7 +267,7 @@
 			t = &Target{averageDuration: initialServiceDuration, hostUsage: map[string]reportedUsage{}}
 		}
 		t.setCacheCapacity(s.CacheTokens)
-		t.Spec = s
+		t.Spec, t.availability = s, p.registerProcess(s)
 		if t.Slots <= 0 {
 			t.Slots = defaultSlots
 		}
@@ -346,6 +349,9 @@
 // usable reports whether the target may get a request now. As a last resort, suspect,
 // ejected and stalled targets are usable too.
 func (t *Target) usable(now time.Duration, lastResort bool) bool {
+	if t.availability.leaving {
+		return false
+	}
 	if now < t.ColdUntil && t.Paced && !t.coldPacer.Allows(now, t.ColdLimit) {
 		return false
 	}
@@ -379,14 +385,15 @@
 
 // Attempt is a request in flight at a target.
 type Attempt struct {
-	target  *Target
-	started time.Duration
-	usage   Usage
+	target       *Target
+	availability *availability // of the target's process
+	started      time.Duration
+	usage        Usage
 }
 
 // Start records that a request is sent to the target.
 func (p *Placer) Start(now time.Duration, t *Target, r *Request) *Attempt {
-	a := &Attempt{target: t, started: now, usage: Usage{Running: 1}}
+	a := &Attempt{target: t, availability: t.availability, started: now, usage: Usage{Running: 1}}
 	if t.ownUsage.Running == 0 {
 		t.lastByteAt = now
 	}
--- a/internal/placement/sources.go
+++ b/internal/placement/sources.go
@@ -44,7 +44,7 @@
 	}
 	for _, targets := range [][]*Target{p.byService[r.Service], p.remoteByService[r.Service]} {
 		for _, t := range targets {
-			if t.cache == nil || t.Suspect || now < t.ejectedUntil || t.stalled(now) || t.Remote && p.Reachable != nil && !p.Reachable(now, t.Region) {
+			if t.cache == nil || t.Suspect || t.availability.leaving || now < t.ejectedUntil || t.stalled(now) || t.Remote && p.Reachable != nil && !p.Reachable(now, t.Region) {
 				continue
 			}
 			if found[t.Software] == nil {
