gateway: honour a target's Retry-After

Cause: a target's 503 may say for how long it wants no requests from this host. It was not read; the target got further requests at once, and callers were told to come back after a fixed time. The target is left out until then, also as a last resort, at this host only. A pause is bounded to 10 minutes. If all targets of the region that could serve a request are paused, the request goes to another region where it may, and is otherwise refused with the time until the first target is back; attemptError.retryAfter has the same time. Log lines say when a target is left out and used again.

--- a/internal/gateway/availability.go
+++ b/internal/gateway/availability.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"fmt"
+	"errors"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -20,14 +20,21 @@
 	now := sinceBoot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.logChanges("", g.placer.Observe(now, s.attempt, placement.Statement{Leaving: c.Leaving})...)
+	g.logChanges(now, "", g.placer.Observe(now, s.attempt, placement.Statement{Leaving: c.Leaving, Pause: c.RetryAfter})...)
 }
 
-// logChanges logs targets that are left out. host is the host that reported
+// logChanges logs targets that are left out or used again. host is the host that reported
 // them, "" for this one.
-func (g *Gateway) logChanges(host string, changes ...placement.Change) {
+func (g *Gateway) logChanges(now time.Duration, host string, changes ...placement.Change) {
 	for _, c := range changes {
 		fields := logrus.Fields{"target": c.Target, "service": c.Service, "cause": string(c.Cause)}
+		if c.Ended {
+			g.Log.WithFields(fields).Info("target used again")
+			continue
+		}
+		if c.Until > 0 {
+			fields["until_ms"] = (c.Until - now).Milliseconds()
+		}
 		if host != "" {
 			fields["reported_by"] = host
 		}
@@ -36,18 +43,26 @@
 	}
 }
 
-// checkAccepted returns an error if the target has stopped taking requests since it was
+// logEndedPauses logs the targets whose pause has ended. g.mu must be held.
+func (g *Gateway) logEndedPauses(now time.Duration) {
+	g.logChanges(now, "", g.placer.EndedPauses(now)...)
+}
+
+// errNotAccepted means that a target has stopped taking requests since it was chosen.
+var errNotAccepted = errors.New("gateway: target no longer takes requests")
+
+// checkAccepted returns errNotAccepted if the target has stopped taking requests since it was
 // chosen.
-func (g *Gateway) checkAccepted(s *sendAttempt) error {
+func (g *Gateway) checkAccepted(now time.Duration, s *sendAttempt) error {
 	if s.attempt == nil {
 		return nil
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.placer.Accepts(s.attempt) {
+	if g.placer.Accepts(now, s.attempt) {
 		return nil
 	}
-	return &attemptError{ran: refusal.NotRun, unsent: true, err: fmt.Errorf("target %s no longer takes requests", s.target)}
+	return &attemptError{ran: refusal.NotRun, unsent: true, err: errNotAccepted}
 }
 
 // closeIfLeaving closes the idle connections to a leaving target. g.mu must be held.
@@ -57,6 +72,15 @@
 	}
 }
 
+// availableIn returns the time until a target of this region that may serve the request
+// takes requests again; 0 if one does now or none is expected to.
+func (g *Gateway) availableIn(now time.Duration, x *requestState) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	wait, _ := g.placer.AvailableIn(now, &x.placementRequest)
+	return wait
+}
+
 // addAvailability adds what targets have told this host about themselves to a report for
 // the hosts of this region. g.mu must be held.
 func (g *Gateway) addAvailability(now time.Duration, out *syncpb.UsageReport) {
@@ -72,7 +96,7 @@
 			continue
 		}
 		if c, changed := g.placer.RecordLeaving(now, placement.LeavingTarget{Target: a.GetTarget(), StartMillis: a.GetBorn()}); changed {
-			g.logChanges(in.GetHost(), c)
+			g.logChanges(now, in.GetHost(), c)
 		}
 	}
 }
--- a/internal/gateway/availability_test.go
+++ b/internal/gateway/availability_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -67,7 +68,7 @@
 // Guards against a target that is taken out of use because another process at its address
 // is leaving.
 func TestMisdirectedResponseSaysNothingOfTarget(t *testing.T) {
-	s := newTarget(t, respond(http.StatusMisdirectedRequest, "", "Not-Run", "1", "Leaving", "1"), success)
+	s := newTarget(t, respond(http.StatusMisdirectedRequest, "", "Not-Run", "1", "Leaving", "1", "Pause", "1h"), success)
 	f := start(t, s)
 	f.call(t, "/safe/")
 	if got := f.call(t, "/safe/"); got.status != 200 {
@@ -135,3 +136,83 @@
 		}
 	}
 }
+
+// Guards against requests, also as a last resort, to targets during the pause that they
+// have asked for, against a refusal that does not say when the first of them is back, and
+// against a pause that other hosts take over.
+func TestPausedTargetsGetNoRequests(t *testing.T) {
+	pause := func(d string, header ...string) http.HandlerFunc {
+		return respond(503, "", append(header, "Pause", d)...)
+	}
+	long, short := newTarget(t, pause("20s", "Not-Run", "1"), success), newTarget(t, pause("900ms", "Signed", "sig"), success)
+	f := start(t, long, short)
+	for long.count() == 0 || short.count() == 0 {
+		f.call(t, "/once/")
+	}
+	paused := time.Now()
+	got := f.call(t, "/safe/", impatient...)
+	if got.status != 429 || got.header.Get("Code") != "overloaded" || got.header.Get("Ran") != "not_run" {
+		t.Errorf("response %+v", got)
+	}
+	if retry, err := time.ParseDuration(got.header.Get("Retry")); err != nil || retry < 300*time.Millisecond || retry > 900*time.Millisecond {
+		t.Errorf("retry after %s, want the time until the first target is back", got.header.Get("Retry"))
+	}
+	other := start(t, long, short)
+	if _, err := other.Share(context.Background(), f.UsageReport(placement.SameRegion)); err != nil {
+		t.Fatal(err)
+	}
+	if got := other.call(t, "/safe/"); got.status != 200 {
+		t.Errorf("response %+v at another host", got)
+	}
+	before := long.count() + short.count()
+	if got := f.call(t, "/safe/", impatient...); got.status != 429 || long.count()+short.count() != before {
+		t.Errorf("response %+v, requests reached paused targets", got)
+	}
+	time.Sleep(time.Until(paused.Add(time.Second)))
+	if got := f.call(t, "/safe/"); got.status != 200 {
+		t.Errorf("response %+v after the pause", got)
+	}
+}
+
+// Guards against a rejected request whose caller is told to come back while all targets
+// are paused.
+func TestRejectionSaysWhenTargetsAreBack(t *testing.T) {
+	s := newTarget(t, respond(503, "", "Not-Run", "1", "Pause", "3s"))
+	got := start(t, s).call(t, "/once/")
+	if retry, err := time.ParseDuration(got.header.Get("Retry")); err != nil || retry < 2500*time.Millisecond || retry > 3*time.Second || s.count() != 1 {
+		t.Errorf("response %+v after %d requests", got, s.count())
+	}
+}
+
+// reaches makes a host know another one, of another region.
+func (f *fixture) reaches(t *testing.T, remote *fixture) {
+	t.Helper()
+	forward := httptest.NewServer(remote.ForwardHandler())
+	t.Cleanup(forward.Close)
+	now := clock.SinceBoot()
+	f.Apply(now, fleetsync.Update{SentAt: now, ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, Hosts: []*syncpb.EntryHost{
+		{Name: "there", Region: "elsewhere", Forward: strings.TrimPrefix(forward.URL, "http://"), Serving: true, Loads: []*syncpb.Load{{Service: "s", WaitMs: 10}}}}}})
+}
+
+// Guards against a refusal while the targets of this region are paused and another region
+// can serve the request, and against forwarded requests that reach a paused target.
+func TestPausedTargetsAreReplacedByOtherRegion(t *testing.T) {
+	local := newTarget(t, respond(503, "", "Not-Run", "1", "Pause", "20s"))
+	remote := newTarget(t, success, success, respond(503, "", "Signed", "sig", "Pause", "20s"))
+	f := start(t, local)
+	f.reaches(t, start(t, remote))
+	for range 2 {
+		if got := f.call(t, "/safe/"); got.status != 200 {
+			t.Errorf("response %+v", got)
+		}
+	}
+	f.call(t, "/once/")
+	for range 3 {
+		if got := f.call(t, "/once/", impatient...); got.header.Get("Ran") != "not_run" {
+			t.Errorf("response %+v", got)
+		}
+	}
+	if local.count() != 1 || remote.count() != 3 {
+		t.Errorf("%d requests at the local target, %d at the other one; want 1 and 3", local.count(), remote.count())
+	}
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -69,8 +69,9 @@
 func (protocol) MatchesRequest(id string, _ int, h http.Header) bool { return h.Get("Id") == id }
 
 func (protocol) Classify(status int, h http.Header) gateway.Classification {
+	pause, _ := time.ParseDuration(h.Get("Pause"))
 	return gateway.Classification{NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Signed: h.Get("Signed") != "", Success: h.Get("Signed") != "" && status == http.StatusOK,
-		Leaving: h.Get("Leaving") != ""}
+		Leaving: h.Get("Leaving") != "", RetryAfter: pause}
 }
 
 func (protocol) ResponseHeader(h http.Header) http.Header { return h.Clone() }
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -70,6 +70,9 @@
 	Signed bool
 	// Leaving means that the process of the target takes no new requests.
 	Leaving bool
+	// RetryAfter is how long the target wants no requests from this host; 0 if it does not
+	// say so.
+	RetryAfter time.Duration
 }
 
 // TargetProtocol encodes requests for targets and interprets their responses.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -54,7 +54,8 @@
 	unsent bool
 	// retryTaken means that a retry was already taken from the retry budget.
 	retryTaken bool
-	// retryAfter is when the target expects to have capacity; 0 if unknown.
+	// retryAfter is the time until a target takes requests again; 0 if one does now or it
+	// is unknown.
 	retryAfter time.Duration
 	err        error
 }
@@ -209,7 +210,7 @@
 	x.choice = choice
 	switch {
 	case remote == nil && !usable:
-		return nil, g.noTarget(x)
+		return nil, g.noTarget(now, x)
 	case choice.TTFB > limit:
 		return nil, refusal.New(refusal.Overloaded, refusal.NotRun, "expected time to first byte of %s exceeds the limit of %s", choice.TTFB, limit).
 			WithRetry(max(minRetryAfter, choice.TTFB-limit))
@@ -228,8 +229,14 @@
 }
 
 // noTarget returns the refusal of a request for which there is no target. A stream cannot
-// continue any more when the last target with its software has left.
-func (g *Gateway) noTarget(x *requestState) *refusal.Error {
+// continue any more when the last target with its software has left. g.mu must be held.
+func (g *Gateway) noTarget(now time.Duration, x *requestState) *refusal.Error {
+	if document.AllowsRegion(x.route, x.workspace, g.Region) {
+		if wait, _ := g.placer.AvailableIn(now, &x.placementRequest); wait > 0 {
+			return refusal.New(refusal.Overloaded, refusal.NotRun, "the targets of service %s take no requests for %s", x.service, wait).
+				WithRetry(max(minRetryAfter, wait))
+		}
+	}
 	if x.origin == nil {
 		return refusal.New(refusal.NoTarget, refusal.NotRun, "no target of service %s is available", x.service).WithRetry(stateRetryAfter)
 	}
@@ -387,7 +394,7 @@
 		if class.Misdirected && s.attempt != nil {
 			g.eject(s.attempt)
 		}
-		return &attemptError{ran: refusal.NotRun, err: fmt.Errorf("target %s rejected the request with status %d", s.target, res.Status)}
+		return &attemptError{ran: refusal.NotRun, retryAfter: g.availableIn(sinceBoot(), x), err: fmt.Errorf("target %s rejected the request with status %d", s.target, res.Status)}
 	}
 	x.status = res.Status
 	switch {
@@ -417,7 +424,7 @@
 func attemptOutcome(ctx context.Context, err error) placement.Outcome {
 	failed, ok := errors.AsType[*attemptError](err)
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || errors.Is(err, errNotAccepted):
 		return placement.Cancelled
 	case ok && failed.unsent:
 		return placement.Unreachable
@@ -449,7 +456,7 @@
 	if remaining <= 0 {
 		return nil, &attemptError{ran: refusal.NotRun, unsent: true, err: fmt.Errorf("deadline reached before the request was sent")}
 	}
-	if err := g.checkAccepted(s); err != nil {
+	if err := g.checkAccepted(now, s); err != nil {
 		return nil, err
 	}
 	header := x.header.Clone()
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -29,7 +29,7 @@
 	index, version := g.Views.position()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.placer.DropDeparted(now)
+	g.logEndedPauses(now)
 	if !full && !g.awaitsRateShare(now) {
 		return &syncpb.ExchangeRequest{Index: index, Version: version, OriginCursor: originCursor}
 	}
--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -6,6 +6,9 @@
 )
 
 const (
+	// maxPause bounds the pause that a target asks for, so that one wrong value does not
+	// take a sound target out of use until its process restarts.
+	maxPause = 10 * time.Minute
 	// leavingReportTime is how long the other hosts are told that a target is leaving. A
 	// host that was out of contact for longer learns it from the target.
 	leavingReportTime = 5 * time.Second
@@ -19,19 +22,29 @@
 type Statement struct {
 	// Leaving means that the process takes no new requests.
 	Leaving bool
+	// Pause is how long the process wants no requests from this host; 0 if it does not
+	// say so.
+	Pause time.Duration
 }
 
 // Change is a change of the availability of a target, for the log.
 type Change struct {
 	Target, Service string
 	Cause           Cause
+	// Until is the end of the time for which the target is left out; 0 if it has none.
+	Until time.Duration
+	// Ended means that the target is used again.
+	Ended bool
 }
 
 // Cause is why a target is left out.
 type Cause string
 
 // The causes.
-const CauseLeaving Cause = "leaving"
+const (
+	CauseLeaving Cause = "leaving"
+	CausePause   Cause = "retry_after"
+)
 
 // availability is what one process of a target has stated. It is kept apart from the
 // Target, because it must outlive the target's absence from the registry.
@@ -41,8 +54,13 @@
 	leaving     bool
 	// reportUntil is until when the other hosts are told that the process is leaving.
 	reportUntil time.Duration
+	pausedUntil time.Duration
+	pauseLogged bool // the end of the pause is still to be logged
 }
 
+// accepts reports whether the process takes requests from this host.
+func (a *availability) accepts(now time.Duration) bool { return !a.leaving && now >= a.pausedUntil }
+
 // process returns the state of a process of a target. A process replaces an earlier one;
 // nil is returned for a process that was replaced.
 func (p *Placer) process(target string, startMillis int64) *availability {
@@ -81,12 +99,16 @@
 		state.leaving, state.reportUntil = true, now+leavingReportTime
 		out = append(out, Change{Target: a.target.ID, Service: a.target.Service, Cause: CauseLeaving})
 	}
+	if until := now + min(s.Pause, maxPause); s.Pause > 0 && until > state.pausedUntil {
+		state.pausedUntil, state.pauseLogged = until, true
+		out = append(out, Change{Target: a.target.ID, Service: a.target.Service, Cause: CausePause, Until: until})
+	}
 	return out
 }
 
 // Accepts reports whether the target of an attempt that is not sent yet still takes
 // requests from this host.
-func (p *Placer) Accepts(a *Attempt) bool { return !a.availability.leaving }
+func (p *Placer) Accepts(now time.Duration, a *Attempt) bool { return a.availability.accepts(now) }
 
 // Leaving reports whether the target of an attempt is leaving.
 func (p *Placer) Leaving(a *Attempt) bool { return a.availability.leaving }
@@ -127,9 +149,38 @@
 	return c
 }
 
-// DropDeparted drops the state of processes that are gone.
-func (p *Placer) DropDeparted(now time.Duration) {
+// EndedPauses returns the pauses that have ended since the last call, and drops the state
+// of processes that are gone.
+func (p *Placer) EndedPauses(now time.Duration) (out []Change) {
+	for id, a := range p.availability {
+		if a.pauseLogged && now >= a.pausedUntil {
+			a.pauseLogged = false
+			c := p.change(id, CausePause)
+			c.Ended = true
+			out = append(out, c)
+		}
+	}
 	maps.DeleteFunc(p.availability, func(id string, a *availability) bool {
 		return p.targets[id] == nil && now-a.statedAt > availabilityRetention
 	})
+	return out
+}
+
+// AvailableIn returns the time until the first target of this region that may serve the
+// request takes requests from this host again; 0 if one does now. It reports false if
+// there is no such target.
+func (p *Placer) AvailableIn(now time.Duration, r *Request) (wait time.Duration, ok bool) {
+	for _, t := range p.byService[r.Service] {
+		if t.availability.leaving || !r.Allows(t) {
+			continue
+		}
+		if w := t.availableIn(now, r); !ok || w < wait {
+			wait, ok = w, true
+		}
+	}
+	return wait, ok
+}
+
+func (t *Target) availableIn(now time.Duration, _ *Request) time.Duration {
+	return max(0, t.availability.pausedUntil-now)
 }
--- a/internal/placement/availability_test.go
+++ b/internal/placement/availability_test.go
@@ -40,16 +40,19 @@
 		t.Errorf("the second statement changes %+v", changes)
 	}
 	p.Observe(2*second, a, placement.Statement{})
-	if p.Accepts(unsent) {
+	if p.Accepts(2*second, unsent) {
 		t.Error("a request that was assigned to the target before may still be sent")
 	}
 	for _, update := range [][]placement.Spec{specs, nil, specs} {
 		p.SetTargets(update)
-		p.DropDeparted(2 * second)
+		p.EndedPauses(2 * second)
 		if got := chosen(p, 2*second); len(got) > 0 {
 			t.Fatalf("chose %v", got)
 		}
 	}
+	if _, ok := p.AvailableIn(2*second, shortRequest(1)); ok {
+		t.Error("a leaving target is expected to take requests again")
+	}
 	specs[0].StartMillis = 2000
 	p.SetTargets(specs)
 	if !chosen(p, 2*second)["e0"] {
@@ -93,3 +96,37 @@
 		t.Error("a report about the previous process takes the next one out of use")
 	}
 }
+
+// Guards against requests, also as a last resort, to a target during the pause that it
+// has asked for, and against a pause without an end.
+func TestPausedTargetGetsNoRequests(t *testing.T) {
+	p := newPlacer(engines(2))
+	now := second
+	for _, id := range []string{"e0", "e1"} {
+		pause := 1500 * ms
+		if id == "e1" {
+			pause = 2500 * ms
+		}
+		p.Observe(now, start(t, p, now, id), placement.Statement{Pause: pause})
+	}
+	if got := chosen(p, now+1400*ms); len(got) > 0 {
+		t.Errorf("chose %v during the pause", got)
+	}
+	if wait, ok := p.AvailableIn(now+500*ms, shortRequest(1)); !ok || wait != second {
+		t.Errorf("available in %s, want the time until the first target is back", wait)
+	}
+	if got := chosen(p, now+1500*ms); !got["e0"] || got["e1"] {
+		t.Errorf("chose %v after the first pause", got)
+	}
+	if ended := p.EndedPauses(now + 1500*ms); len(ended) != 1 || ended[0].Target != "e0" || !ended[0].Ended {
+		t.Errorf("ended pauses %+v", ended)
+	}
+	a := start(t, p, now+3*second, "e1")
+	p.Observe(now+3*second, a, placement.Statement{Pause: 1 << 62})
+	if got := chosen(p, now+3*second+11*time.Minute); !got["e1"] {
+		t.Error("a faulty value takes the target out of use for good")
+	}
+	if ended := p.EndedPauses(time.Hour); len(ended) != 1 {
+		t.Errorf("ended pauses %+v", ended)
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -349,7 +349,7 @@
 // usable reports whether the target may get a request now. As a last resort, suspect,
 // ejected and stalled targets are usable too.
 func (t *Target) usable(now time.Duration, lastResort bool) bool {
-	if t.availability.leaving {
+	if !t.availability.accepts(now) {
 		return false
 	}
 	if now < t.ColdUntil && t.Paced && !t.coldPacer.Allows(now, t.ColdLimit) {
