placement: keep brittle targets from rejecting too much

Cause: a target may state that it fails if it rejects more than N requests in a second for want of room, and that it may soon let fewer wait. Nothing read it: all hosts sent until the expected wait was too long, so in a burst the targets fell one after the other. Change: while a service is brittle, no request waits at its targets. A host uses its share of a target's slots, and more only where room is left for what the other hosts may add before their next reports; each host grows its use only by a quarter of its share within the time of a report, so that what they may add is bounded. After a rejection the host leaves the target alone for hosts / (N / 2) seconds, keeps slots spare for 4 s, and a retry needs the same certain room elsewhere. What one target states holds for all of its service until they answer otherwise, or 15 s; the other hosts of the region learn it from the usage reports. Callers beyond that go to another region or are refused at once with the time until room is expected. Choices are as before while no target is brittle.

--- a/internal/gateway/availability.go
+++ b/internal/gateway/availability.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/refusal"
@@ -20,14 +22,20 @@
 	now := sinceBoot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.logChanges(now, "", g.placer.Observe(now, s.attempt, placement.Statement{Leaving: c.Leaving, Pause: c.RetryAfter})...)
+	g.logChanges(now, "", g.placer.Observe(now, s.attempt, placement.Statement{Leaving: c.Leaving, Pause: c.RetryAfter, Brittle: c.Brittle, Rejected: c.NotRun})...)
 }
 
 // logChanges logs targets that are left out or used again. host is the host that reported
 // them, "" for this one.
 func (g *Gateway) logChanges(now time.Duration, host string, changes ...placement.Change) {
 	for _, c := range changes {
-		fields := logrus.Fields{"target": c.Target, "service": c.Service, "cause": string(c.Cause)}
+		fields := logrus.Fields{"service": c.Service}
+		if c.Cause == placement.CauseBrittle {
+			fields["limit"], fields["brittle"] = c.Limit, !c.Ended
+			g.Log.WithFields(fields).Info("brittle service")
+			continue
+		}
+		fields["target"], fields["cause"] = c.Target, string(c.Cause)
 		if c.Ended {
 			g.Log.WithFields(fields).Info("target used again")
 			continue
@@ -43,9 +51,20 @@
 	}
 }
 
-// logEndedPauses logs the targets whose pause has ended. g.mu must be held.
-func (g *Gateway) logEndedPauses(now time.Duration) {
-	g.logChanges(now, "", g.placer.EndedPauses(now)...)
+// logPolledChanges logs the changes that no response has brought. g.mu must be held.
+func (g *Gateway) logPolledChanges(now time.Duration) {
+	g.logChanges(now, "", g.placer.Poll(now)...)
+}
+
+// shareTargets tells the placer which hosts send to the same targets. It knows none while
+// this host may not know all of them. g.mu must be held.
+func (g *Gateway) shareTargets(hosts []string) {
+	if len(hosts) == 0 {
+		g.placer.SetHosts(nil, nil)
+		return
+	}
+	others := slices.DeleteFunc(slices.Clone(hosts), func(host string) bool { return host == g.Name })
+	g.placer.SetHosts(others, func(key string, limit int) int { return g.peerSet.LimitShare(key, limit, hosts) })
 }
 
 // errNotAccepted means that a target has stopped taking requests since it was chosen.
@@ -87,11 +106,17 @@
 	for _, l := range g.placer.RecentlyLeaving(now) {
 		out.Availability = append(out.Availability, &syncpb.TargetAvailability{Target: l.Target, Born: l.StartMillis, Leaving: true})
 	}
+	for _, b := range g.placer.RecentlyBrittle(now) {
+		out.Availability = append(out.Availability, &syncpb.TargetAvailability{Target: b.Target, Born: b.StartMillis, Brittle: int64(b.Limit), AgeMs: (now - b.StatedAt).Milliseconds()})
+	}
 }
 
 // mergeAvailability applies what targets have told another host. g.mu must be held.
 func (g *Gateway) mergeAvailability(now time.Duration, in *syncpb.UsageReport) {
 	for _, a := range in.GetAvailability() {
+		if a.GetBrittle() > 0 {
+			g.placer.RecordBrittle(placement.BrittleTarget{Target: a.GetTarget(), StartMillis: a.GetBorn(), Limit: int(a.GetBrittle()), StatedAt: now - clock.Millis(float64(a.GetAgeMs()))})
+		}
 		if !a.GetLeaving() {
 			continue
 		}
--- a/internal/gateway/availability_test.go
+++ b/internal/gateway/availability_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -216,3 +217,93 @@
 		t.Errorf("%d requests at the local target, %d at the other one; want 1 and 3", local.count(), remote.count())
 	}
 }
+
+// crowded counts the requests that a target runs at the same time.
+type crowded struct {
+	running, most atomic.Int64
+	duration      time.Duration
+	header        []string
+}
+
+func (c *crowded) handle(w http.ResponseWriter, r *http.Request) {
+	n := c.running.Add(1)
+	defer c.running.Add(-1)
+	for most := c.most.Load(); n > most && !c.most.CompareAndSwap(most, n); most = c.most.Load() {
+	}
+	time.Sleep(c.duration)
+	respond(200, "whole", append(c.header, "Signed", "sig")...)(w, r)
+}
+
+// Load: more concurrent requests than a brittle target has slots. Guards against requests
+// that queue there, at the host that has heard its statement and at the others, against
+// refusals that wait or do not say when to come back, and against a target that is kept
+// empty after it is no longer brittle.
+func TestNothingQueuesAtBrittleTarget(t *testing.T) {
+	const slots, parallel = 4, 24 // slots: of a target that does not announce them
+	c := &crowded{header: []string{"Brittle", "4"}}
+	s := newTarget(t, c.handle)
+	first, other := start(t, s), start(t, s)
+	if got := first.call(t, "/safe/"); got.status != 200 || got.header.Get("Brittle") != "4" {
+		t.Fatalf("response %+v", got)
+	}
+	if _, err := other.Share(context.Background(), first.UsageReport(placement.SameRegion)); err != nil {
+		t.Fatal(err)
+	}
+	c.duration = 400 * time.Millisecond
+	for name, f := range map[string]*fixture{"first host": first, "other host": other} {
+		c.most.Store(0)
+		var wg sync.WaitGroup
+		var served, refused atomic.Int64
+		for range parallel {
+			wg.Go(func() {
+				sent := time.Now()
+				switch got := f.call(t, "/safe/", "Timeout-Ms", "900"); got.status {
+				case 200:
+					served.Add(1)
+				default:
+					refused.Add(1)
+					retry, err := time.ParseDuration(got.header.Get("Retry"))
+					if got.header.Get("Code") != "overloaded" || got.header.Get("Ran") != "not_run" || err != nil || retry <= 0 {
+						t.Errorf("%s: response %+v", name, got)
+					}
+					if d := time.Since(sent); d > 700*time.Millisecond {
+						t.Errorf("%s: refused after %s", name, d)
+					}
+				}
+			})
+		}
+		wg.Wait()
+		if most := c.most.Load(); most > slots || served.Load() == 0 {
+			t.Errorf("%s: %d requests at a time at a target with %d slots, %d served", name, most, slots, served.Load())
+		}
+	}
+	c.duration, c.header = 10*time.Millisecond, nil
+	first.call(t, "/safe/")
+	c.duration, c.most = 50*time.Millisecond, atomic.Int64{}
+	var wg sync.WaitGroup
+	for range 3 * slots {
+		wg.Go(func() { first.call(t, "/safe/") })
+	}
+	wg.Wait()
+	if most := c.most.Load(); most <= slots {
+		t.Errorf("%d requests at a time at a target that is not brittle any more", most)
+	}
+}
+
+// Guards against further requests to a brittle target that has just rejected one, and
+// against a retry storm over brittle targets.
+func TestRejectionByBrittleTarget(t *testing.T) {
+	full := respond(503, "", "Not-Run", "1", "Brittle", "2")
+	targets := []*target{newTarget(t, full), newTarget(t, full)}
+	f := start(t, targets...)
+	for range 20 {
+		if got := f.call(t, "/safe/", impatient...); got.header.Get("Ran") != "not_run" || got.header.Get("Retry") == "" {
+			t.Errorf("response %+v", got)
+		}
+	}
+	for i, s := range targets {
+		if n := s.count(); n > 2 {
+			t.Errorf("target %d rejected %d requests, survives 2", i, n)
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,7 +164,8 @@
 	}
 	g.requestMetrics = requestMetrics{requests: counter("requests"), served: counter("served"), refused: counter("refused"),
 		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"),
-		leftOut:   map[placement.Cause]metrics.Counter{placement.CauseLeaving: counter("targets_leaving"), placement.CausePause: counter("targets_paused")},
+		leftOut: map[placement.Cause]metrics.Counter{placement.CauseLeaving: counter("targets_leaving"), placement.CausePause: counter("targets_paused"),
+			placement.CauseRejection: counter("brittle_rejections")},
 		firstByte: metrics.GetOrRegisterTimer("gateway.first_byte", g.Metrics),
 		total:     metrics.GetOrRegisterTimer("gateway.total", g.Metrics)}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -70,8 +70,9 @@
 
 func (protocol) Classify(status int, h http.Header) gateway.Classification {
 	pause, _ := time.ParseDuration(h.Get("Pause"))
+	brittle, _ := strconv.Atoi(h.Get("Brittle"))
 	return gateway.Classification{NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Signed: h.Get("Signed") != "", Success: h.Get("Signed") != "" && status == http.StatusOK,
-		Leaving: h.Get("Leaving") != "", RetryAfter: pause}
+		Leaving: h.Get("Leaving") != "", RetryAfter: pause, Brittle: brittle}
 }
 
 func (protocol) ResponseHeader(h http.Header) http.Header { return h.Clone() }
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -73,6 +73,9 @@
 	// RetryAfter is how long the target wants no requests from this host; 0 if it does not
 	// say so.
 	RetryAfter time.Duration
+	// Brittle is the number of rejections in a second that the target survives; 0 if it
+	// does not say that it is brittle.
+	Brittle int
 }
 
 // TargetProtocol encodes requests for targets and interprets their responses.
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -29,7 +29,7 @@
 	index, version := g.Views.position()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.logEndedPauses(now)
+	g.logPolledChanges(now)
 	if !full && !g.awaitsRateShare(now) {
 		return &syncpb.ExchangeRequest{Index: index, Version: version, OriginCursor: originCursor}
 	}
@@ -100,6 +100,7 @@
 	hosts := g.peerSet.ActiveHosts(now)
 	if revision := g.Table.Revision(); changed || revision != g.placedRevision || !slices.Equal(hosts, g.coldLimitHosts) {
 		g.placedRevision, g.coldLimitHosts = revision, hosts
+		g.shareTargets(hosts)
 		g.placer.SetTargets(g.targetSpecs(now))
 	}
 }
--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -25,15 +25,23 @@
 	// Pause is how long the process wants no requests from this host; 0 if it does not
 	// say so.
 	Pause time.Duration
+	// Brittle is the number of rejections in a second that the process survives; 0 if it
+	// does not say that it is brittle.
+	Brittle int
+	// Rejected means that the process did not take the request.
+	Rejected bool
 }
 
-// Change is a change of the availability of a target, for the log.
+// Change is a change of the availability of a target or a service, for the log.
 type Change struct {
 	Target, Service string
 	Cause           Cause
 	// Until is the end of the time for which the target is left out; 0 if it has none.
 	Until time.Duration
-	// Ended means that the target is used again.
+	// Limit is the number of rejections in a second that the targets of a brittle service
+	// survive.
+	Limit int
+	// Ended means that the cause no longer holds.
 	Ended bool
 }
 
@@ -44,6 +52,10 @@
 const (
 	CauseLeaving Cause = "leaving"
 	CausePause   Cause = "retry_after"
+	// CauseRejection is a rejection by a brittle target.
+	CauseRejection Cause = "rejection"
+	// CauseBrittle means that the targets of a service get no requests that may wait.
+	CauseBrittle Cause = "brittle"
 )
 
 // availability is what one process of a target has stated. It is kept apart from the
@@ -56,6 +68,7 @@
 	reportUntil time.Duration
 	pausedUntil time.Duration
 	pauseLogged bool // the end of the pause is still to be logged
+	rejections  rejections
 }
 
 // accepts reports whether the process takes requests from this host.
@@ -94,7 +107,7 @@
 		return nil // another process has replaced the one that responded
 	}
 	state.statedAt = now
-	var out []Change
+	out := p.observeBrittle(now, a, s)
 	if s.Leaving && !state.leaving {
 		state.leaving, state.reportUntil = true, now+leavingReportTime
 		out = append(out, Change{Target: a.target.ID, Service: a.target.Service, Cause: CauseLeaving})
@@ -149,9 +162,10 @@
 	return c
 }
 
-// EndedPauses returns the pauses that have ended since the last call, and drops the state
-// of processes that are gone.
-func (p *Placer) EndedPauses(now time.Duration) (out []Change) {
+// Poll returns the changes since its last call that no response has brought, and drops the
+// state of processes that are gone.
+func (p *Placer) Poll(now time.Duration) []Change {
+	out := p.brittleChanges(now)
 	for id, a := range p.availability {
 		if a.pauseLogged && now >= a.pausedUntil {
 			a.pauseLogged = false
@@ -174,13 +188,9 @@
 		if t.availability.leaving || !r.Allows(t) {
 			continue
 		}
-		if w := t.availableIn(now, r); !ok || w < wait {
+		if w := max(t.availability.pausedUntil-now, p.roomIn(now, t, r)); !ok || w < wait {
 			wait, ok = w, true
 		}
 	}
 	return wait, ok
 }
-
-func (t *Target) availableIn(now time.Duration, _ *Request) time.Duration {
-	return max(0, t.availability.pausedUntil-now)
-}
--- a/internal/placement/availability_test.go
+++ b/internal/placement/availability_test.go
@@ -45,7 +45,7 @@
 	}
 	for _, update := range [][]placement.Spec{specs, nil, specs} {
 		p.SetTargets(update)
-		p.EndedPauses(2 * second)
+		p.Poll(2 * second)
 		if got := chosen(p, 2*second); len(got) > 0 {
 			t.Fatalf("chose %v", got)
 		}
@@ -118,7 +118,7 @@
 	if got := chosen(p, now+1500*ms); !got["e0"] || got["e1"] {
 		t.Errorf("chose %v after the first pause", got)
 	}
-	if ended := p.EndedPauses(now + 1500*ms); len(ended) != 1 || ended[0].Target != "e0" || !ended[0].Ended {
+	if ended := p.Poll(now + 1500*ms); len(ended) != 1 || ended[0].Target != "e0" || !ended[0].Ended {
 		t.Errorf("ended pauses %+v", ended)
 	}
 	a := start(t, p, now+3*second, "e1")
@@ -126,7 +126,7 @@
 	if got := chosen(p, now+3*second+11*time.Minute); !got["e1"] {
 		t.Error("a faulty value takes the target out of use for good")
 	}
-	if ended := p.EndedPauses(time.Hour); len(ended) != 1 {
+	if ended := p.Poll(time.Hour); len(ended) != 1 {
 		t.Errorf("ended pauses %+v", ended)
 	}
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -136,6 +136,8 @@
 	// sent to it while it had none in flight.
 	lastByteAt   time.Duration
 	availability *availability
+	usagePeaks   map[string]usagePeak // by host, while the service is brittle
+	shares       map[int]int          // this host's shares, by limit
 }
 
 type reportedUsage struct {
@@ -176,6 +178,9 @@
 	rand            *rand.Rand
 	drawnPair       map[int]bool             // indexes of the targets that TwoChoices has drawn
 	availability    map[string]*availability // of the newest known process, by target
+	brittle         map[string]*brittleService
+	otherHosts      []string
+	limitShare      func(key string, limit int) int
 	// placedPrompts are the prompts that were sent since the last call of
 	// TakePlacedPrompts, by scope.
 	placedPrompts [scopeCount][]PlacedPrompt
@@ -253,7 +258,7 @@
 // New returns a placer without targets.
 func New(engine Engine, r *rand.Rand) *Placer {
 	return &Placer{ReuseWindow: defaultReuseWindow, lastUsed: map[uint64]time.Duration{}, engine: engine, targets: map[string]*Target{}, byService: map[string][]*Target{}, rand: r,
-		availability: map[string]*availability{}}
+		availability: map[string]*availability{}, brittle: map[string]*brittleService{}}
 }
 
 // SetTargets replaces the targets. A target with the same ID, address and service keeps
@@ -319,7 +324,7 @@
 	if r.keys == nil {
 		r.keys = prefixKeys(r.Model, r.Segments)
 	}
-	sources := p.findSources(now, r)
+	sources, brittle := p.findSources(now, r), p.brittleNow(now, r.Service)
 	best, found := Choice{}, false
 	for pass := 0; pass < 2 && !found; pass++ {
 		ties, considered := 0, 0
@@ -327,7 +332,7 @@
 			p.drawnPair = map[int]bool{p.rand.IntN(n): true, p.rand.IntN(n): true}
 		}
 		for _, t := range p.byService[r.Service] {
-			if excluded != nil && excluded(t.ID) || !r.Allows(t) || !t.usable(now, pass > 0) {
+			if excluded != nil && excluded(t.ID) || !r.Allows(t) || !t.usable(now, pass > 0) || !p.hasRoom(now, t, r, brittle) {
 				continue
 			}
 			c := p.evaluate(now, t, r, sources)
@@ -387,6 +392,7 @@
 type Attempt struct {
 	target       *Target
 	availability *availability // of the target's process
+	counted      bool          // its start was counted for a brittle target
 	started      time.Duration
 	usage        Usage
 }
@@ -394,6 +400,7 @@
 // Start records that a request is sent to the target.
 func (p *Placer) Start(now time.Duration, t *Target, r *Request) *Attempt {
 	a := &Attempt{target: t, availability: t.availability, started: now, usage: Usage{Running: 1}}
+	p.startBrittle(now, a)
 	if t.ownUsage.Running == 0 {
 		t.lastByteAt = now
 	}
@@ -460,6 +467,7 @@
 func (p *Placer) Done(now time.Duration, a *Attempt, o Outcome) {
 	t := a.target
 	p.FirstByte(a)
+	p.endBrittle(now, a)
 	t.ownUsage.Running--
 	t.ownUsage.MemoryTokens -= a.usage.MemoryTokens
 	switch o {
@@ -512,6 +520,7 @@
 		} else {
 			delete(t.hostUsage, host)
 		}
+		t.recordPeak(now, host, usage[id].Running, p.brittle[t.Service] != nil)
 	}
 }
 
