--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"geraniumturn.example/geraniumturn/internal/attachment"
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/origins"
@@ -104,6 +105,8 @@
 
 	mu               sync.Mutex
 	placer           *placement.Placer
+	path             *attachment.Monitor // to the targets of this region
+	probing          bool                // probeTargets runs
 	buckets          map[string]*shares.Bucket
 	retryBudgets     map[string]*shares.RetryBudget
 	hosts            map[string]*peerHost
@@ -129,7 +132,8 @@
 // peerHost is another entry host.
 type peerHost struct {
 	*syncpb.EntryHost
-	lastHeard time.Duration
+	lastHeard  time.Duration
+	detachment detachment
 }
 
 // endedEvacuation records the end of an evacuation of a data centre.
@@ -139,9 +143,9 @@
 }
 
 type requestMetrics struct {
-	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed metrics.Counter
-	firstByte, total                                                                      metrics.Timer
-	leftOut                                                                               map[placement.Cause]metrics.Counter
+	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed, detached metrics.Counter
+	firstByte, total                                                                                metrics.Timer
+	leftOut                                                                                         map[placement.Cause]metrics.Counter
 }
 
 // Init prepares the gateway after its fields are set. prefillSpeed is the prefill speed
@@ -149,8 +153,8 @@
 func (g *Gateway) Init(prefillSpeed float64) {
 	g.startedAt = sinceBoot()
 	g.localPool, g.remotePool = upstream.NewPool(localDialTimeout), upstream.NewPool(remoteDialTimeout)
-	dials := metrics.GetOrRegisterCounter("gateway.connections_opened", g.Metrics)
-	g.localPool.OnDial = func() { dials.Inc(1) }
+	g.path = attachment.NewMonitor()
+	g.localPool.OnDial = g.recordDial
 	g.placer = placement.New(placement.DefaultEngine(prefillSpeed), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	g.buckets, g.retryBudgets = map[string]*shares.Bucket{}, map[string]*shares.RetryBudget{}
 	g.hosts, g.remoteRegions, g.endedEvacuations = map[string]*peerHost{}, map[string]*placement.RemoteRegion{}, map[string]endedEvacuation{}
@@ -163,7 +167,7 @@
 		return metrics.GetOrRegisterCounter("gateway."+name, g.Metrics)
 	}
 	g.requestMetrics = requestMetrics{requests: counter("requests"), served: counter("served"), refused: counter("refused"),
-		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"),
+		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"), detached: counter("detached"),
 		leftOut: map[placement.Cause]metrics.Counter{placement.CauseLeaving: counter("targets_leaving"), placement.CausePause: counter("targets_paused"),
 			placement.CauseRejection: counter("brittle_rejections")},
 		firstByte: metrics.GetOrRegisterTimer("gateway.first_byte", g.Metrics),
@@ -215,7 +219,7 @@
 	placementRequest placement.Request
 	suspectKeys      []uint64
 	started          time.Duration
-	startWait        time.Duration // spent waiting for the start of this host
+	hostWait         time.Duration // spent waiting for the start of this host, or for connections that failed
 	deadline         time.Duration
 	reservation      *reservation
 
@@ -232,7 +236,9 @@
 	status          int
 	unframed        bool // the latest response from a target has neither a length nor chunks
 	responseStarted bool
-	lastEvent       string // id of the last event written to the caller
+	form            responseForm // of the started response
+	lastEvent       string       // id of the last event written to the caller
+	unnumbered      bool         // an event with data but without id was written
 	// origin is what began the stream; nil before its first event, or if it is unknown.
 	origin *origins.Origin
 	// originSource is how the origin of a stream that its caller resumes was found, or "".
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -100,6 +100,7 @@
 		if err != nil {
 			return finalError(x, last, err)
 		}
+		began := sinceBoot()
 		err = g.attempt(ctx, w, x, s)
 		if err == nil || errors.Is(err, errCallerGone) {
 			return err
@@ -114,12 +115,13 @@
 		switch {
 		case failed.unsent:
 			unsent++
+			x.hostWait += sinceBoot() - began
 		case failed.ran == refusal.NotRun:
 			rejected++
 		default:
 			x.ran = refusal.Unknown
 		}
-		if ctx.Err() != nil || x.responseStarted && x.origin == nil {
+		if ctx.Err() != nil || x.responseStarted && !x.continuable() {
 			return finalError(x, last, err)
 		}
 		if unsent > maxUnsentAttempts || rejected > maxRejections || !failed.retryTaken && !g.mayRetry(x, failed) {
@@ -189,20 +191,21 @@
 	}
 	var choice placement.Choice
 	usable := false
-	if document.AllowsRegion(x.route, x.workspace, g.Region) {
+	if document.AllowsRegion(x.route, x.workspace, g.Region) && !g.path.Detached() {
 		choice, usable = g.placer.Choose(now, &x.placementRequest, func(id string) bool { return x.triedTargets[id] })
 	}
 	limit := g.firstByteBudget(now, x, choice.IdleTTFB)
-	remote, estimate := g.bestRemoteHost(now, x)
+	var hostLimit time.Duration // that the other host applies
+	remote, estimate := g.bestRemoteHost(now, x, !usable || choice.Unreachable)
 	if remote != nil {
-		remoteLimit := g.firstByteBudget(now, x, estimate.IdleTTFB)
-		forward := !usable || estimate.cost+minForwardGain < choice.Cost
+		remoteLimit, accepted := g.remoteLimits(g.firstByteBudget(now, x, estimate.IdleTTFB), x.route.FirstByteObjective)
+		forward := !usable || choice.Unreachable || estimate.cost+minForwardGain < choice.Cost
 		// A destination with a lower cost must not hide one that can meet its limit.
-		if local := usable && choice.TTFB <= limit; local != (estimate.TTFB <= remoteLimit) {
+		if local := usable && choice.TTFB <= limit; local != (estimate.TTFB <= accepted) {
 			forward = !local
 		}
 		if forward {
-			choice, limit = placement.Choice{Estimate: estimate.Estimate}, remoteLimit
+			choice, limit, hostLimit = placement.Choice{Estimate: estimate.Estimate}, accepted, remoteLimit
 		} else {
 			remote = nil
 		}
@@ -220,8 +223,10 @@
 		x.forwardHost, x.target = remote.GetName(), remote.GetName()
 		g.remoteRegion(remote.GetRegion()).RecordSent(now)
 		g.requestMetrics.forwarded.Inc(1)
-		return &sendAttempt{target: remote.GetName(), address: remote.GetForward(), forwarded: true, region: remote.GetRegion(),
-			firstByteLimit: placement.RemoteFirstByteLimit(limit)}, nil
+		if remote.GetRegion() != g.Region {
+			hostLimit = placement.RemoteFirstByteLimit(hostLimit)
+		}
+		return &sendAttempt{target: remote.GetName(), address: remote.GetForward(), forwarded: true, region: remote.GetRegion(), firstByteLimit: hostLimit}, nil
 	}
 	x.triedTargets[choice.Target.ID] = true
 	x.target = choice.Target.ID
@@ -276,10 +281,10 @@
 		return min(x.deadline, x.started+callerTimeout*resumeTimeoutPercent/100) - now
 	}
 	limit := placement.FirstByteLimit(x.route.Priority, x.route.FirstByteObjective, callerTimeout, idleTTFB)
-	if x.startWait > 0 {
+	if x.hostWait > 0 {
 		// The objective may be missed by the wait that the gateway has imposed, but the
 		// caller's timeout may not.
-		limit = min(limit+x.startWait, placement.FirstByteLimit(x.route.Priority, 0, callerTimeout, 0))
+		limit = min(limit+x.hostWait, placement.FirstByteLimit(x.route.Priority, 0, callerTimeout, 0))
 	}
 	return limit - (now - x.started)
 }
@@ -291,14 +296,15 @@
 }
 
 // bestRemoteHost returns a host of the region with the lowest expected cost among the
-// other regions, or nil. Hosts that do not serve callers are a last resort: a host
-// that is shutting down still accepts forwarded requests for a while. g.mu must be held.
-func (g *Gateway) bestRemoteHost(now time.Duration, x *requestState) (*peerHost, remoteEstimate) {
+// other regions, or nil. With peers, the other hosts of this region are considered too.
+// Hosts that do not serve callers are a last resort: a host that is shutting down still
+// accepts forwarded requests for a while. g.mu must be held.
+func (g *Gateway) bestRemoteHost(now time.Duration, x *requestState, peers bool) (*peerHost, remoteEstimate) {
 	var best *peerHost
 	var bestEstimate remoteEstimate
 	estimates := map[string]*remoteEstimate{} // by region; nil for regions that are excluded
 	for _, h := range g.hosts {
-		if g.LocalOnly || h.GetRegion() == g.Region || h.GetForward() == "" || now-h.lastHeard > hostTimeout {
+		if g.LocalOnly || h.GetRegion() == g.Region && !peers || h.GetForward() == "" || now-h.lastHeard > hostTimeout || h.detachment.detached {
 			continue
 		}
 		e, known := estimates[h.GetRegion()]
@@ -319,6 +325,9 @@
 	if x.triedRegions[region] || !document.AllowsRegion(x.route, x.workspace, region) {
 		return nil
 	}
+	if region == g.Region {
+		return g.estimatePeer(now, x)
+	}
 	if x.origin != nil && !g.placer.ServedIn(region, &x.placementRequest) {
 		return nil
 	}
@@ -384,6 +393,9 @@
 		res.Header.Del(headerSoftware)
 		if refusal.Ran(res.Header.Get(headerRan)) == ranNotAttempted {
 			x.sends--
+			if res.Header.Get(headerDetached) != "" {
+				g.recordDetachedHost(x, s)
+			}
 			return &attemptError{ran: refusal.NotRun, unsent: true, err: fmt.Errorf("host %s refused the forwarded request", s.target)}
 		}
 	}
@@ -396,6 +408,10 @@
 		}
 		return &attemptError{ran: refusal.NotRun, retryAfter: g.availableIn(sinceBoot(), x), err: fmt.Errorf("target %s rejected the request with status %d", s.target, res.Status)}
 	}
+	if err := x.checkContinuation(s, res, class); err != nil {
+		outcome = placement.Failed
+		return err
+	}
 	x.status = res.Status
 	switch {
 	case class.Success:
@@ -404,7 +420,7 @@
 		return &attemptError{ran: refusal.Unknown, err: fmt.Errorf("response with status %d has no target signature", res.Status)}
 	default:
 		outcome = placement.Failed
-		if failed := (&attemptError{ran: refusal.Unknown, retryTaken: true, err: fmt.Errorf("target failed with status %d", res.Status)}); !x.responseStarted && g.mayRetry(x, failed) {
+		if failed := (&attemptError{ran: refusal.Unknown, retryTaken: true, err: fmt.Errorf("target failed with status %d", res.Status)}); g.mayRetry(x, failed) {
 			return failed
 		}
 	}
@@ -474,8 +490,12 @@
 	g.countSend(x, now)
 	res, err := pool.Do(ctx, &upstream.Request{Address: s.address, Method: x.request.Method, RequestURI: x.request.RequestURI,
 		Host: x.request.Host, Header: header, Body: x.body, RecentConnOnly: !x.route.Repeatable(),
-		Matches: func(status int, h http.Header) bool {
-			return s.forwarded && h.Get(headerRan) != "" || g.TargetProtocol.MatchesRequest(x.call.ID, status, h)
+		Match: func(status int, h http.Header) upstream.Match {
+			match := g.TargetProtocol.MatchRequest(x.call.ID, status, h)
+			if s.forwarded && (h.Get(headerRan) != "" || match == upstream.Unidentified) {
+				return upstream.Own // a host answers a request once, and passes on a response without an id
+			}
+			return match
 		}})
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
@@ -528,7 +548,7 @@
 	if x.workspace != nil && !x.route.Public {
 		priority = x.workspace.Priority
 	}
-	return min(maxUrgency, urgencyStep*max(0, priority))
+	return min(maxUrgency, urgencyStep*min(maxUrgency, max(0, priority)))
 }
 
 // classify classifies a response by its status and headers.
