gateway: read the statements of responses that name no request

Cause: since a rejection without an id proves nothing on a kept connection, its head was dropped, and with it a Retry-After or that the target is leaving; the target got more requests. Change: such a response counts as a statement of the target about itself, not as a rejection. Measured: TestStatementOfUnidentifiedResponse fails without it; `go test -race ./internal/gateway -run 'Unidentified|Leaving|Paused|Brittle'` passes.

--- a/internal/gateway/availability_test.go
+++ b/internal/gateway/availability_test.go
@@ -307,3 +307,24 @@
 		}
 	}
 }
+
+// Guards against a target whose statement is lost because the response that has it names
+// no request, on a kept connection.
+func TestStatementOfUnidentifiedResponse(t *testing.T) {
+	for name, header := range map[string]string{"leaving": "Leaving", "paused": "Pause"} {
+		t.Run(name, func(t *testing.T) {
+			s := newTarget(t, success, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Del("Id")
+				respond(503, "", "Not-Run", "1", header, "20s")(w, r)
+			}, success)
+			f := start(t, s)
+			f.call(t, "/once/")
+			if got := f.call(t, "/once/"); got.header.Get("Ran") != "unknown" {
+				t.Fatalf("response %+v", got)
+			}
+			if got := f.call(t, "/once/", impatient...); got.header.Get("Ran") != "not_run" || s.count() != 2 {
+				t.Errorf("response %+v, %d requests", got, s.count())
+			}
+		})
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -488,6 +488,7 @@
 		g.TargetProtocol.SetDispatch(header, Dispatch{Target: s.target, Workspace: x.workspaceName(), Remaining: remaining, Urgency: x.urgency, LastEvent: x.lastEvent, CacheSource: s.cacheSource})
 	}
 	g.countSend(x, now)
+	var unidentified *Classification
 	res, err := pool.Do(ctx, &upstream.Request{Address: s.address, Method: x.request.Method, RequestURI: x.request.RequestURI,
 		Host: x.request.Host, Header: header, Body: x.body, RecentConnOnly: !x.route.Repeatable(),
 		Match: func(status int, h http.Header) upstream.Match {
@@ -495,6 +496,11 @@
 			if s.forwarded && (h.Get(headerRan) != "" || match == upstream.Unidentified) {
 				return upstream.Own // a host answers a request once, and passes on a response without an id
 			}
+			if match == upstream.Unidentified {
+				c := g.TargetProtocol.Classify(status, h)
+				c.NotRun = false // nothing shows which request it rejects
+				unidentified = &c
+			}
 			return match
 		}})
 	switch {
@@ -505,6 +511,9 @@
 		if !s.forwarded {
 			pool.CloseIdle(s.address)
 		}
+		if unidentified != nil {
+			g.observe(s, *unidentified)
+		}
 		return nil, &attemptError{ran: refusal.Unknown, err: err}
 	}
 	if x.unframed = res.Unframed; res.Unframed {
