gateway, placement: a region whose targets take nothing says so

Cause: while all targets of a region were paused or had no room, it told other regions no load, so that these relied on the last one for up to 2.5 s and sent requests there which were refused after a round trip. A caller whose request fitted neither here nor there was told the time of the other region, even if a target here was back earlier. Change: the typical estimate is then the time until a target takes requests, at least 2 s; the refusal names the earlier time. `go test -race ./internal/gateway` and `go test -race ./internal/placement -run 'Paused|Estimate|Leaving'` pass.

--- a/internal/gateway/availability.go
+++ b/internal/gateway/availability.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/refusal"
@@ -91,15 +92,23 @@
 	}
 }
 
-// availableIn returns the time until a target of this region that may serve the request
-// takes requests again; 0 if one does now or none is expected to.
-func (g *Gateway) availableIn(now time.Duration, x *requestState) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+// localWait returns the time until a target of this region that may serve the request
+// takes requests again; 0 if one does now or none is expected to. g.mu must be held.
+func (g *Gateway) localWait(now time.Duration, x *requestState) time.Duration {
+	if !document.AllowsRegion(x.route, x.workspace, g.Region) {
+		return 0
+	}
 	wait, _ := g.placer.AvailableIn(now, &x.placementRequest)
 	return wait
 }
 
+// availableIn is localWait for callers that do not hold g.mu.
+func (g *Gateway) availableIn(x *requestState) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.localWait(sinceBoot(), x)
+}
+
 // addAvailability adds what targets have told this host about themselves to a report for
 // the hosts of this region. g.mu must be held.
 func (g *Gateway) addAvailability(now time.Duration, out *syncpb.UsageReport) {
--- a/internal/gateway/availability_test.go
+++ b/internal/gateway/availability_test.go
@@ -328,3 +328,18 @@
 		})
 	}
 }
+
+// Guards against a refusal that names the time of a busy other region instead of that of
+// the targets of this one, which are back earlier.
+func TestRefusalNamesEarliestTarget(t *testing.T) {
+	s := newTarget(t, respond(503, "", "Not-Run", "1", "Pause", "1500ms"))
+	f := start(t, s)
+	now := clock.SinceBoot()
+	f.Apply(now, fleetsync.Update{SentAt: now, ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, Hosts: []*syncpb.EntryHost{
+		{Name: "there", Region: "elsewhere", Forward: "127.0.0.1:1", Serving: true, Loads: []*syncpb.Load{{Service: "s", WaitMs: 9000}}}}}})
+	f.call(t, "/safe/", impatient...)
+	got := f.call(t, "/safe/", impatient...)
+	if retry, err := time.ParseDuration(got.header.Get("Retry")); err != nil || retry > 1500*time.Millisecond || retry < 500*time.Millisecond {
+		t.Errorf("response %+v", got)
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -214,6 +214,8 @@
 	switch {
 	case remote == nil && !usable:
 		return nil, g.noTarget(now, x)
+	case choice.TTFB > limit && !usable && g.localWait(now, x) > 0:
+		return nil, g.noTarget(now, x)
 	case choice.TTFB > limit:
 		return nil, refusal.New(refusal.Overloaded, refusal.NotRun, "expected time to first byte of %s exceeds the limit of %s", choice.TTFB, limit).
 			WithRetry(max(minRetryAfter, choice.TTFB-limit))
@@ -236,11 +238,9 @@
 // noTarget returns the refusal of a request for which there is no target. A stream cannot
 // continue any more when the last target with its software has left. g.mu must be held.
 func (g *Gateway) noTarget(now time.Duration, x *requestState) *refusal.Error {
-	if document.AllowsRegion(x.route, x.workspace, g.Region) {
-		if wait, _ := g.placer.AvailableIn(now, &x.placementRequest); wait > 0 {
-			return refusal.New(refusal.Overloaded, refusal.NotRun, "the targets of service %s take no requests for %s", x.service, wait).
-				WithRetry(max(minRetryAfter, wait))
-		}
+	if wait := g.localWait(now, x); wait > 0 {
+		return refusal.New(refusal.Overloaded, refusal.NotRun, "the targets of service %s take no requests for %s", x.service, wait).
+			WithRetry(max(minRetryAfter, wait))
 	}
 	if x.origin == nil {
 		return refusal.New(refusal.NoTarget, refusal.NotRun, "no target of service %s is available", x.service).WithRetry(stateRetryAfter)
@@ -406,7 +406,7 @@
 		if class.Misdirected && s.attempt != nil {
 			g.eject(s.attempt)
 		}
-		return &attemptError{ran: refusal.NotRun, retryAfter: g.availableIn(sinceBoot(), x), err: fmt.Errorf("target %s rejected the request with status %d", s.target, res.Status)}
+		return &attemptError{ran: refusal.NotRun, retryAfter: g.availableIn(x), err: fmt.Errorf("target %s rejected the request with status %d", s.target, res.Status)}
 	}
 	if err := x.checkContinuation(s, res, class); err != nil {
 		outcome = placement.Failed
--- a/internal/placement/availability_test.go
+++ b/internal/placement/availability_test.go
@@ -130,3 +130,19 @@
 		t.Errorf("ended pauses %+v", ended)
 	}
 }
+
+// Guards against requests of other regions to targets that take none, because the last load
+// that was told of them is low.
+func TestPausedTargetsAreNotIdleToOtherRegions(t *testing.T) {
+	p := newPlacer(engines(1))
+	p.Observe(second, start(t, p, second, "e0"), placement.Statement{Pause: 5 * second})
+	if e, ok := p.TypicalEstimate(2*second, "llm"); !ok || e.TTFB != 4*second {
+		t.Errorf("estimate %+v during a pause that ends in 4 s", e)
+	}
+	if e, ok := p.TypicalEstimate(7*second, "llm"); !ok || e.TTFB > second {
+		t.Errorf("estimate %+v after the pause", e)
+	}
+	if _, ok := p.TypicalEstimate(second, "none"); ok {
+		t.Error("an estimate without targets")
+	}
+}
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -157,10 +157,19 @@
 )
 
 // TypicalEstimate returns the estimate for a typical request, and false if no target
-// can take one.
+// can take one. If targets take none for a time, the estimate has that wait, so that hosts
+// of other regions do not rely on an earlier one.
 func (p *Placer) TypicalEstimate(now time.Duration, service string) (Estimate, bool) {
-	c, ok := p.Choose(now, &Request{Service: service, PromptTokens: typicalPromptTokens, OutputTokens: typicalOutputTokens, Objective: typicalObjective}, nil)
-	return c.Estimate, ok
+	r := &Request{Service: service, PromptTokens: typicalPromptTokens, OutputTokens: typicalOutputTokens, Objective: typicalObjective}
+	if c, ok := p.Choose(now, r, nil); ok {
+		return c.Estimate, true
+	}
+	wait, _ := p.AvailableIn(now, r)
+	if wait <= 0 {
+		return Estimate{}, false
+	}
+	wait = max(wait, maxRoomWait)
+	return Estimate{TTFB: wait, Total: wait, IdleTTFB: wait}, true
 }
 
 // TimePerToken returns the expected time per output token of a typical request.
