--- /dev/null
+++ b/internal/gateway/availability.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/document"
+	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/placement"
+	"geraniumturn.example/geraniumturn/internal/refusal"
+)
+
+// observe records what a response of a local target says about its process.
+func (g *Gateway) observe(s *sendAttempt, c Classification) {
+	// A misdirected response comes from another process at the address.
+	if s.attempt == nil || c.Misdirected {
+		return
+	}
+	now := sinceBoot()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.logChanges(now, "", g.placer.Observe(now, s.attempt, placement.Statement{Leaving: c.Leaving, Pause: c.RetryAfter, Brittle: c.Brittle, Rejected: c.NotRun})...)
+}
+
+// logChanges logs targets that are left out or used again. host is the host that reported
+// them, "" for this one.
+func (g *Gateway) logChanges(now time.Duration, host string, changes ...placement.Change) {
+	for _, c := range changes {
+		fields := logrus.Fields{"service": c.Service}
+		if c.Cause == placement.CauseBrittle {
+			fields["limit"], fields["brittle"] = c.Limit, !c.Ended
+			g.Log.WithFields(fields).Info("brittle service")
+			continue
+		}
+		fields["target"], fields["cause"] = c.Target, string(c.Cause)
+		if c.Ended {
+			g.Log.WithFields(fields).Info("target used again")
+			continue
+		}
+		if c.Until > 0 {
+			fields["until_ms"] = (c.Until - now).Milliseconds()
+		}
+		if host != "" {
+			fields["reported_by"] = host
+		}
+		g.requestMetrics.leftOut[c.Cause].Inc(1)
+		g.Log.WithFields(fields).Info("target left out")
+	}
+}
+
+// logPolledChanges logs the changes that no response has brought. g.mu must be held.
+func (g *Gateway) logPolledChanges(now time.Duration) {
+	g.logChanges(now, "", g.placer.Poll(now)...)
+}
+
+// shareTargets tells the placer which hosts send to the same targets. It knows none while
+// this host may not know all of them. g.mu must be held.
+func (g *Gateway) shareTargets(hosts []string) {
+	if len(hosts) == 0 {
+		g.placer.SetHosts(nil, nil)
+		return
+	}
+	others := slices.DeleteFunc(slices.Clone(hosts), func(host string) bool { return host == g.Name })
+	g.placer.SetHosts(others, func(key string, limit int) int { return g.peerSet.LimitShare(key, limit, hosts) })
+}
+
+// errNotAccepted means that a target has stopped taking requests since it was chosen.
+var errNotAccepted = errors.New("gateway: target no longer takes requests")
+
+// checkAccepted returns errNotAccepted if the target has stopped taking requests since it was
+// chosen.
+func (g *Gateway) checkAccepted(now time.Duration, s *sendAttempt) error {
+	if s.attempt == nil {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.placer.Accepts(now, s.attempt) {
+		return nil
+	}
+	return &attemptError{ran: refusal.NotRun, unsent: true, err: errNotAccepted}
+}
+
+// closeIfLeaving closes the idle connections to a leaving target. g.mu must be held.
+func (g *Gateway) closeIfLeaving(s *sendAttempt) {
+	if g.placer.Leaving(s.attempt) {
+		g.localPool.CloseIdle(s.address)
+	}
+}
+
+// localWait returns the time until a target of this region that may serve the request
+// takes requests again; 0 if one does now or none is expected to. g.mu must be held.
+func (g *Gateway) localWait(now time.Duration, x *requestState) time.Duration {
+	if !document.AllowsRegion(x.route, x.workspace, g.Region) {
+		return 0
+	}
+	wait, _ := g.placer.AvailableIn(now, &x.placementRequest)
+	return wait
+}
+
+// availableIn is localWait for callers that do not hold g.mu.
+func (g *Gateway) availableIn(x *requestState) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.localWait(sinceBoot(), x)
+}
+
+// addAvailability adds what targets have told this host about themselves to a report for
+// the hosts of this region. g.mu must be held.
+func (g *Gateway) addAvailability(now time.Duration, out *syncpb.UsageReport) {
+	for _, l := range g.placer.RecentlyLeaving(now) {
+		out.Availability = append(out.Availability, &syncpb.TargetAvailability{Target: l.Target, Born: l.StartMillis, Leaving: true})
+	}
+	for _, b := range g.placer.RecentlyBrittle(now) {
+		out.Availability = append(out.Availability, &syncpb.TargetAvailability{Target: b.Target, Born: b.StartMillis, Brittle: int64(b.Limit), AgeMs: (now - b.StatedAt).Milliseconds()})
+	}
+}
+
+// mergeAvailability applies what targets have told another host. g.mu must be held.
+func (g *Gateway) mergeAvailability(now time.Duration, in *syncpb.UsageReport) {
+	for _, a := range in.GetAvailability() {
+		if a.GetBrittle() > 0 {
+			g.placer.RecordBrittle(placement.BrittleTarget{Target: a.GetTarget(), StartMillis: a.GetBorn(), Limit: int(a.GetBrittle()), StatedAt: now - clock.Millis(float64(a.GetAgeMs()))})
+		}
+		if !a.GetLeaving() {
+			continue
+		}
+		if c, changed := g.placer.RecordLeaving(now, placement.LeavingTarget{Target: a.GetTarget(), StartMillis: a.GetBorn()}); changed {
+			g.logChanges(now, in.GetHost(), c)
+		}
+	}
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -80,7 +80,10 @@
 }
 
 func (protocol) Classify(status int, h http.Header) gateway.Classification {
-	return gateway.Classification{NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signed") != "", Success: h.Get("Signed") != "" && status >= http.StatusOK && status < http.StatusMultipleChoices}
+	pause, _ := time.ParseDuration(h.Get("Pause"))
+	brittle, _ := strconv.Atoi(h.Get("Brittle"))
+	return gateway.Classification{NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Signed: h.Get("Signed") != "", Success: h.Get("Signed") != "" && status >= http.StatusOK && status < http.StatusMultipleChoices,
+		Leaving: h.Get("Leaving") != "", RetryAfter: pause, Brittle: brittle}
 }
 
 func (protocol) ResponseHeader(h http.Header) http.Header { return h.Clone() }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -54,7 +54,8 @@
 	unsent bool
 	// retryTaken means that a retry was already taken from the retry budget.
 	retryTaken bool
-	// retryAfter is when the target expects to have capacity; 0 if unknown.
+	// retryAfter is the time until a target takes requests again; 0 if one does now or it
+	// is unknown.
 	retryAfter time.Duration
 	err        error
 }
@@ -213,7 +214,9 @@
 	x.choice = choice
 	switch {
 	case remote == nil && !usable:
-		return nil, g.noTarget(x)
+		return nil, g.noTarget(now, x)
+	case choice.TTFB > limit && !usable && g.localWait(now, x) > 0:
+		return nil, g.noTarget(now, x)
 	case choice.TTFB > limit:
 		return nil, refusal.New(refusal.Overloaded, refusal.NotRun, "expected time to first byte of %s exceeds the limit of %s", choice.TTFB, limit).
 			WithRetry(max(minRetryAfter, choice.TTFB-limit))
@@ -234,8 +237,12 @@
 }
 
 // noTarget returns the refusal of a request for which there is no target. A stream cannot
-// continue any more when the last target with its software has left.
-func (g *Gateway) noTarget(x *requestState) *refusal.Error {
+// continue any more when the last target with its software has left. g.mu must be held.
+func (g *Gateway) noTarget(now time.Duration, x *requestState) *refusal.Error {
+	if wait := g.localWait(now, x); wait > 0 {
+		return refusal.New(refusal.Overloaded, refusal.NotRun, "the targets of service %s take no requests for %s", x.service, wait).
+			WithRetry(max(minRetryAfter, wait))
+	}
 	if x.origin == nil {
 		return refusal.New(refusal.NoTarget, refusal.NotRun, "no target of service %s is available", x.service).WithRetry(stateRetryAfter)
 	}
@@ -394,12 +401,13 @@
 		}
 	}
 	class := g.classify(s, res)
+	g.observe(s, class)
 	if class.NotRun {
 		outcome = placement.Rejected
 		if class.Misdirected && s.attempt != nil {
 			g.eject(s.attempt)
 		}
-		return &attemptError{ran: refusal.NotRun, err: fmt.Errorf("target %s rejected the request with status %d", s.target, res.Status)}
+		return &attemptError{ran: refusal.NotRun, retryAfter: g.availableIn(x), err: fmt.Errorf("target %s rejected the request with status %d", s.target, res.Status)}
 	}
 	if err := x.checkContinuation(s, res, class); err != nil {
 		outcome = placement.Failed
@@ -433,7 +441,7 @@
 func attemptOutcome(ctx context.Context, err error) placement.Outcome {
 	failed, ok := errors.AsType[*attemptError](err)
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || errors.Is(err, errNotAccepted):
 		return placement.Cancelled
 	case ok && failed.unsent:
 		return placement.Unreachable
@@ -446,6 +454,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.placer.Done(now, s.attempt, o)
+	g.closeIfLeaving(s)
 	if o == placement.Served {
 		g.quarantine.RecordServed(now, x.suspectKeys)
 	}
@@ -464,6 +473,9 @@
 	if remaining <= 0 {
 		return nil, &attemptError{ran: refusal.NotRun, unsent: true, err: fmt.Errorf("deadline reached before the request was sent")}
 	}
+	if err := g.checkAccepted(now, s); err != nil {
+		return nil, err
+	}
 	header := x.header.Clone()
 	pool := g.localPool
 	if s.forwarded {
@@ -477,6 +489,7 @@
 		g.TargetProtocol.SetDispatch(header, Dispatch{Target: s.target, Workspace: x.workspaceName(), Remaining: remaining, Urgency: x.urgency, LastEvent: x.lastEvent, CacheSource: s.cacheSource})
 	}
 	x.sends++
+	var unidentified *Classification
 	res, err := pool.Do(ctx, &upstream.Request{Address: s.address, Method: x.request.Method, RequestURI: x.request.RequestURI,
 		Host: x.request.Host, Header: header, Body: x.body, RecentConnOnly: !x.route.Repeatable(),
 		Match: func(status int, h http.Header) upstream.Match {
@@ -484,6 +497,11 @@
 			if s.forwarded && (h.Get(headerRan) != "" || match == upstream.Unidentified) {
 				return upstream.Own // a host answers a request once, and passes on a response without an id
 			}
+			if match == upstream.Unidentified {
+				c := g.TargetProtocol.Classify(status, h)
+				c.NotRun = false // nothing shows which request it rejects
+				unidentified = &c
+			}
 			return match
 		}})
 	switch {
@@ -494,6 +512,9 @@
 		if !s.forwarded {
 			pool.CloseIdle(s.address)
 		}
+		if unidentified != nil {
+			g.observe(s, *unidentified)
+		}
 		return nil, &attemptError{ran: refusal.Unknown, err: err}
 	}
 	if x.unframed = res.Unframed; res.Unframed {
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -45,6 +45,7 @@
 	out := &syncpb.UsageReport{Host: g.Name, Relay: scope == placement.OtherRegions, Detached: g.path.Detached()}
 	g.addSuspects(sinceBoot(), out)
 	if scope == placement.SameRegion {
+		g.addAvailability(sinceBoot(), out)
 		for id, u := range g.placer.OwnUsage() {
 			out.Targets = append(out.Targets, &syncpb.TargetUsage{Target: id, Running: int32(u.Running), Memory: u.MemoryTokens, Unread: int64(u.PrefillTokens)})
 		}
@@ -66,6 +67,7 @@
 	now := sinceBoot()
 	g.placer.SetHostUsage(now, in.GetHost(), usage)
 	g.mergeSuspects(now, in)
+	g.mergeAvailability(now, in)
 	if h := g.hosts[in.GetHost()]; h != nil {
 		g.recordDetached(h, now, in.GetDetached())
 	}
