upstream: failing test for connections that are closed on a silent target

A socket filter drops what arrives at the target, so that its kernel acknowledges nothing for 1.7 s, as with a machine that is stopped for a moment. When the silence begins just before a keep-alive probe is due, the connection is closed: TCP_USER_TIMEOUT of 1.5 s is checked at the second probe and counts from the last segment received, so 1.1 s of silence are enough.

--- /dev/null
+++ b/internal/upstream/silence_test.go
@@ -0,0 +1,135 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"geraniumturn.example/geraniumturn/internal/upstream"
+)
+
+// setDeaf makes the kernel drop, or no longer drop, every segment that arrives on a
+// connection, so that the peer gets no acknowledgements.
+func setDeaf(t *testing.T, c net.Conn, deaf bool) {
+	t.Helper()
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	var setErr error
+	err = raw.Control(func(fd uintptr) {
+		if !deaf {
+			setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+			return
+		}
+		dropAll := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
+		setErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &dropAll})
+	})
+	if err = errors.Join(err, setErr); err != nil {
+		t.Error(err)
+	}
+}
+
+// handle accepts connections and passes each with its first request to a function.
+func handle(t *testing.T, serve func(net.Conn, *bufio.Reader)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// exchange sends a request with a deadline of 5 s and returns the body of the response.
+func exchange(address string, body []byte) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	res, err := upstream.NewPool(time.Second).Do(ctx, &upstream.Request{Address: address, Method: "POST", RequestURI: "/", Host: "h", Header: http.Header{}, Body: body})
+	if err != nil {
+		return "", err
+	}
+	defer res.Close()
+	got, err := io.ReadAll(res)
+	return string(got), err
+}
+
+const wholeResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// Guards against a connection that is closed because its sound target, with its kernel,
+// fell silent for 1.7 s, before the response or within it, at any moment between two
+// keep-alive probes.
+func TestSilentTargetKeepsItsConnection(t *testing.T) {
+	const silence = 1700 * time.Millisecond
+	for name, c := range map[string]struct {
+		sent  int           // bytes of the response before the silence
+		after time.Duration // from there to the silence
+	}{
+		"before the response":                      {0, 0},
+		"before the response, just before a probe": {0, 900 * time.Millisecond},
+		"within the response":                      {len(wholeResponse) - 1, 0},
+		"within the response, just before a probe": {len(wholeResponse) - 1, 900 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address := handle(t, func(conn net.Conn, r *bufio.Reader) {
+				if _, err := http.ReadRequest(r); err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = io.WriteString(conn, wholeResponse[:c.sent])
+				time.Sleep(c.after)
+				setDeaf(t, conn, true)
+				time.Sleep(silence)
+				setDeaf(t, conn, false)
+				_, _ = io.WriteString(conn, wholeResponse[c.sent:])
+				_, _ = r.Peek(1) // until the other side closes
+			})
+			if got, err := exchange(address, nil); err != nil || got != "ok" {
+				t.Errorf("body %q, error %v", got, err)
+			}
+		})
+	}
+}
+
+// Guards against a connection that is closed because its sound target does not read a
+// long body for 1.7 s.
+func TestTargetThatReadsLateKeepsItsConnection(t *testing.T) {
+	address := handle(t, func(conn net.Conn, r *bufio.Reader) {
+		time.Sleep(1700 * time.Millisecond)
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			t.Error(err)
+		}
+		_, _ = io.WriteString(conn, wholeResponse)
+		_, _ = r.Peek(1)
+	})
+	if got, err := exchange(address, make([]byte, 16<<20)); err != nil || got != "ok" {
+		t.Errorf("body %q, error %v", got, err)
+	}
+}
