gateway: give a silent target up only for a destination that takes its stream over

Callers saw streams of resumable routes cut after 1.2 s without an event, although the target was sound and would have gone on.

Cause: relayEvents cancelled the attempt by a timer, and whether another destination could continue the stream (attempts, retry budget, a target with the same software, time) was found out afterwards. When none could, nothing was left but a closed connection.

Now the pause is checked where the response is read. The attempt is given up only when another destination has been chosen and a retry taken from the budget; until then the target is waited for, and the check is repeated every 100 ms. The connection is closed before the other attempt is sent. A pause of this process itself no longer counts: input that has already arrived is read first. Each pause is logged as "target silent".

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/upstream"
@@ -25,17 +27,20 @@
 	// maxEventBytes bounds an event of a resumable stream.
 	maxEventBytes = 1 << 20
 	// streamStallTimeout is the time without an event after which a stream is resumed at
-	// another target. It is below the time after which callers abandon a stream.
+	// another target, if there is one. It is below the time after which callers abandon a
+	// stream.
 	streamStallTimeout = 1200 * time.Millisecond
+	// stallRetryInterval is the time between attempts to find another target.
+	stallRetryInterval = 100 * time.Millisecond
 )
 
 // relay writes the response to the caller.
-func (g *Gateway) relay(ctx context.Context, cancel context.CancelFunc, w http.ResponseWriter, x *requestState, s *sendAttempt, res *upstream.Response, class Classification) error {
+func (g *Gateway) relay(cancel context.CancelFunc, w http.ResponseWriter, x *requestState, s *sendAttempt, res *upstream.Response, class Classification) error {
 	switch {
 	case x.route.Kind != document.Streaming || !class.Success:
 		return g.relayBuffered(w, x, s, res)
 	case x.route.Resumable:
-		return g.relayEvents(ctx, cancel, w, x, s, res)
+		return g.relayEvents(cancel, w, x, s, res)
 	}
 	return g.relayStream(w, x, s, streamBody(x, res), res)
 }
@@ -194,20 +199,37 @@
 
 // relayEvents relays complete events only, so that another target can resume the stream
 // after the last one.
-func (g *Gateway) relayEvents(ctx context.Context, cancel context.CancelFunc, w http.ResponseWriter, x *requestState, s *sendAttempt, res *upstream.Response) error {
-	watchdog := time.AfterFunc(streamStallTimeout, cancel)
-	defer watchdog.Stop()
+func (g *Gateway) relayEvents(cancel context.CancelFunc, w http.ResponseWriter, x *requestState, s *sendAttempt, res *upstream.Response) error {
+	lastEventAt, logged := sinceBoot(), false
+	checkAt := lastEventAt + streamStallTimeout
+	silent := func() (time.Duration, error) {
+		next, err := g.secureRetry(x)
+		if next != nil || !logged {
+			logged = true
+			g.logSilence(x, s, sinceBoot()-lastEventAt, next, err)
+		}
+		if next != nil {
+			x.replacement = next
+			return 0, errSilent
+		}
+		checkAt = sinceBoot() + stallRetryInterval
+		return stallRetryInterval, nil
+	}
 	var pending []byte
 	buffer := make([]byte, copyBufferBytes)
 	for {
+		if err := res.WatchSilence(time.Now().Add(checkAt-sinceBoot()), silent); err != nil {
+			return &attemptError{ran: refusal.Unknown, err: err}
+		}
 		n, err := g.readChunk(s, res, buffer)
 		pending = append(pending, buffer[:n]...)
 		events, incomplete := splitEvents(pending)
 		if len(events) > 0 {
-			watchdog.Reset(streamStallTimeout)
 			if werr := g.writeEvents(w, x, s, res, events); werr != nil {
 				return werr
 			}
+			lastEventAt, logged = sinceBoot(), false
+			checkAt = lastEventAt + streamStallTimeout
 		}
 		pending = incomplete
 		switch {
@@ -231,11 +253,31 @@
 		if err != nil {
 			x.resumes++
 			g.requestMetrics.resumed.Inc(1)
-			return &attemptError{ran: refusal.Unknown, err: err}
+			if x.replacement != nil {
+				cancel() // the target is silent, not broken
+			}
+			return &attemptError{ran: refusal.Unknown, retryTaken: x.replacement != nil, err: err}
 		}
 	}
 }
 
+// errSilent means that a target sent no event for streamStallTimeout and that another one
+// takes over its stream.
+var errSilent = errors.New("gateway: the target is silent")
+
+// logSilence logs what becomes of the stream of a silent target: it continues at next, or
+// it is kept because of err.
+func (g *Gateway) logSilence(x *requestState, s *sendAttempt, silence time.Duration, next *sendAttempt, err error) {
+	fields := logrus.Fields{"id": x.call.ID, "target": s.target, "forward": s.forwarded, "last_event": x.lastEvent, "silent_ms": silence.Milliseconds()}
+	if next != nil {
+		fields["next"] = next.target
+	} else {
+		g.requestMetrics.keptSilent.Inc(1)
+		fields["kept"] = err.Error()
+	}
+	g.Log.WithFields(fields).Info("target silent")
+}
+
 // writeEvents writes the events that the caller has not received yet.
 func (g *Gateway) writeEvents(w http.ResponseWriter, x *requestState, s *sendAttempt, res *upstream.Response, events [][]byte) error {
 	for _, e := range events {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -91,8 +91,16 @@
 func (g *Gateway) run(ctx context.Context, w http.ResponseWriter, x *requestState) error {
 	unsent, rejected := 0, 0
 	var last error
+	defer func() {
+		if x.replacement != nil {
+			g.releaseAttempt(x, x.replacement)
+		}
+	}()
 	for {
-		s, err := g.chooseDestination(x)
+		s, err := x.replacement, error(nil)
+		if x.replacement = nil; s == nil {
+			s, err = g.chooseDestination(x)
+		}
 		if refused, ok := errors.AsType[*refusal.Error](err); ok && g.awaitTarget(ctx, x, refused) {
 			continue
 		}
@@ -164,7 +172,7 @@
 	if failed.unsent {
 		return true
 	}
-	if failed.ran != refusal.NotRun && (!x.route.Repeatable() || x.sends >= max(1, x.route.MaxAttempts)) {
+	if failed.ran != refusal.NotRun && !x.mayRepeat() {
 		return false
 	}
 	g.mu.Lock()
@@ -176,6 +184,53 @@
 	return true
 }
 
+// mayRepeat reports whether the request may run once more.
+func (x *requestState) mayRepeat() bool {
+	return x.route.Repeatable() && x.sends < max(1, x.route.MaxAttempts)
+}
+
+// secureRetry starts another attempt of a request whose target is silent and takes a retry
+// from the budget. It returns an error if the request cannot continue elsewhere.
+func (g *Gateway) secureRetry(x *requestState) (*sendAttempt, error) {
+	if !x.mayRepeat() {
+		return nil, errors.New("no attempt is left")
+	}
+	if x.responseStarted && x.origin == nil {
+		return nil, errors.New("it is not known which software began the stream")
+	}
+	if !g.hasRetry(x) {
+		return nil, errNoRetry
+	}
+	s, err := g.chooseDestination(x)
+	if err != nil {
+		return nil, err
+	}
+	if !g.mayRetry(x, &attemptError{ran: refusal.Unknown}) {
+		g.releaseAttempt(x, s)
+		return nil, errNoRetry
+	}
+	return s, nil
+}
+
+var errNoRetry = errors.New("the retry budget is exhausted")
+
+func (g *Gateway) hasRetry(x *requestState) bool {
+	now := sinceBoot()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.retryBudget(x.service).HasRetry(now, g.retrySlack(now))
+}
+
+// releaseAttempt undoes the choice of a destination to which nothing was sent.
+func (g *Gateway) releaseAttempt(x *requestState, s *sendAttempt) {
+	if s.attempt == nil {
+		delete(x.triedRegions, s.region)
+		return
+	}
+	delete(x.triedTargets, s.target)
+	g.finishAttempt(x, s, placement.Cancelled)
+}
+
 // chooseDestination chooses a target, or a host of another region, for the next
 // attempt, or returns a refusal.
 func (g *Gateway) chooseDestination(x *requestState) (*sendAttempt, error) {
@@ -400,7 +455,7 @@
 			return failed
 		}
 	}
-	if err := g.relay(ctx, cancel, w, x, s, res, class); err != nil {
+	if err := g.relay(cancel, w, x, s, res, class); err != nil {
 		if outcome == placement.Cancelled && ctx.Err() == nil {
 			outcome = placement.Failed
 		}
--- a/internal/shares/window.go
+++ b/internal/shares/window.go
@@ -56,10 +56,16 @@
 // RecordRequest counts the first attempt of a request.
 func (b *RetryBudget) RecordRequest(now time.Duration) { b.requests.Add(now, 1) }
 
+// HasRetry reports whether the budget has a retry left. slack is this host's share of the
+// slack.
+func (b *RetryBudget) HasRetry(now time.Duration, slack float64) bool {
+	return float64(b.retries.Count(now)+1) <= b.ratio*float64(b.requests.Count(now))+slack
+}
+
 // TakeRetry takes one retry from the budget. It returns false if the budget is
 // exhausted. slack is this host's share of the slack.
 func (b *RetryBudget) TakeRetry(now time.Duration, slack float64) bool {
-	if float64(b.retries.Count(now)+1) > b.ratio*float64(b.requests.Count(now))+slack {
+	if !b.HasRetry(now, slack) {
 		return false
 	}
 	b.retries.Add(now, 1)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -199,6 +199,16 @@
 	return n, err
 }
 
+// WatchSilence makes Read call f if nothing arrives until the given time. f returns how
+// much longer to wait, or the error that Read then returns.
+func (o *Response) WatchSilence(until time.Time, f func() (time.Duration, error)) error {
+	o.conn.onSilence = f
+	if err := o.conn.SetReadDeadline(until); err != nil {
+		return fmt.Errorf("%w: %v", ErrBroken, err)
+	}
+	return nil
+}
+
 // Close returns the connection to the pool if the request was written and the response
 // read completely. Otherwise it closes the connection, so that the target stops working
 // on the request.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -59,6 +60,8 @@
 	net.Conn
 	source headLimiter
 	reader *bufio.Reader // reads from source
+	// onSilence is called at the read deadline; nil if there is none.
+	onSilence func() (time.Duration, error)
 	// expires is when the peer may close the idle connection.
 	expires   time.Time
 	idleSince time.Time
@@ -108,7 +111,8 @@
 	if p.OnDial != nil {
 		p.OnDial()
 	}
-	c := &conn{Conn: raw, source: headLimiter{Reader: raw}}
+	c := &conn{Conn: raw}
+	c.source.Reader = c
 	c.reader = bufio.NewReaderSize(&c.source, bufferBytes)
 	return c, nil
 }
@@ -133,12 +137,37 @@
 	return n, err
 }
 
+// Read reads from the connection. It calls onSilence at the read deadline and then waits
+// for the time that onSilence returns.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 || c.onSilence == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if err := c.SetReadDeadline(time.Time{}); err != nil {
+			return 0, err
+		}
+		if !c.socketEmpty() { // this process was paused, not the peer
+			continue
+		}
+		wait, err := c.onSilence()
+		if err != nil {
+			return 0, err
+		}
+		if err := c.SetReadDeadline(time.Now().Add(wait)); err != nil {
+			return 0, err
+		}
+	}
+}
+
 // noInput reports whether nothing has arrived on an idle connection, neither data nor
 // the end of the stream.
-func (c *conn) noInput() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
+func (c *conn) noInput() bool { return c.reader.Buffered() == 0 && c.socketEmpty() }
+
+// socketEmpty reports whether nothing can be read from the socket, neither data nor the
+// end of the stream.
+func (c *conn) socketEmpty() bool {
 	source, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
@@ -160,7 +189,7 @@
 // putIdle adds an idle connection to the pool for the given time.
 func (p *Pool) putIdle(address string, c *conn, idle time.Duration) {
 	now := time.Now()
-	c.idleSince, c.expires = now, now.Add(idle)
+	c.idleSince, c.expires, c.onSilence = now, now.Add(idle), nil
 	if err := c.SetDeadline(time.Time{}); err != nil {
 		_ = c.Close()
 		return
