upstream: no connection is closed by TCP_USER_TIMEOUT while its request may be answered

Callers saw requests refused with "unknown", or streams cut, because the only connection to a sound target was closed after 1.1 to 2 s without an acknowledgement.

Cause: TCP_USER_TIMEOUT of 1.5 s served two purposes, to find connections that are silent for good and to end requests on them. With keep-alive probes every second, Linux compares it at each probe with the time since the peer's last segment, so a silence of 1.1 s that begins just before a probe is enough, whatever the count of probes is.

Now the timeout follows the use of the connection. Idle ones keep 1.5 s: nobody waits for them. A request that must not be repeated, and a response that the caller has begun to receive, keep their connection until the deadline: giving them up sooner only loses the answer.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -162,7 +162,7 @@
 		return metrics.GetOrRegisterCounter("gateway."+name, g.Metrics)
 	}
 	g.requestMetrics = requestMetrics{requests: counter("requests"), served: counter("served"), refused: counter("refused"),
-		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"), keptSilent: counter("silent_streams_kept"),
+		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"), keptSilent: counter("silent_targets_kept"),
 		firstByte: metrics.GetOrRegisterTimer("gateway.first_byte", g.Metrics),
 		total:     metrics.GetOrRegisterTimer("gateway.total", g.Metrics)}
 }
@@ -229,7 +229,7 @@
 	status          int
 	unframed        bool // the latest response from a target has neither a length nor chunks
 	responseStarted bool
-	// replacement is the next attempt of a stream whose target is silent; nil if none.
+	// replacement is the next attempt of a request whose target is silent; nil if none.
 	replacement *sendAttempt
 	lastEvent   string // id of the last event written to the caller
 	// origin is what began the stream; nil before its first event, or if it is unknown.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -91,6 +91,9 @@
 // completed or aborted, and no longer be replaced by a refusal.
 func (g *Gateway) startResponse(w http.ResponseWriter, x *requestState, res *upstream.Response) {
 	x.responseStarted = true
+	if err := res.KeepFor(x.deadline - sinceBoot()); err != nil {
+		g.Log.WithField("id", x.call.ID).WithError(err).Info("connection lost") // reading fails too
+	}
 	for name, values := range g.TargetProtocol.ResponseHeader(res.Header) {
 		w.Header()[name] = values
 	}
@@ -203,17 +206,10 @@
 	lastEventAt, logged := sinceBoot(), false
 	checkAt := lastEventAt + streamStallTimeout
 	silent := func() (time.Duration, error) {
-		next, err := g.secureRetry(x)
-		if next != nil || !logged {
-			logged = true
-			g.logSilence(x, s, sinceBoot()-lastEventAt, next, err)
-		}
-		if next != nil {
-			x.replacement = next
-			return 0, errSilent
-		}
+		err := g.replaceSilent(x, s, sinceBoot()-lastEventAt, !logged)
+		logged = true
 		checkAt = sinceBoot() + stallRetryInterval
-		return stallRetryInterval, nil
+		return stallRetryInterval, err
 	}
 	var pending []byte
 	buffer := make([]byte, copyBufferBytes)
@@ -261,11 +257,39 @@
 	}
 }
 
-// errSilent means that a target sent no event for streamStallTimeout and that another one
-// takes over its stream.
+// errSilent means that a target is silent and that another one takes over its request.
 var errSilent = errors.New("gateway: the target is silent")
 
-// logSilence logs what becomes of the stream of a silent target: it continues at next, or
+// replaceSilent returns errSilent if the request of a silent target can continue at another
+// destination, which it then starts. If not, the target is kept, which is logged if logKept
+// is set.
+func (g *Gateway) replaceSilent(x *requestState, s *sendAttempt, silence time.Duration, logKept bool) error {
+	next, err := g.secureRetry(x)
+	if next != nil || logKept {
+		g.logSilence(x, s, silence, next, err)
+	}
+	if next == nil {
+		return nil
+	}
+	x.replacement = next
+	return errSilent
+}
+
+// replaceUnacked returns the function that is called while a target does not acknowledge a
+// request.
+func (g *Gateway) replaceUnacked(x *requestState, s *sendAttempt) func() error {
+	if !x.mayRepeat() {
+		return nil
+	}
+	sentAt, logged := sinceBoot(), false
+	return func() error {
+		err := g.replaceSilent(x, s, sinceBoot()-sentAt, !logged)
+		logged = true
+		return err
+	}
+}
+
+// logSilence logs what becomes of the request of a silent target: it continues at next, or
 // it is kept because of err.
 func (g *Gateway) logSilence(x *requestState, s *sendAttempt, silence time.Duration, next *sendAttempt, err error) {
 	fields := logrus.Fields{"id": x.call.ID, "target": s.target, "forward": s.forwarded, "last_event": x.lastEvent, "silent_ms": silence.Milliseconds()}
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -3,12 +3,19 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/document"
+	"geraniumturn.example/geraniumturn/internal/gateway"
 	"geraniumturn.example/geraniumturn/internal/registry"
 )
 
@@ -122,3 +129,128 @@
 		t.Error("the first target still works on the stream")
 	}
 }
+
+// quietListener makes the connections of a target drop what arrives, so that they
+// acknowledge nothing, while quiet is set.
+type quietListener struct {
+	net.Listener
+	t     *testing.T
+	mu    sync.Mutex
+	conns []*net.TCPConn
+}
+
+func (l *quietListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if tcp, ok := c.(*net.TCPConn); ok {
+		l.conns = append(l.conns, tcp)
+	}
+	return c, nil
+}
+
+// setQuiet applies to the connections that are open.
+func (l *quietListener) setQuiet(quiet bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		raw, err := c.SyscallConn()
+		if err != nil {
+			continue
+		}
+		dropAll := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
+		var setErr error
+		err = raw.Control(func(fd uintptr) {
+			if quiet {
+				setErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &dropAll})
+			} else {
+				setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+			}
+		})
+		if err == nil && setErr != nil {
+			l.t.Error(setErr)
+		}
+	}
+}
+
+func newQuietTarget(t *testing.T, script ...http.HandlerFunc) (*target, *quietListener) {
+	t.Helper()
+	s := &target{script: script}
+	s.Server = httptest.NewUnstartedServer(s)
+	l := &quietListener{Listener: s.Listener, t: t}
+	s.Server.Listener = l
+	s.Server.Start()
+	t.Cleanup(s.Server.Close)
+	return s, l
+}
+
+// patient is the configuration of the other tests with longer times.
+type patient struct{ protocol }
+
+func (p patient) Decode([]byte) (*document.Document, error) {
+	d := p.testDocument()
+	for i := range d.Routes {
+		d.Routes[i].Timeout, d.Routes[i].FirstByteObjective = 8*time.Second, 4*time.Second
+	}
+	return d, nil
+}
+
+func startPatient(t *testing.T, targets ...*target) *fixture {
+	t.Helper()
+	f := newFixture(t)
+	f.Views = gateway.NewViewStore(patient{})
+	f.update(0, targets...)
+	return f
+}
+
+// Guards against a request that is lost, or answered with a failure, because its only
+// target acknowledges nothing for 1.7 s and then goes on, and against a repeatable one that
+// waits for such a target although another could take it.
+func TestTargetThatAcknowledgesNothingForAWhile(t *testing.T) {
+	for _, path := range []string{"/safe/", "/once/", "/stream/", "/resume/"} {
+		for _, forwarded := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, forwarded %v", path, forwarded), func(t *testing.T) {
+				t.Parallel()
+				s, l := newQuietTarget(t, events(false, 1, 2))
+				f := startPatient(t, s)
+				if forwarded {
+					far := f
+					f = forwardTo(t, far)
+					f.Views = far.Views
+				}
+				for round := range 2 { // the second one finds a kept connection
+					if round == 1 {
+						l.setQuiet(true)
+						time.AfterFunc(1700*time.Millisecond, func() { l.setQuiet(false) })
+					}
+					got := f.call(t, path, "Timeout-Ms", "6000")
+					if got.err != nil || got.status != 200 || !strings.HasSuffix(got.body, "data: 2\n\n") {
+						t.Errorf("round %d: status %d, error %v, body %q", round, got.status, got.err, got.body)
+					}
+				}
+			})
+		}
+	}
+	t.Run("another target", func(t *testing.T) {
+		t.Parallel()
+		s, l := newQuietTarget(t, success)
+		f := startPatient(t, s)
+		if got := f.call(t, "/safe/"); got.status != 200 {
+			t.Fatalf("response %+v", got)
+		}
+		l.setQuiet(true)
+		spare := newTarget(t, success)
+		f.Table.Merge(clock.SinceBoot(), registry.Record{ID: "spare", Sequence: 1, Service: "s", DataCentre: "dc", State: registry.Ready,
+			Address: strings.TrimPrefix(spare.URL, "http://"), Silent: true}) // a last resort
+		f.update(0, s)
+		started := time.Now()
+		got := f.call(t, "/safe/", "Timeout-Ms", "6000")
+		if took := time.Since(started); got.status != 200 || spare.count() != 1 || took > 1800*time.Millisecond {
+			t.Errorf("status %d after %s, %d requests at the other target", got.status, took, spare.count())
+		}
+		l.setQuiet(false)
+	})
+}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -1,5 +1,8 @@
 // Package sockets sets TCP keep-alive and TCP_USER_TIMEOUT, so that a connection whose
-// network path is lost without a reset is closed.
+// network path is lost without a reset is closed. With both, Linux closes a connection at
+// the first probe that is due later than the timeout after the last segment of the peer,
+// whatever keepAliveCount is. A peer may thus be silent for the timeout less one
+// keepAlivePeriod.
 package sockets
 
 import (
@@ -32,6 +35,15 @@
 	return net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: keepAliveCount}
 }
 
+// SetUserTimeout changes the timeout of a connection.
+func SetUserTimeout(conn syscall.Conn, timeout time.Duration) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return userTimeout(timeout)("", "", raw)
+}
+
 // userTimeout returns a function that sets TCP_USER_TIMEOUT on a socket.
 func userTimeout(timeout time.Duration) func(_, _ string, raw syscall.RawConn) error {
 	return func(_, _ string, raw syscall.RawConn) error {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,7 +9,6 @@
 	"net"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -33,10 +32,10 @@
 	idleMargin = 500 * time.Millisecond
 	// maxIdlePerAddress bounds the idle connections to an address.
 	maxIdlePerAddress = 48
-	// ackTimeout closes a connection whose peer does not acknowledge sent data.
-	ackTimeout    = 1500 * time.Millisecond
-	bufferBytes   = 8 << 10
-	sweepInterval = time.Second
+	// idleAckTimeout closes an idle connection whose peer acknowledges nothing.
+	idleAckTimeout = 1500 * time.Millisecond
+	bufferBytes    = 8 << 10
+	sweepInterval  = time.Second
 )
 
 // Pool keeps idle connections by address.
@@ -57,7 +56,7 @@
 }
 
 type conn struct {
-	net.Conn
+	*net.TCPConn
 	source headLimiter
 	reader *bufio.Reader // reads from source
 	// onSilence is called at the read deadline; nil if there is none.
@@ -104,14 +103,18 @@
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.DialTimeout)
 	defer cancel()
-	raw, err := sockets.Dialer(ackTimeout).DialContext(ctx, "tcp", address)
+	dialed, err := sockets.Dialer(idleAckTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
 	}
 	if p.OnDial != nil {
 		p.OnDial()
 	}
-	c := &conn{Conn: raw}
+	raw, ok := dialed.(*net.TCPConn)
+	if !ok {
+		return nil, errors.Join(fmt.Errorf("%w: not a TCP connection: %T", ErrNotSent, dialed), dialed.Close())
+	}
+	c := &conn{TCPConn: raw}
 	c.source.Reader = c
 	c.reader = bufio.NewReaderSize(&c.source, bufferBytes)
 	return c, nil
@@ -138,10 +141,10 @@
 }
 
 // Read reads from the connection. It calls onSilence at the read deadline and then waits
-// for the time that onSilence returns.
+// for the time that onSilence returns, or without a limit if it is 0.
 func (c *conn) Read(b []byte) (int, error) {
 	for {
-		n, err := c.Conn.Read(b)
+		n, err := c.TCPConn.Read(b)
 		if n > 0 || c.onSilence == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
@@ -155,6 +158,9 @@
 		if err != nil {
 			return 0, err
 		}
+		if wait == 0 {
+			continue
+		}
 		if err := c.SetReadDeadline(time.Now().Add(wait)); err != nil {
 			return 0, err
 		}
@@ -168,11 +174,7 @@
 // socketEmpty reports whether nothing can be read from the socket, neither data nor the
 // end of the stream.
 func (c *conn) socketEmpty() bool {
-	source, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := source.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -190,7 +192,7 @@
 func (p *Pool) putIdle(address string, c *conn, idle time.Duration) {
 	now := time.Now()
 	c.idleSince, c.expires, c.onSilence = now, now.Add(idle), nil
-	if err := c.SetDeadline(time.Time{}); err != nil {
+	if err := errors.Join(c.SetDeadline(time.Time{}), c.setAckTimeout(idleAckTimeout)); err != nil {
 		_ = c.Close()
 		return
 	}
