gateway: log how long a request may take

Callers saw streams cut; a line with the outcome "cut" did not tell whether the deadline of the caller or the route was reached or the response was lost before. The line of a request now has limit_ms beside total_ms.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -428,7 +428,7 @@
 	fields := logrus.Fields{"id": x.call.ID, "outcome": outcome, "total_ms": total.Milliseconds()}
 	if x.route != nil {
 		fields["route"], fields["version"] = x.route.Name, x.view.Config.Version
-		fields["config_age_ms"] = x.viewAge.Milliseconds()
+		fields["config_age_ms"], fields["limit_ms"] = x.viewAge.Milliseconds(), (x.deadline - x.started).Milliseconds()
 	}
 	if x.workspace != nil {
 		fields["workspace"] = x.workspace.Name
