upstream: a silent target is not a crashed one at the end of an unframed response

Callers saw whole responses without a length refused, or their streams cut, when the sound target fell silent as the response ended.

Cause: such a response is confirmed by a new connection, and one that was not established within 300 ms counted as refused, that is as a crash. It is the same fault as with silent streams: silence was taken for a failure before anything could replace the response.

Now only a refusal or a reset shows a crash. A silent target is asked again until the deadline, or until a repeatable request has secured another destination.

Measured with go test -race ./internal/gateway ./internal/upstream: pass. TestSilentTargetAtEndOfUnframedResponse failed before in all eight cases, plain and streaming, repeatable and not, local and forwarded, after 0.33 s.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -252,7 +252,7 @@
 			if x.replacement != nil {
 				cancel() // the target is silent, not broken
 			}
-			return &attemptError{ran: refusal.Unknown, retryTaken: x.replacement != nil, err: err}
+			return &attemptError{ran: refusal.Unknown, err: err}
 		}
 	}
 }
@@ -275,9 +275,9 @@
 	return errSilent
 }
 
-// replaceUnacked returns the function that is called while a target does not acknowledge a
-// request.
-func (g *Gateway) replaceUnacked(x *requestState, s *sendAttempt) func() error {
+// onSilence returns the function that is called while the target of an attempt is silent;
+// nil if the request may not be repeated.
+func (g *Gateway) onSilence(x *requestState, s *sendAttempt) func() error {
 	if !x.mayRepeat() {
 		return nil
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -129,7 +129,8 @@
 		if ctx.Err() != nil || x.responseStarted && x.origin == nil {
 			return finalError(x, last, err)
 		}
-		if unsent > maxUnsentAttempts || rejected > maxRejections || !failed.retryTaken && !g.mayRetry(x, failed) {
+		retryTaken := failed.retryTaken || x.replacement != nil
+		if unsent > maxUnsentAttempts || rejected > maxRejections || !retryTaken && !g.mayRetry(x, failed) {
 			return finalError(x, last, err)
 		}
 	}
@@ -517,7 +518,7 @@
 	g.countSend(x, now)
 	res, err := pool.Do(ctx, &upstream.Request{Address: s.address, Method: x.request.Method, RequestURI: x.request.RequestURI,
 		Host: x.request.Host, Header: header, Body: x.body, RecentConnOnly: !x.route.Repeatable(),
-		Repeatable: x.route.Repeatable(), OnUnacked: g.replaceUnacked(x, s),
+		Repeatable: x.route.Repeatable(), OnSilence: g.onSilence(x, s),
 		Matches: func(status int, h http.Header) bool {
 			return s.forwarded && h.Get(headerRan) != "" || g.TargetProtocol.MatchesRequest(x.call.ID, status, h)
 		}})
@@ -529,7 +530,7 @@
 		if !s.forwarded {
 			pool.CloseIdle(s.address)
 		}
-		return nil, &attemptError{ran: refusal.Unknown, retryTaken: x.replacement != nil, err: err}
+		return nil, &attemptError{ran: refusal.Unknown, err: err}
 	}
 	if x.unframed = res.Unframed; res.Unframed {
 		g.requestMetrics.unframed.Inc(1)
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -133,22 +134,20 @@
 // quietListener makes the connections of a target drop what arrives, so that they
 // acknowledge nothing, while quiet is set.
 type quietListener struct {
-	net.Listener
+	*net.TCPListener
 	t     *testing.T
 	mu    sync.Mutex
 	conns []*net.TCPConn
 }
 
 func (l *quietListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	c, err := l.AcceptTCP()
 	if err != nil {
 		return nil, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if tcp, ok := c.(*net.TCPConn); ok {
-		l.conns = append(l.conns, tcp)
-	}
+	l.conns = append(l.conns, c)
 	return c, nil
 }
 
@@ -157,22 +156,28 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.conns {
-		raw, err := c.SyscallConn()
-		if err != nil {
-			continue
-		}
-		dropAll := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
-		var setErr error
-		err = raw.Control(func(fd uintptr) {
-			if quiet {
-				setErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &dropAll})
-			} else {
-				setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
-			}
-		})
-		if err == nil && setErr != nil {
-			l.t.Error(setErr)
+		setQuiet(l.t, c, quiet)
+	}
+}
+
+// setQuiet makes a socket drop, or no longer drop, every segment that arrives.
+func setQuiet(t *testing.T, c syscall.Conn, quiet bool) {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return // closed
+	}
+	dropAll := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
+	var setErr error
+	err = raw.Control(func(fd uintptr) {
+		if quiet {
+			setErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &dropAll})
+		} else {
+			setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
 		}
+	})
+	if err == nil && setErr != nil {
+		t.Error(setErr)
 	}
 }
 
@@ -180,7 +185,18 @@
 	t.Helper()
 	s := &target{script: script}
 	s.Server = httptest.NewUnstartedServer(s)
-	l := &quietListener{Listener: s.Listener, t: t}
+	_ = s.Server.Listener.Close()
+	var config net.ListenConfig
+	config.SetMultipathTCP(false) // sockets with it take no filter
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tcp, ok := listener.(*net.TCPListener)
+	if !ok {
+		t.Fatalf("listener %T", listener)
+	}
+	l := &quietListener{TCPListener: tcp, t: t}
 	s.Server.Listener = l
 	s.Server.Start()
 	t.Cleanup(s.Server.Close)
@@ -254,3 +270,32 @@
 		l.setQuiet(false)
 	})
 }
+
+// Guards against a whole response without a length that counts as broken off, because its
+// target falls silent for 1.7 s as it ends.
+func TestSilentTargetAtEndOfUnframedResponse(t *testing.T) {
+	for _, c := range []struct{ path, contentType, body string }{
+		{"/once/", "text/plain", "whole"}, {"/safe/", "text/plain", "whole"}, {"/stream/", eventStream, twoEvents}, {"/resume/", eventStream, twoEvents},
+	} {
+		for _, forwarded := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, forwarded %v", c.path, forwarded), func(t *testing.T) {
+				t.Parallel()
+				s, l := newQuietTarget(t)
+				s.script = []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
+					setQuiet(t, l.TCPListener, true)
+					time.AfterFunc(1700*time.Millisecond, func() { setQuiet(t, l.TCPListener, false) })
+					unframed(t, c.contentType, c.body)(w, r)
+				}}
+				f := startPatient(t, s)
+				if forwarded {
+					far := f
+					f = forwardTo(t, far)
+					f.Views = far.Views
+				}
+				if got := f.call(t, c.path, "Timeout-Ms", "6000"); got.err != nil || got.status != 200 || got.body != c.body || s.count() != 1 {
+					t.Errorf("response %+v after %d requests", got, s.count())
+				}
+			})
+		}
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -45,9 +46,10 @@
 	RecentConnOnly bool
 	// Repeatable requests can be sent to another target when this one acknowledges nothing.
 	Repeatable bool
-	// OnUnacked is called while the target has not acknowledged the request for a second or
-	// so; nil if it is not needed. An error ends the exchange.
-	OnUnacked func() error
+	// OnSilence is called while the target has not acknowledged the request for a second or
+	// so, and while it does not answer the connection that confirms the end of its response;
+	// nil if it is not needed. An error ends the exchange.
+	OnSilence func() error
 	// Matches reports whether a response belongs to this request. If it is nil, every
 	// response does.
 	Matches func(status int, header http.Header) bool
@@ -114,21 +116,30 @@
 		return nil, fmt.Errorf("%w: %v", ErrBroken, err)
 	}
 	if out.Unframed {
-		out.confirmEnd = func() error { return p.replaceConn(ctx, r.Address, out.keepAliveTime()) }
+		out.confirmEnd = func() error { return p.replaceConn(ctx, r, out.keepAliveTime()) }
 	}
 	return out, nil
 }
 
 // replaceConn opens a connection and adds it to the pool. A response that ends with its
 // connection is followed by a new connection to the same address if the target still
-// runs: a process that has crashed refuses it.
-func (p *Pool) replaceConn(ctx context.Context, address string, idle time.Duration) error {
-	c, err := p.dial(ctx, address)
-	if err != nil {
-		return fmt.Errorf("the response ended with its connection, and the target accepts no other: %v", err)
+// runs: a process that has crashed refuses it. A silent one is asked again.
+func (p *Pool) replaceConn(ctx context.Context, r *Request, idle time.Duration) error {
+	for {
+		c, err := p.dial(ctx, r.Address)
+		if err == nil {
+			p.putIdle(r.Address, c, idle)
+			return nil
+		}
+		if timeout, ok := errors.AsType[net.Error](err); !ok || !timeout.Timeout() || ctx.Err() != nil {
+			return fmt.Errorf("the response ended with its connection, and the target accepts no other: %v", err)
+		}
+		if r.OnSilence != nil {
+			if err := r.OnSilence(); err != nil {
+				return err
+			}
+		}
 	}
-	p.putIdle(address, c, idle)
-	return nil
 }
 
 // encode returns the request as written to the connection. A body always has a
@@ -157,10 +168,10 @@
 
 // awaitHead waits for the headers of the response.
 func (o *Response) awaitHead(r *Request) error {
-	if r.OnUnacked == nil {
+	if r.OnSilence == nil {
 		return o.readHead(r)
 	}
-	if err := o.watchUnacked(r.OnUnacked); err != nil {
+	if err := o.watchUnacked(r.OnSilence); err != nil {
 		return err
 	}
 	err := o.readHead(r)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -105,7 +105,7 @@
 	defer cancel()
 	dialed, err := sockets.Dialer(idleAckTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	if p.OnDial != nil {
 		p.OnDial()
--- a/internal/upstream/silence.go
+++ b/internal/upstream/silence.go
@@ -15,7 +15,7 @@
 	// request and whose peer acknowledges nothing. A sound peer may be silent for a second
 	// or so, and the time counts from its last segment.
 	repeatableAckTimeout = 3 * time.Second
-	// unackedTimeout is how long a request may be unacknowledged before OnUnacked is called.
+	// unackedTimeout is how long a request may be unacknowledged before OnSilence is called.
 	unackedTimeout = 1200 * time.Millisecond
 	// unackedInterval is the time between checks whether a request is acknowledged.
 	unackedInterval = 400 * time.Millisecond
--- a/internal/upstream/silence_test.go
+++ b/internal/upstream/silence_test.go
@@ -189,7 +189,7 @@
 			}
 			time.Sleep(50 * time.Millisecond)
 			started := time.Now()
-			_, err := exchange(p, &upstream.Request{Address: address, Repeatable: true, OnUnacked: func() error { return giveUp }})
+			_, err := exchange(p, &upstream.Request{Address: address, Repeatable: true, OnSilence: func() error { return giveUp }})
 			if took := time.Since(started); errors.Is(err, upstream.ErrBroken) != deaf || took > 2*time.Second {
 				t.Errorf("error %v after %s", err, took)
 			}
