gateway: keep a silent target until its replacement responds

Callers saw streams cut although their sound target went on: the destination that had been secured did not take the stream over. It refused connections, did not accept one, was a host that refused the forward, rejected the request or failed.

Cause: securing another destination meant choosing it. Whether it can be reached was found out after the silent target had been given up.

The retry is taken from the budget when there is a connection.

Evidence: all six cases of TestSilentTargetIsKeptUntilReplacementResponds failed before (stream cut after 1.2 to 1.5 s); they pass. go test -race ./internal/gateway ./internal/upstream: pass.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -11,8 +10,6 @@
 	"strconv"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/upstream"
@@ -35,12 +32,12 @@
 )
 
 // relay writes the response to the caller.
-func (g *Gateway) relay(cancel context.CancelFunc, w http.ResponseWriter, x *requestState, s *sendAttempt, res *upstream.Response, class Classification) error {
+func (g *Gateway) relay(w http.ResponseWriter, x *requestState, s *sendAttempt, res *upstream.Response, class Classification) error {
 	switch {
 	case x.route.Kind != document.Streaming || !class.Success:
 		return g.relayBuffered(w, x, s, res)
 	case x.route.Resumable:
-		return g.relayEvents(cancel, w, x, s, res)
+		return g.relayEvents(w, x, s, res)
 	}
 	return g.relayStream(w, x, s, streamBody(x, res), res)
 }
@@ -202,7 +199,7 @@
 
 // relayEvents relays complete events only, so that another target can resume the stream
 // after the last one.
-func (g *Gateway) relayEvents(cancel context.CancelFunc, w http.ResponseWriter, x *requestState, s *sendAttempt, res *upstream.Response) error {
+func (g *Gateway) relayEvents(w http.ResponseWriter, x *requestState, s *sendAttempt, res *upstream.Response) error {
 	lastEventAt, logged := sinceBoot(), false
 	checkAt := lastEventAt + streamStallTimeout
 	silent := func() (time.Duration, error) {
@@ -250,58 +247,13 @@
 			x.resumes++
 			g.requestMetrics.resumed.Inc(1)
 			if x.replacement != nil {
-				cancel() // the target is silent, not broken
+				s.cancel() // the target is silent, not broken
 			}
 			return &attemptError{ran: refusal.Unknown, err: err}
 		}
 	}
 }
 
-// errSilent means that a target is silent and that another one takes over its request.
-var errSilent = errors.New("gateway: the target is silent")
-
-// replaceSilent returns errSilent if the request of a silent target can continue at another
-// destination, which it then starts. If not, the target is kept, which is logged if logKept
-// is set.
-func (g *Gateway) replaceSilent(x *requestState, s *sendAttempt, silence time.Duration, logKept bool) error {
-	next, err := g.secureRetry(x)
-	if next != nil || logKept {
-		g.logSilence(x, s, silence, next, err)
-	}
-	if next == nil {
-		return nil
-	}
-	x.replacement = next
-	return errSilent
-}
-
-// onSilence returns the function that is called while the target of an attempt is silent;
-// nil if the request may not be repeated.
-func (g *Gateway) onSilence(x *requestState, s *sendAttempt) func() error {
-	if !x.mayRepeat() {
-		return nil
-	}
-	sentAt, logged := sinceBoot(), false
-	return func() error {
-		err := g.replaceSilent(x, s, sinceBoot()-sentAt, !logged)
-		logged = true
-		return err
-	}
-}
-
-// logSilence logs what becomes of the request of a silent target: it continues at next, or
-// it is kept because of err.
-func (g *Gateway) logSilence(x *requestState, s *sendAttempt, silence time.Duration, next *sendAttempt, err error) {
-	fields := logrus.Fields{"id": x.call.ID, "target": s.target, "forward": s.forwarded, "last_event": x.lastEvent, "silent_ms": silence.Milliseconds()}
-	if next != nil {
-		fields["next"] = next.target
-	} else {
-		g.requestMetrics.keptSilent.Inc(1)
-		fields["kept"] = err.Error()
-	}
-	g.Log.WithFields(fields).Info("target silent")
-}
-
 // writeEvents writes the events that the caller has not received yet.
 func (g *Gateway) writeEvents(w http.ResponseWriter, x *requestState, s *sendAttempt, res *upstream.Response, events [][]byte) error {
 	for _, e := range events {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -85,6 +85,13 @@
 	// firstByteSeen is set at the first byte of the response, which came at firstByteAt.
 	firstByteSeen bool
 	firstByteAt   time.Duration
+	// parent is the context of the request and ctx that of the attempt, which cancel ends.
+	parent, ctx context.Context
+	cancel      context.CancelFunc
+	// response is that of an attempt that was sent while the target before it was silent.
+	response *upstream.Response
+	// onConnect is called before the request is sent; nil if it is not needed.
+	onConnect func() error
 }
 
 // run attempts the request until a response was relayed or no retry is allowed.
@@ -93,7 +100,7 @@
 	var last error
 	defer func() {
 		if x.replacement != nil {
-			g.releaseAttempt(x, x.replacement)
+			g.endReplacement(x, x.replacement, placement.Cancelled)
 		}
 	}()
 	for {
@@ -166,8 +173,7 @@
 // mayRetry reports whether a request may be retried. A retry of a request that
 // reached a target is taken from the retry budget.
 func (g *Gateway) mayRetry(x *requestState, failed *attemptError) bool {
-	now := sinceBoot()
-	if x.deadline-now < minRetryTime {
+	if x.deadline-sinceBoot() < minRetryTime {
 		return false
 	}
 	if failed.unsent {
@@ -176,6 +182,12 @@
 	if failed.ran != refusal.NotRun && !x.mayRepeat() {
 		return false
 	}
+	return g.takeRetry(x)
+}
+
+// takeRetry takes a retry from the retry budget.
+func (g *Gateway) takeRetry(x *requestState) bool {
+	now := sinceBoot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.retryBudget(x.service).TakeRetry(now, g.retrySlack(now)) {
@@ -190,48 +202,6 @@
 	return x.route.Repeatable() && x.sends < max(1, x.route.MaxAttempts)
 }
 
-// secureRetry starts another attempt of a request whose target is silent and takes a retry
-// from the budget. It returns an error if the request cannot continue elsewhere.
-func (g *Gateway) secureRetry(x *requestState) (*sendAttempt, error) {
-	if !x.mayRepeat() {
-		return nil, errors.New("no attempt is left")
-	}
-	if x.responseStarted && x.origin == nil {
-		return nil, errors.New("it is not known which software began the stream")
-	}
-	if !g.hasRetry(x) {
-		return nil, errNoRetry
-	}
-	s, err := g.chooseDestination(x)
-	if err != nil {
-		return nil, err
-	}
-	if !g.mayRetry(x, &attemptError{ran: refusal.Unknown}) {
-		g.releaseAttempt(x, s)
-		return nil, errNoRetry
-	}
-	return s, nil
-}
-
-var errNoRetry = errors.New("the retry budget is exhausted")
-
-func (g *Gateway) hasRetry(x *requestState) bool {
-	now := sinceBoot()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.retryBudget(x.service).HasRetry(now, g.retrySlack(now))
-}
-
-// releaseAttempt undoes the choice of a destination to which nothing was sent.
-func (g *Gateway) releaseAttempt(x *requestState, s *sendAttempt) {
-	if s.attempt == nil {
-		delete(x.triedRegions, s.region)
-		return
-	}
-	delete(x.triedTargets, s.target)
-	g.finishAttempt(x, s, placement.Cancelled)
-}
-
 // chooseDestination chooses a target, or a host of another region, for the next
 // attempt, or returns a refusal.
 func (g *Gateway) chooseDestination(x *requestState) (*sendAttempt, error) {
@@ -413,9 +383,13 @@
 
 // attempt sends the request to one destination and relays the response.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, x *requestState, s *sendAttempt) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	res, err := g.dispatch(ctx, x, s)
+	res, err := s.response, error(nil)
+	if res == nil {
+		s.begin(ctx)
+		res, err = g.dispatch(s.ctx, x, s)
+	}
+	ctx = s.ctx
+	defer s.cancel()
 	outcome := placement.Cancelled
 	if s.attempt != nil {
 		defer func() { g.finishAttempt(x, s, outcome) }()
@@ -426,14 +400,9 @@
 		return err
 	}
 	defer res.Close()
-	if s.forwarded {
-		g.recordRemoteLoad(x, s, res.Header)
-		res.Header.Del(headerLoad)
-		s.software, s.softwareKnown = decodeSoftware(res.Header)
-		res.Header.Del(headerSoftware)
-		if refusal.Ran(res.Header.Get(headerRan)) == ranNotAttempted {
-			x.sends--
-			return &attemptError{ran: refusal.NotRun, unsent: true, err: fmt.Errorf("host %s refused the forwarded request", s.target)}
+	if s.forwarded && s.response == nil {
+		if err := g.openForwarded(x, s, res); err != nil {
+			return err
 		}
 	}
 	class := g.classify(s, res)
@@ -456,7 +425,7 @@
 			return failed
 		}
 	}
-	if err := g.relay(cancel, w, x, s, res, class); err != nil {
+	if err := g.relay(w, x, s, res, class); err != nil {
 		if outcome == placement.Cancelled && ctx.Err() == nil {
 			outcome = placement.Failed
 		}
@@ -469,6 +438,26 @@
 	return nil
 }
 
+// begin sets the context of the attempt.
+func (s *sendAttempt) begin(parent context.Context) {
+	s.parent = parent
+	s.ctx, s.cancel = context.WithCancel(parent)
+}
+
+// openForwarded reads what another host reports with its response to a forwarded request.
+// It returns an error if that host sent the request to no target.
+func (g *Gateway) openForwarded(x *requestState, s *sendAttempt, res *upstream.Response) error {
+	g.recordRemoteLoad(x, s, res.Header)
+	res.Header.Del(headerLoad)
+	s.software, s.softwareKnown = decodeSoftware(res.Header)
+	res.Header.Del(headerSoftware)
+	if refusal.Ran(res.Header.Get(headerRan)) == ranNotAttempted {
+		x.sends--
+		return &attemptError{ran: refusal.NotRun, unsent: true, err: fmt.Errorf("host %s refused the forwarded request", s.target)}
+	}
+	return nil
+}
+
 func attemptOutcome(ctx context.Context, err error) placement.Outcome {
 	failed, ok := errors.AsType[*attemptError](err)
 	switch {
@@ -518,7 +507,7 @@
 	g.countSend(x, now)
 	res, err := pool.Do(ctx, &upstream.Request{Address: s.address, Method: x.request.Method, RequestURI: x.request.RequestURI,
 		Host: x.request.Host, Header: header, Body: x.body, RecentConnOnly: !x.route.Repeatable(),
-		Repeatable: x.route.Repeatable(), OnSilence: g.onSilence(x, s),
+		Repeatable: x.route.Repeatable(), OnConnect: s.onConnect, OnSilence: g.onSilence(x, s),
 		Matches: func(status int, h http.Header) bool {
 			return s.forwarded && h.Get(headerRan) != "" || g.TargetProtocol.MatchesRequest(x.call.ID, status, h)
 		}})
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -16,6 +16,8 @@
 
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/document"
+	"geraniumturn.example/geraniumturn/internal/fleetsync"
+	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/gateway"
 	"geraniumturn.example/geraniumturn/internal/registry"
 )
@@ -299,3 +301,45 @@
 		}
 	}
 }
+
+// Guards against a stream that is cut because its silent target was given up for a
+// destination that then does not take the stream over.
+func TestSilentTargetIsKeptUntilReplacementResponds(t *testing.T) {
+	reset := newTarget(t, hangUp)
+	rejects := newTarget(t, reject)
+	fails := newTarget(t, failure)
+	deaf, l := newQuietTarget(t, success)
+	setQuiet(t, l.TCPListener, true)
+	closed := newTarget(t, success)
+	closed.Server.Close()
+	for name, spare := range map[string]*target{"refuses connections": closed, "does not accept connections": deaf, "rejects": rejects, "fails": fails, "closes the connection": reset} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newTarget(t, pausing(false))
+			f := newFixture(t)
+			f.Table.Merge(clock.SinceBoot(), registry.Record{ID: "spare", Sequence: 1, Service: "s", DataCentre: "dc", State: registry.Ready,
+				Address: strings.TrimPrefix(spare.URL, "http://"), Silent: true}) // a last resort
+			f.update(0, s)
+			got := f.call(t, "/resume/", "Timeout-Ms", "4000")
+			if got.err != nil || got.status != 200 || got.body != twoEvents || s.count() != 1 {
+				t.Errorf("status %d, error %v, stream %q", got.status, got.err, got.body)
+			}
+		})
+	}
+	t.Run("host that refuses", func(t *testing.T) {
+		t.Parallel()
+		s := newTarget(t, pausing(false))
+		f := start(t, s)
+		forward := httptest.NewServer(start(t).ForwardHandler()) // without targets
+		t.Cleanup(forward.Close)
+		now := clock.SinceBoot()
+		f.RegionByDataCentre["far"] = "elsewhere"
+		f.Apply(now, fleetsync.Update{SentAt: now, Records: []registry.Record{{ID: "far", Sequence: 1, Service: "s", DataCentre: "far", State: registry.Ready, Address: "127.0.0.1:1"}},
+			ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, Hosts: []*syncpb.EntryHost{
+				{Name: "there", Region: "elsewhere", Forward: strings.TrimPrefix(forward.URL, "http://"), Serving: true, Loads: []*syncpb.Load{{Service: "s", WaitMs: 10}}}}}})
+		got := f.call(t, "/resume/", "Timeout-Ms", "4000")
+		if got.err != nil || got.status != 200 || got.body != twoEvents || s.count() != 1 {
+			t.Errorf("status %d, error %v, stream %q after %d requests", got.status, got.err, got.body, s.count())
+		}
+	})
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -46,6 +46,9 @@
 	RecentConnOnly bool
 	// Repeatable requests can be sent to another target when this one acknowledges nothing.
 	Repeatable bool
+	// OnConnect is called when there is a connection and nothing is sent yet; nil if it is not
+	// needed. An error ends the exchange.
+	OnConnect func() error
 	// OnSilence is called while the target has not acknowledged the request for a second or
 	// so, and while it does not answer the connection that confirms the end of its response;
 	// nil if it is not needed. An error ends the exchange.
@@ -92,6 +95,12 @@
 		_ = c.Close()
 		return nil, fmt.Errorf("%w: %v", ErrNotSent, context.Cause(ctx))
 	}
+	if r.OnConnect != nil {
+		if err := r.OnConnect(); err != nil {
+			_ = c.Close()
+			return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
+		}
+	}
 	if err := c.setRequestTimeout(ctx, r.Repeatable); err != nil {
 		_ = c.Close()
 		return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
