upstream: an abandoned request does not reach its silent target later

Cause: close() leaves what the peer has not acknowledged to the kernel, which sends it until TCP_USER_TIMEOUT. Since that is 3 s or more for a request in progress, instead of 1.5 s, a target that was silent for a second or two still got the request of a closed connection.

Now a connection with unacknowledged data is reset when it is abandoned, which discards the data. One whose request has arrived is closed in order as before: the kernel repeats a FIN until the target has it, but not a reset.

Evidence: TestAbandonedRequestIsNotDelivered failed before ("the target got the request") and passes (three of three). go test -race ./internal/gateway ./internal/upstream: pass.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -106,7 +106,7 @@
 		return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
 	}
 	out := &Response{pool: p, address: r.Address, conn: c, written: make(chan struct{})}
-	out.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
+	out.stopCancel = context.AfterFunc(ctx, func() { _ = c.abandon() })
 	writeFailed := make(chan error, 1)
 	go func() {
 		if _, err := c.Write(r.encode()); err != nil {
@@ -245,13 +245,13 @@
 // on the request.
 func (o *Response) Close() error {
 	if !o.stopCancel() {
-		return o.conn.Close()
+		return o.conn.abandon()
 	}
 	if o.bodyRead && o.reusable && o.wasWritten() && o.conn.reader.Buffered() == 0 {
 		o.pool.putIdle(o.address, o.conn, o.keepAliveTime())
 		return nil
 	}
-	return o.conn.Close()
+	return o.conn.abandon()
 }
 
 // wasWritten reports whether the whole request was written. It waits for writeGrace,
--- a/internal/upstream/silence.go
+++ b/internal/upstream/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -56,6 +57,16 @@
 	return n, ioctlErr
 }
 
+// abandon closes the connection. The kernel would go on sending what is not acknowledged,
+// so that a silent target would get the request later; it is discarded with a reset.
+func (c *conn) abandon() error {
+	var err error
+	if n, unackedErr := c.unacked(); unackedErr == nil && n > 0 { // an error means closed already
+		err = c.SetLinger(0)
+	}
+	return errors.Join(err, c.Close())
+}
+
 // watchUnacked calls f, again and again, while the peer has acknowledged no further part
 // of the request for unackedTimeout. An error of f ends the exchange.
 func (o *Response) watchUnacked(f func() error) error {
--- a/internal/upstream/silence_test.go
+++ b/internal/upstream/silence_test.go
@@ -196,3 +196,33 @@
 		})
 	}
 }
+
+// Guards against a request that reaches its target after it was given up, because the kernel
+// goes on sending what a silent target has not acknowledged.
+func TestAbandonedRequestIsNotDelivered(t *testing.T) {
+	received := make(chan error, 1)
+	address := handle(t, func(conn net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		setDeaf(t, conn, true) // the response acknowledges the request
+		_, _ = io.WriteString(conn, wholeResponse)
+		time.Sleep(time.Second)
+		setDeaf(t, conn, false)
+		_ = conn.SetReadDeadline(time.Now().Add(4 * time.Second))
+		_, err := http.ReadRequest(r)
+		received <- err
+	})
+	p := upstream.NewPool(time.Second)
+	if _, err := exchange(p, &upstream.Request{Address: address}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	if _, err := p.Do(ctx, &upstream.Request{Address: address, Method: "POST", RequestURI: "/", Host: "h", Header: http.Header{}, Repeatable: true}); !errors.Is(err, upstream.ErrBroken) {
+		t.Errorf("error %v, want ErrBroken", err)
+	}
+	if err := <-received; err == nil {
+		t.Error("the target got the request")
+	}
+}
