gateway: move a request from a silent connection although its objective has passed

Callers of repeatable requests on a kept connection that had gone silent for good got an error at their deadline, although another target could have served them.

Cause: the limit for the first byte, a part of the objective, has passed when the silence is found after 1.2 s, so that no destination is accepted. Besides, the first check counted as progress, which delayed the move to 1.6 s.

Now the time in which a target did not acknowledge the request is excused like the start of a host: the objective may be missed by it, the caller's timeout may not.

Evidence: the case "another target, after the objective" of TestTargetThatAcknowledgesNothingForAWhile failed before (504 after 2.0 s, no request at the other target) and passes. go test -race ./internal/gateway ./internal/upstream ./internal/dispatch ./internal/shares ./platform: pass.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -213,6 +213,7 @@
 	suspectKeys      []uint64
 	started          time.Duration
 	startWait        time.Duration // spent waiting for the start of this host
+	silentWait       time.Duration // spent waiting for a target that does not acknowledge the request
 	deadline         time.Duration
 	reservation      *reservation
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -295,10 +295,10 @@
 		return min(x.deadline, x.started+callerTimeout*resumeTimeoutPercent/100) - now
 	}
 	limit := placement.FirstByteLimit(x.route.Priority, x.route.FirstByteObjective, callerTimeout, idleTTFB)
-	if x.startWait > 0 {
-		// The objective may be missed by the wait that the gateway has imposed, but the
-		// caller's timeout may not.
-		limit = min(limit+x.startWait, placement.FirstByteLimit(x.route.Priority, 0, callerTimeout, 0))
+	if wait := x.startWait + x.silentWait; wait > 0 {
+		// The objective may be missed by the wait that the gateway or a silent target has
+		// imposed, but the caller's timeout may not.
+		limit = min(limit+wait, placement.FirstByteLimit(x.route.Priority, 0, callerTimeout, 0))
 	}
 	return limit - (now - x.started)
 }
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -27,9 +27,11 @@
 	if !x.mayRepeat() {
 		return nil
 	}
-	sentAt, logged := sinceBoot(), false
+	sentAt, waited, logged := sinceBoot(), x.silentWait, false
 	return func() error {
-		err := g.replaceSilent(x, s, sinceBoot()-sentAt, !logged)
+		silence := sinceBoot() - sentAt
+		x.silentWait = waited + silence
+		err := g.replaceSilent(x, s, silence, !logged)
 		logged = true
 		return err
 	}
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -252,25 +252,27 @@
 			})
 		}
 	}
-	t.Run("another target", func(t *testing.T) {
-		t.Parallel()
-		s, l := newQuietTarget(t, success)
-		f := startPatient(t, s)
-		if got := f.call(t, "/safe/"); got.status != 200 {
-			t.Fatalf("response %+v", got)
-		}
-		l.setQuiet(true)
-		spare := newTarget(t, success)
-		f.Table.Merge(clock.SinceBoot(), registry.Record{ID: "spare", Sequence: 1, Service: "s", DataCentre: "dc", State: registry.Ready,
-			Address: strings.TrimPrefix(spare.URL, "http://"), Silent: true}) // a last resort
-		f.update(0, s)
-		started := time.Now()
-		got := f.call(t, "/safe/", "Timeout-Ms", "6000")
-		if took := time.Since(started); got.status != 200 || spare.count() != 1 || took > 1800*time.Millisecond {
-			t.Errorf("status %d after %s, %d requests at the other target", got.status, took, spare.count())
-		}
-		l.setQuiet(false)
-	})
+	for name, start := range map[string]func(*testing.T, ...*target) *fixture{"another target": startPatient, "another target, after the objective": start} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, l := newQuietTarget(t, success)
+			f := start(t, s)
+			if got := f.call(t, "/safe/"); got.status != 200 {
+				t.Fatalf("response %+v", got)
+			}
+			l.setQuiet(true)
+			spare := newTarget(t, success)
+			f.Table.Merge(clock.SinceBoot(), registry.Record{ID: "spare", Sequence: 1, Service: "s", DataCentre: "dc", State: registry.Ready,
+				Address: strings.TrimPrefix(spare.URL, "http://"), Silent: true}) // a last resort
+			f.update(0, s)
+			started := time.Now()
+			got := f.call(t, "/safe/", "Timeout-Ms", "6000")
+			if took := time.Since(started); got.status != 200 || spare.count() != 1 || took > 1800*time.Millisecond {
+				t.Errorf("status %d after %s, %d requests at the other target", got.status, took, spare.count())
+			}
+			l.setQuiet(false)
+		})
+	}
 }
 
 // Guards against a whole response without a length that counts as broken off, because its
--- a/internal/upstream/silence.go
+++ b/internal/upstream/silence.go
@@ -70,7 +70,7 @@
 // watchUnacked calls f, again and again, while the peer has acknowledged no further part
 // of the request for unackedTimeout. An error of f ends the exchange.
 func (o *Response) watchUnacked(f func() error) error {
-	last, progressAt := 0, time.Now()
+	last, progressAt := -1, time.Now()
 	return o.WatchSilence(progressAt.Add(unackedInterval), func() (time.Duration, error) {
 		n, err := o.conn.unacked()
 		if err != nil {
@@ -79,9 +79,10 @@
 		if n == 0 && isClosed(o.written) { // keep-alive probes check the peer from now on
 			return 0, nil
 		}
-		if n != last {
-			last, progressAt = n, time.Now()
+		if last >= 0 && n != last {
+			progressAt = time.Now()
 		}
+		last = n
 		if time.Since(progressAt) >= unackedTimeout {
 			err = f()
 		}
