gateway: a failed replacement of a silent target may have run the request

Callers could be told "not run" for a request that a target may have run: one target did not acknowledge it, another one received it and closed its connection, then the first one woke up and rejected it.

Cause: the outcome of a replacement that does not take the request over did not enter what is known about its execution. Only repeatable requests are replaced, so none ran twice that must not.

--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -119,6 +119,9 @@
 	}
 	if failed, ok := errors.AsType[*attemptError](err); ok {
 		g.logAttempt(x, next, failed)
+		if failed.ran == refusal.Unknown {
+			x.ran = refusal.Unknown
+		}
 	}
 	g.endReplacement(x, next, outcome)
 	if x.replacement != nil { // next was silent, too
