--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -143,9 +143,9 @@
 }
 
 type requestMetrics struct {
-	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed, detached metrics.Counter
-	firstByte, total                                                                                metrics.Timer
-	leftOut                                                                                         map[placement.Cause]metrics.Counter
+	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed, keptSilent, detached metrics.Counter
+	firstByte, total                                                                                            metrics.Timer
+	leftOut                                                                                                     map[placement.Cause]metrics.Counter
 }
 
 // Init prepares the gateway after its fields are set. prefillSpeed is the prefill speed
@@ -167,7 +167,7 @@
 		return metrics.GetOrRegisterCounter("gateway."+name, g.Metrics)
 	}
 	g.requestMetrics = requestMetrics{requests: counter("requests"), served: counter("served"), refused: counter("refused"),
-		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"), detached: counter("detached"),
+		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"), keptSilent: counter("silent_targets_kept"), detached: counter("detached"),
 		leftOut: map[placement.Cause]metrics.Counter{placement.CauseLeaving: counter("targets_leaving"), placement.CausePause: counter("targets_paused"),
 			placement.CauseRejection: counter("brittle_rejections")},
 		firstByte: metrics.GetOrRegisterTimer("gateway.first_byte", g.Metrics),
@@ -220,6 +220,7 @@
 	suspectKeys      []uint64
 	started          time.Duration
 	hostWait         time.Duration // spent waiting for the start of this host, or for connections that failed
+	silentWait       time.Duration // spent waiting for a target that does not acknowledge the request
 	deadline         time.Duration
 	reservation      *reservation
 
@@ -236,9 +237,11 @@
 	status          int
 	unframed        bool // the latest response from a target has neither a length nor chunks
 	responseStarted bool
-	form            responseForm // of the started response
-	lastEvent       string       // id of the last event written to the caller
-	unnumbered      bool         // an event with data but without id was written
+	// replacement is the next attempt of a request whose target is silent; nil if none.
+	replacement *sendAttempt
+	form        responseForm // of the started response
+	lastEvent   string       // id of the last event written to the caller
+	unnumbered  bool         // an event with data but without id was written
 	// origin is what began the stream; nil before its first event, or if it is unknown.
 	origin *origins.Origin
 	// originSource is how the origin of a stream that its caller resumes was found, or "".
@@ -435,7 +438,7 @@
 	fields := logrus.Fields{"id": x.call.ID, "outcome": outcome, "total_ms": total.Milliseconds()}
 	if x.route != nil {
 		fields["route"], fields["version"] = x.route.Name, x.view.Config.Version
-		fields["config_age_ms"] = x.viewAge.Milliseconds()
+		fields["config_age_ms"], fields["limit_ms"] = x.viewAge.Milliseconds(), (x.deadline - x.started).Milliseconds()
 	}
 	if x.workspace != nil {
 		fields["workspace"] = x.workspace.Name
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -25,17 +24,20 @@
 	// maxEventBytes bounds an event of a resumable stream.
 	maxEventBytes = 1 << 20
 	// streamStallTimeout is the time without an event after which a stream is resumed at
-	// another target. It is below the time after which callers abandon a stream.
+	// another target, if there is one. It is below the time after which callers abandon a
+	// stream.
 	streamStallTimeout = 1200 * time.Millisecond
+	// stallRetryInterval is the time between attempts to find another target.
+	stallRetryInterval = 100 * time.Millisecond
 )
 
 // relay writes the response to the caller.
-func (g *Gateway) relay(ctx context.Context, cancel context.CancelFunc, w http.ResponseWriter, x *requestState, s *sendAttempt, res *upstream.Response, class Classification) error {
+func (g *Gateway) relay(w http.ResponseWriter, x *requestState, s *sendAttempt, res *upstream.Response, class Classification) error {
 	switch {
 	case x.route.Kind != document.Streaming || !class.Success:
 		return g.relayBuffered(w, x, s, res)
 	case x.route.Resumable:
-		return g.relayEvents(ctx, cancel, w, x, s, res)
+		return g.relayEvents(w, x, s, res)
 	}
 	return g.relayStream(w, x, s, streamBody(x, res), res)
 }
@@ -108,6 +110,9 @@
 // completed or aborted, and no longer be replaced by a refusal.
 func (g *Gateway) startResponse(w http.ResponseWriter, x *requestState, res *upstream.Response) {
 	x.responseStarted, x.form = true, formOf(res)
+	if err := res.KeepFor(x.deadline - sinceBoot()); err != nil {
+		g.Log.WithField("id", x.call.ID).WithError(err).Info("connection lost") // reading fails too
+	}
 	for name, values := range g.TargetProtocol.ResponseHeader(res.Header) {
 		w.Header()[name] = values
 	}
@@ -216,20 +221,30 @@
 
 // relayEvents relays complete events only, so that another target can resume the stream
 // after the last one.
-func (g *Gateway) relayEvents(ctx context.Context, cancel context.CancelFunc, w http.ResponseWriter, x *requestState, s *sendAttempt, res *upstream.Response) error {
-	watchdog := time.AfterFunc(streamStallTimeout, cancel)
-	defer watchdog.Stop()
+func (g *Gateway) relayEvents(w http.ResponseWriter, x *requestState, s *sendAttempt, res *upstream.Response) error {
+	lastEventAt, logged := sinceBoot(), false
+	checkAt := lastEventAt + streamStallTimeout
+	silent := func() (time.Duration, error) {
+		err := g.replaceSilent(x, s, sinceBoot()-lastEventAt, !logged)
+		logged = true
+		checkAt = sinceBoot() + stallRetryInterval
+		return stallRetryInterval, err
+	}
 	var pending []byte
 	buffer := make([]byte, copyBufferBytes)
 	for {
+		if err := res.WatchSilence(time.Now().Add(checkAt-sinceBoot()), silent); err != nil {
+			return &attemptError{ran: refusal.Unknown, err: err}
+		}
 		n, err := g.readChunk(s, res, buffer)
 		pending = append(pending, buffer[:n]...)
 		events, incomplete := splitEvents(pending)
 		if len(events) > 0 {
-			watchdog.Reset(streamStallTimeout)
 			if werr := g.writeEvents(w, x, s, res, events); werr != nil {
 				return werr
 			}
+			lastEventAt, logged = sinceBoot(), false
+			checkAt = lastEventAt + streamStallTimeout
 		}
 		pending = incomplete
 		switch {
@@ -253,6 +268,9 @@
 		if err != nil {
 			x.resumes++
 			g.requestMetrics.resumed.Inc(1)
+			if x.replacement != nil {
+				s.cancel() // the target is silent, not broken
+			}
 			return &attemptError{ran: refusal.Unknown, err: err}
 		}
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -86,6 +86,13 @@
 	// firstByteSeen is set at the first byte of the response, which came at firstByteAt.
 	firstByteSeen bool
 	firstByteAt   time.Duration
+	// parent is the context of the request and ctx that of the attempt, which cancel ends.
+	parent, ctx context.Context
+	cancel      context.CancelFunc
+	// response is that of an attempt that was sent while the target before it was silent.
+	response *upstream.Response
+	// onConnect is called before the request is sent; nil if it is not needed.
+	onConnect func() error
 }
 
 // run attempts the request until a response was relayed or no retry is allowed.
@@ -93,8 +100,16 @@
 	g.recordRequest(x)
 	unsent, rejected := 0, 0
 	var last error
+	defer func() {
+		if x.replacement != nil {
+			g.endReplacement(x, x.replacement, placement.Cancelled)
+		}
+	}()
 	for {
-		s, err := g.chooseDestination(x)
+		s, err := x.replacement, error(nil)
+		if x.replacement = nil; s == nil {
+			s, err = g.chooseDestination(x)
+		}
 		if refused, ok := errors.AsType[*refusal.Error](err); ok && g.awaitTarget(ctx, x, refused) {
 			continue
 		}
@@ -125,7 +140,8 @@
 		if ctx.Err() != nil || x.responseStarted && !x.continuable() {
 			return finalError(x, last, err)
 		}
-		if unsent > maxUnsentAttempts || rejected > maxRejections || !failed.retryTaken && !g.mayRetry(x, failed) {
+		retryTaken := failed.retryTaken || x.replacement != nil
+		if unsent > maxUnsentAttempts || rejected > maxRejections || !retryTaken && !g.mayRetry(x, failed) {
 			return finalError(x, last, err)
 		}
 	}
@@ -161,16 +177,21 @@
 // mayRetry reports whether a request may be retried. A retry of a request that
 // reached a target is taken from the retry budget.
 func (g *Gateway) mayRetry(x *requestState, failed *attemptError) bool {
-	now := sinceBoot()
-	if x.deadline-now < minRetryTime {
+	if x.deadline-sinceBoot() < minRetryTime {
 		return false
 	}
 	if failed.unsent {
 		return true
 	}
-	if failed.ran != refusal.NotRun && (!x.route.Repeatable() || x.sends >= max(1, x.route.MaxAttempts)) {
+	if failed.ran != refusal.NotRun && !x.mayRepeat() {
 		return false
 	}
+	return g.takeRetry(x)
+}
+
+// takeRetry takes a retry from the retry budget.
+func (g *Gateway) takeRetry(x *requestState) bool {
+	now := sinceBoot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.retryBudget(x.service).TakeRetry(now, g.countHosts(now)) {
@@ -180,6 +201,11 @@
 	return true
 }
 
+// mayRepeat reports whether the request may run once more.
+func (x *requestState) mayRepeat() bool {
+	return x.route.Repeatable() && x.sends < max(1, x.route.MaxAttempts)
+}
+
 // chooseDestination chooses a target, or a host of another region, for the next
 // attempt, or returns a refusal.
 func (g *Gateway) chooseDestination(x *requestState) (*sendAttempt, error) {
@@ -282,10 +308,10 @@
 		return min(x.deadline, x.started+callerTimeout*resumeTimeoutPercent/100) - now
 	}
 	limit := placement.FirstByteLimit(x.route.Priority, x.route.FirstByteObjective, callerTimeout, idleTTFB)
-	if x.hostWait > 0 {
-		// The objective may be missed by the wait that the gateway has imposed, but the
-		// caller's timeout may not.
-		limit = min(limit+x.hostWait, placement.FirstByteLimit(x.route.Priority, 0, callerTimeout, 0))
+	if wait := x.hostWait + x.silentWait; wait > 0 {
+		// The objective may be missed by the wait that the gateway or a silent target has
+		// imposed, but the caller's timeout may not.
+		limit = min(limit+wait, placement.FirstByteLimit(x.route.Priority, 0, callerTimeout, 0))
 	}
 	return limit - (now - x.started)
 }
@@ -374,9 +400,13 @@
 
 // attempt sends the request to one destination and relays the response.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, x *requestState, s *sendAttempt) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	res, err := g.dispatch(ctx, x, s)
+	res, err := s.response, error(nil)
+	if res == nil {
+		s.begin(ctx)
+		res, err = g.dispatch(s.ctx, x, s)
+	}
+	ctx = s.ctx
+	defer s.cancel()
 	outcome := placement.Cancelled
 	if s.attempt != nil {
 		defer func() { g.finishAttempt(x, s, outcome) }()
@@ -387,17 +417,9 @@
 		return err
 	}
 	defer res.Close()
-	if s.forwarded {
-		g.recordRemoteLoad(x, s, res.Header)
-		res.Header.Del(headerLoad)
-		s.software, s.softwareKnown = decodeSoftware(res.Header)
-		res.Header.Del(headerSoftware)
-		if refusal.Ran(res.Header.Get(headerRan)) == ranNotAttempted {
-			x.sends--
-			if res.Header.Get(headerDetached) != "" {
-				g.recordDetachedHost(x, s)
-			}
-			return &attemptError{ran: refusal.NotRun, unsent: true, err: fmt.Errorf("host %s refused the forwarded request", s.target)}
+	if s.forwarded && s.response == nil {
+		if err := g.openForwarded(x, s, res); err != nil {
+			return err
 		}
 	}
 	class := g.classify(s, res)
@@ -425,7 +447,7 @@
 			return failed
 		}
 	}
-	if err := g.relay(ctx, cancel, w, x, s, res, class); err != nil {
+	if err := g.relay(w, x, s, res, class); err != nil {
 		if outcome == placement.Cancelled && ctx.Err() == nil {
 			outcome = placement.Failed
 		}
@@ -438,6 +460,29 @@
 	return nil
 }
 
+// begin sets the context of the attempt.
+func (s *sendAttempt) begin(parent context.Context) {
+	s.parent = parent
+	s.ctx, s.cancel = context.WithCancel(parent)
+}
+
+// openForwarded reads what another host reports with its response to a forwarded request.
+// It returns an error if that host sent the request to no target.
+func (g *Gateway) openForwarded(x *requestState, s *sendAttempt, res *upstream.Response) error {
+	g.recordRemoteLoad(x, s, res.Header)
+	res.Header.Del(headerLoad)
+	s.software, s.softwareKnown = decodeSoftware(res.Header)
+	res.Header.Del(headerSoftware)
+	if refusal.Ran(res.Header.Get(headerRan)) == ranNotAttempted {
+		x.sends--
+		if res.Header.Get(headerDetached) != "" {
+			g.recordDetachedHost(x, s)
+		}
+		return &attemptError{ran: refusal.NotRun, unsent: true, err: fmt.Errorf("host %s refused the forwarded request", s.target)}
+	}
+	return nil
+}
+
 func attemptOutcome(ctx context.Context, err error) placement.Outcome {
 	failed, ok := errors.AsType[*attemptError](err)
 	switch {
@@ -492,6 +537,7 @@
 	var unidentified *Classification
 	res, err := pool.Do(ctx, &upstream.Request{Address: s.address, Method: x.request.Method, RequestURI: x.request.RequestURI,
 		Host: x.request.Host, Header: header, Body: x.body, RecentConnOnly: !x.route.Repeatable(),
+		Repeatable: x.route.Repeatable(), OnConnect: s.onConnect, OnSilence: g.onSilence(x, s),
 		Match: func(status int, h http.Header) upstream.Match {
 			match := g.TargetProtocol.MatchRequest(x.call.ID, status, h)
 			if s.forwarded && (h.Get(headerRan) != "" || match == upstream.Unidentified) {
--- a/internal/shares/window.go
+++ b/internal/shares/window.go
@@ -72,10 +72,16 @@
 // hosts, however often it is sent.
 func (b *RetryBudget) RecordRequest(now time.Duration) { b.requests.Add(now, 1) }
 
+// HasRetry reports whether the budget has a retry left. hosts is the number of hosts that
+// divide the slack, or 0 if it is unknown.
+func (b *RetryBudget) HasRetry(now time.Duration, hosts int) bool {
+	return float64(b.retries.Count(now)+1) <= b.ratio*float64(b.requests.Count(now))+b.slackShare(now, hosts)
+}
+
 // TakeRetry takes one retry from the budget. It returns false if the budget is
-// exhausted. hosts is the number of hosts that divide the slack, or 0 if it is unknown.
+// exhausted.
 func (b *RetryBudget) TakeRetry(now time.Duration, hosts int) bool {
-	if float64(b.retries.Count(now)+1) > b.ratio*float64(b.requests.Count(now))+b.slackShare(now, hosts) {
+	if !b.HasRetry(now, hosts) {
 		return false
 	}
 	b.retries.Add(now, 1)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -43,6 +44,15 @@
 	// RecentConnOnly restricts reuse to connections that were used recently. If an older
 	// connection breaks, it is unknown whether the request ran.
 	RecentConnOnly bool
+	// Repeatable requests can be sent to another target when this one acknowledges nothing.
+	Repeatable bool
+	// OnConnect is called when there is a connection and nothing is sent yet; nil if it is not
+	// needed. An error ends the exchange.
+	OnConnect func() error
+	// OnSilence is called while the target has not acknowledged the request for a second or
+	// so, and while it does not answer the connection that confirms the end of its response;
+	// nil if it is not needed. An error ends the exchange.
+	OnSilence func() error
 	// Match tells which request a response belongs to. If it is nil, every response
 	// belongs to this one.
 	Match func(status int, header http.Header) Match
@@ -99,8 +109,18 @@
 		_ = c.Close()
 		return nil, fmt.Errorf("%w: %v", ErrNotSent, context.Cause(ctx))
 	}
+	if r.OnConnect != nil {
+		if err := r.OnConnect(); err != nil {
+			_ = c.Close()
+			return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
+		}
+	}
+	if err := c.setRequestTimeout(ctx, r.Repeatable); err != nil {
+		_ = c.Close()
+		return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
+	}
 	out := &Response{pool: p, address: r.Address, conn: c, written: make(chan struct{})}
-	out.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
+	out.stopCancel = context.AfterFunc(ctx, func() { _ = c.abandon() })
 	writeFailed := make(chan error, 1)
 	go func() {
 		if _, err := c.Write(r.encode()); err != nil {
@@ -109,7 +129,7 @@
 		}
 		close(out.written)
 	}()
-	if err := out.readHead(r); err != nil {
+	if err := out.awaitHead(r); err != nil {
 		_ = out.Close()
 		select {
 		case writeErr := <-writeFailed:
@@ -119,21 +139,30 @@
 		return nil, fmt.Errorf("%w: %v", ErrBroken, err)
 	}
 	if out.Unframed {
-		out.confirmEnd = func() error { return p.replaceConn(ctx, r.Address, out.keepAliveTime()) }
+		out.confirmEnd = func() error { return p.replaceConn(ctx, r, out.keepAliveTime()) }
 	}
 	return out, nil
 }
 
 // replaceConn opens a connection and adds it to the pool. A response that ends with its
 // connection is followed by a new connection to the same address if the target still
-// runs: a process that has crashed refuses it.
-func (p *Pool) replaceConn(ctx context.Context, address string, idle time.Duration) error {
-	c, err := p.dial(ctx, address)
-	if err != nil {
-		return fmt.Errorf("the response ended with its connection, and the target accepts no other: %v", err)
+// runs: a process that has crashed refuses it. A silent one is asked again.
+func (p *Pool) replaceConn(ctx context.Context, r *Request, idle time.Duration) error {
+	for {
+		c, err := p.dial(ctx, r.Address)
+		if err == nil {
+			p.putIdle(r.Address, c, idle)
+			return nil
+		}
+		if timeout, ok := errors.AsType[net.Error](err); !ok || !timeout.Timeout() || ctx.Err() != nil {
+			return fmt.Errorf("the response ended with its connection, and the target accepts no other: %v", err)
+		}
+		if r.OnSilence != nil {
+			if err := r.OnSilence(); err != nil {
+				return err
+			}
+		}
 	}
-	p.putIdle(address, c, idle)
-	return nil
 }
 
 // encode returns the request as written to the connection. A body always has a
@@ -160,6 +189,18 @@
 	return b.Bytes()
 }
 
+// awaitHead waits for the headers of the response.
+func (o *Response) awaitHead(r *Request) error {
+	if r.OnSilence == nil {
+		return o.readHead(r)
+	}
+	if err := o.watchUnacked(r.OnSilence); err != nil {
+		return err
+	}
+	err := o.readHead(r)
+	return errors.Join(err, o.WatchSilence(time.Time{}, nil))
+}
+
 // readHead reads response headers until a response belongs to the request. It skips
 // interim responses and up to maxForeignResponses responses to other requests.
 func (o *Response) readHead(r *Request) error {
@@ -225,14 +266,14 @@
 // on the request.
 func (o *Response) Close() error {
 	if !o.stopCancel() {
-		return o.conn.Close()
+		return o.conn.abandon()
 	}
 	o.conn.used = true
 	if o.bodyRead && o.reusable && o.wasWritten() && o.conn.reader.Buffered() == 0 {
 		o.pool.putIdle(o.address, o.conn, o.keepAliveTime())
 		return nil
 	}
-	return o.conn.Close()
+	return o.conn.abandon()
 }
 
 // wasWritten reports whether the whole request was written. It waits for writeGrace,
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,8 +7,8 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -32,10 +32,10 @@
 	idleMargin = 500 * time.Millisecond
 	// maxIdlePerAddress bounds the idle connections to an address.
 	maxIdlePerAddress = 48
-	// ackTimeout closes a connection whose peer does not acknowledge sent data.
-	ackTimeout    = 1500 * time.Millisecond
-	bufferBytes   = 8 << 10
-	sweepInterval = time.Second
+	// idleAckTimeout closes an idle connection whose peer acknowledges nothing.
+	idleAckTimeout = 1500 * time.Millisecond
+	bufferBytes    = 8 << 10
+	sweepInterval  = time.Second
 )
 
 // Pool keeps idle connections by address.
@@ -57,10 +57,12 @@
 }
 
 type conn struct {
-	net.Conn
+	*net.TCPConn
 	source headLimiter
 	reader *bufio.Reader // reads from source
 	used   bool          // a request was sent on the connection before
+	// onSilence is called at the read deadline; nil if there is none.
+	onSilence func() (time.Duration, error)
 	// expires is when the peer may close the idle connection.
 	expires   time.Time
 	idleSince time.Time
@@ -103,14 +105,19 @@
 func (p *Pool) dial(caller context.Context, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(caller, p.DialTimeout)
 	defer cancel()
-	raw, err := sockets.Dialer(ackTimeout).DialContext(ctx, "tcp", address)
+	dialed, err := sockets.Dialer(idleAckTimeout).DialContext(ctx, "tcp", address)
 	if p.OnDial != nil && (err == nil || caller.Err() == nil) {
 		p.OnDial(address, err)
 	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	c := &conn{Conn: raw, source: headLimiter{Reader: raw}}
+	raw, ok := dialed.(*net.TCPConn)
+	if !ok {
+		return nil, errors.Join(fmt.Errorf("%w: not a TCP connection: %T", ErrNotSent, dialed), dialed.Close())
+	}
+	c := &conn{TCPConn: raw}
+	c.source.Reader = c
 	c.reader = bufio.NewReaderSize(&c.source, bufferBytes)
 	return c, nil
 }
@@ -135,17 +142,41 @@
 	return n, err
 }
 
+// Read reads from the connection. It calls onSilence at the read deadline and then waits
+// for the time that onSilence returns, or without a limit if it is 0.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.TCPConn.Read(b)
+		if n > 0 || c.onSilence == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if err := c.SetReadDeadline(time.Time{}); err != nil {
+			return 0, err
+		}
+		if !c.socketEmpty() { // this process was paused, not the peer
+			continue
+		}
+		wait, err := c.onSilence()
+		if err != nil {
+			return 0, err
+		}
+		if wait == 0 {
+			continue
+		}
+		if err := c.SetReadDeadline(time.Now().Add(wait)); err != nil {
+			return 0, err
+		}
+	}
+}
+
 // noInput reports whether nothing has arrived on an idle connection, neither data nor
 // the end of the stream.
-func (c *conn) noInput() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	source, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := source.SyscallConn()
+func (c *conn) noInput() bool { return c.reader.Buffered() == 0 && c.socketEmpty() }
+
+// socketEmpty reports whether nothing can be read from the socket, neither data nor the
+// end of the stream.
+func (c *conn) socketEmpty() bool {
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -172,8 +203,8 @@
 // putIdle adds an idle connection to the pool for the given time.
 func (p *Pool) putIdle(address string, c *conn, idle time.Duration) {
 	now := time.Now()
-	c.idleSince, c.expires = now, now.Add(idle)
-	if err := c.SetDeadline(time.Time{}); err != nil {
+	c.idleSince, c.expires, c.onSilence = now, now.Add(idle), nil
+	if err := errors.Join(c.SetDeadline(time.Time{}), c.setAckTimeout(idleAckTimeout)); err != nil {
 		_ = c.Close()
 		return
 	}
