gateway: a host of the region that is down does not exclude the others

What callers saw: a detached host refused requests with no_target, or let them wait to their deadline, although another host of its region served.

Cause: a forwarded request marks its region as tried. That is right for another region, where the way has probably failed for all hosts, but in the own region one host that is down took all the others out of the choice.

Evidence: TestDetachedHostTriesAnotherPeer failed before with 504 and 503 for each request whose id falls on the host that is down.

The host is now excluded by its name, for this request only.

--- a/internal/gateway/detached_test.go
+++ b/internal/gateway/detached_test.go
@@ -305,3 +305,20 @@
 		t.Errorf("%d requests at the peer and %d in the other region", n, far.count()-atFar)
 	}
 }
+
+// Guards against callers of a detached host that are refused because another host of the
+// region is down, although a third one serves.
+func TestDetachedHostTriesAnotherPeer(t *testing.T) {
+	s := newTarget(t, success)
+	f := detachedHost(t, refusingAddress)
+	f.announceHost(t, "peer", "here", start(t, s, s, s, s))
+	f.warmUp(t)
+	now := clock.SinceBoot()
+	f.Apply(now, fleetsync.Update{SentAt: now, ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, Hosts: []*syncpb.EntryHost{
+		{Name: "down", Region: "here", Forward: refusingAddress(t), Serving: true}}}})
+	for i := range 12 {
+		if got := f.call(t, "/once/", "Id", fmt.Sprint("i", i)); got.status != 200 {
+			t.Errorf("request %d: status %d, %s", i, got.status, got.header.Get("Code"))
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -222,7 +222,7 @@
 
 	sends           int // attempts that were sent to a target
 	triedTargets    map[string]bool
-	triedRegions    map[string]bool // other regions that the request was forwarded to
+	triedRegions    map[string]bool // regions that the request was forwarded to
 	ran             refusal.Ran
 	target          string
 	software        string // of the latest target in this region
@@ -239,6 +239,8 @@
 	// originSource is how the origin of a stream that its caller resumes was found, or "".
 	originSource string
 	lastEventAt  time.Duration
+	// unreachablePeers are the hosts of this region to which no connection was opened.
+	unreachablePeers map[string]bool
 }
 
 // ServeHTTP serves a caller's request.
--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -178,3 +178,17 @@
 		g.recordDetached(h, sinceBoot(), true)
 	}
 }
+
+// recordUnreachablePeer excludes a host of this region, to which no connection was opened,
+// from further attempts of the request. Other hosts of the region may still serve it. In
+// another region they are not tried, because the way there has probably failed.
+func (g *Gateway) recordUnreachablePeer(x *requestState, s *sendAttempt) {
+	if s.region != g.Region {
+		return
+	}
+	delete(x.triedRegions, s.region)
+	if x.unreachablePeers == nil {
+		x.unreachablePeers = map[string]bool{}
+	}
+	x.unreachablePeers[s.target] = true
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -297,7 +297,7 @@
 	var bestEstimate remoteEstimate
 	estimates := map[string]*remoteEstimate{} // by region; nil for regions that are excluded
 	for _, h := range g.hosts {
-		if g.LocalOnly || h.GetRegion() == g.Region && !peers || h.GetForward() == "" || now-h.lastHeard > hostTimeout || h.detachment.detached {
+		if g.LocalOnly || h.GetRegion() == g.Region && !peers || h.GetForward() == "" || now-h.lastHeard > hostTimeout || h.detachment.detached || x.unreachablePeers[h.GetName()] {
 			continue
 		}
 		e, known := estimates[h.GetRegion()]
@@ -480,6 +480,9 @@
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
 		x.sends--
+		if s.forwarded {
+			g.recordUnreachablePeer(x, s)
+		}
 		return nil, &attemptError{ran: refusal.NotRun, unsent: true, err: err}
 	case err != nil:
 		if !s.forwarded {
