attachment: crashed targets are not taken for a lost path

What callers saw: after the crash of more than half of the targets of a region, its hosts said again and again that they were detached, forwarded their requests, refused those of other regions, and refused with no_target although some of their targets accepted connections.

Cause: three failed connections decided. Requests to sound targets use open connections, so a host attempts connections to the crashed ones only, and two probes hit crashed targets too.

Eight failures decide, or those of all targets if there are fewer.

--- a/internal/attachment/monitor.go
+++ b/internal/attachment/monitor.go
@@ -8,7 +8,7 @@
 const (
 	// confirmations is the number of targets to which connections must fail before the
 	// host counts as detached. With fewer targets it is all of them.
-	confirmations = 3
+	confirmations = 8
 	// probeInterval is the time between the probes of a detached host. It bounds how long
 	// the end of the loss stays unnoticed, and does not depend on the number of targets.
 	probeInterval = 250 * time.Millisecond
