gateway: a failure at one target does not end a request through a peer

What callers saw: a request of a detached host was refused with no_target, or its stream was cut, after one target rejected or broke it. Callers of the other hosts get another target.

Cause: the request's own region counted as tried once it was forwarded there, as another region does, although attached hosts of the region try up to three targets.

Evidence: TestFailureThroughPeerIsRetried, five of its six cases failed before.

The region is excluded only when a peer sent the request to no target. Rejections, max_attempts and the retry budget bound the attempts as for any request; a request that may run once is sent again only after a rejection.

--- a/internal/gateway/detached_test.go
+++ b/internal/gateway/detached_test.go
@@ -322,3 +322,34 @@
 		}
 	}
 }
+
+// Guards against callers of a detached host that are refused after one target failed to
+// serve their request, while callers of the other hosts get another target.
+func TestFailureThroughPeerIsRetried(t *testing.T) {
+	for name, c := range map[string]struct {
+		path   string
+		script []http.HandlerFunc
+		status int
+		sends  int
+	}{
+		"once, rejected":          {"/once/", []http.HandlerFunc{reject, success}, 200, 2},
+		"once, rejected by all":   {"/once/", []http.HandlerFunc{reject}, 429, 3},
+		"once, hang-up":           {"/once/", []http.HandlerFunc{hangUp, success}, 503, 1},
+		"safe, hang-up":           {"/safe/", []http.HandlerFunc{hangUp, success}, 200, 2},
+		"safe, only hang-ups":     {"/safe/", []http.HandlerFunc{hangUp}, 503, 2},
+		"resumable stream, break": {"/resume/", []http.HandlerFunc{events(true, 1, 2), events(false, 3, 4)}, 200, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTarget(t, success)
+			f := detachedHost(t, refusingAddress)
+			f.announceHost(t, "peer", "here", start(t, s, s, s, s))
+			f.warmUp(t)
+			s.mu.Lock()
+			s.requests, s.script = nil, c.script
+			s.mu.Unlock()
+			if got := f.call(t, c.path); got.err != nil || got.status != c.status || s.count() != c.sends {
+				t.Errorf("status %d, %s, error %v after %d sends; want %d after %d", got.status, got.header.Get("Code"), got.err, s.count(), c.status, c.sends)
+			}
+		})
+	}
+}
--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -186,7 +186,6 @@
 	if s.region != g.Region {
 		return
 	}
-	delete(x.triedRegions, s.region)
 	if x.unreachablePeers == nil {
 		x.unreachablePeers = map[string]bool{}
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -217,7 +217,7 @@
 			WithRetry(max(minRetryAfter, choice.TTFB-limit))
 	}
 	if remote != nil {
-		x.triedRegions[remote.GetRegion()] = true
+		x.triedRegions[remote.GetRegion()] = remote.GetRegion() != g.Region // the host may have targets left
 		x.forwardHost, x.target = remote.GetName(), remote.GetName()
 		g.remoteRegion(remote.GetRegion()).RecordSent(now)
 		g.requestMetrics.forwarded.Inc(1)
@@ -386,6 +386,7 @@
 		res.Header.Del(headerSoftware)
 		if refusal.Ran(res.Header.Get(headerRan)) == ranNotAttempted {
 			x.sends--
+			x.triedRegions[s.region] = true
 			if res.Header.Get(headerDetached) != "" {
 				g.recordDetachedHost(x, s)
 			}
