attachment: a detached host tries new targets first

What callers would see: after all targets of a region were lost, their replacements get no requests until their turn among the addresses of the lost ones comes, with 60 targets up to 15 s.

Cause: a detached host uses no target of its region before a probe reached one, and probes went round all addresses. Before it knew the state, its requests tried a new target at once.

Evidence: TestReplacedTargetIsProbedFirst failed before.

A target that has not failed since the last success is probed before the others, so a new one is reached with the next probe, within 250 ms.

--- a/internal/attachment/monitor.go
+++ b/internal/attachment/monitor.go
@@ -82,7 +82,7 @@
 
 // Probes returns the addresses to which connections should be attempted now. After a
 // failure these are enough others of the targets to decide; while the host is detached it
-// is one target in each interval, in turn.
+// is one target in each interval.
 func (m *Monitor) Probes(now time.Duration, targets []string) []string {
 	if len(targets) == 0 {
 		clear(m.failed)
@@ -91,23 +91,35 @@
 	if !m.Active() || now < m.nextProbe {
 		return nil
 	}
-	wanted := 1
-	if !m.detached {
-		if m.everReached && now-m.reachedAt < recentSuccess {
-			return nil
-		}
-		wanted = min(confirmations, len(targets)) - m.countFailed(targets)
+	if !m.detached && m.everReached && now-m.reachedAt < recentSuccess {
+		return nil
 	}
 	m.nextProbe = now + probeInterval
+	if m.detached {
+		return []string{m.nextTarget(targets)}
+	}
+	wanted := min(confirmations, len(targets)) - m.countFailed(targets)
 	var out []string
 	for i := 0; i < len(targets) && len(out) < wanted; i++ {
 		m.probes++
-		if a := targets[m.probes*probeStride%len(targets)]; m.detached || !m.failed[a] {
+		if a := targets[m.probes*probeStride%len(targets)]; !m.failed[a] {
 			out = append(out, a)
 		}
 	}
 	return out
 }
 
+// nextTarget returns the next target in turn. Those that have not failed come first, among
+// them targets that were registered since the host became detached.
+func (m *Monitor) nextTarget(targets []string) string {
+	m.probes++
+	for i := range targets {
+		if a := targets[(m.probes+i)*probeStride%len(targets)]; !m.failed[a] {
+			return a
+		}
+	}
+	return targets[m.probes*probeStride%len(targets)]
+}
+
 // ProbeInterval is the time after which Probes may return further addresses.
 func (m *Monitor) ProbeInterval() time.Duration { return probeInterval }
--- a/internal/attachment/monitor_test.go
+++ b/internal/attachment/monitor_test.go
@@ -152,3 +152,27 @@
 		}
 	}
 }
+
+// Guards against a detached host that finds its path late after all targets have been
+// replaced, because it goes on trying the others first.
+func TestReplacedTargetIsProbedFirst(t *testing.T) {
+	targets := addresses(60)
+	m := attachment.NewMonitor()
+	now := time.Duration(0)
+	probe := func() []string {
+		now += m.ProbeInterval()
+		return m.Probes(now, targets)
+	}
+	for _, a := range targets {
+		m.Failed(now, a, targets)
+	}
+	for range 10 {
+		for _, a := range probe() {
+			m.Failed(now, a, targets)
+		}
+	}
+	targets = append(targets, "new")
+	if got := probe(); len(got) != 1 || got[0] != "new" {
+		t.Errorf("probe of %v, want the new target", got)
+	}
+}
