gateway: a request counts once for the retry budget

Cause: each host may retry for a part of the requests that it counts. A forwarded request was counted by the host that has it from its caller and again by the one that sends it to a target, and a request whose connection failed was counted again with the next attempt. Hosts without a path to their targets do both for most of their requests.

--- a/internal/gateway/detached_test.go
+++ b/internal/gateway/detached_test.go
@@ -353,3 +353,28 @@
 		})
 	}
 }
+
+// Guards against more retries than the budget of all hosts together allows: a forwarded
+// request was counted by both hosts, and any request again after each failed connection.
+func TestRequestCountsOnceForRetryBudget(t *testing.T) {
+	s := newTarget(t, success)
+	f, peer := detachedHost(t, refusingAddress), start(t, s, s, s, s)
+	for _, host := range []*fixture{f, peer} {
+		host.Bounds.RetryRatio, host.Bounds.RetrySlack = 1, 0 // of which a host uses less
+	}
+	f.announceHost(t, "peer", "here", peer)
+	f.warmUp(t)
+	s.mu.Lock()
+	s.requests, s.script = nil, []http.HandlerFunc{reject}
+	s.mu.Unlock()
+	if peer.call(t, "/open/"); s.count() != 1 {
+		t.Errorf("the only request of a host, besides forwarded ones, was sent %d times", s.count())
+	}
+	f = detachedHost(t, refusingAddress)
+	f.Bounds.RetryRatio, f.Bounds.RetrySlack = 1, 0
+	f.announceHost(t, "peer", "here", peer)
+	before := s.count()
+	if f.call(t, "/open/"); s.count() != before+1 {
+		t.Errorf("the only request of a host was sent %d times, after connections that failed", s.count()-before)
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -96,7 +96,7 @@
 		writeForwardRefusal(w, ranNotAttempted, err)
 		return
 	}
-	x := &requestState{call: call, request: r, body: body, service: f.Service, started: started, ran: refusal.NotRun, lastEvent: f.LastEvent,
+	x := &requestState{call: call, request: r, body: body, service: f.Service, started: started, ran: refusal.NotRun, lastEvent: f.LastEvent, inRetryBudget: true,
 		deadline: started + time.Duration(f.RemainingMS)*time.Millisecond, triedTargets: map[string]bool{}, triedRegions: map[string]bool{},
 		route: &document.Route{Kind: document.Streaming, Resumable: !f.AtMostOnce},
 		placementRequest: placement.Request{Service: f.Service, Model: call.Model, Segments: call.Segments, PromptTokens: call.PromptTokens, OutputTokens: call.MaxOutputTokens, RegionBound: f.RegionBound, Software: f.Software,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -241,6 +241,7 @@
 	lastEventAt  time.Duration
 	// unreachablePeers are the hosts of this region to which no connection was opened.
 	unreachablePeers map[string]bool
+	inRetryBudget    bool // the request has been added to a retry budget
 }
 
 // ServeHTTP serves a caller's request.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -498,12 +498,13 @@
 }
 
 // countSend counts an attempt that is sent. The first one of a request adds to the
-// retry budget.
+// retry budget of the host that has the request from its caller.
 func (g *Gateway) countSend(x *requestState, now time.Duration) {
 	x.sends++
-	if x.sends > 1 {
+	if x.inRetryBudget {
 		return
 	}
+	x.inRetryBudget = true
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.retryBudget(x.service).RecordRequest(now)
