--- a/internal/gateway/detached_test.go
+++ b/internal/gateway/detached_test.go
@@ -378,3 +378,20 @@
 		t.Errorf("the only request of a host was sent %d times, after connections that failed", s.count()-before)
 	}
 }
+
+// Guards against a request body that leaves the home regions of its route through another
+// host of the region.
+func TestDetachedHostKeepsHomeRegions(t *testing.T) {
+	s, home := newTarget(t, success), newTarget(t, success)
+	f := detachedHost(t, refusingAddress)
+	f.announceHost(t, "peer", "here", start(t, s, s, s, s))
+	f.warmUp(t)
+	before := s.count()
+	if got := f.call(t, "/bound/", "Timeout-Ms", "300"); got.header.Get("Ran") != "not_run" || s.count() != before {
+		t.Errorf("status %d, %d requests through the peer", got.status, s.count()-before)
+	}
+	f.announceHost(t, "home", "elsewhere", start(t, home, home, home, home))
+	if got := f.call(t, "/bound/"); got.status != 200 || s.count() != before || home.count() != 1 {
+		t.Errorf("status %d, %d requests through the peer and %d at home", got.status, s.count()-before, home.count())
+	}
+}
