--- a/internal/gateway/detached_test.go
+++ b/internal/gateway/detached_test.go
@@ -65,7 +65,7 @@
 // announceAddresses makes targets known, by id.
 func (f *fixture) announceAddresses(addresses map[string]string) {
 	now := clock.SinceBoot()
-	u := fleetsync.Update{SentAt: now, ControlAddress: "c", ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1}}
+	u := fleetsync.Update{SentAt: now, ControlAddress: "c", ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, TotalHosts: 1}}
 	for id, address := range addresses {
 		u.Records = append(u.Records, registry.Record{ID: id, Sequence: 1, Service: "s", DataCentre: "dc", State: registry.Ready, Address: address})
 	}
@@ -305,3 +305,93 @@
 		t.Errorf("%d requests at the peer and %d in the other region", n, far.count()-atFar)
 	}
 }
+
+// Guards against callers of a detached host that are refused because another host of the
+// region is down, although a third one serves.
+func TestDetachedHostTriesAnotherPeer(t *testing.T) {
+	s := newTarget(t, success)
+	f := detachedHost(t, refusingAddress)
+	f.announceHost(t, "peer", "here", start(t, s, s, s, s))
+	f.warmUp(t)
+	now := clock.SinceBoot()
+	f.Apply(now, fleetsync.Update{SentAt: now, ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, Hosts: []*syncpb.EntryHost{
+		{Name: "down", Region: "here", Forward: refusingAddress(t), Serving: true}}}})
+	for i := range 12 {
+		if got := f.call(t, "/once/", "Id", fmt.Sprint("i", i)); got.status != 200 {
+			t.Errorf("request %d: status %d, %s", i, got.status, got.header.Get("Code"))
+		}
+	}
+}
+
+// Guards against callers of a detached host that are refused after one target failed to
+// serve their request, while callers of the other hosts get another target.
+func TestFailureThroughPeerIsRetried(t *testing.T) {
+	for name, c := range map[string]struct {
+		path   string
+		script []http.HandlerFunc
+		status int
+		sends  int
+	}{
+		"once, rejected":          {"/once/", []http.HandlerFunc{reject, success}, 200, 2},
+		"once, rejected by all":   {"/once/", []http.HandlerFunc{reject}, 429, 3},
+		"once, hang-up":           {"/once/", []http.HandlerFunc{hangUp, success}, 503, 1},
+		"safe, hang-up":           {"/safe/", []http.HandlerFunc{hangUp, success}, 200, 2},
+		"safe, only hang-ups":     {"/safe/", []http.HandlerFunc{hangUp}, 503, 2},
+		"resumable stream, break": {"/resume/", []http.HandlerFunc{events(true, 1, 2), events(false, 3, 4)}, 200, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTarget(t, success)
+			f := detachedHost(t, refusingAddress)
+			f.announceHost(t, "peer", "here", start(t, s, s, s, s))
+			f.warmUp(t)
+			s.mu.Lock()
+			s.requests, s.script = nil, c.script
+			s.mu.Unlock()
+			if got := f.call(t, c.path); got.err != nil || got.status != c.status || s.count() != c.sends {
+				t.Errorf("status %d, %s, error %v after %d sends; want %d after %d", got.status, got.header.Get("Code"), got.err, s.count(), c.status, c.sends)
+			}
+		})
+	}
+}
+
+// Guards against more retries than the budget of all hosts together allows: a forwarded
+// request was counted by both hosts, and any request again after each failed connection.
+func TestRequestCountsOnceForRetryBudget(t *testing.T) {
+	s := newTarget(t, success)
+	f, peer := detachedHost(t, refusingAddress), start(t, s, s, s, s)
+	for _, host := range []*fixture{f, peer} {
+		host.Bounds.RetryRatio, host.Bounds.RetrySlack = 1, 0 // of which a host uses less
+	}
+	f.announceHost(t, "peer", "here", peer)
+	f.warmUp(t)
+	s.mu.Lock()
+	s.requests, s.script = nil, []http.HandlerFunc{reject}
+	s.mu.Unlock()
+	if peer.call(t, "/open/"); s.count() != 1 {
+		t.Errorf("the only request of a host, besides forwarded ones, was sent %d times", s.count())
+	}
+	f = detachedHost(t, refusingAddress)
+	f.Bounds.RetryRatio, f.Bounds.RetrySlack = 1, 0
+	f.announceHost(t, "peer", "here", peer)
+	before := s.count()
+	if f.call(t, "/open/"); s.count() != before+1 {
+		t.Errorf("the only request of a host was sent %d times, after connections that failed", s.count()-before)
+	}
+}
+
+// Guards against a request body that leaves the home regions of its route through another
+// host of the region.
+func TestDetachedHostKeepsHomeRegions(t *testing.T) {
+	s, home := newTarget(t, success), newTarget(t, success)
+	f := detachedHost(t, refusingAddress)
+	f.announceHost(t, "peer", "here", start(t, s, s, s, s))
+	f.warmUp(t)
+	before := s.count()
+	if got := f.call(t, "/bound/", "Timeout-Ms", "300"); got.header.Get("Ran") != "not_run" || s.count() != before {
+		t.Errorf("status %d, %d requests through the peer", got.status, s.count()-before)
+	}
+	f.announceHost(t, "home", "elsewhere", start(t, home, home, home, home))
+	if got := f.call(t, "/bound/"); got.status != 200 || s.count() != before || home.count() != 1 {
+		t.Errorf("status %d, %d requests through the peer and %d at home", got.status, s.count()-before, home.count())
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -248,7 +248,7 @@
 			WithRetry(max(minRetryAfter, choice.TTFB-limit))
 	}
 	if remote != nil {
-		x.triedRegions[remote.GetRegion()] = true
+		x.triedRegions[remote.GetRegion()] = remote.GetRegion() != g.Region // the host may have targets left
 		x.forwardHost, x.target = remote.GetName(), remote.GetName()
 		g.remoteRegion(remote.GetRegion()).RecordSent(now)
 		g.requestMetrics.forwarded.Inc(1)
@@ -331,7 +331,7 @@
 	var bestEstimate remoteEstimate
 	estimates := map[string]*remoteEstimate{} // by region; nil for regions that are excluded
 	for _, h := range g.hosts {
-		if g.LocalOnly || h.GetRegion() == g.Region && !peers || h.GetForward() == "" || now-h.lastHeard > hostTimeout || h.detachment.detached {
+		if g.LocalOnly || h.GetRegion() == g.Region && !peers || h.GetForward() == "" || now-h.lastHeard > hostTimeout || h.detachment.detached || x.unreachablePeers[h.GetName()] {
 			continue
 		}
 		e, known := estimates[h.GetRegion()]
@@ -475,6 +475,7 @@
 	res.Header.Del(headerSoftware)
 	if refusal.Ran(res.Header.Get(headerRan)) == ranNotAttempted {
 		x.sends--
+		x.triedRegions[s.region] = true
 		if res.Header.Get(headerDetached) != "" {
 			g.recordDetachedHost(x, s)
 		}
@@ -553,6 +554,9 @@
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
 		x.sends--
+		if s.forwarded {
+			g.recordUnreachablePeer(x, s)
+		}
 		return nil, &attemptError{ran: refusal.NotRun, unsent: true, err: err}
 	case err != nil:
 		if !s.forwarded {
