gateway: a rejected request is not sent to the same targets through another host

Targets saw: a request that all targets of the region had rejected came again through another host of the region, which cannot know that. Cause: the hosts of the region were considered whenever no target was left, also after targets had rejected the request. Change: they are considered only without a path, for a target to which no connection was opened, or before the request was sent at all.

--- a/internal/gateway/detached_test.go
+++ b/internal/gateway/detached_test.go
@@ -395,3 +395,14 @@
 		t.Errorf("status %d, %d requests through the peer and %d at home", got.status, s.count()-before, home.count())
 	}
 }
+
+// Guards against a request that reaches the target that rejected it once more, through
+// another host of the region, although this host reaches the target.
+func TestRejectedRequestStaysAtThisHost(t *testing.T) {
+	s := newTarget(t, reject)
+	f := start(t, s)
+	f.announceHost(t, "peer", "here", start(t, s))
+	if got := f.call(t, "/once/"); got.header.Get("Ran") != "not_run" || s.count() != 1 {
+		t.Errorf("status %d, ran %q after %d sends", got.status, got.header.Get("Ran"), s.count())
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -223,7 +223,8 @@
 	}
 	limit := g.firstByteBudget(now, x, choice.IdleTTFB)
 	var hostLimit time.Duration // that the other host applies
-	remote, estimate := g.bestRemoteHost(now, x, !usable || choice.Unreachable)
+	peers := g.path.Detached() || choice.Unreachable || !usable && x.sends == 0
+	remote, estimate := g.bestRemoteHost(now, x, peers)
 	if remote != nil {
 		remoteLimit, accepted := g.remoteLimits(g.firstByteBudget(now, x, estimate.IdleTTFB), x.route.FirstByteObjective)
 		forward := !usable || choice.Unreachable || estimate.cost+minForwardGain < choice.Cost
