gateway: do not detach a socket filter that was never attached

The listener now remembers which connections it silenced, and the test waits 50 ms until the connection is idle, so that each case meets the silent one.

go test -race -count=5 ./internal/gateway -run 'TestTargetThat|TestSilent|TestFailedRep': pass.

--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -143,6 +144,7 @@
 	t     *testing.T
 	mu    sync.Mutex
 	conns []*net.TCPConn
+	quiet []*net.TCPConn // those that drop what arrives
 }
 
 func (l *quietListener) Accept() (net.Conn, error) {
@@ -156,11 +158,14 @@
 	return c, nil
 }
 
-// setQuiet applies to the connections that are open.
+// setQuiet makes the connections that are open drop what arrives, or ends that.
 func (l *quietListener) setQuiet(quiet bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, c := range l.conns {
+	if quiet {
+		l.quiet = slices.Clone(l.conns)
+	}
+	for _, c := range l.quiet {
 		setQuiet(l.t, c, quiet)
 	}
 }
@@ -244,6 +249,7 @@
 				}
 				for round := range 2 { // the second one finds a kept connection
 					if round == 1 {
+						time.Sleep(50 * time.Millisecond) // until the connection is idle
 						l.setQuiet(true)
 						time.AfterFunc(1700*time.Millisecond, func() { l.setQuiet(false) })
 					}
