attachment, gateway: a path is shown by responses, not by accepted connections

Cause: an opened connection counted as a success. So did, in a trial, nothing else: a request on a connection that is closed at once was booked on the target. Change: success is the first response on a connection that was opened after the first failure, or a probe that stays open for 50 ms. A detached host asks a region that is full by its last report every 50 ms, because reports are up to 0.5 s old. Evidence: TestDetachedHostUsesPeer has a third case, accepted and closed.

--- a/internal/attachment/monitor.go
+++ b/internal/attachment/monitor.go
@@ -21,13 +21,15 @@
 	recentSuccess = 300 * time.Millisecond
 )
 
-// Monitor tracks the outcomes of connection attempts to the targets of the region.
-// Invariants: the host is detached only while every attempt since its last success has
-// failed, to confirmations targets or to all of them; one success ends it. It is not safe
-// for concurrent use.
+// Monitor tracks what new connections to the targets of the region show about the path to
+// them. Invariants: the host is detached only while every connection since its last success
+// has failed, to confirmations targets or to all of them; one success ends it. It is not
+// safe for concurrent use.
 type Monitor struct {
-	// failed are the addresses to which attempts failed since the last success.
+	// failed are the addresses to which connections failed since the last success, failedAt
+	// the time of the first of these failures.
 	failed   map[string]bool
+	failedAt time.Duration
 	detached bool
 	// since is when the host became detached.
 	since       time.Duration
@@ -44,21 +46,28 @@
 // Detached reports whether the host reaches no target of its region.
 func (m *Monitor) Detached() bool { return m.detached }
 
-// Reached records that a connection to a target was opened. It returns how long the host
-// was detached, and whether it was.
-func (m *Monitor) Reached(now time.Duration) (outage time.Duration, ended bool) {
+// Reached records that a target has answered on a connection that was opened at a time. A
+// connection from before the first failure does not count: it may live on while no other
+// can be opened. Reached returns how long the host was detached, and whether it was.
+func (m *Monitor) Reached(now, openedAt time.Duration) (outage time.Duration, ended bool) {
+	if m.Active() && openedAt < m.failedAt {
+		return 0, false
+	}
 	ended = m.detached
 	clear(m.failed)
 	m.detached, m.reachedAt, m.everReached = false, now, true
 	return now - m.since, ended
 }
 
-// Failed records that a connection attempt to a target failed. targets are the addresses
+// Failed records that a connection to a target failed. targets are the addresses
 // of all targets of the region. It reports whether the host is detached from now on.
 func (m *Monitor) Failed(now time.Duration, address string, targets []string) bool {
 	if !slices.Contains(targets, address) {
 		return false // the target has left
 	}
+	if !m.Active() {
+		m.failedAt = now
+	}
 	m.failed[address] = true
 	if m.detached || m.countFailed(targets) < min(confirmations, len(targets)) {
 		return false
--- a/internal/attachment/monitor_test.go
+++ b/internal/attachment/monitor_test.go
@@ -44,7 +44,7 @@
 			if m.Detached() != c.detached {
 				t.Errorf("detached %v, want %v", m.Detached(), c.detached)
 			}
-			if m.Reached(time.Second); m.Detached() || m.Active() {
+			if m.Reached(time.Second, time.Second); m.Detached() || m.Active() {
 				t.Error("detached after a success")
 			}
 		})
@@ -97,7 +97,7 @@
 				case o.failed:
 					m.Failed(now, o.address, targets)
 				default:
-					m.Reached(now)
+					m.Reached(now, now)
 				}
 			}
 			pending = later
@@ -137,7 +137,7 @@
 		m := attachment.NewMonitor()
 		connect := func(now time.Duration, a string) {
 			if !crashed[a] {
-				m.Reached(now)
+				m.Reached(now, now)
 			} else if m.Failed(now, a, targets) {
 				t.Fatalf("seed %d: detached at %s, %d of %d targets have crashed", seed, now, len(crashed), len(targets))
 			}
--- a/internal/gateway/detached_test.go
+++ b/internal/gateway/detached_test.go
@@ -62,6 +62,27 @@
 	}
 }
 
+// closingAddress returns an address that accepts connections and closes them at once, as a
+// middlebox may do for a target that it does not reach.
+func closingAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
 // announceAddresses makes targets known, by id.
 func (f *fixture) announceAddresses(addresses map[string]string) {
 	now := clock.SinceBoot()
@@ -102,7 +123,7 @@
 // Guards against callers of a host that has lost the path to all its targets: they were
 // refused although another host of the region reaches the targets.
 func TestDetachedHostUsesPeer(t *testing.T) {
-	for name, address := range map[string]func(*testing.T) string{"refused": refusingAddress, "silent": silentAddress} {
+	for name, address := range map[string]func(*testing.T) string{"refused": refusingAddress, "silent": silentAddress, "accepted and closed": closingAddress} {
 		t.Run(name, func(t *testing.T) {
 			s := newTarget(t, success)
 			f := detachedHost(t, address)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,7 +154,8 @@
 	g.startedAt = sinceBoot()
 	g.localPool, g.remotePool = upstream.NewPool(localDialTimeout), upstream.NewPool(remoteDialTimeout)
 	g.path = attachment.NewMonitor()
-	g.localPool.OnDial = g.recordDial
+	dials := metrics.GetOrRegisterCounter("gateway.connections_opened", g.Metrics)
+	g.localPool.OnDial, g.localPool.OnPath = func() { dials.Inc(1) }, g.recordPath
 	g.placer = placement.New(placement.DefaultEngine(prefillSpeed), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	g.buckets, g.retryBudgets = map[string]*shares.Bucket{}, map[string]*shares.RetryBudget{}
 	g.hosts, g.remoteRegions, g.endedEvacuations = map[string]*peerHost{}, map[string]*placement.RemoteRegion{}, map[string]endedEvacuation{}
--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"geraniumturn.example/geraniumturn/internal/clock"
@@ -16,14 +16,13 @@
 // of its region.
 const headerDetached = "Geraniumturn-Detached"
 
-// recordDial records the outcome of a connection attempt to a target of this region.
-func (g *Gateway) recordDial(address string, err error) {
+// recordPath records what a connection shows about the path to the targets of this region.
+func (g *Gateway) recordPath(address string, openedAt time.Time, err error) {
 	now := sinceBoot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err == nil {
-		metrics.GetOrRegisterCounter("gateway.connections_opened", g.Metrics).Inc(1)
-		if outage, ended := g.path.Reached(now); ended {
+		if outage, ended := g.path.Reached(now, now-time.Since(openedAt)); ended {
 			g.placer.ResetConnectFailures()
 			g.Log.WithFields(logrus.Fields{"address": address, "outage_ms": outage.Milliseconds()}).Info("path to targets regained")
 		}
@@ -53,7 +52,7 @@
 		}
 		g.mu.Unlock()
 		for _, a := range addresses {
-			// The pool reports the outcome to recordDial.
+			// The pool reports the outcome to recordPath.
 			go func() { _ = g.localPool.Connect(context.Background(), a) }()
 		}
 		clock.Sleep(context.Background(), g.path.ProbeInterval())
@@ -161,13 +160,21 @@
 
 // remoteLimits returns the limit on the TTFB that another host applies to a request, and the
 // expected TTFB up to which the request is sent there. g.mu must be held.
-func (g *Gateway) remoteLimits(limit, objective time.Duration) (hostLimit, accepted time.Duration) {
-	if g.path.Detached() {
-		return placement.DetachedLimits(limit, objective)
+func (g *Gateway) remoteLimits(now time.Duration, region string, limit, objective time.Duration) (hostLimit, accepted time.Duration) {
+	if !g.path.Detached() {
+		return limit, limit
 	}
-	return limit, limit
+	hostLimit, accepted = placement.DetachedLimits(limit, objective)
+	if !g.remoteRegion(region).SentWithin(now, askInterval) {
+		accepted = math.MaxInt64
+	}
+	return hostLimit, accepted
 }
 
+// askInterval is how often a detached host sends a request to a full region all the same.
+// The last report of the region may be outdated, and each response brings a new one.
+const askInterval = 50 * time.Millisecond
+
 // recordDetachedHost records the refusal of another host that reaches no target. If it is
 // in this region, another one may still serve the request.
 func (g *Gateway) recordDetachedHost(x *requestState, s *sendAttempt) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -226,7 +226,7 @@
 	peers := g.path.Detached() || choice.Unreachable || !usable && x.sends == 0
 	remote, estimate := g.bestRemoteHost(now, x, peers)
 	if remote != nil {
-		remoteLimit, accepted := g.remoteLimits(g.firstByteBudget(now, x, estimate.IdleTTFB), x.route.FirstByteObjective)
+		remoteLimit, accepted := g.remoteLimits(now, remote.GetRegion(), g.firstByteBudget(now, x, estimate.IdleTTFB), x.route.FirstByteObjective)
 		forward := !usable || choice.Unreachable || estimate.cost+minForwardGain < choice.Cost
 		// A destination with a lower cost must not hide one that can meet its limit.
 		if local := usable && choice.TTFB <= limit; local != (estimate.TTFB <= accepted) {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -41,6 +41,9 @@
 // errSilent if that one responds. If not, the target is kept, which is logged if logKept is
 // set.
 func (g *Gateway) replaceSilent(x *requestState, s *sendAttempt, silence time.Duration, logKept bool) error {
+	if !s.forwarded && !x.responseStarted {
+		g.recordPath(s.address, time.Time{}, errSilent)
+	}
 	next, err := g.chooseReplacement(x)
 	if next != nil {
 		err = g.sendReplacement(x, s, next)
--- a/internal/placement/path_test.go
+++ b/internal/placement/path_test.go
@@ -25,6 +25,9 @@
 			region.RecordSent(0)
 		}
 		p := New(DefaultEngine(93_600), rand.New(rand.NewPCG(1, 1)))
+		if !region.SentWithin(49*time.Millisecond, 50*time.Millisecond) || region.SentWithin(50*time.Millisecond, 50*time.Millisecond) {
+			t.Error("the time of the latest request is wrong")
+		}
 		e, ok := p.EstimateRemote(0, region, &Request{Service: "s", Objective: c.objective})
 		if !ok || e.TTFB > accepted {
 			t.Errorf("priority %d: refused here at %s, limit %s", c.priority, e.TTFB, accepted)
--- a/internal/placement/region.go
+++ b/internal/placement/region.go
@@ -51,6 +51,11 @@
 	r.sent = append(r.sent, now)
 }
 
+// SentWithin reports whether a request was sent to the region within a time.
+func (r *RemoteRegion) SentWithin(now, within time.Duration) bool {
+	return len(r.sent) > 0 && now-r.sent[len(r.sent)-1] < within
+}
+
 // EstimateRemote returns the estimate for a request in another region. It reports
 // false if no recent load of the service is known there.
 func (p *Placer) EstimateRemote(now time.Duration, region *RemoteRegion, request *Request) (Estimate, bool) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -129,7 +129,11 @@
 		}
 		close(out.written)
 	}()
+	fresh := !c.used
 	if err := out.awaitHead(r); err != nil {
+		if fresh && ctx.Err() == nil {
+			p.recordPath(r.Address, c.openedAt, err)
+		}
 		_ = out.Close()
 		select {
 		case writeErr := <-writeFailed:
@@ -138,6 +142,9 @@
 		}
 		return nil, fmt.Errorf("%w: %v", ErrBroken, err)
 	}
+	if fresh {
+		p.recordPath(r.Address, c.openedAt, nil)
+	}
 	if out.Unframed {
 		out.confirmEnd = func() error { return p.replaceConn(ctx, r, out.keepAliveTime()) }
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -34,17 +34,27 @@
 	maxIdlePerAddress = 48
 	// idleAckTimeout closes an idle connection whose peer acknowledges nothing.
 	idleAckTimeout = 1500 * time.Millisecond
-	bufferBytes    = 8 << 10
-	sweepInterval  = time.Second
+	// settleTime is how long a connection must stay open to show that its target accepts it.
+	settleTime    = 50 * time.Millisecond
+	bufferBytes   = 8 << 10
+	sweepInterval = time.Second
 )
 
+// errClosedAtOnce means that a connection was accepted and closed, or that something arrived
+// on it before a request was sent.
+var errClosedAtOnce = errors.New("upstream: connection closed at once")
+
 // Pool keeps idle connections by address.
 type Pool struct {
 	// DialTimeout bounds the time to establish a connection.
 	DialTimeout time.Duration
-	// OnDial is called with the outcome of each connection attempt, if it is set. An
-	// attempt that its caller cancelled has none.
-	OnDial func(address string, err error)
+	// OnDial is called for each new connection, if it is set.
+	OnDial func()
+	// OnPath is called with what a connection shows about the path to an address, if it is
+	// set: an error if it is not established or ends before its first response, and nil at
+	// its first response, or when Connect has opened it. openedAt is zero if it was not
+	// established.
+	OnPath func(address string, openedAt time.Time, err error)
 
 	mu        sync.Mutex
 	idle      map[string][]*conn
@@ -61,6 +71,8 @@
 	source headLimiter
 	reader *bufio.Reader // reads from source
 	used   bool          // a request was sent on the connection before
+	// openedAt is when the connection was established.
+	openedAt time.Time
 	// onSilence is called at the read deadline; nil if there is none.
 	onSilence func() (time.Duration, error)
 	// expires is when the peer may close the idle connection.
@@ -106,17 +118,20 @@
 	ctx, cancel := context.WithTimeout(caller, p.DialTimeout)
 	defer cancel()
 	dialed, err := sockets.Dialer(idleAckTimeout).DialContext(ctx, "tcp", address)
-	if p.OnDial != nil && (err == nil || caller.Err() == nil) {
-		p.OnDial(address, err)
-	}
 	if err != nil {
+		if caller.Err() == nil {
+			p.recordPath(address, time.Time{}, err)
+		}
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if p.OnDial != nil {
+		p.OnDial()
+	}
 	raw, ok := dialed.(*net.TCPConn)
 	if !ok {
 		return nil, errors.Join(fmt.Errorf("%w: not a TCP connection: %T", ErrNotSent, dialed), dialed.Close())
 	}
-	c := &conn{TCPConn: raw}
+	c := &conn{TCPConn: raw, openedAt: time.Now()}
 	c.source.Reader = c
 	c.reader = bufio.NewReaderSize(&c.source, bufferBytes)
 	return c, nil
@@ -190,16 +205,36 @@
 	return err == nil && empty
 }
 
-// Connect opens a connection to an address and keeps it for the next request.
+// Connect opens a connection to an address and keeps it for the next request. It returns an
+// error if the connection is closed at once: something on the path may accept connections
+// for a target that it does not reach.
 func (p *Pool) Connect(ctx context.Context, address string) error {
 	c, err := p.dial(ctx, address)
 	if err != nil {
 		return err
 	}
+	timer := time.NewTimer(settleTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if !c.noInput() {
+		err := errors.Join(errClosedAtOnce, c.Close())
+		p.recordPath(address, c.openedAt, err)
+		return err
+	}
+	p.recordPath(address, c.openedAt, nil)
 	p.putIdle(address, c, defaultIdleTime)
 	return nil
 }
 
+func (p *Pool) recordPath(address string, openedAt time.Time, err error) {
+	if p.OnPath != nil {
+		p.OnPath(address, openedAt, err)
+	}
+}
+
 // putIdle adds an idle connection to the pool for the given time.
 func (p *Pool) putIdle(address string, c *conn, idle time.Duration) {
 	now := time.Now()
