gateway: a silent target is kept if its stream has events without ids

Callers would see: a stream of a resumable route whose events have no ids is cut after 1.2 s of silence of its sound target, and the request runs a second time for nothing. Cause: chooseReplacement looked only for the software that began the stream. A replacement that responded made the silent target be given up, and run then refused to go on there, because a stream whose events have no ids is not begun again. Evidence: TestSilentTargetOfStreamWithoutIDsIsKept failed before with "unexpected EOF" after the first event and two requests. The fix uses the condition by which run decides whether another attempt can continue the response, so a replacement is sent only where it can be used. `go test -race -run 'Silent|Replacement|Continu|WithoutIDs|Resume' ./internal/gateway` passes.

--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -70,8 +70,8 @@
 	switch {
 	case !x.mayRepeat():
 		return nil, errors.New("no attempt is left")
-	case x.responseStarted && x.origin == nil:
-		return nil, errors.New("it is not known which software began the stream")
+	case x.responseStarted && !x.continuable():
+		return nil, errors.New("no other target can continue the response")
 	case x.deadline-sinceBoot() < minRetryTime:
 		return nil, errors.New("no time is left")
 	case !g.hasRetry(x):
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -137,6 +137,26 @@
 	}
 }
 
+// Guards against a stream that is cut because its silent target was given up for another
+// one, which cannot continue a stream whose events have no ids.
+func TestSilentTargetOfStreamWithoutIDsIsKept(t *testing.T) {
+	const began, whole = "data: a\n\n", "data: a\n\ndata: b\n\n"
+	s := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Signed", "sig")
+		_, _ = io.WriteString(w, began)
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-r.Context().Done():
+		case <-time.After(silence):
+			_, _ = io.WriteString(w, whole[len(began):])
+		}
+	}, respond(200, whole, "Signed", "sig"))
+	got := start(t, s, s, s).call(t, "/resume/", "Timeout-Ms", "4000")
+	if got.err != nil || got.status != 200 || got.body != whole || s.count() != 1 {
+		t.Errorf("status %d, error %v, stream %q after %d requests", got.status, got.err, got.body, s.count())
+	}
+}
+
 // quietListener makes the connections of a target drop what arrives, so that they
 // acknowledge nothing, while quiet is set.
 type quietListener struct {
