gateway: an exhausted retry budget is no failure of the next target

Callers would see: when many streams of a silent target look for another one at a time, the last retries are taken between the check of the budget and the connection. Each request that comes too late ejects a sound target, which then counts as unreachable, or excludes a sound host of the region. Cause: the exchange ends with ErrNotSent, which counts as a connection that was not established. The fix keeps the cause in the error and treats the attempt as cancelled.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -488,7 +488,7 @@
 func attemptOutcome(ctx context.Context, err error) placement.Outcome {
 	failed, ok := errors.AsType[*attemptError](err)
 	switch {
-	case ctx.Err() != nil || errors.Is(err, errNotAccepted):
+	case ctx.Err() != nil || errors.Is(err, errNotAccepted) || errors.Is(err, errNoRetry):
 		return placement.Cancelled
 	case ok && failed.unsent:
 		return placement.Unreachable
@@ -555,7 +555,7 @@
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
 		x.sends--
-		if s.forwarded {
+		if s.forwarded && !errors.Is(err, errNoRetry) {
 			g.recordUnreachablePeer(x, s)
 		}
 		return nil, &attemptError{ran: refusal.NotRun, unsent: true, err: err}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -112,7 +112,7 @@
 	if r.OnConnect != nil {
 		if err := r.OnConnect(); err != nil {
 			_ = c.Close()
-			return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 	}
 	if err := c.setRequestTimeout(ctx, r.Repeatable); err != nil {
