gateway: a host takes over a stream of a silent target in time or not at all

Callers saw: streams that end 1.4 s after their target fell silent, far before their limit. Cause: the request went to a host of another region, whose only free target was silent too. That host gave up connecting after 300 ms and refused, but the silent target was given up 250 ms after the request was sent. The fix bounds the time to connect at the other host, so that its refusal arrives while the silent target is still kept. A longer overlap would let two targets work on a stream for too long. Hosts of an earlier release ignore the field. `go test -race -run 'Silent|Replacement|Dispatch|Forward|Unframed|WithoutIDs' ./internal/gateway` and `go test -race ./internal/upstream` pass.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -51,6 +51,8 @@
 	// Software is the version of the software that the target must have, because it began
 	// the stream; nil allows all.
 	Software *string `json:"software,omitempty"`
+	// ConnectMS is how long the host may take to connect to its target; 0 for the usual time.
+	ConnectMS int64 `json:"connect_ms,omitempty"`
 	// Streaming requests have a response that is a series of events.
 	Streaming bool `json:"streaming,omitempty"`
 }
@@ -129,6 +131,7 @@
 	if err != nil {
 		return err
 	}
+	s.connectTimeout = time.Duration(f.ConnectMS) * time.Millisecond
 	outcome := placement.Cancelled
 	defer func() { g.finishAttempt(x, s, outcome) }()
 	res, err := g.dispatch(ctx, x, s)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -80,6 +80,9 @@
 	// it may wait for the first byte there.
 	region         string
 	firstByteLimit time.Duration
+	// connectTimeout is how long this host, or the one that the request is forwarded to, may
+	// take to connect to its target; 0 for the usual time.
+	connectTimeout time.Duration
 	// cacheSource is the address of a target that has parts of the prompt in its cache
 	// that this target lacks, or "".
 	cacheSource string
@@ -524,11 +527,11 @@
 		return nil, err
 	}
 	header := x.header.Clone()
-	pool := g.localPool
+	pool, dialTimeout := g.localPool, s.connectTimeout
 	if s.forwarded {
-		pool = g.remotePool
+		pool, dialTimeout = g.remotePool, 0
 		if err := setForwardHeader(header, forwardedRequest{Service: x.service, Workspace: x.workspaceName(), RemainingMS: remaining.Milliseconds(),
-			WaitMS: s.firstByteLimit.Milliseconds(), ObjectiveMS: x.route.FirstByteObjective.Milliseconds(), Urgency: x.urgency, LastEvent: x.lastEvent, AtMostOnce: !x.route.Repeatable(),
+			WaitMS: s.firstByteLimit.Milliseconds(), ConnectMS: s.connectTimeout.Milliseconds(), ObjectiveMS: x.route.FirstByteObjective.Milliseconds(), Urgency: x.urgency, LastEvent: x.lastEvent, AtMostOnce: !x.route.Repeatable(),
 			RegionBound: x.placementRequest.RegionBound, Software: x.placementRequest.Software, Streaming: x.route.Kind == document.Streaming}); err != nil {
 			return nil, err
 		}
@@ -539,7 +542,7 @@
 	var unidentified *Classification
 	res, err := pool.Do(ctx, &upstream.Request{Address: s.address, Method: x.request.Method, RequestURI: x.request.RequestURI,
 		Host: x.request.Host, Header: header, Body: x.body, RecentConnOnly: !x.route.Repeatable(),
-		Repeatable: x.route.Repeatable(), OnConnect: s.onConnect, OnSilence: g.onSilence(x, s),
+		DialTimeout: dialTimeout, Repeatable: x.route.Repeatable(), OnConnect: s.onConnect, OnSilence: g.onSilence(x, s),
 		Match: func(status int, h http.Header) upstream.Match {
 			match := g.TargetProtocol.MatchRequest(x.call.ID, status, h)
 			if s.forwarded && (h.Get(headerRan) != "" || match == upstream.Unidentified) {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -15,6 +15,10 @@
 // one. It covers a refusal by a host of another region.
 const replaceOverlap = 250 * time.Millisecond
 
+// replaceConnectTimeout is how long a host of another region may take to connect to its
+// target for such a request, so that its refusal arrives within replaceOverlap.
+const replaceConnectTimeout = 150 * time.Millisecond
+
 var (
 	// errSilent means that a target is silent and that another one takes over its request.
 	errSilent  = errors.New("gateway: the target is silent")
@@ -100,6 +104,9 @@
 		giveUp = time.AfterFunc(replaceOverlap, s.cancel)
 		return nil
 	}
+	if next.forwarded {
+		next.connectTimeout = replaceConnectTimeout
+	}
 	next.begin(s.parent)
 	res, err := g.dispatch(next.ctx, x, next)
 	if giveUp != nil {
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -357,22 +357,24 @@
 			}
 		})
 	}
-	t.Run("host that refuses", func(t *testing.T) {
-		t.Parallel()
-		s := newTarget(t, pausing(false))
-		f := start(t, s)
-		forward := httptest.NewServer(start(t).ForwardHandler()) // without targets
-		t.Cleanup(forward.Close)
-		now := clock.SinceBoot()
-		f.RegionByDataCentre["far"] = "elsewhere"
-		f.Apply(now, fleetsync.Update{SentAt: now, Records: []registry.Record{{ID: "far", Sequence: 1, Service: "s", DataCentre: "far", State: registry.Ready, Address: "127.0.0.1:1"}},
-			ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, Hosts: []*syncpb.EntryHost{
-				{Name: "there", Region: "elsewhere", Forward: strings.TrimPrefix(forward.URL, "http://"), Serving: true, Loads: []*syncpb.Load{{Service: "s", WaitMs: 10}}}}}})
-		got := f.call(t, "/resume/", "Timeout-Ms", "4000")
-		if got.err != nil || got.status != 200 || got.body != twoEvents || s.count() != 1 {
-			t.Errorf("status %d, error %v, stream %q after %d requests", got.status, got.err, got.body, s.count())
-		}
-	})
+	for name, targets := range map[string][]*target{"host that refuses": nil, "host whose target does not accept connections": {deaf}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newTarget(t, pausing(false))
+			f := start(t, s)
+			forward := httptest.NewServer(start(t, targets...).ForwardHandler())
+			t.Cleanup(forward.Close)
+			now := clock.SinceBoot()
+			f.RegionByDataCentre["far"] = "elsewhere"
+			f.Apply(now, fleetsync.Update{SentAt: now, Records: []registry.Record{{ID: "far", Sequence: 1, Service: "s", DataCentre: "far", State: registry.Ready, Address: "127.0.0.1:1"}},
+				ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, Hosts: []*syncpb.EntryHost{
+					{Name: "there", Region: "elsewhere", Forward: strings.TrimPrefix(forward.URL, "http://"), Serving: true, Loads: []*syncpb.Load{{Service: "s", WaitMs: 10}}}}}})
+			got := f.call(t, "/resume/", "Timeout-Ms", "4000")
+			if got.err != nil || got.status != 200 || got.body != twoEvents || s.count() != 1 {
+				t.Errorf("status %d, error %v, stream %q after %d requests", got.status, got.err, got.body, s.count())
+			}
+		})
+	}
 }
 
 // Guards against a refusal with "not run" by a target that was silent, although another one
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -44,6 +44,9 @@
 	// RecentConnOnly restricts reuse to connections that were used recently. If an older
 	// connection breaks, it is unknown whether the request ran.
 	RecentConnOnly bool
+	// DialTimeout bounds the time to establish a connection if it is shorter than that of the
+	// pool; 0 if it is not needed.
+	DialTimeout time.Duration
 	// Repeatable requests can be sent to another target when this one acknowledges nothing.
 	Repeatable bool
 	// OnConnect is called when there is a connection and nothing is sent yet; nil if it is not
@@ -101,7 +104,11 @@
 	if r.RecentConnOnly {
 		maxIdle = recentConnIdle
 	}
-	c, err := p.get(ctx, r.Address, maxIdle)
+	dialTimeout := p.DialTimeout
+	if r.DialTimeout > 0 {
+		dialTimeout = min(dialTimeout, r.DialTimeout)
+	}
+	c, err := p.get(ctx, r.Address, maxIdle, dialTimeout)
 	if err != nil {
 		return nil, err
 	}
@@ -149,7 +156,7 @@
 // runs: a process that has crashed refuses it. A silent one is asked again.
 func (p *Pool) replaceConn(ctx context.Context, r *Request, idle time.Duration) error {
 	for {
-		c, err := p.dial(ctx, r.Address)
+		c, err := p.dial(ctx, r.Address, p.DialTimeout)
 		if err == nil {
 			p.putIdle(r.Address, c, idle)
 			return nil
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -69,12 +69,12 @@
 }
 
 // get returns a connection that has been idle for at most maxIdle, or a new one.
-func (p *Pool) get(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
+func (p *Pool) get(ctx context.Context, address string, maxIdle, dialTimeout time.Duration) (*conn, error) {
 	now := time.Now()
 	for {
 		c := p.takeIdle(address, now, maxIdle)
 		if c == nil {
-			return p.dial(ctx, address)
+			return p.dial(ctx, address, dialTimeout)
 		}
 		if c.noInput() {
 			return c, nil
@@ -102,8 +102,8 @@
 	return c
 }
 
-func (p *Pool) dial(caller context.Context, address string) (*conn, error) {
-	ctx, cancel := context.WithTimeout(caller, p.DialTimeout)
+func (p *Pool) dial(caller context.Context, address string, timeout time.Duration) (*conn, error) {
+	ctx, cancel := context.WithTimeout(caller, timeout)
 	defer cancel()
 	dialed, err := sockets.Dialer(idleAckTimeout).DialContext(ctx, "tcp", address)
 	if p.OnDial != nil && (err == nil || caller.Err() == nil) {
@@ -192,7 +192,7 @@
 
 // Connect opens a connection to an address and keeps it for the next request.
 func (p *Pool) Connect(ctx context.Context, address string) error {
-	c, err := p.dial(ctx, address)
+	c, err := p.dial(ctx, address, p.DialTimeout)
 	if err != nil {
 		return err
 	}
