gateway: a refusal from a far region arrives before a silent target is given up

Cause: the other host gave up connecting after 150 ms, and its refusal arrived some 60 ms after it was written, over 250 ms after the request was sent. The fix leaves 200 ms to the way there and back. Two targets may then work on a stream for 50 ms longer than before. `go test -race -run 'Silent|Replacement|Forward' ./internal/gateway` passes.

--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -13,11 +13,11 @@
 
 // replaceOverlap is how long a silent target is kept after its request was sent to another
 // one. It covers a refusal by a host of another region.
-const replaceOverlap = 250 * time.Millisecond
+const replaceOverlap = 300 * time.Millisecond
 
 // replaceConnectTimeout is how long a host of another region may take to connect to its
 // target for such a request, so that its refusal arrives within replaceOverlap.
-const replaceConnectTimeout = 150 * time.Millisecond
+const replaceConnectTimeout = 100 * time.Millisecond
 
 var (
 	// errSilent means that a target is silent and that another one takes over its request.
