gateway: a silent target is not given up for one whose software is unknown

Callers would see: a stream that is cut 1.2 s after its target fell silent, although the target goes on, when the response of the other destination does not tell, or no longer tells, that it has the software that began the stream (a host of an earlier release, a target that has started again). Cause: a response that continues the stream by its form was accepted as the replacement, and its software was checked at its first event, when the silent target had been given up. Evidence: TestSilentTargetIsKeptWithoutKnownSoftware failed before with "unexpected EOF"; found by reading, not seen in a play. The fix checks the software before the replacement is accepted. The check at the first event stays. `go test -race -run 'Silent|Replacement|Software|Origin|Resume|WithoutIDs| Continu' ./internal/gateway` passes.

--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -21,20 +21,31 @@
 		return nil
 	}
 	s.originChecked = true
-	known := s.softwareKnown && g.softwareUnchanged(s)
-	switch {
-	case x.origin == nil && known:
+	if x.origin != nil {
+		return g.checkSoftware(x, s)
+	}
+	if g.softwareCertain(s) { // otherwise the stream is sent, but cannot be resumed
 		x.bindOrigin(origins.Origin{Service: x.service, Software: s.software})
 		if x.route.Resumable && x.call.ID != "" {
 			g.origins.Record(sinceBoot(), origins.KeyOf(x.workspaceName(), x.call.ID), *x.origin)
 		}
-	case x.origin == nil: // the stream is sent, but cannot be resumed
-	case !known || s.software != x.origin.Software:
+	}
+	return nil
+}
+
+// checkSoftware returns an error if the target of an attempt may have other software than
+// the one that began the stream.
+func (g *Gateway) checkSoftware(x *requestState, s *sendAttempt) error {
+	if known := g.softwareCertain(s); x.origin != nil && (!known || s.software != x.origin.Software) {
 		return &attemptError{ran: refusal.Unknown, err: fmt.Errorf("target %s has software %q (known: %v), the stream began on %q", s.target, s.software, known, x.origin.Software)}
 	}
 	return nil
 }
 
+func (g *Gateway) softwareCertain(s *sendAttempt) bool {
+	return s.softwareKnown && g.softwareUnchanged(s)
+}
+
 // OriginClient asks the control hosts for the origin of a stream of a service that has
 // lasted for at most window.
 type OriginClient interface {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -161,7 +161,7 @@
 	if err := x.checkContinuation(next, res, class); err != nil {
 		return placement.Failed, err
 	}
-	return placement.Cancelled, nil
+	return placement.Cancelled, g.checkSoftware(x, next)
 }
 
 // endReplacement ends an attempt that does not take over the request of a silent target.
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -157,6 +157,23 @@
 	}
 }
 
+// Guards against a stream that is cut because its silent target was given up for one of
+// which it is not known that it has the software that began the stream.
+func TestSilentTargetIsKeptWithoutKnownSoftware(t *testing.T) {
+	s := newTarget(t, pausing(false))
+	f := start(t, s)
+	other := newTarget(t, events(false, 2)) // like a host that names no software
+	now := clock.SinceBoot()
+	f.RegionByDataCentre["far"] = "elsewhere"
+	f.Apply(now, fleetsync.Update{SentAt: now, Records: []registry.Record{{ID: "far", Sequence: 1, Service: "s", DataCentre: "far", State: registry.Ready, Address: "127.0.0.1:1"}},
+		ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, Hosts: []*syncpb.EntryHost{
+			{Name: "there", Region: "elsewhere", Forward: strings.TrimPrefix(other.URL, "http://"), Serving: true, Loads: []*syncpb.Load{{Service: "s", WaitMs: 10}}}}}})
+	got := f.call(t, "/resume/", "Timeout-Ms", "4000")
+	if got.err != nil || got.status != 200 || got.body != twoEvents || other.count() != 1 {
+		t.Errorf("status %d, error %v, stream %q, %d requests at the other host", got.status, got.err, got.body, other.count())
+	}
+}
+
 // quietListener makes the connections of a target drop what arrives, so that they
 // acknowledge nothing, while quiet is set.
 type quietListener struct {
