--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -13,7 +13,11 @@
 
 // replaceOverlap is how long a silent target is kept after its request was sent to another
 // one. It covers a refusal by a host of another region.
-const replaceOverlap = 250 * time.Millisecond
+const replaceOverlap = 300 * time.Millisecond
+
+// replaceConnectTimeout is how long a host of another region may take to connect to its
+// target for such a request, so that its refusal arrives within replaceOverlap.
+const replaceConnectTimeout = 100 * time.Millisecond
 
 var (
 	// errSilent means that a target is silent and that another one takes over its request.
@@ -73,8 +77,8 @@
 	switch {
 	case !x.mayRepeat():
 		return nil, errors.New("no attempt is left")
-	case x.responseStarted && x.origin == nil:
-		return nil, errors.New("it is not known which software began the stream")
+	case x.responseStarted && !x.continuable():
+		return nil, errors.New("no other target can continue the response")
 	case x.deadline-sinceBoot() < minRetryTime:
 		return nil, errors.New("no time is left")
 	case !g.hasRetry(x):
@@ -103,6 +107,9 @@
 		giveUp = time.AfterFunc(replaceOverlap, s.cancel)
 		return nil
 	}
+	if next.forwarded {
+		next.connectTimeout = replaceConnectTimeout
+	}
 	next.begin(s.parent)
 	res, err := g.dispatch(next.ctx, x, next)
 	if giveUp != nil {
@@ -157,7 +164,7 @@
 	if err := x.checkContinuation(next, res, class); err != nil {
 		return placement.Failed, err
 	}
-	return placement.Cancelled, nil
+	return placement.Cancelled, g.checkSoftware(x, next)
 }
 
 // endReplacement ends an attempt that does not take over the request of a silent target.
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -137,6 +137,43 @@
 	}
 }
 
+// Guards against a stream that is cut because its silent target was given up for another
+// one, which cannot continue a stream whose events have no ids.
+func TestSilentTargetOfStreamWithoutIDsIsKept(t *testing.T) {
+	const began, whole = "data: a\n\n", "data: a\n\ndata: b\n\n"
+	s := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Signed", "sig")
+		_, _ = io.WriteString(w, began)
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-r.Context().Done():
+		case <-time.After(silence):
+			_, _ = io.WriteString(w, whole[len(began):])
+		}
+	}, respond(200, whole, "Signed", "sig"))
+	got := start(t, s, s, s).call(t, "/resume/", "Timeout-Ms", "4000")
+	if got.err != nil || got.status != 200 || got.body != whole || s.count() != 1 {
+		t.Errorf("status %d, error %v, stream %q after %d requests", got.status, got.err, got.body, s.count())
+	}
+}
+
+// Guards against a stream that is cut because its silent target was given up for one of
+// which it is not known that it has the software that began the stream.
+func TestSilentTargetIsKeptWithoutKnownSoftware(t *testing.T) {
+	s := newTarget(t, pausing(false))
+	f := start(t, s)
+	other := newTarget(t, events(false, 2)) // like a host that names no software
+	now := clock.SinceBoot()
+	f.RegionByDataCentre["far"] = "elsewhere"
+	f.Apply(now, fleetsync.Update{SentAt: now, Records: []registry.Record{{ID: "far", Sequence: 1, Service: "s", DataCentre: "far", State: registry.Ready, Address: "127.0.0.1:1"}},
+		ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, Hosts: []*syncpb.EntryHost{
+			{Name: "there", Region: "elsewhere", Forward: strings.TrimPrefix(other.URL, "http://"), Serving: true, Loads: []*syncpb.Load{{Service: "s", WaitMs: 10}}}}}})
+	got := f.call(t, "/resume/", "Timeout-Ms", "4000")
+	if got.err != nil || got.status != 200 || got.body != twoEvents || other.count() != 1 {
+		t.Errorf("status %d, error %v, stream %q, %d requests at the other host", got.status, got.err, got.body, other.count())
+	}
+}
+
 // quietListener makes the connections of a target drop what arrives, so that they
 // acknowledge nothing, while quiet is set.
 type quietListener struct {
@@ -337,22 +374,24 @@
 			}
 		})
 	}
-	t.Run("host that refuses", func(t *testing.T) {
-		t.Parallel()
-		s := newTarget(t, pausing(false))
-		f := start(t, s)
-		forward := httptest.NewServer(start(t).ForwardHandler()) // without targets
-		t.Cleanup(forward.Close)
-		now := clock.SinceBoot()
-		f.RegionByDataCentre["far"] = "elsewhere"
-		f.Apply(now, fleetsync.Update{SentAt: now, Records: []registry.Record{{ID: "far", Sequence: 1, Service: "s", DataCentre: "far", State: registry.Ready, Address: "127.0.0.1:1"}},
-			ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, Hosts: []*syncpb.EntryHost{
-				{Name: "there", Region: "elsewhere", Forward: strings.TrimPrefix(forward.URL, "http://"), Serving: true, Loads: []*syncpb.Load{{Service: "s", WaitMs: 10}}}}}})
-		got := f.call(t, "/resume/", "Timeout-Ms", "4000")
-		if got.err != nil || got.status != 200 || got.body != twoEvents || s.count() != 1 {
-			t.Errorf("status %d, error %v, stream %q after %d requests", got.status, got.err, got.body, s.count())
-		}
-	})
+	for name, targets := range map[string][]*target{"host that refuses": nil, "host whose target does not accept connections": {deaf}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newTarget(t, pausing(false))
+			f := start(t, s)
+			forward := httptest.NewServer(start(t, targets...).ForwardHandler())
+			t.Cleanup(forward.Close)
+			now := clock.SinceBoot()
+			f.RegionByDataCentre["far"] = "elsewhere"
+			f.Apply(now, fleetsync.Update{SentAt: now, Records: []registry.Record{{ID: "far", Sequence: 1, Service: "s", DataCentre: "far", State: registry.Ready, Address: "127.0.0.1:1"}},
+				ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, Hosts: []*syncpb.EntryHost{
+					{Name: "there", Region: "elsewhere", Forward: strings.TrimPrefix(forward.URL, "http://"), Serving: true, Loads: []*syncpb.Load{{Service: "s", WaitMs: 10}}}}}})
+			got := f.call(t, "/resume/", "Timeout-Ms", "4000")
+			if got.err != nil || got.status != 200 || got.body != twoEvents || s.count() != 1 {
+				t.Errorf("status %d, error %v, stream %q after %d requests", got.status, got.err, got.body, s.count())
+			}
+		})
+	}
 }
 
 // Guards against a refusal with "not run" by a target that was silent, although another one
