attachment, gateway: a response that breaks off is followed by a probe, not a failure

Cause: took a new connection that ended before its first response for a failed path. Change: only connections that are not established, or that are closed although nothing was asked, count. A response that breaks off is followed by the probe of the crash check, a request without an acknowledgement by one of its own.

--- a/internal/gateway/detached_test.go
+++ b/internal/gateway/detached_test.go
@@ -129,6 +129,9 @@
 			f := detachedHost(t, address)
 			f.announceHost(t, "peer", "here", start(t, s, s, s, s))
 			f.warmUp(t)
+			for deadline := time.Now().Add(time.Second); !f.Detached() && time.Now().Before(deadline); {
+				time.Sleep(10 * time.Millisecond)
+			}
 			for i := range 12 {
 				began := time.Now()
 				got := f.call(t, "/open/")
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"time"
@@ -45,8 +46,9 @@
 // errSilent if that one responds. If not, the target is kept, which is logged if logKept is
 // set.
 func (g *Gateway) replaceSilent(x *requestState, s *sendAttempt, silence time.Duration, logKept bool) error {
-	if !s.forwarded && !x.responseStarted {
-		g.recordPath(s.address, time.Time{}, errSilent)
+	if logKept && !s.forwarded && !x.responseStarted {
+		// The pool reports the outcome to recordPath.
+		go func() { _ = g.localPool.Connect(context.Background(), s.address) }()
 	}
 	next, err := g.chooseReplacement(x)
 	if next != nil {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -138,9 +138,6 @@
 	}()
 	fresh := !c.used
 	if err := out.awaitHead(r); err != nil {
-		if fresh && ctx.Err() == nil {
-			p.recordPath(r.Address, c.openedAt, err)
-		}
 		_ = out.Close()
 		select {
 		case writeErr := <-writeFailed:
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -51,9 +51,8 @@
 	// OnDial is called for each new connection, if it is set.
 	OnDial func()
 	// OnPath is called with what a connection shows about the path to an address, if it is
-	// set: an error if it is not established or ends before its first response, and nil at
-	// its first response, or when Connect has opened it. openedAt is zero if it was not
-	// established.
+	// set: an error if it is not established or Connect returns one, and nil at its first
+	// response or when Connect has opened it. openedAt is zero if it was not established.
 	OnPath func(address string, openedAt time.Time, err error)
 
 	mu        sync.Mutex
