proctest: one function that lets a connection acknowledge nothing

Cause: the tests of silent targets in gateway, upstream and dispatch had three copies of it. Change: proctest.SetDeaf; no check changes. Measured: go test -race of upstream and dispatch, and the tests of silent targets in gateway, pass.

--- a/internal/dispatch/silence_test.go
+++ b/internal/dispatch/silence_test.go
@@ -1,10 +1,8 @@
 package dispatch
 
 import (
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,35 +10,11 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"geraniumturn.example/geraniumturn/internal/proctest"
 	"geraniumturn.example/geraniumturn/internal/rules"
 	"geraniumturn.example/geraniumturn/internal/targets"
 )
 
-// setDeaf makes the kernel drop, or no longer drop, what arrives on a connection, so that
-// nothing is acknowledged.
-func setDeaf(t *testing.T, c net.Conn, deaf bool) {
-	t.Helper()
-	raw, err := c.(syscall.Conn).SyscallConn()
-	if err != nil {
-		t.Error(err)
-		return
-	}
-	var setErr error
-	err = raw.Control(func(fd uintptr) {
-		if !deaf {
-			setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
-			return
-		}
-		dropAll := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
-		setErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &dropAll})
-	})
-	if err = errors.Join(err, setErr); err != nil {
-		t.Error(err)
-	}
-}
-
 // Guards against a response that is lost because its target, with its kernel, falls silent
 // for 1.7 s before it or within it.
 func TestSilentTargetIsKept(t *testing.T) {
@@ -62,9 +36,9 @@
 						_ = buffer.Flush()
 					}
 					time.Sleep(900 * time.Millisecond)
-					setDeaf(t, conn, true)
+					proctest.SetDeaf(t, conn.(syscall.Conn), true)
 					time.Sleep(1700 * time.Millisecond)
-					setDeaf(t, conn, false)
+					proctest.SetDeaf(t, conn.(syscall.Conn), false)
 					_, _ = io.WriteString(buffer, stream[sent:])
 					_ = buffer.Flush()
 				}))
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -9,17 +9,15 @@
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/gateway"
+	"geraniumturn.example/geraniumturn/internal/proctest"
 	"geraniumturn.example/geraniumturn/internal/registry"
 )
 
@@ -203,28 +201,7 @@
 		l.quiet = slices.Clone(l.conns)
 	}
 	for _, c := range l.quiet {
-		setQuiet(l.t, c, quiet)
-	}
-}
-
-// setQuiet makes a socket drop, or no longer drop, every segment that arrives.
-func setQuiet(t *testing.T, c syscall.Conn, quiet bool) {
-	t.Helper()
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return // closed
-	}
-	dropAll := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
-	var setErr error
-	err = raw.Control(func(fd uintptr) {
-		if quiet {
-			setErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &dropAll})
-		} else {
-			setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
-		}
-	})
-	if err == nil && setErr != nil {
-		t.Error(setErr)
+		proctest.SetDeaf(l.t, c, quiet)
 	}
 }
 
@@ -332,8 +309,8 @@
 				t.Parallel()
 				s, l := newQuietTarget(t)
 				s.script = []http.HandlerFunc{func(w http.ResponseWriter, r *http.Request) {
-					setQuiet(t, l.TCPListener, true)
-					time.AfterFunc(1700*time.Millisecond, func() { setQuiet(t, l.TCPListener, false) })
+					proctest.SetDeaf(t, l.TCPListener, true)
+					time.AfterFunc(1700*time.Millisecond, func() { proctest.SetDeaf(t, l.TCPListener, false) })
 					unframed(t, c.contentType, c.body)(w, r)
 				}}
 				f := startPatient(t, s)
@@ -357,7 +334,7 @@
 	rejects := newTarget(t, reject)
 	fails := newTarget(t, failure)
 	deaf, l := newQuietTarget(t, success)
-	setQuiet(t, l.TCPListener, true)
+	proctest.SetDeaf(t, l.TCPListener, true)
 	closed := newTarget(t, success)
 	closed.Server.Close()
 	for name, spare := range map[string]*target{"refuses connections": closed, "does not accept connections": deaf, "rejects": rejects, "fails": fails, "closes the connection": reset} {
--- a/internal/upstream/silence_test.go
+++ b/internal/upstream/silence_test.go
@@ -12,34 +12,10 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"geraniumturn.example/geraniumturn/internal/proctest"
 	"geraniumturn.example/geraniumturn/internal/upstream"
 )
 
-// setDeaf makes the kernel drop, or no longer drop, every segment that arrives on a
-// connection, so that the peer gets no acknowledgements.
-func setDeaf(t *testing.T, c net.Conn, deaf bool) {
-	t.Helper()
-	raw, err := c.(syscall.Conn).SyscallConn()
-	if err != nil {
-		t.Error(err)
-		return
-	}
-	var setErr error
-	err = raw.Control(func(fd uintptr) {
-		if !deaf {
-			setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
-			return
-		}
-		dropAll := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
-		setErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &dropAll})
-	})
-	if err = errors.Join(err, setErr); err != nil {
-		t.Error(err)
-	}
-}
-
 // handle accepts connections and passes each with its first request to a function.
 func handle(t *testing.T, serve func(net.Conn, *bufio.Reader)) string {
 	t.Helper()
@@ -102,9 +78,9 @@
 					}
 					_, _ = io.WriteString(conn, wholeResponse[:c.sent])
 					time.Sleep(c.after)
-					setDeaf(t, conn, true)
+					proctest.SetDeaf(t, conn.(syscall.Conn), true)
 					time.Sleep(silence)
-					setDeaf(t, conn, false)
+					proctest.SetDeaf(t, conn.(syscall.Conn), false)
 					_, _ = io.WriteString(conn, wholeResponse[c.sent:])
 					_, _ = r.Peek(1) // until the other side closes
 				})
@@ -146,7 +122,7 @@
 				if _, err := http.ReadRequest(r); err != nil {
 					return
 				}
-				setDeaf(t, conn, true)
+				proctest.SetDeaf(t, conn.(syscall.Conn), true)
 				time.Sleep(7 * time.Second)
 			})
 			started := time.Now()
@@ -172,7 +148,7 @@
 				}
 				_, _ = io.WriteString(conn, wholeResponse)
 				if deaf {
-					setDeaf(t, conn, true)
+					proctest.SetDeaf(t, conn.(syscall.Conn), true)
 					time.Sleep(3 * time.Second)
 					return
 				}
@@ -205,10 +181,10 @@
 		if _, err := http.ReadRequest(r); err != nil {
 			return
 		}
-		setDeaf(t, conn, true) // the response acknowledges the request
+		proctest.SetDeaf(t, conn.(syscall.Conn), true) // the response acknowledges the request
 		_, _ = io.WriteString(conn, wholeResponse)
 		time.Sleep(time.Second)
-		setDeaf(t, conn, false)
+		proctest.SetDeaf(t, conn.(syscall.Conn), false)
 		_ = conn.SetReadDeadline(time.Now().Add(4 * time.Second))
 		_, err := http.ReadRequest(r)
 		received <- err
