gateway: a detached host asks a full region every 20 ms

Cause: under such overload each free slot goes to the next request that asks. Callers of a host with a path ask with each request, a cut host asked every 50 ms. Change: 20 ms. It acts only on hosts without a path, on regions that are full by their last report.

--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -172,7 +172,7 @@
 
 // askInterval is how often a detached host sends a request to a full region all the same.
 // The last report of the region may be outdated, and each response brings a new one.
-const askInterval = 50 * time.Millisecond
+const askInterval = 20 * time.Millisecond
 
 // recordDetachedHost records the refusal of another host that reaches no target. If it is
 // in this region, another one may still serve the request.
