gateway: log requests to cold targets

The log did not tell apart the hypotheses about a flooded cold target: when a request is sent after its target was chosen, whether its slot in the pace was taken, and how many hosts share the pace. One line and one counter for each request that is about to be sent to a cold target; the pace bounds their number.

--- a/internal/gateway/availability.go
+++ b/internal/gateway/availability.go
@@ -160,3 +160,18 @@
 		}
 	}
 }
+
+// logColdSend logs and counts a request that is about to be sent to a cold target.
+func (g *Gateway) logColdSend(x *requestState, s *sendAttempt) {
+	now := sinceBoot()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	send, cold := g.placer.ColdSend(now, s.attempt)
+	if !cold {
+		return
+	}
+	g.requestMetrics.coldSends.Inc(1)
+	viewAge, _ := g.Views.Age(now)
+	g.Log.WithFields(logrus.Fields{"id": x.call.ID, "target": s.target, "sends": x.sends, "chosen_ms": send.SinceChoice.Milliseconds(), "paced": send.Paced, "limit": send.Limit,
+		"hosts": len(g.coldLimitHosts), "cold_ms": send.ColdLeft.Milliseconds(), "config_age_ms": viewAge.Milliseconds(), "uptime_ms": (now - g.startedAt).Milliseconds()}).Info("request to cold target")
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -152,9 +152,9 @@
 }
 
 type requestMetrics struct {
-	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed, keptSilent, detached metrics.Counter
-	firstByte, total                                                                                            metrics.Timer
-	leftOut                                                                                                     map[placement.Cause]metrics.Counter
+	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed, keptSilent, detached, coldSends metrics.Counter
+	firstByte, total                                                                                                       metrics.Timer
+	leftOut                                                                                                                map[placement.Cause]metrics.Counter
 }
 
 // Init prepares the gateway after its fields are set. prefillSpeed is the prefill speed
@@ -180,7 +180,7 @@
 		return metrics.GetOrRegisterCounter("gateway."+name, g.Metrics)
 	}
 	g.requestMetrics = requestMetrics{requests: counter("requests"), served: counter("served"), refused: counter("refused"),
-		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"), keptSilent: counter("silent_targets_kept"), detached: counter("detached"),
+		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"), keptSilent: counter("silent_targets_kept"), detached: counter("detached"), coldSends: counter("cold_sends"),
 		leftOut: map[placement.Cause]metrics.Counter{placement.CauseLeaving: counter("targets_leaving"), placement.CausePause: counter("targets_paused"),
 			placement.CauseRejection: counter("brittle_rejections")},
 		firstByte: metrics.GetOrRegisterTimer("gateway.first_byte", g.Metrics),
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -551,7 +551,7 @@
 	var unidentified *Classification
 	res, err := pool.Do(ctx, &upstream.Request{Address: s.address, Method: x.request.Method, RequestURI: x.request.RequestURI,
 		Host: x.request.Host, Header: header, Body: x.body, RecentConnOnly: !x.route.Repeatable(),
-		DialTimeout: dialTimeout, Repeatable: x.route.Repeatable(), OnConnect: s.onConnect, OnSilence: g.onSilence(x, s),
+		DialTimeout: dialTimeout, Repeatable: x.route.Repeatable(), OnConnect: func() error { return g.onConnect(x, s) }, OnSilence: g.onSilence(x, s),
 		Match: func(status int, h http.Header) upstream.Match {
 			match := g.TargetProtocol.MatchRequest(x.call.ID, status, h)
 			if s.forwarded && (h.Get(headerRan) != "" || match == upstream.Unidentified) {
@@ -586,6 +586,20 @@
 	return res, nil
 }
 
+// onConnect runs when there is a connection for an attempt and nothing is sent yet. An
+// error ends the attempt.
+func (g *Gateway) onConnect(x *requestState, s *sendAttempt) error {
+	if s.onConnect != nil {
+		if err := s.onConnect(); err != nil {
+			return err
+		}
+	}
+	if s.attempt != nil {
+		g.logColdSend(x, s)
+	}
+	return nil
+}
+
 // recordRequest adds a caller's request to the retry budget of its service. A forwarded
 // request counts at the host that its caller sent it to.
 func (g *Gateway) recordRequest(x *requestState) {
--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -142,6 +142,25 @@
 	return true
 }
 
+// ColdSend describes a request to a cold target.
+type ColdSend struct {
+	// SinceChoice is the time since the target was chosen, ColdLeft that until its warm-up
+	// ends.
+	SinceChoice, ColdLeft time.Duration
+	// Paced means that the target was already known to be cold at the choice.
+	Paced bool
+	Limit int
+}
+
+// ColdSend describes an attempt whose request is sent now, if its target is cold.
+func (p *Placer) ColdSend(now time.Duration, a *Attempt) (s ColdSend, cold bool) {
+	t := a.target
+	if now >= t.ColdUntil {
+		return ColdSend{}, false
+	}
+	return ColdSend{SinceChoice: now - a.started, ColdLeft: t.ColdUntil - now, Paced: a.chosenCold, Limit: t.ColdLimit}, true
+}
+
 // Leaving reports whether the target of an attempt is leaving.
 func (p *Placer) Leaving(a *Attempt) bool { return a.availability.leaving }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -407,6 +407,7 @@
 	target       *Target
 	availability *availability // of the target's process
 	counted      bool          // its start was counted for a brittle target
+	chosenCold   bool          // the target was cold at the choice
 	started      time.Duration
 	usage        Usage
 }
@@ -420,6 +421,7 @@
 		t.lastByteAt = now
 	}
 	if now < t.ColdUntil {
+		a.chosenCold = true
 		t.coldPacer.Add(now)
 	}
 	if t.cache != nil {
