shares, placement: the pace of cold targets is leased, and counted where a request is written

Callers saw the requests of a target that had just started end with its crash: it got more in a second than it survives (FAILBACK).

Cause: a limit over all hosts was enforced by each host from its own view. A host derived its part from the hosts that it had heard of, and no two lists need to be equal; and it counted a request when it chose the target, up to 250 ms, a new connection and any pause before the request left.

The control leader now leases 64 partitions of the permits of a region to the processes of its entry hosts, one holder each, and reserves them until the lease and the second in which its last requests count have ended. A slot is taken at the choice, checked right before the write with the lease, and counts from the end of the write; one request at a time is written to a cold target. The keys of callers and the version of a stream are checked at the same place. A withheld request no longer counts as a failure of its target: that of an expired key did.

Its schedules are stricter than before: the time between check and write, late and overtaken grants, changes of the leader.

--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -618,12 +618,6 @@
 	n.enqueue(ctx, func() { n.core.Resign(n.now()) })
 }
 
-// IsLeader reports whether this host is the leader with a valid lease.
-func (n *Node) IsLeader() bool {
-	_, ok := n.Lease()
-	return ok
-}
-
 // LeaderHost returns the host of the leader that this voter follows, or "".
 func (n *Node) LeaderHost() string {
 	s := n.status.Load()
--- a/internal/fleetsync/client_test.go
+++ b/internal/fleetsync/client_test.go
@@ -25,7 +25,7 @@
 // stubLog is a Leadership with current state.
 type stubLog struct{ leader bool }
 
-func (l stubLog) IsLeader() bool                  { return l.leader }
+func (l stubLog) Lease() (uint64, bool)           { return 1, l.leader }
 func (l stubLog) LeaderHost() string              { return "" }
 func (l stubLog) StateAge() (time.Duration, bool) { return 0, true }
 
--- a/internal/fleetsync/hosts_test.go
+++ b/internal/fleetsync/hosts_test.go
@@ -66,7 +66,7 @@
 // alwaysLeader is a Leadership of which this host is the leader.
 type alwaysLeader struct{}
 
-func (alwaysLeader) IsLeader() bool                  { return true }
+func (alwaysLeader) Lease() (uint64, bool)           { return 1, true }
 func (alwaysLeader) LeaderHost() string              { return "" }
 func (alwaysLeader) StateAge() (time.Duration, bool) { return 0, true }
 
--- a/internal/fleetsync/presence.go
+++ b/internal/fleetsync/presence.go
@@ -100,10 +100,23 @@
 	return out
 }
 
+// lacksPaceLease reports whether a host of the region that may still send requests limits
+// those to cold targets by what it knows of the other hosts, as earlier builds do.
+func (p *Presence) lacksPaceLease(now time.Duration, region string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.entries {
+		if e.host.GetRegion() == region && !e.host.GetPaceLease() && now-e.heardAt <= entryRetention {
+			return true
+		}
+	}
+	return false
+}
+
 func copyWithAge(e *entryRecord, now time.Duration) *syncpb.EntryHost {
 	h := e.host
 	return &syncpb.EntryHost{Name: h.GetName(), DataCentre: h.GetDataCentre(), Region: h.GetRegion(), Front: h.GetFront(),
-		Forward: h.GetForward(), Started: h.GetStarted(), Serving: h.GetServing(), Loads: h.GetLoads(), Peer: h.GetPeer(), Detached: h.GetDetached(), UsageRelay: h.GetUsageRelay(), HeardMs: (now - e.heardAt).Milliseconds()}
+		Forward: h.GetForward(), Started: h.GetStarted(), Serving: h.GetServing(), Loads: h.GetLoads(), Peer: h.GetPeer(), Detached: h.GetDetached(), UsageRelay: h.GetUsageRelay(), PaceLease: h.GetPaceLease(), HeardMs: (now - e.heardAt).Milliseconds()}
 }
 
 // TakeDirectEntries returns the entry hosts that reported to this host since the last
--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -41,7 +41,8 @@
 
 // Leadership reports the state of the replicated log on this host.
 type Leadership interface {
-	IsLeader() bool
+	// Lease returns the term in which this host leads; false if it does not lead now.
+	Lease() (term uint64, ok bool)
 	// LeaderHost returns the peer address of the leader, or "" if it is unknown.
 	LeaderHost() string
 	// StateAge returns an upper bound on the age of the applied state; false means
@@ -70,7 +71,10 @@
 	startedAt   time.Duration
 	origins     *origins.Store // of the streams that entry hosts have reported
 	mu          sync.Mutex
-	allocator   *shares.Allocator
+	// allocator and partitions are those of the term in which this host last led.
+	allocator  *shares.Allocator
+	partitions *shares.PartitionAllocator
+	term       uint64
 	// newestReport is the time at which each host sent the newest report that the
 	// allocator has processed.
 	newestReport map[string]time.Duration
@@ -90,7 +94,7 @@
 }
 
 type hostGrants struct {
-	grants []*syncpb.Grant
+	*syncpb.HostGrants
 	// asOf is when the host sent the demands for which the grants were made.
 	asOf time.Duration
 }
@@ -135,10 +139,22 @@
 	if in.GetHost().GetName() == "" {
 		return out, nil
 	}
-	out.Grants, out.GrantsAgeMs = s.grantsFor(now, &syncpb.HostDemands{Host: in.GetHost().GetName(), Demands: in.GetDemands(), UptimeMs: in.GetUptimeMs()})
+	if g := s.grantsFor(now, demandsOf(in)); g != nil {
+		out.Granted, out.Grants, out.Partitions, out.GrantsAgeMs = true, g.GetGrants(), g.GetPartitions(), g.GetAgeMs()
+	}
 	return out, nil
 }
 
+// demandsOf returns what an entry host reports of its part of shared limits.
+func demandsOf(in *syncpb.ExchangeRequest) *syncpb.HostDemands {
+	h := in.GetHost()
+	out := &syncpb.HostDemands{Host: h.GetName(), Demands: in.GetDemands(), UptimeMs: in.GetUptimeMs()}
+	if h.GetPaceLease() {
+		out.Region, out.Started, out.Partitions = h.GetRegion(), h.GetStarted(), in.GetPartitions()
+	}
+	return out
+}
+
 // hostsPerOtherRegion is the number of hosts of each other region in a response.
 const hostsPerOtherRegion = 4
 
@@ -185,44 +201,49 @@
 	return out
 }
 
-// grantsFor returns the grants for a host's demands and their age in milliseconds. The
-// leader allocates them at once; a follower returns those that the leader granted for
-// an earlier report.
-func (s *Server) grantsFor(now time.Duration, d *syncpb.HostDemands) ([]*syncpb.Grant, int64) {
+// grantsFor returns the grants for a host's demands, or nil. The leader allocates them at
+// once; a follower returns those that the leader granted for an earlier report.
+func (s *Server) grantsFor(now time.Duration, d *syncpb.HostDemands) *syncpb.HostGrants {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.Leadership.IsLeader() {
-		return s.allocate(now, d), 0
+	if term, leads := s.Leadership.Lease(); leads {
+		return s.allocate(now, term, d)
 	}
-	s.allocator = nil
 	s.demands[d.GetHost()] = &hostDemands{d, now}
 	g := s.grants[d.GetHost()]
 	if g == nil || now-g.asOf > maxGrantAge {
-		return nil, 0
+		return nil
+	}
+	out := &syncpb.HostGrants{Grants: g.GetGrants(), AgeMs: (now - g.asOf).Milliseconds() + 1}
+	if g.GetStarted() == d.GetStarted() { // otherwise an earlier process of the host holds them
+		out.Partitions = g.GetPartitions()
 	}
-	return g.grants, (now - g.asOf).Milliseconds() + 1
+	return out
 }
 
-// allocate runs the allocator on the leader, with s.mu held. A host may report to
-// several control hosts, so reports can arrive out of order; one that is older than the
-// newest processed report is ignored, because its demands and fractions are out of date.
-func (s *Server) allocate(now time.Duration, d *syncpb.HostDemands) []*syncpb.Grant {
+// allocate runs the allocators on the leader, with s.mu held. Those of an earlier term are
+// not used: another host may have led in between. A host may report to several control
+// hosts, so reports can arrive out of order; one that is older than the newest processed
+// report is ignored, because its demands and fractions are out of date.
+func (s *Server) allocate(now time.Duration, term uint64, d *syncpb.HostDemands) *syncpb.HostGrants {
 	asOf := now - time.Duration(d.GetAgeMs())*time.Millisecond
 	if asOf < s.newestReport[d.GetHost()] {
 		return nil
 	}
 	s.newestReport[d.GetHost()] = asOf
-	if s.allocator == nil {
-		s.allocator = shares.NewAllocator(now, s.RegionCount)
+	if s.allocator == nil || term != s.term {
+		s.allocator, s.partitions, s.term = shares.NewAllocator(now, s.RegionCount), shares.NewPartitionAllocator(now), term
 	}
 	in := make([]shares.Demand, len(d.GetDemands()))
 	for i, w := range d.GetDemands() {
 		in[i] = shares.Demand{Workspace: w.GetWorkspace(), PerSecond: w.GetPerSecond(), HeldFraction: w.GetHeld(), Released: w.GetReleased()}
 	}
-	granted := s.allocator.Report(now, d.GetHost(), time.Duration(d.GetUptimeMs())*time.Millisecond, in)
-	out := make([]*syncpb.Grant, len(granted))
-	for i, g := range granted {
-		out[i] = &syncpb.Grant{Workspace: g.Workspace, Fraction: g.Fraction}
+	out := &syncpb.HostGrants{Host: d.GetHost(), AgeMs: d.GetAgeMs(), Started: d.GetStarted()}
+	for _, g := range s.allocator.Report(now, d.GetHost(), time.Duration(d.GetUptimeMs())*time.Millisecond, in) {
+		out.Grants = append(out.Grants, &syncpb.Grant{Workspace: g.Workspace, Fraction: g.Fraction})
+	}
+	if d.GetRegion() != "" && !s.Presence.lacksPaceLease(now, d.GetRegion()) {
+		out.Partitions = uint64(s.partitions.Report(now, d.GetRegion(), shares.Holder{Host: d.GetHost(), StartMillis: d.GetStarted()}, shares.PartitionSet(d.GetPartitions())))
 	}
 	return out
 }
@@ -246,15 +267,16 @@
 	}
 	addOrigins(now, in.GetOrigins(), s.origins.Merge)
 	out := &syncpb.RelayResponse{Controls: s.Presence.Controls(now), Process: s.Incarnation}
-	if !s.Leadership.IsLeader() {
-		return out, nil
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	term, leads := s.Leadership.Lease()
+	if !leads {
+		return out, nil
+	}
 	for _, d := range in.GetDemands() {
 		if d.GetAgeMs() < maxGrantAge.Milliseconds() {
-			if grants := s.allocate(now, d); grants != nil {
-				out.Grants = append(out.Grants, &syncpb.HostGrants{Host: d.GetHost(), Grants: grants, AgeMs: d.GetAgeMs()})
+			if granted := s.allocate(now, term, d); granted != nil {
+				out.Grants = append(out.Grants, granted)
 			}
 		}
 	}
@@ -390,7 +412,8 @@
 			delete(s.demands, host)
 			continue
 		}
-		out = append(out, &syncpb.HostDemands{Host: host, Demands: d.GetDemands(), UptimeMs: d.GetUptimeMs(), AgeMs: age.Milliseconds()})
+		out = append(out, &syncpb.HostDemands{Host: host, Demands: d.GetDemands(), UptimeMs: d.GetUptimeMs(), AgeMs: age.Milliseconds(),
+			Region: d.GetRegion(), Started: d.GetStarted(), Partitions: d.GetPartitions()})
 	}
 	return out
 }
@@ -413,7 +436,7 @@
 	for _, g := range out.GetGrants() {
 		asOf := sent - time.Duration(g.GetAgeMs())*time.Millisecond
 		if old := s.grants[g.GetHost()]; old == nil || asOf > old.asOf {
-			s.grants[g.GetHost()] = &hostGrants{g.GetGrants(), asOf}
+			s.grants[g.GetHost()] = &hostGrants{g, asOf}
 		}
 	}
 	return out.GetProcess(), true
--- a/internal/gateway/availability.go
+++ b/internal/gateway/availability.go
@@ -90,6 +90,63 @@
 	return &attemptError{ran: refusal.NotRun, unsent: true, err: errNotAccepted}
 }
 
+// beginSend runs right before the request of an attempt is written. It checks every
+// permission that may have ended since the attempt began: this process may have stood
+// still, and the connection may have taken long. An error means that nothing is sent.
+func (g *Gateway) beginSend(x *requestState, s *sendAttempt) error {
+	if s.beforeWrite != nil {
+		if err := s.beforeWrite(); err != nil {
+			return err
+		}
+	}
+	now := sinceBoot()
+	if err := g.checkKeyLease(now, x); err != nil {
+		return err
+	}
+	if s.attempt == nil {
+		return nil
+	}
+	if err := g.checkInStep(now, x); err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	allowed := g.placer.BeginSend(now, s.attempt)
+	g.logColdSend(now, x, s, allowed)
+	if !allowed {
+		return errNotAccepted
+	}
+	return nil
+}
+
+// endSend runs when the request of an attempt has been written.
+func (g *Gateway) endSend(s *sendAttempt) {
+	if s.attempt == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.placer.EndSend(sinceBoot(), s.attempt)
+}
+
+// logColdSend logs and counts a request to a cold target that is sent now, or withheld.
+// g.mu must be held.
+func (g *Gateway) logColdSend(now time.Duration, x *requestState, s *sendAttempt, allowed bool) {
+	send, cold := g.placer.ColdSend(now, s.attempt)
+	if !cold {
+		return
+	}
+	if allowed {
+		g.requestMetrics.coldSends.Inc(1)
+	} else {
+		g.requestMetrics.coldWithheld.Inc(1)
+	}
+	viewAge, _ := g.Views.Age(now)
+	g.Log.WithFields(logrus.Fields{"id": x.call.ID, "target": s.target, "sends": x.sends, "withheld": !allowed, "chosen_ms": send.SinceChoice.Milliseconds(), "reserved": send.Reserved,
+		"limit": send.Limit, "partitions": g.paceLease.Held(now).Len(), "lease_ms": g.paceLease.Remaining(now).Milliseconds(), "cold_ms": send.ColdLeft.Milliseconds(),
+		"config_age_ms": viewAge.Milliseconds(), "uptime_ms": (now - g.startedAt).Milliseconds()}).Info("request to cold target")
+}
+
 // errOutOfStep means that a stream is not continued because this host has not heard from
 // the control hosts for some time. A target may have started again meanwhile, under its id
 // and with other software.
@@ -160,18 +217,3 @@
 		}
 	}
 }
-
-// logColdSend logs and counts a request that is about to be sent to a cold target.
-func (g *Gateway) logColdSend(x *requestState, s *sendAttempt) {
-	now := sinceBoot()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	send, cold := g.placer.ColdSend(now, s.attempt)
-	if !cold {
-		return
-	}
-	g.requestMetrics.coldSends.Inc(1)
-	viewAge, _ := g.Views.Age(now)
-	g.Log.WithFields(logrus.Fields{"id": x.call.ID, "target": s.target, "sends": x.sends, "chosen_ms": send.SinceChoice.Milliseconds(), "paced": send.Paced, "limit": send.Limit,
-		"hosts": len(g.coldLimitHosts), "cold_ms": send.ColdLeft.Milliseconds(), "config_age_ms": viewAge.Milliseconds(), "uptime_ms": (now - g.startedAt).Milliseconds()}).Info("request to cold target")
-}
--- a/internal/gateway/dispatch_test.go
+++ b/internal/gateway/dispatch_test.go
@@ -54,7 +54,7 @@
 		log.SetOutput(io.Discard)
 		g := &Gateway{Metrics: metrics.NewRegistry(), Log: log, Region: "here", TargetProtocol: noProtocol{}}
 		g.Init(1000)
-		next := &sendAttempt{target: "t", address: strings.TrimPrefix(s.URL, "http://"), forwarded: forwarded, region: "here", onConnect: func() error { return errNoRetry }}
+		next := &sendAttempt{target: "t", address: strings.TrimPrefix(s.URL, "http://"), forwarded: forwarded, region: "here", beforeWrite: func() error { return errNoRetry }}
 		x := &requestState{deadline: sinceBoot() + time.Minute, route: &document.Route{Kind: document.Idempotent}, request: httptest.NewRequest("GET", "/", nil), header: http.Header{}}
 		_, err := g.dispatch(context.Background(), x, next)
 		if !errors.Is(err, errNoRetry) || x.sends != 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,18 +124,18 @@
 	hostsRequestedAt time.Duration
 	totalHosts       int
 	placedRevision   uint64 // revision of Table that the placer uses
-	// peerSet has the entry hosts of this region, which send to the same targets.
-	// coldLimitHosts are those among which the request limits of cold targets were last
-	// divided.
-	peerSet        *shares.PeerSet
-	coldLimitHosts []string
-	origins        *origins.Store // of the streams that began at this host
-	quarantine     *suspects.Quarantine
-	usagePlanner   *usagerelay.Planner
-	usagePlan      usagerelay.Plan // the latest one
-	usageHub       *usagerelay.Hub
-	usageAt        map[string]time.Duration // of the newest usage report, by host
-	crashChecks    map[string]*crashCheck   // by target
+	// peerSet has the entry hosts of this region, which send to the same targets. sharingHosts
+	// are those among which the slots of brittle targets were last divided.
+	peerSet      *shares.PeerSet
+	sharingHosts []string
+	paceLease    shares.PartitionLease // of the pace of cold targets
+	origins      *origins.Store        // of the streams that began at this host
+	quarantine   *suspects.Quarantine
+	usagePlanner *usagerelay.Planner
+	usagePlan    usagerelay.Plan // the latest one
+	usageHub     *usagerelay.Hub
+	usageAt      map[string]time.Duration // of the newest usage report, by host
+	crashChecks  map[string]*crashCheck   // by target
 }
 
 // peerHost is another entry host.
@@ -152,9 +152,9 @@
 }
 
 type requestMetrics struct {
-	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed, keptSilent, detached, coldSends metrics.Counter
-	firstByte, total                                                                                                       metrics.Timer
-	leftOut                                                                                                                map[placement.Cause]metrics.Counter
+	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed, keptSilent, detached, coldSends, coldWithheld metrics.Counter
+	firstByte, total                                                                                                                     metrics.Timer
+	leftOut                                                                                                                              map[placement.Cause]metrics.Counter
 }
 
 // Init prepares the gateway after its fields are set. prefillSpeed is the prefill speed
@@ -175,12 +175,15 @@
 	g.quarantine, g.crashChecks = suspects.NewQuarantine(), map[string]*crashCheck{}
 	g.usagePlanner, g.usageHub, g.usageAt = usagerelay.NewPlanner(g.Name), usagerelay.NewHub(rand.Uint64()), map[string]time.Duration{}
 	g.peerSet = shares.NewPeerSet(g.Name, g.startedAt)
+	g.placer.PaceShare = func(now time.Duration, target string, limit int) int {
+		return g.paceLease.Held(now).Permits(target, limit)
+	}
 	g.placer.Reachable = func(now time.Duration, region string) bool { return now-g.regionLastHeard[region] < regionTimeout }
 	counter := func(name string) metrics.Counter {
 		return metrics.GetOrRegisterCounter("gateway."+name, g.Metrics)
 	}
 	g.requestMetrics = requestMetrics{requests: counter("requests"), served: counter("served"), refused: counter("refused"),
-		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"), keptSilent: counter("silent_targets_kept"), detached: counter("detached"), coldSends: counter("cold_sends"),
+		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"), keptSilent: counter("silent_targets_kept"), detached: counter("detached"), coldSends: counter("cold_sends"), coldWithheld: counter("cold_withheld"),
 		leftOut: map[placement.Cause]metrics.Counter{placement.CauseLeaving: counter("targets_leaving"), placement.CausePause: counter("targets_paused"),
 			placement.CauseRejection: counter("brittle_rejections")},
 		firstByte: metrics.GetOrRegisterTimer("gateway.first_byte", g.Metrics),
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -94,8 +94,8 @@
 	cancel      context.CancelFunc
 	// response is that of an attempt that was sent while the target before it was silent.
 	response *upstream.Response
-	// onConnect is called before the request is sent; nil if it is not needed.
-	onConnect func() error
+	// beforeWrite is called before the request is written; nil if it is not needed.
+	beforeWrite func() error
 }
 
 // run attempts the request until a response was relayed or no retry is allowed.
@@ -497,7 +497,7 @@
 func attemptOutcome(ctx context.Context, err error) placement.Outcome {
 	failed, ok := errors.AsType[*attemptError](err)
 	switch {
-	case ctx.Err() != nil || errors.Is(err, errNotAccepted) || errors.Is(err, errNoRetry):
+	case ctx.Err() != nil || withheld(err):
 		return placement.Cancelled
 	case ok && failed.unsent:
 		return placement.Unreachable
@@ -505,6 +505,13 @@
 	return placement.Broken
 }
 
+// withheld reports whether this host itself decided not to send a request, so that the error
+// says nothing about its destination.
+func withheld(err error) bool {
+	_, refused := errors.AsType[*refusal.Error](err)
+	return refused || errors.Is(err, errNotAccepted) || errors.Is(err, errOutOfStep) || errors.Is(err, errNoRetry)
+}
+
 func (g *Gateway) finishAttempt(x *requestState, s *sendAttempt, o placement.Outcome) {
 	now := sinceBoot()
 	g.mu.Lock()
@@ -551,7 +558,7 @@
 	var unidentified *Classification
 	res, err := pool.Do(ctx, &upstream.Request{Address: s.address, Method: x.request.Method, RequestURI: x.request.RequestURI,
 		Host: x.request.Host, Header: header, Body: x.body, RecentConnOnly: !x.route.Repeatable(),
-		DialTimeout: dialTimeout, Repeatable: x.route.Repeatable(), OnConnect: func() error { return g.onConnect(x, s) }, OnSilence: g.onSilence(x, s),
+		DialTimeout: dialTimeout, Repeatable: x.route.Repeatable(), BeforeWrite: func() error { return g.beginSend(x, s) }, AfterWrite: func() { g.endSend(s) }, OnSilence: g.onSilence(x, s),
 		Match: func(status int, h http.Header) upstream.Match {
 			match := g.TargetProtocol.MatchRequest(x.call.ID, status, h)
 			if s.forwarded && (h.Get(headerRan) != "" || match == upstream.Unidentified) {
@@ -567,7 +574,7 @@
 	switch {
 	case errors.Is(err, upstream.ErrNotSent):
 		x.sends--
-		if s.forwarded && !errors.Is(err, errNoRetry) {
+		if s.forwarded && !withheld(err) {
 			g.recordUnreachablePeer(x, s)
 		}
 		return nil, &attemptError{ran: refusal.NotRun, unsent: true, err: err}
@@ -586,20 +593,6 @@
 	return res, nil
 }
 
-// onConnect runs when there is a connection for an attempt and nothing is sent yet. An
-// error ends the attempt.
-func (g *Gateway) onConnect(x *requestState, s *sendAttempt) error {
-	if s.onConnect != nil {
-		if err := s.onConnect(); err != nil {
-			return err
-		}
-	}
-	if s.attempt != nil {
-		g.logColdSend(x, s)
-	}
-	return nil
-}
-
 // recordRequest adds a caller's request to the retry budget of its service. A forwarded
 // request counts at the host that its caller sent it to.
 func (g *Gateway) recordRequest(x *requestState) {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -101,7 +101,7 @@
 // after the request was sent to next.
 func (g *Gateway) sendReplacement(x *requestState, s, next *sendAttempt) error {
 	var giveUp *time.Timer
-	next.onConnect = func() error {
+	next.beforeWrite = func() error {
 		if !g.takeRetry(x) {
 			return errNoRetry
 		}
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -20,6 +20,9 @@
 // evacuation ended. By then their heartbeats have reported whether they are cold.
 const restoredColdTime = 2500 * time.Millisecond
 
+// maxColdLimit bounds the limit that follows from an extreme configuration.
+const maxColdLimit = 1e6
+
 // ExchangeRequest builds the request of the periodic exchange with a control host. If
 // full is false, the request has no report of this host and only fetches changes. While
 // this host waits for its share of a rate, every request is full, because each control
@@ -34,9 +37,9 @@
 		return &syncpb.ExchangeRequest{Index: index, Version: version, OriginCursor: originCursor}
 	}
 	began, originCursor := g.origins.Since(now, originCursor)
-	out := &syncpb.ExchangeRequest{Index: index, Version: version, WantHosts: g.wantsHosts(now), UptimeMs: (now - g.startedAt).Milliseconds(),
+	out := &syncpb.ExchangeRequest{Index: index, Version: version, WantHosts: g.wantsHosts(now), UptimeMs: (now - g.startedAt).Milliseconds(), Partitions: uint64(g.paceLease.Held(now)),
 		Host: &syncpb.EntryHost{Name: g.Name, DataCentre: g.DataCentre, Region: g.Region, Front: g.Front, Forward: g.Forward, Peer: g.Peer,
-			Started: g.Started, Serving: g.Ready(), Detached: g.path.Detached(), UsageRelay: true},
+			Started: g.Started, Serving: g.Ready(), Detached: g.path.Detached(), UsageRelay: true, PaceLease: true},
 		Origins: fleetsync.EncodeOrigins(began), OriginCursor: originCursor}
 	for _, name := range slices.Sorted(maps.Keys(g.buckets)) {
 		b := g.buckets[name]
@@ -101,8 +104,8 @@
 	}
 	g.applyGrants(now, u)
 	hosts := g.peerSet.ActiveHosts(now)
-	if revision := g.Table.Revision(); changed || revision != g.placedRevision || !slices.Equal(hosts, g.coldLimitHosts) {
-		g.placedRevision, g.coldLimitHosts = revision, hosts
+	if revision := g.Table.Revision(); changed || revision != g.placedRevision || !slices.Equal(hosts, g.sharingHosts) {
+		g.placedRevision, g.sharingHosts = revision, hosts
 		g.shareTargets(hosts)
 		g.placer.SetTargets(g.targetSpecs(now))
 	}
@@ -161,6 +164,9 @@
 
 func (g *Gateway) applyGrants(now time.Duration, u fleetsync.Update) {
 	asOf := u.SentAt - time.Duration(u.GetGrantsAgeMs())*time.Millisecond
+	if u.GetGranted() {
+		g.paceLease.Grant(shares.PartitionSet(u.GetPartitions()), asOf)
+	}
 	for _, grant := range u.GetGrants() {
 		if b := g.buckets[grant.GetWorkspace()]; b != nil && g.rateHolder(now, grant.GetWorkspace()) == nil {
 			b.SetFraction(now, grant.GetFraction(), asOf+shares.LeaseDuration)
@@ -202,9 +208,10 @@
 		spec.CacheTokens = s.Engine.CacheTokens
 	}
 	if s.ColdRate > 0 {
-		// The bound is reduced by one for requests that are already in transit.
+		// The bound is reduced by one for the request of a host that stands still, for
+		// longer than its lease, after it was allowed to write it.
 		spec.Paced = true
-		spec.ColdLimit = g.peerSet.LimitShare(r.ID, max(1, int(s.ColdRate*g.Bounds.ColdOverrun+g.Bounds.ColdSlack-1)), g.coldLimitHosts)
+		spec.ColdLimit = int(min(maxColdLimit, max(1, s.ColdRate*g.Bounds.ColdOverrun+g.Bounds.ColdSlack-1)))
 		if at := g.endedEvacuations[r.DataCentre].at; at > 0 && s.Warmup > 0 {
 			spec.ColdUntil = max(spec.ColdUntil, at+restoredColdTime)
 		}
--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -122,43 +122,7 @@
 // Accepts reports whether the target of an attempt that is not sent yet still takes
 // requests from this host.
 func (p *Placer) Accepts(now time.Duration, a *Attempt) bool {
-	return a.availability.accepts(now) && a.target.renewColdSlot(now, a)
-}
-
-// maxColdSlotAge is how long after its choice a request may be sent to a cold target without
-// a further check of the target's pace.
-const maxColdSlotAge = 250 * time.Millisecond
-
-// renewColdSlot reports whether a request may be sent to a target now, if it is cold. The
-// slot in its pace that the request was given has passed if this process stood still.
-func (t *Target) renewColdSlot(now time.Duration, a *Attempt) bool {
-	if now >= t.ColdUntil || !t.Paced || now-a.started <= maxColdSlotAge {
-		return true
-	}
-	if !t.coldPacer.Allows(now, t.ColdLimit) {
-		return false
-	}
-	t.coldPacer.Add(now)
-	return true
-}
-
-// ColdSend describes a request to a cold target.
-type ColdSend struct {
-	// SinceChoice is the time since the target was chosen, ColdLeft that until its warm-up
-	// ends.
-	SinceChoice, ColdLeft time.Duration
-	// Paced means that the target was already known to be cold at the choice.
-	Paced bool
-	Limit int
-}
-
-// ColdSend describes an attempt whose request is sent now, if its target is cold.
-func (p *Placer) ColdSend(now time.Duration, a *Attempt) (s ColdSend, cold bool) {
-	t := a.target
-	if now >= t.ColdUntil {
-		return ColdSend{}, false
-	}
-	return ColdSend{SinceChoice: now - a.started, ColdLeft: t.ColdUntil - now, Paced: a.chosenCold, Limit: t.ColdLimit}, true
+	return a.availability.accepts(now)
 }
 
 // Leaving reports whether the target of an attempt is leaving.
@@ -215,6 +179,7 @@
 	maps.DeleteFunc(p.availability, func(id string, a *availability) bool {
 		return p.targets[id] == nil && now-a.statedAt > availabilityRetention
 	})
+	p.dropIdlePacers(now)
 	return out
 }
 
--- a/internal/placement/availability_test.go
+++ b/internal/placement/availability_test.go
@@ -161,24 +161,23 @@
 		}
 		return out
 	}
-	delayed := start(second)
-	now := 6 * second // the process stood still
-	sent := len(start(now))
-	for _, a := range delayed {
-		if p.Accepts(now, a) {
-			sent++
+	send := func(now time.Duration, attempts []*placement.Attempt) (sent int) {
+		for _, a := range attempts {
+			if p.BeginSend(now, a) {
+				p.EndSend(now, a)
+				sent++
+			}
+			p.Done(now, a, placement.Cancelled)
 		}
+		return sent
 	}
+	delayed := start(second)
+	now := 6 * second // the process stood still
+	sent := send(now, start(now)) + send(now, delayed)
 	if sent != limit {
 		t.Errorf("%d requests in one moment, the limit is %d", sent, limit)
 	}
-	sent = 0
-	for _, a := range start(now + 2*second) {
-		if p.Accepts(now+2*second+50*ms, a) {
-			sent++
-		}
-	}
-	if sent != limit {
+	if sent = send(now+2*second+50*ms, start(now+2*second)); sent != limit {
 		t.Errorf("%d requests without a pause, the limit is %d", sent, limit)
 	}
 }
--- a/internal/placement/coldpace_test.go
+++ b/internal/placement/coldpace_test.go
@@ -29,7 +29,7 @@
 	cutUntil    time.Duration // from the control hosts
 	nextReport  time.Duration
 	placer      *placement.Placer
-	peers       *shares.PeerSet
+	lease       shares.PartitionLease
 	unsent      []*paceSend
 }
 
@@ -39,21 +39,41 @@
 	checkAt   time.Duration // when the attempt is checked before a connection is taken
 	sendAt    time.Duration
 	isChecked bool
+	// writeAt is when the request leaves, and writtenAt when its host knows that it has.
+	began              bool
+	writeAt, writtenAt time.Duration
+	left               bool
+}
+
+// paceReply is a grant on its way to a process.
+type paceReply struct {
+	to            *paceHost
+	held          shares.PartitionSet
+	sentAt, dueAt time.Duration
+}
+
+// paceQuery is the report of a process on its way to the leader.
+type paceQuery struct {
+	from          *paceHost
+	held          shares.PartitionSet
+	sentAt, dueAt time.Duration
 }
 
 // paceSchedule plays several hosts that send to one cold target. Hosts start, are killed,
-// stand still, are slow, and are cut from the control host, which forgets what it knows
-// when it starts again.
+// stand still, are slow, and are cut from the control hosts, whose leader changes. Reports
+// and grants are delayed, overtake each other and outlive the process that sent them.
 type paceSchedule struct {
 	// delays are those between choice and send; in disagreement, hosts have different
 	// views of each other.
 	delays, disagreement bool
 
-	rand  *rand.Rand
-	now   time.Duration
-	hosts []*paceHost
-	heard map[string]time.Duration // by the control host
-	sent  []time.Duration
+	rand    *rand.Rand
+	now     time.Duration
+	hosts   []*paceHost
+	leader  *shares.PartitionAllocator
+	queries []paceQuery
+	replies []paceReply
+	sent    []time.Duration
 }
 
 func (s *paceSchedule) chance(p float64) bool { return s.rand.Float64() < p }
@@ -63,20 +83,47 @@
 }
 
 func (s *paceSchedule) newHost(name string) *paceHost {
-	return &paceHost{name: name, startedAt: s.now, placer: newPlacer(nil), peers: shares.NewPeerSet(name, s.now)}
+	h := &paceHost{name: name, startedAt: s.now, placer: newPlacer(nil)}
+	h.placer.PaceShare = func(now time.Duration, target string, limit int) int { return h.lease.Held(now).Permits(target, limit) }
+	h.placer.SetTargets([]placement.Spec{{ID: "cold", Address: "10.0.0.1", Service: "s", Slots: 64, Paced: true, ColdLimit: coldLimit, ColdUntil: time.Hour}})
+	return h
+}
+
+// messageDelay returns how long a report or a grant takes.
+func (s *paceSchedule) messageDelay() time.Duration {
+	if s.disagreement && s.chance(0.05) {
+		return s.upTo(3 * second)
+	}
+	return s.upTo(200 * ms)
 }
 
-// report exchanges with the control host.
+// report sends a report to the leader.
 func (s *paceSchedule) report(h *paceHost) {
 	h.nextReport = s.now + paceReport + s.upTo(100*ms)
 	if s.now >= h.cutUntil {
-		s.heard[h.name] = s.now
-		for name, at := range s.heard {
-			h.peers.RecordHeard(name, at)
-		}
+		s.queries = append(s.queries, paceQuery{h, h.lease.Held(s.now), s.now, s.now + s.messageDelay()})
 	}
-	share := h.peers.LimitShare("cold", coldLimit, h.peers.ActiveHosts(s.now))
-	h.placer.SetTargets([]placement.Spec{{ID: "cold", Address: "10.0.0.1", Service: "s", Slots: 64, Paced: true, ColdLimit: share, ColdUntil: time.Hour}})
+}
+
+// exchange delivers reports to the leader and grants to hosts.
+func (s *paceSchedule) exchange() {
+	s.queries = slices.DeleteFunc(s.queries, func(q paceQuery) bool {
+		if s.now < q.dueAt {
+			return false
+		}
+		granted := s.leader.Report(s.now, "region", shares.Holder{Host: q.from.name, StartMillis: q.from.startedAt.Milliseconds()}, q.held)
+		s.replies = append(s.replies, paceReply{q.from, granted, q.sentAt, s.now + s.messageDelay()})
+		return true
+	})
+	s.replies = slices.DeleteFunc(s.replies, func(r paceReply) bool {
+		if s.now < r.dueAt || s.now < r.to.frozenUntil {
+			return false
+		}
+		if s.now >= r.to.cutUntil {
+			r.to.lease.Grant(r.held, r.sentAt)
+		}
+		return true
+	})
 }
 
 func (s *paceSchedule) choose(h *paceHost) {
@@ -110,7 +157,28 @@
 		if !u.isChecked || s.now < u.sendAt {
 			return false
 		}
-		s.sent = append(s.sent, s.now)
+		if !u.began {
+			if !h.placer.BeginSend(s.now, u.attempt) {
+				h.placer.Done(s.now, u.attempt, placement.Cancelled)
+				return true
+			}
+			u.began, u.writeAt = true, s.now
+			if s.delays && s.chance(0.1) {
+				u.writeAt += s.upTo(60 * ms)
+			}
+			u.writtenAt = u.writeAt
+			if s.delays && s.chance(0.1) {
+				u.writtenAt += s.upTo(second) // a blocked connection
+			}
+		}
+		if s.now >= u.writeAt && !u.left {
+			u.left = true
+			s.sent = append(s.sent, s.now)
+		}
+		if s.now < u.writtenAt {
+			return false
+		}
+		h.placer.EndSend(s.now, u.attempt)
 		h.placer.Done(s.now, u.attempt, placement.Served)
 		return true
 	})
@@ -118,8 +186,9 @@
 
 func (s *paceSchedule) step() {
 	if s.disagreement && s.chance(0.001) {
-		clear(s.heard) // the control host starts again
+		s.leader = shares.NewPartitionAllocator(s.now)
 	}
+	s.exchange()
 	for i, h := range s.hosts {
 		if s.now < h.frozenUntil {
 			continue
@@ -157,6 +226,7 @@
 		h.startedAt += s.upTo(3 * second)
 		s.hosts = append(s.hosts, h)
 	}
+	s.leader = shares.NewPartitionAllocator(s.now)
 	for s.now = second; s.now < paceDuration; s.now += paceStep {
 		s.step()
 	}
@@ -181,7 +251,7 @@
 			failed, served := 0, 0
 			for seed := range uint64(schedules) {
 				s := kind
-				s.rand, s.heard = rand.New(rand.NewPCG(seed, 32)), map[string]time.Duration{}
+				s.rand = rand.New(rand.NewPCG(seed, 32))
 				most, at := s.play()
 				served += len(s.sent)
 				if most <= coldAllowed {
--- /dev/null
+++ b/internal/placement/pace.go
@@ -0,0 +1,113 @@
+package placement
+
+import (
+	"maps"
+	"time"
+
+	"geraniumturn.example/geraniumturn/internal/shares"
+)
+
+// paceState is how far a request has come in the pace of its target.
+type paceState uint8
+
+const (
+	unpaced paceState = iota
+	paceReserved
+	paceSending
+)
+
+// paced reports whether the target is cold and bears only some requests a second.
+func (t *Target) paced(now time.Duration) bool { return t.Paced && now < t.ColdUntil }
+
+// paceLimit returns how many requests this host may send to a cold target in a second.
+func (p *Placer) paceLimit(now time.Duration, t *Target) int {
+	if p.PaceShare == nil {
+		return t.ColdLimit
+	}
+	return p.PaceShare(now, t.ID, t.ColdLimit)
+}
+
+// allowsPace reports whether this host may choose the target, if it is cold.
+func (p *Placer) allowsPace(now time.Duration, t *Target) bool {
+	return !t.paced(now) || p.pacer(t).Allows(now, p.paceLimit(now, t))
+}
+
+// pacer returns the pacer of a target. It outlives the registration of the target, which
+// may be left out and come back within a second.
+func (p *Placer) pacer(t *Target) *shares.Pacer {
+	pacer := p.pacers[t.ID]
+	if pacer == nil {
+		pacer = &shares.Pacer{}
+		p.pacers[t.ID] = pacer
+	}
+	return pacer
+}
+
+func (p *Placer) dropIdlePacers(now time.Duration) {
+	maps.DeleteFunc(p.pacers, func(_ string, pacer *shares.Pacer) bool { return pacer.Idle(now) })
+}
+
+// reservePace reserves a slot for an attempt if its target is cold.
+func (p *Placer) reservePace(now time.Duration, a *Attempt) {
+	if a.target.paced(now) {
+		a.pace = paceReserved
+		p.pacer(a.target).Reserve()
+	}
+}
+
+// releasePace gives up the slot of an attempt that was not sent.
+func (p *Placer) releasePace(a *Attempt) {
+	if a.pace == paceReserved {
+		a.pace = unpaced
+		p.pacer(a.target).Release()
+	}
+}
+
+// BeginSend reports whether the request of an attempt may be written now. It must be called
+// right before the write, and EndSend after it: the process may have stood still since the
+// choice, and the target may have become cold or left.
+func (p *Placer) BeginSend(now time.Duration, a *Attempt) bool {
+	t := p.targets[a.target.ID]
+	if t == nil || t.Address != a.target.Address || !a.availability.accepts(now) {
+		return false
+	}
+	if !t.paced(now) {
+		p.releasePace(a)
+		return true
+	}
+	if !p.pacer(t).Begin(now, p.paceLimit(now, t), a.pace == paceReserved) {
+		return false
+	}
+	a.pace = paceSending
+	return true
+}
+
+// EndSend records that the request of an attempt has been written, or that its write has
+// failed.
+func (p *Placer) EndSend(now time.Duration, a *Attempt) {
+	if a.pace == paceSending {
+		a.pace = unpaced
+		p.pacer(a.target).End(now)
+	}
+}
+
+// ColdSend describes a request to a cold target.
+type ColdSend struct {
+	// SinceChoice is the time since the target was chosen, ColdLeft that until its warm-up
+	// ends.
+	SinceChoice, ColdLeft time.Duration
+	// Reserved means that the target was already known to be cold at the choice.
+	Reserved bool
+	// Limit is the number of requests in a second that this host may send to it.
+	Limit int
+}
+
+// ColdSend describes an attempt that BeginSend has just allowed, or not, if its target is
+// cold.
+func (p *Placer) ColdSend(now time.Duration, a *Attempt) (s ColdSend, cold bool) {
+	t := p.targets[a.target.ID]
+	if t == nil || !t.paced(now) {
+		return ColdSend{}, false
+	}
+	return ColdSend{SinceChoice: now - a.started, ColdLeft: t.ColdUntil - now, Reserved: a.chosenCold, Limit: p.paceLimit(now, t)}, true
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -96,7 +96,7 @@
 	// CacheTokens is the memory of an engine; 0 for a plain service.
 	CacheTokens int64
 	// ColdUntil is the end of the warm-up of the target. Until then a paced target gets
-	// at most ColdLimit requests from this host in any second.
+	// at most ColdLimit requests from all hosts in any second.
 	ColdUntil time.Duration
 	Paced     bool
 	ColdLimit int
@@ -127,7 +127,6 @@
 	ownUsage  Usage
 	hostUsage []Usage // by position of the host in Placer.hostReports
 	cache     *prefixCache
-	coldPacer shares.Pacer
 	// averageDuration is the moving average of request durations in nanoseconds.
 	averageDuration float64
 	// ended is the number of requests in averageDuration.
@@ -164,6 +163,10 @@
 	// regions are reachable.
 	Reachable func(now time.Duration, region string) bool
 
+	// PaceShare returns this host's part of the ColdLimit of a target. Nil means that this
+	// host is the only one.
+	PaceShare func(now time.Duration, target string, limit int) int
+
 	engine          Engine
 	lastUsed        map[uint64]time.Duration // last use of each shared segment at any target
 	targets         map[string]*Target
@@ -172,6 +175,7 @@
 	rand            *rand.Rand
 	drawnPair       map[int]bool             // indexes of the targets that TwoChoices has drawn
 	availability    map[string]*availability // of the newest known process, by target
+	pacers          map[string]*shares.Pacer // by target
 	brittle         map[string]*brittleService
 	otherHosts      []string
 	limitShare      func(key string, limit int) int
@@ -261,7 +265,7 @@
 // New returns a placer without targets.
 func New(engine Engine, r *rand.Rand) *Placer {
 	return &Placer{ReuseWindow: defaultReuseWindow, lastUsed: map[uint64]time.Duration{}, engine: engine, targets: map[string]*Target{}, byService: map[string][]*Target{}, rand: r,
-		availability: map[string]*availability{}, brittle: map[string]*brittleService{},
+		availability: map[string]*availability{}, pacers: map[string]*shares.Pacer{}, brittle: map[string]*brittleService{},
 		durations: map[string]serviceDuration{}, arrivals: map[string]*arrivalRate{}, hostPositions: map[string]int{}, recordsPeaks: map[string]bool{}}
 }
 
@@ -340,7 +344,7 @@
 			p.drawnPair = map[int]bool{p.rand.IntN(n): true, p.rand.IntN(n): true}
 		}
 		for _, t := range p.byService[r.Service] {
-			if excluded != nil && excluded(t.ID) || !r.Allows(t) || !t.usable(now, pass > 0) || !p.hasRoom(now, t, r, brittle) {
+			if excluded != nil && excluded(t.ID) || !r.Allows(t) || !t.usable(now, pass > 0) || !p.allowsPace(now, t) || !p.hasRoom(now, t, r, brittle) {
 				continue
 			}
 			c := p.evaluate(now, t, r, sources, view)
@@ -371,9 +375,6 @@
 	if !t.availability.accepts(now) {
 		return false
 	}
-	if now < t.ColdUntil && t.Paced && !t.coldPacer.Allows(now, t.ColdLimit) {
-		return false
-	}
 	return lastResort || !t.Suspect && now >= t.ejectedUntil && !t.stalled(now)
 }
 
@@ -408,6 +409,7 @@
 	availability *availability // of the target's process
 	counted      bool          // its start was counted for a brittle target
 	chosenCold   bool          // the target was cold at the choice
+	pace         paceState
 	started      time.Duration
 	usage        Usage
 }
@@ -420,10 +422,8 @@
 	if t.ownUsage.Running == 0 {
 		t.lastByteAt = now
 	}
-	if now < t.ColdUntil {
-		a.chosenCold = true
-		t.coldPacer.Add(now)
-	}
+	a.chosenCold = t.paced(now)
+	p.reservePace(now, a)
 	if t.cache != nil {
 		a.usage.MemoryTokens = r.PromptTokens + r.OutputTokens
 		a.usage.PrefillTokens = max(0, float64(r.PromptTokens-t.cache.cachedTokens(r.keys, r.Segments)))
@@ -485,6 +485,7 @@
 	t := a.target
 	p.FirstByte(a)
 	p.endBrittle(now, a)
+	p.releasePace(a)
 	t.ownUsage.Running--
 	t.ownUsage.MemoryTokens -= a.usage.MemoryTokens
 	switch o {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -250,7 +250,12 @@
 	for now := 10 * second; now < 11*second; now += 20 * ms {
 		r := shortRequest(int(now))
 		if c, ok := p.Choose(now, r, nil); ok {
-			p.Done(now, p.Start(now, c.Target, r), placement.Served)
+			a := p.Start(now, c.Target, r)
+			if !p.BeginSend(now, a) {
+				t.Errorf("a request that was chosen at %v is withheld at once", now)
+			}
+			p.EndSend(now, a)
+			p.Done(now, a, placement.Served)
 			sent++
 		}
 	}
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -192,25 +192,48 @@
 	t.Error("a request of 500 tokens was never accepted with a burst fraction of 100")
 }
 
-// Guards against a pacer that allows more than its limit in any second.
+// Guards against a pacer that allows more than its limit in any second, at whatever moment
+// between Begin and End the requests leave, and against slots that are never free again.
 func TestPacer(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var p shares.Pacer
 		limit := rapid.IntRange(1, 6).Draw(t, "limit")
 		now := time.Duration(0)
 		var sent []time.Duration
+		reserved := 0
+		wait := func(most int) { now += time.Duration(rapid.IntRange(0, most).Draw(t, "ms")) * ms }
 		for range 100 {
-			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * ms
-			if p.Allows(now, limit) {
-				p.Add(now)
-				sent = append(sent, now)
+			wait(400)
+			if p.Allows(now, limit) && rapid.Bool().Draw(t, "reserve") {
+				p.Reserve()
+				reserved++
 			}
+			isReserved := reserved > 0 && rapid.Bool().Draw(t, "reserved")
+			if !p.Begin(now, limit, isReserved) {
+				continue
+			}
+			if isReserved {
+				reserved--
+			}
+			if p.Begin(now, limit, false) {
+				t.Fatal("two requests are written at once")
+			}
+			wait(300)
+			sent = append(sent, now)
+			wait(300)
+			p.End(now)
 		}
 		for i := range sent {
 			if i+limit < len(sent) && sent[i+limit]-sent[i] < second {
 				t.Fatalf("%d requests within %s", limit+1, sent[i+limit]-sent[i])
 			}
 		}
+		for range reserved {
+			p.Release()
+		}
+		if now += 2 * second; !p.Idle(now) || !p.Allows(now, limit) {
+			t.Fatal("slots are not free again")
+		}
 	})
 }
 
--- a/internal/shares/window.go
+++ b/internal/shares/window.go
@@ -98,21 +98,63 @@
 	return b.slack * runningSlackShare / float64(hosts)
 }
 
-// Pacer bounds the requests to one target in any second. Invariant: if only
-// allowed requests are sent and each is added, no second has more than limit requests.
-type Pacer struct{ sent []time.Duration }
+// Pacer bounds the requests of this host to one target. A request reserves a slot when its
+// target is chosen, and uses it from just before it is written until it is written: a
+// process may stand still at any point in between. Invariant: one request at a time is
+// being written, and at most limit requests end and begin to be written in any span of
+// pacerWindow.
+type Pacer struct {
+	reserved int
+	sending  bool
+	sent     []time.Duration // when requests were written
+}
 
 // pacerWindow is longer than the second of the limit, because variable network delay
 // changes the intervals between requests at the target.
 const pacerWindow = 1100 * time.Millisecond
 
-// Allows reports whether one more request is within the limit.
+// Allows reports whether one more request may reserve a slot.
 func (p *Pacer) Allows(now time.Duration, limit int) bool {
+	used := p.reserved + p.recent(now)
+	if p.sending {
+		used++
+	}
+	return used < limit
+}
+
+// recent returns the number of requests that were written within the window.
+func (p *Pacer) recent(now time.Duration) int {
 	for len(p.sent) > 0 && now-p.sent[0] >= pacerWindow {
 		p.sent = p.sent[1:]
 	}
-	return len(p.sent) < limit
+	return len(p.sent)
 }
 
-// Add counts a request.
-func (p *Pacer) Add(now time.Duration) { p.sent = append(p.sent, now) }
+// Reserve reserves a slot.
+func (p *Pacer) Reserve() { p.reserved++ }
+
+// Release gives up a reserved slot that was not used.
+func (p *Pacer) Release() { p.reserved-- }
+
+// Begin reports whether a request, which may have reserved a slot, may be written now. If
+// so, its reservation has ended and End must be called.
+func (p *Pacer) Begin(now time.Duration, limit int, reserved bool) bool {
+	if p.sending || p.recent(now) >= limit || !reserved && !p.Allows(now, limit) {
+		return false
+	}
+	if p.sending = true; reserved {
+		p.Release()
+	}
+	return true
+}
+
+// End records that the request has been written.
+func (p *Pacer) End(now time.Duration) {
+	p.sending = false
+	p.sent = append(p.sent, now)
+}
+
+// Idle reports whether the pacer bounds nothing now.
+func (p *Pacer) Idle(now time.Duration) bool {
+	return !p.sending && p.reserved == 0 && p.recent(now) == 0
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"geraniumturn.example/geraniumturn/internal/recovery"
 )
 
 const (
@@ -49,9 +51,11 @@
 	DialTimeout time.Duration
 	// Repeatable requests can be sent to another target when this one acknowledges nothing.
 	Repeatable bool
-	// OnConnect is called when there is a connection and nothing is sent yet; nil if it is not
-	// needed. An error ends the exchange.
-	OnConnect func() error
+	// BeforeWrite is called when there is a connection, right before the request is written;
+	// nil if it is not needed. An error ends the exchange and nothing is sent. AfterWrite is
+	// called after the write, however it ended.
+	BeforeWrite func() error
+	AfterWrite  func()
 	// OnSilence is called while the target has not acknowledged the request for a second or
 	// so, and while it does not answer the connection that confirms the end of its response;
 	// nil if it is not needed. An error ends the exchange.
@@ -116,26 +120,35 @@
 		_ = c.Close()
 		return nil, fmt.Errorf("%w: %v", ErrNotSent, context.Cause(ctx))
 	}
-	if r.OnConnect != nil {
-		if err := r.OnConnect(); err != nil {
-			_ = c.Close()
-			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
-		}
-	}
 	if err := c.setRequestTimeout(ctx, r.Repeatable); err != nil {
 		_ = c.Close()
 		return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
 	}
 	out := &Response{pool: p, address: r.Address, conn: c, written: make(chan struct{})}
-	out.stopCancel = context.AfterFunc(ctx, func() { _ = c.abandon() })
-	writeFailed := make(chan error, 1)
+	data, began, writeFailed := r.encode(), make(chan error, 1), make(chan error, 1)
 	go func() {
-		if _, err := c.Write(r.encode()); err != nil {
+		if r.BeforeWrite != nil {
+			if err := recovery.Do(r.BeforeWrite); err != nil {
+				began <- err
+				return
+			}
+		}
+		close(began)
+		_, err := c.Write(data)
+		if r.AfterWrite != nil {
+			r.AfterWrite()
+		}
+		if err != nil {
 			writeFailed <- err
 			return
 		}
 		close(out.written)
 	}()
+	if err := <-began; err != nil {
+		_ = c.Close()
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	out.stopCancel = context.AfterFunc(ctx, func() { _ = c.abandon() })
 	fresh := !c.used
 	if err := out.awaitHead(r); err != nil {
 		_ = out.Close()
