registry: small changes of a warm-up do not add up

Changes of up to 300 ms of the end of a target's warm-up are not told to other hosts, and each heartbeat was compared with the one before, so a warm-up that is extended by a little each time counted as over at all entry hosts while the target was cold. It is compared with what was last told.

TestSmallExtensionsOfWarmupAddUp failed before: cold until 30.5 s, others were told 30 s, after three heartbeats.

--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -79,6 +79,8 @@
 	Record
 	revision  uint64
 	lastHeard time.Duration
+	// toldColdUntil is the ColdUntil of the last change.
+	toldColdUntil time.Duration
 }
 
 // Table holds the records of the targets. Invariant: a record is only replaced by a
@@ -134,21 +136,24 @@
 		return false // the heartbeat was in flight when the target left
 	}
 	changed := current.StartMillis != r.StartMillis || current.State != r.State || current.Address != r.Address || current.Service != r.Service || current.Software != r.Software ||
-		current.Silent != r.Silent || current.Slots != r.Slots || current.DataCentre != r.DataCentre || r.coldDiffers(current.Record, now)
+		current.Silent != r.Silent || current.Slots != r.Slots || current.DataCentre != r.DataCentre || coldDiffers(r.ColdUntil, current.toldColdUntil, now)
 	t.recordPastSoftware(now, current.Record)
 	current.Record, current.lastHeard = r, now
 	if changed {
+		current.toldColdUntil = r.ColdUntil
 		t.markChanged(current)
 		t.deregisterOlder(now, r)
 	}
 	return changed
 }
 
-func (r Record) coldDiffers(old Record, now time.Duration) bool {
-	if r.ColdUntil <= now && old.ColdUntil <= now {
+// coldDiffers reports whether the end of a warm-up differs from the one that was last told,
+// so that small changes do not add up.
+func coldDiffers(coldUntil, told, now time.Duration) bool {
+	if coldUntil <= now && told <= now {
 		return false
 	}
-	difference := r.ColdUntil - old.ColdUntil
+	difference := coldUntil - told
 	return difference > minColdChange || difference < -minColdChange
 }
 
--- a/internal/registry/table_test.go
+++ b/internal/registry/table_test.go
@@ -176,3 +176,24 @@
 		t.Errorf("records %v", records)
 	}
 }
+
+// Guards against a warm-up that is extended by a little with each heartbeat and whose end
+// the other hosts are never told.
+func TestSmallExtensionsOfWarmupAddUp(t *testing.T) {
+	table, other := registry.NewTable(), registry.NewTable()
+	cursor := uint64(0)
+	for i := range uint64(40) {
+		now := time.Duration(i) * second
+		r := record("a", 1, i+1, registry.Ready)
+		r.ColdUntil = 30*second + time.Duration(i)*250*time.Millisecond
+		table.Heartbeat(now, r)
+		var records []registry.Record
+		records, cursor = table.ChangedSince(cursor)
+		for _, told := range records {
+			other.Merge(now, told)
+		}
+		if told, _ := other.Get("a"); r.ColdUntil > now && r.ColdUntil-told.ColdUntil > 300*time.Millisecond {
+			t.Fatalf("heartbeat %d: cold until %v, others are told %v", i, r.ColdUntil, told.ColdUntil)
+		}
+	}
+}
