gateway: targets are cold for their whole warm-up after an evacuation

The targets of a data centre whose evacuation ended counted as cold for 2.5 s, by when their heartbeats should have arrived. Heartbeats of targets that are cut off from the control hosts do not, and the warm-up is longer (3 s where the incident was seen): every host sent its usual load for the rest.

TestTargetsAreColdAfterEvacuation failed before: cold until 1m2.5s, want 1m3s.

--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -16,10 +16,6 @@
 	"geraniumturn.example/geraniumturn/internal/shares"
 )
 
-// restoredColdTime is how long the targets of a data centre are treated as cold after its
-// evacuation ended. By then their heartbeats have reported whether they are cold.
-const restoredColdTime = 2500 * time.Millisecond
-
 // maxColdLimit bounds the limit that follows from an extreme configuration.
 const maxColdLimit = 1e6
 
@@ -213,7 +209,8 @@
 		spec.Paced = true
 		spec.ColdLimit = int(min(maxColdLimit, max(1, s.ColdRate*g.Bounds.ColdOverrun+g.Bounds.ColdSlack-1)))
 		if at := g.endedEvacuations[r.DataCentre].at; at > 0 && s.Warmup > 0 {
-			spec.ColdUntil = max(spec.ColdUntil, at+restoredColdTime)
+			// Heartbeats that say so may not have arrived yet.
+			spec.ColdUntil = max(spec.ColdUntil, at+s.Warmup)
 		}
 	}
 	return spec
