placement: what responds after a refused connection is cold

A target that crashes and starts again while it is cut off from the control hosts keeps the record of the process before: its heartbeats do not arrive. A refused connection shows that the registered process has ended; hosts of the region tell each other, and the target is paced until a warm-up after its next response, or until another process is registered.

TestProcessAfterRefusedConnectionIsCold: 5 of 5 requests at once before, 2 of an allowed 2 now. A process that ends and starts again between two connections of every host is not covered.

--- a/internal/gateway/availability.go
+++ b/internal/gateway/availability.go
@@ -198,6 +198,9 @@
 	for _, l := range g.placer.RecentlyLeaving(now) {
 		out.Availability = append(out.Availability, &syncpb.TargetAvailability{Target: l.Target, Born: l.StartMillis, Leaving: true})
 	}
+	for _, e := range g.placer.RecentlyEnded(now) {
+		out.Availability = append(out.Availability, &syncpb.TargetAvailability{Target: e.Target, Born: e.StartMillis, Ended: true, AgeMs: (now - e.At).Milliseconds()})
+	}
 	for _, b := range g.placer.RecentlyBrittle(now) {
 		out.Availability = append(out.Availability, &syncpb.TargetAvailability{Target: b.Target, Born: b.StartMillis, Brittle: int64(b.Limit), AgeMs: (now - b.StatedAt).Milliseconds()})
 	}
@@ -209,6 +212,9 @@
 		if a.GetBrittle() > 0 {
 			g.placer.RecordBrittle(placement.BrittleTarget{Target: a.GetTarget(), StartMillis: a.GetBorn(), Limit: int(a.GetBrittle()), StatedAt: now - clock.Millis(float64(a.GetAgeMs()))})
 		}
+		if a.GetEnded() {
+			g.placer.RecordEnded(placement.EndedTarget{Target: a.GetTarget(), StartMillis: a.GetBorn(), At: now - clock.Millis(float64(a.GetAgeMs()))})
+		}
 		if !a.GetLeaving() {
 			continue
 		}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -12,6 +12,7 @@
 
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/suspects"
 )
@@ -69,6 +70,9 @@
 // recordFailure records the error of an attempt at a local target if its response broke
 // off, other than by the caller.
 func (g *Gateway) recordFailure(ctx context.Context, x *requestState, s *sendAttempt, err error) {
+	if s.attempt != nil && errors.Is(err, syscall.ECONNREFUSED) {
+		g.recordRefused(s)
+	}
 	failed, ok := errors.AsType[*attemptError](err)
 	broke := ok && failed.ran == refusal.Unknown || errors.Is(err, errTruncated)
 	if s.attempt != nil && broke && ctx.Err() == nil {
@@ -76,6 +80,16 @@
 	}
 }
 
+// recordRefused records that a local target refused a connection. While no target is
+// reached, that says nothing of a single one.
+func (g *Gateway) recordRefused(s *sendAttempt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.path.Detached() {
+		g.placer.RecordRefused(sinceBoot(), s.attempt)
+	}
+}
+
 // recordBreak records that the response of a request broke off at a local target.
 func (g *Gateway) recordBreak(x *requestState, s *sendAttempt) {
 	now := sinceBoot()
@@ -114,6 +128,7 @@
 	}
 	g.Log.WithFields(logrus.Fields{"target": target, "suspects": len(check.keys)}).Info("target crashed")
 	now := sinceBoot()
+	g.placer.RecordEnded(placement.EndedTarget{Target: target, StartMillis: record.StartMillis, At: now})
 	g.logQuarantined(g.quarantine.RecordCrash(now, suspects.Crash{Target: target, Incarnation: uint64(record.StartMillis), At: check.startedAt, Keys: check.keys}), "")
 }
 
@@ -144,6 +159,7 @@
 func (g *Gateway) mergeSuspects(now time.Duration, in *syncpb.UsageReport) {
 	var u suspects.Update
 	for _, c := range in.GetCrashes() {
+		g.placer.RecordEnded(placement.EndedTarget{Target: c.GetTarget(), StartMillis: int64(c.GetIncarnation()), At: now - clock.Millis(float64(c.GetAgeMs()))})
 		u.Crashes = append(u.Crashes, suspects.Crash{Target: c.GetTarget(), Incarnation: c.GetIncarnation(), At: now - clock.Millis(float64(c.GetAgeMs())), Keys: c.GetKeys()})
 	}
 	for _, s := range in.GetServed() {
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -206,7 +206,7 @@
 	if s.ColdRate > 0 {
 		// The bound is reduced by one for the request of a host that stands still, for
 		// longer than its lease, after it was allowed to write it.
-		spec.Paced = true
+		spec.Paced, spec.Warmup = true, s.Warmup
 		spec.ColdLimit = int(min(maxColdLimit, max(1, s.ColdRate*g.Bounds.ColdOverrun+g.Bounds.ColdSlack-1)))
 		if at := g.endedEvacuations[r.DataCentre].at; at > 0 && s.Warmup > 0 {
 			// Heartbeats that say so may not have arrived yet.
--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -69,6 +69,7 @@
 	pausedUntil time.Duration
 	pauseLogged bool // the end of the pause is still to be logged
 	rejections  rejections
+	ended       endedProcess
 }
 
 // accepts reports whether the process takes requests from this host.
@@ -107,6 +108,7 @@
 		return nil // another process has replaced the one that responded
 	}
 	state.statedAt = now
+	a.target.observeEnded(now, a)
 	out := p.observeBrittle(now, a, s)
 	if s.Leaving && !state.leaving {
 		state.leaving, state.reportUntil = true, now+leavingReportTime
--- a/internal/placement/availability_test.go
+++ b/internal/placement/availability_test.go
@@ -181,3 +181,53 @@
 		t.Errorf("%d requests without a pause, the limit is %d", sent, limit)
 	}
 }
+
+// Guards against the usual load for a target that has started again and is cold, while its
+// heartbeats do not arrive: its record is that of the process before.
+func TestProcessAfterRefusedConnectionIsCold(t *testing.T) {
+	const warmup = 3 * second
+	spec := placement.Spec{ID: "t", Address: "10.0.0.1", Service: "s", Slots: 64, Paced: true, ColdLimit: 2, Warmup: warmup, StartMillis: 1000}
+	p, other := newPlacer([]placement.Spec{spec}), newPlacer([]placement.Spec{spec})
+	request := &placement.Request{Service: "s", Objective: second}
+	sent := func(p *placement.Placer, now time.Duration) (n int) {
+		for range 5 {
+			c, ok := p.Choose(now, request, nil)
+			if !ok {
+				continue
+			}
+			a := p.Start(now, c.Target, request)
+			if p.BeginSend(now, a) {
+				p.EndSend(now, a)
+				p.Observe(now, a, placement.Statement{})
+				n++
+			}
+			p.Done(now, a, placement.Served)
+		}
+		return n
+	}
+	if n := sent(p, second); n != 5 {
+		t.Fatalf("%d of 5 requests to a warm target", n)
+	}
+	now := 10 * second
+	p.RecordRefused(now, p.Start(now, mustTarget(t, p, now, request, "t"), request))
+	for _, e := range p.RecentlyEnded(now) {
+		other.RecordEnded(e)
+	}
+	for name, p := range map[string]*placement.Placer{"the host": p, "another host": other} {
+		if n := sent(p, 14*second); n != 2 {
+			t.Errorf("%s: %d requests at once to a process that has just started, want 2", name, n)
+		}
+		if n := sent(p, 16*second); n != 2 {
+			t.Errorf("%s: %d requests at once within its warm-up, want 2", name, n)
+		}
+		if n := sent(p, 14*second+warmup); n != 5 {
+			t.Errorf("%s: %d of 5 requests after its warm-up", name, n)
+		}
+	}
+	p.RecordRefused(30*second, p.Start(30*second, mustTarget(t, p, 30*second, request, "t"), request))
+	spec.StartMillis = 31_000
+	p.SetTargets([]placement.Spec{spec})
+	if n := sent(p, 32*second); n != 5 {
+		t.Errorf("%d of 5 requests to a process whose record says that it is warm", n)
+	}
+}
--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -16,8 +16,71 @@
 	paceSending
 )
 
-// paced reports whether the target is cold and bears only some requests a second.
-func (t *Target) paced(now time.Duration) bool { return t.Paced && now < t.ColdUntil }
+// paced reports whether the target is cold, or may be, and bears only some requests a
+// second.
+func (t *Target) paced(now time.Duration) bool { return t.Paced && now < t.coldUntil(now) }
+
+// coldUntil returns the end of the warm-up of a target.
+func (t *Target) coldUntil(now time.Duration) time.Duration {
+	ended := &t.availability.ended
+	if ended.refusing {
+		return now + max(t.Warmup, 1)
+	}
+	return max(t.ColdUntil, ended.coldUntil)
+}
+
+// endedProcess says that the process of a target that is registered has ended: it refused a
+// connection. Whatever responds next at its address has started since and is cold, also if
+// its heartbeats do not arrive.
+type endedProcess struct {
+	at       time.Duration // the newest refusal, here or at another host
+	refusing bool          // nothing has responded since
+	// coldUntil is the end of the warm-up of the process that has responded since.
+	coldUntil   time.Duration
+	reportUntil time.Duration
+}
+
+// EndedTarget is a process of a target that has ended although it is still registered.
+type EndedTarget struct {
+	Target      string
+	StartMillis int64
+	At          time.Duration
+}
+
+// RecordRefused records that the target of an attempt refused a connection.
+func (p *Placer) RecordRefused(now time.Duration, a *Attempt) {
+	if p.availability[a.target.ID] == a.availability {
+		a.availability.ended.reportUntil = now + leavingReportTime
+		p.RecordEnded(EndedTarget{a.target.ID, a.availability.startMillis, now})
+	}
+}
+
+// RecordEnded records that a process has refused a connection, maybe of another host.
+func (p *Placer) RecordEnded(e EndedTarget) {
+	a := p.process(e.Target, e.StartMillis)
+	if a == nil || e.At <= a.ended.at {
+		return
+	}
+	a.statedAt = max(a.statedAt, e.At)
+	a.ended.at, a.ended.refusing = e.At, true
+}
+
+// RecentlyEnded returns the processes that have recently refused a connection of this host.
+func (p *Placer) RecentlyEnded(now time.Duration) (out []EndedTarget) {
+	for id, a := range p.availability {
+		if now < a.ended.reportUntil {
+			out = append(out, EndedTarget{id, a.startMillis, a.ended.at})
+		}
+	}
+	return out
+}
+
+// observeEnded records that a target has responded to an attempt.
+func (t *Target) observeEnded(now time.Duration, a *Attempt) {
+	if ended := &a.availability.ended; ended.refusing && a.started > ended.at {
+		ended.refusing, ended.coldUntil = false, now+t.Warmup
+	}
+}
 
 // paceLimit returns how many requests this host may send to a cold target in a second.
 func (p *Placer) paceLimit(now time.Duration, t *Target) int {
@@ -109,5 +172,5 @@
 	if t == nil || !t.paced(now) {
 		return ColdSend{}, false
 	}
-	return ColdSend{SinceChoice: now - a.started, ColdLeft: t.ColdUntil - now, Reserved: a.chosenCold, Limit: p.paceLimit(now, t)}, true
+	return ColdSend{SinceChoice: now - a.started, ColdLeft: t.coldUntil(now) - now, Reserved: a.chosenCold, Limit: p.paceLimit(now, t)}, true
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -100,6 +100,8 @@
 	ColdUntil time.Duration
 	Paced     bool
 	ColdLimit int
+	// Warmup is how long a process of the target is cold after its start.
+	Warmup time.Duration
 	// Suspect targets are used only as a last resort.
 	Suspect bool
 	Region  string
