gateway, dispatch: what is kept of responses is bounded over all requests

A faulty target that sends bytes without end, in a body or in one event, made a host keep up to 1 MiB of each response: 250 of them were more than an entry host has, and all its callers lost their requests.

A whole response that finds no room is passed on as it arrives, an event that finds none breaks its stream. A head may be 64 KiB in both wirings.

--- /dev/null
+++ b/internal/bytebudget/budget_test.go
@@ -0,0 +1,36 @@
+package bytebudget_test
+
+import (
+	"testing"
+
+	"geraniumturn.example/geraniumturn/internal/bytebudget"
+)
+
+// Guards against buffers that together exceed the limit, small ones that are refused, and
+// parts that are never given back.
+func TestBudget(t *testing.T) {
+	var budget bytebudget.Budget
+	held := int64(0)
+	var buffers []*bytebudget.Buffer
+	for range 100 {
+		b := budget.Buffer()
+		buffers = append(buffers, &b)
+		for size := bytebudget.Free; size <= 1<<20 && b.Resize(size); size += 64 << 10 {
+		}
+		held = max(held, budget.Used())
+		small := budget.Buffer()
+		if !small.Resize(bytebudget.Free) {
+			t.Fatal("a small buffer is refused")
+		}
+	}
+	if held > bytebudget.DefaultLimit || held < bytebudget.DefaultLimit-(64<<10) {
+		t.Errorf("buffers held %d bytes of %d", held, bytebudget.DefaultLimit)
+	}
+	for _, b := range buffers {
+		b.Release()
+		b.Release()
+	}
+	if n := budget.Used(); n != 0 {
+		t.Errorf("%d bytes are still held", n)
+	}
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"geraniumturn.example/geraniumturn/internal/bytebudget"
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/rules"
 	"geraniumturn.example/geraniumturn/internal/targets"
@@ -59,6 +60,9 @@
 	return out
 }
 
+// maxHeadBytes bounds the head of a response, interim responses included.
+const maxHeadBytes = 64 << 10
+
 // newTransport returns the HTTP transport for targets. When a reused connection
 // fails, net/http sends the request again if its body can be rewound.
 // nonRewindableBody prevents that. Each non-idempotent request also gets a new
@@ -71,6 +75,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
@@ -107,6 +113,7 @@
 type client struct {
 	pooled   *http.Client
 	unpooled *http.Client
+	buffers  bytebudget.Budget // of the parts of responses that are kept
 }
 
 func newClient() *client {
@@ -136,7 +143,7 @@
 	}
 	defer response.Body.Close()
 	outcome.Status = response.StatusCode
-	result, err := receive(req, target, response, out, reused.Load())
+	result, err := receive(req, target, response, out, reused.Load(), &c.buffers)
 	outcome.Duration = time.Since(start)
 	outcome.Complete = err == nil
 	outcome.Cancelled = err != nil && (ctx.Err() != nil || errors.Is(err, errCallerWrite))
@@ -190,7 +197,7 @@
 
 // receive checks the response and copies it to out. reusedConn means that the connection
 // has had other requests.
-func receive(req *Request, target *targets.Target, response *http.Response, out *responseSink, reusedConn bool) (Result, error) {
+func receive(req *Request, target *targets.Target, response *http.Response, out *responseSink, reusedConn bool, buffers *bytebudget.Budget) (Result, error) {
 	got := response.Header.Get(headerRequestID)
 	if got != req.ID && (got != "" || target.HasFeature("echo_request_id")) {
 		return Result{}, &attemptError{err: fmt.Errorf("%w: %q", errMismatchedResponse, got), ran: refusal.Unknown, retryable: true}
@@ -208,10 +215,11 @@
 	}
 	body := &responseReader{reader: response.Body, framed: response.ContentLength >= 0 || slices.Contains(response.TransferEncoding, "chunked")}
 	result := Result{Status: response.StatusCode, Target: target.Name}
-	scan := newScanner(req, response)
+	scan := newScanner(req, response, buffers)
+	defer scan.part.Release()
 	out.beginAttempt(scan.isEventStream)
 	header := pickHeaders(response.Header, responseHeaders)
-	if err := copyResponse(body, scan, out, response.StatusCode, header, req.Stream); err != nil {
+	if err := copyResponse(body, scan, out, response.StatusCode, header, req.Stream, buffers); err != nil {
 		return Result{}, err
 	}
 	result.PromptTokens, result.CompletionTokens = scan.usage()
@@ -259,8 +267,9 @@
 // copyResponse passes a streamed response on as it arrives. It buffers other
 // responses up to maxBufferedResponseBytes, so that a truncated one can be retried
 // before the caller gets any of it.
-func copyResponse(body io.Reader, scan *usageScanner, response *responseSink, status int, header map[string]string, stream bool) error {
-	out := &bufferingSink{response: response, status: status, header: header, passThrough: stream}
+func copyResponse(body io.Reader, scan *usageScanner, response *responseSink, status int, header map[string]string, stream bool, buffers *bytebudget.Budget) error {
+	out := &bufferingSink{response: response, status: status, header: header, passThrough: stream, part: buffers.Buffer()}
+	defer out.part.Release()
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		n, readErr := body.Read(buffer)
@@ -294,10 +303,11 @@
 	header      map[string]string
 	passThrough bool
 	buffered    []byte
+	part        bytebudget.Buffer // of buffered
 }
 
 func (h *bufferingSink) write(p []byte) error {
-	if !h.passThrough && len(h.buffered)+len(p) <= maxBufferedResponseBytes {
+	if !h.passThrough && len(h.buffered)+len(p) <= maxBufferedResponseBytes && h.part.Resize(len(h.buffered)+len(p)) {
 		h.buffered = append(h.buffered, p...)
 		return nil
 	}
@@ -318,6 +328,7 @@
 	}
 	buffered := h.buffered
 	h.buffered = nil
+	defer h.part.Release()
 	return h.response.write(buffered)
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -42,8 +42,9 @@
 func (d *Dispatcher) Do(ctx context.Context, req *Request, sink Sink) (Result, error) {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	run := &requestRun{d: d, req: req, out: &responseSink{sink: sink}, ran: refusal.NotRun, dispatchesLeft: req.Budget,
+	run := &requestRun{d: d, req: req, out: &responseSink{sink: sink, part: d.client.buffers.Buffer()}, ran: refusal.NotRun, dispatchesLeft: req.Budget,
 		tried: Tried{Targets: map[string]bool{}, DataCentres: map[string]bool{}}}
+	defer run.out.part.Release()
 	return run.do(ctx)
 }
 
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 
+	"geraniumturn.example/geraniumturn/internal/bytebudget"
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/rules"
 )
@@ -33,6 +34,7 @@
 	onlyCompleteEvents bool
 	eventsSent         int
 	partialEvent       []byte
+	part               bytebudget.Buffer // of partialEvent
 }
 
 func (s *responseSink) start(status int, header map[string]string) error {
@@ -46,7 +48,7 @@
 // beginAttempt prepares for the response of a new attempt. It drops the incomplete
 // event of the last attempt, since a resumed stream sends it again.
 func (s *responseSink) beginAttempt(isEventStream bool) {
-	s.partialEvent = nil
+	s.keep(nil)
 	if !s.started {
 		s.isEventStream, s.onlyCompleteEvents, s.eventsSent = isEventStream, isEventStream, 0
 	}
@@ -58,11 +60,11 @@
 	}
 	s.partialEvent = append(s.partialEvent, p...)
 	end, events := completeEvents(s.partialEvent)
-	if end == 0 && len(s.partialEvent) > maxEventBytes {
-		s.onlyCompleteEvents = false // the event exceeds the buffer; such a stream is not resumed
-		return s.flush()
-	}
 	if end == 0 {
+		if len(s.partialEvent) > maxEventBytes || !s.part.Resize(len(s.partialEvent)) {
+			s.onlyCompleteEvents = false // the event exceeds the buffer; such a stream is not resumed
+			return s.flush()
+		}
 		return nil
 	}
 	s.eventsSent += events
@@ -70,14 +72,20 @@
 	if err := s.sink.Write(complete); err != nil {
 		return err
 	}
-	s.partialEvent = append([]byte(nil), s.partialEvent[end:]...)
+	s.keep(append([]byte(nil), s.partialEvent[end:]...))
 	return nil
 }
 
+// keep replaces the incomplete event with one that is no longer.
+func (s *responseSink) keep(event []byte) {
+	s.partialEvent = event
+	s.part.Resize(len(event))
+}
+
 // flush writes what follows the last complete event.
 func (s *responseSink) flush() error {
 	remainder := s.partialEvent
-	s.partialEvent = nil
+	s.keep(nil)
 	if len(remainder) == 0 {
 		return nil
 	}
--- a/internal/dispatch/scan.go
+++ b/internal/dispatch/scan.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 
+	"geraniumturn.example/geraniumturn/internal/bytebudget"
 	"geraniumturn.example/geraniumturn/internal/rules"
 )
 
@@ -19,6 +20,7 @@
 	isEventStream bool
 	line          []byte
 	body          []byte
+	part          bytebudget.Buffer // of line or body
 	// dataEvents counts the data lines other than the terminator. It is the estimate
 	// of the completion tokens if the target reports none.
 	dataEvents int64
@@ -36,11 +38,12 @@
 	} `json:"usage"`
 }
 
-func newScanner(req *Request, response *http.Response) *usageScanner {
+func newScanner(req *Request, response *http.Response, buffers *bytebudget.Budget) *usageScanner {
 	engine := req.Kind == rules.Engine && response.StatusCode < 300
 	return &usageScanner{
 		engine:        engine,
 		isEventStream: engine && isEventStream(response),
+		part:          buffers.Buffer(),
 	}
 }
 
@@ -53,7 +56,7 @@
 	case !s.engine:
 	case s.isEventStream:
 		s.feedEvents(p)
-	case len(s.body)+len(p) <= maxScanBytes:
+	case len(s.body)+len(p) <= maxScanBytes && s.part.Resize(len(s.body)+len(p)):
 		s.body = append(s.body, p...)
 	}
 }
@@ -62,7 +65,7 @@
 	for {
 		i := bytes.IndexByte(p, '\n')
 		if i < 0 {
-			if len(s.line)+len(p) <= maxScanBytes {
+			if len(s.line)+len(p) <= maxScanBytes && s.part.Resize(len(s.line)+len(p)) {
 				s.line = append(s.line, p...)
 			}
 			return
@@ -72,7 +75,10 @@
 			line = append(s.line, line...)
 		}
 		s.scanLine(bytes.TrimRight(line, "\r"))
-		s.line = s.line[:0]
+		if s.line = s.line[:0]; cap(s.line) > bytebudget.Free {
+			s.line = nil
+		}
+		s.part.Resize(0)
 		p = p[i+1:]
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"geraniumturn.example/geraniumturn/internal/attachment"
+	"geraniumturn.example/geraniumturn/internal/bytebudget"
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/origins"
@@ -129,6 +130,7 @@
 	peerSet      *shares.PeerSet
 	sharingHosts []string
 	paceLease    shares.PartitionLease // of the pace of cold targets
+	buffers      bytebudget.Budget     // of the parts of responses that are kept
 	origins      *origins.Store        // of the streams that began at this host
 	quarantine   *suspects.Quarantine
 	usagePlanner *usagerelay.Planner
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"geraniumturn.example/geraniumturn/internal/bytebudget"
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/upstream"
@@ -19,6 +20,8 @@
 	// maxBufferedBytes bounds the responses that are buffered in full before they are
 	// relayed, so that a truncated response can be retried.
 	maxBufferedBytes = 1 << 20
+	// minBufferBytes is the first size of the buffer of such a response.
+	minBufferBytes = 4 << 10
 	// copyBufferBytes is the size of the buffer for streams.
 	copyBufferBytes = 16 << 10
 	// maxEventBytes bounds an event of a resumable stream.
@@ -61,15 +64,18 @@
 // nothing shows that it is complete.
 var errNoEvents = errors.New("gateway: the stream ended before its first event")
 
-// relayBuffered buffers the response in full, up to maxBufferedBytes, before it writes it.
+// relayBuffered buffers the response in full, up to maxBufferedBytes and to what all
+// responses together may hold, before it writes it.
 func (g *Gateway) relayBuffered(w http.ResponseWriter, x *requestState, s *sendAttempt, res *upstream.Response) error {
-	body, err := io.ReadAll(io.LimitReader(res, maxBufferedBytes+1))
+	part := g.buffers.Buffer()
+	defer part.Release()
+	body, whole, err := readBuffered(res, &part)
 	if err != nil {
 		return &attemptError{ran: refusal.Unknown, err: err}
 	}
 	g.recordFirstByte(x, s)
 	g.startResponse(w, x, res)
-	if len(body) <= maxBufferedBytes {
+	if whole {
 		if x.request.Method != http.MethodHead {
 			w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		}
@@ -78,7 +84,35 @@
 		return wrapCallerError(err)
 	}
 	w.WriteHeader(res.Status)
-	return g.copyStream(w, s, res, body, len(body), nil)
+	if err := writeAndFlush(w, body); err != nil {
+		return err
+	}
+	body = nil
+	part.Release()
+	return g.copyStream(w, s, res, make([]byte, copyBufferBytes), 0, nil)
+}
+
+// readBuffered reads a body up to its end or until the buffer may not grow. whole is false
+// if more may follow.
+func readBuffered(body io.Reader, part *bytebudget.Buffer) (b []byte, whole bool, err error) {
+	b = make([]byte, 0, minBufferBytes)
+	for {
+		if len(b) == cap(b) {
+			size := 2 * cap(b)
+			if size > maxBufferedBytes || !part.Resize(size) {
+				return b, false, nil
+			}
+			b = append(make([]byte, 0, size), b...)
+		}
+		n, err := body.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		switch {
+		case err == io.EOF:
+			return b, true, nil
+		case err != nil:
+			return nil, false, err
+		}
+	}
 }
 
 // responseForm is what the caller knows of a response once it has started. The responses
@@ -231,6 +265,8 @@
 		return stallRetryInterval, err
 	}
 	var pending []byte
+	part := g.buffers.Buffer()
+	defer part.Release()
 	buffer := make([]byte, copyBufferBytes)
 	for {
 		if err := res.WatchSilence(time.Now().Add(checkAt-sinceBoot()), silent); err != nil {
@@ -267,6 +303,8 @@
 			err = fmt.Errorf("stream ended within an event")
 		case err == nil && len(pending) > maxEventBytes:
 			err = fmt.Errorf("event exceeds %d bytes", maxEventBytes)
+		case err == nil && !part.Resize(cap(pending)):
+			err = fmt.Errorf("an event of %d bytes exceeds the memory for responses", len(pending))
 		}
 		if err != nil {
 			x.resumes++
@@ -311,11 +349,15 @@
 	return progress, wrapCallerError(http.NewResponseController(w).Flush())
 }
 
-// splitEvents returns the complete events at the start of b and a copy of the rest.
+// splitEvents returns the complete events at the start of b and the rest, which is a copy if
+// there are any.
 func splitEvents(b []byte) (events [][]byte, incomplete []byte) {
 	for {
 		end := eventEnd(b)
-		if end == 0 {
+		switch {
+		case end == 0 && len(events) == 0:
+			return nil, b
+		case end == 0:
 			return events, append([]byte(nil), b...)
 		}
 		events, b = append(events, b[:end]), b[end:]
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -22,7 +22,7 @@
 	maxForeignBytes = 1 << 20
 	// maxHeadBytes bounds what is read before the headers of a response have ended,
 	// interim responses included.
-	maxHeadBytes = 256 << 10
+	maxHeadBytes = 64 << 10
 	// writeGrace is how long to wait for the end of the write after the response has
 	// ended. A target that responded early may never read the rest of the request.
 	writeGrace = 2 * time.Millisecond
