gateway: a stopping host refuses what it has not sent, and answers what it ends

In a planned stop, requests whose body arrived late in the grace time were sent to a target and cut with the process, among them requests that may run once only (LOST).

After the host refuses new requests, one that no target has got anything of is refused as not run, at the choice, at a forward and right before the write; so is one, from the start of the drain, that is expected to take longer than the host has left. At the end of the stop the requests in progress are ended with an answer that says that it is unknown whether they ran; they were cut.

--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -26,6 +26,9 @@
 	// when the listener was closed, and the first request on it.
 	connectionSettleTime = 400 * time.Millisecond
 	openPollInterval     = 20 * time.Millisecond
+	// endTime is how long the answers to requests that the end of the stop interrupts may
+	// take.
+	endTime = 200 * time.Millisecond
 	// flushTime is the time to write the end of a response, which the server sends after
 	// the request has stopped counting as open.
 	flushTime = 150 * time.Millisecond
@@ -101,6 +104,9 @@
 // progress, and for those of which a part has arrived.
 func (d *deploymentDaemon) stopEntry(ctx context.Context, g *gateway.Gateway, front *server) {
 	started := clock.SinceBoot()
+	if limit, ok := ctx.Deadline(); ok {
+		g.StopsAt(started + time.Until(limit))
+	}
 	g.Drain()
 	clock.Sleep(ctx, drainTime)
 	g.RefuseNew()
@@ -112,5 +118,14 @@
 			clock.Sleep(ctx, flushTime)
 		}
 	}
-	d.log.WithFields(logrus.Fields{"took_ms": (clock.SinceBoot() - started).Milliseconds(), "cut": g.InFlight(), "unread": front.busy.Load()}).Info("drained")
+	cut := g.InFlight()
+	if cut > 0 {
+		g.EndRequests()
+		limit, cancel := context.WithTimeout(context.Background(), endTime)
+		defer cancel()
+		for g.InFlight() > 0 && clock.Sleep(limit, openPollInterval) {
+		}
+		clock.Sleep(limit, flushTime)
+	}
+	d.log.WithFields(logrus.Fields{"took_ms": (clock.SinceBoot() - started).Milliseconds(), "cut": cut, "unread": front.busy.Load()}).Info("drained")
 }
--- a/internal/gateway/availability.go
+++ b/internal/gateway/availability.go
@@ -103,6 +103,9 @@
 	if err := g.checkKeyLease(now, x); err != nil {
 		return err
 	}
+	if err := g.refuseLate(now, x, 0); err != nil {
+		return err
+	}
 	if s.attempt == nil {
 		return nil
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -108,6 +108,7 @@
 	x.header.Del(headerForward)
 	ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(x.deadline-started))
 	defer cancel()
+	defer context.AfterFunc(g.requestsCtx, cancel)()
 	err = g.sendForwarded(ctx, w, x, f)
 	g.Log.WithFields(logrus.Fields{"id": call.ID, "service": f.Service, "workspace": f.Workspace, "target": x.target, "software": x.software, "ran": string(x.ran), "unframed": x.unframed,
 		"total_ms": (sinceBoot() - started).Milliseconds(), "error": fmt.Sprint(err)}).Info("forwarded request")
@@ -195,6 +196,9 @@
 	if firstByteLimit = max(firstByteLimit, placement.QueueLimit(x.placementRequest.Objective, choice.IdleTTFB)); choice.TTFB > firstByteLimit {
 		return nil, fmt.Errorf("expected time to first byte of %s exceeds the forwarded limit of %s", choice.TTFB, firstByteLimit)
 	}
+	if err := g.refuseLate(now, x, choice.Total); err != nil {
+		return nil, err
+	}
 	x.target, x.choice = choice.Target.ID, choice
 	return g.startAttempt(now, x, choice), nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,8 +100,12 @@
 
 	localPool, remotePool *upstream.Pool
 	// ctx ends with Close.
-	ctx            context.Context
-	stop           context.CancelFunc
+	ctx  context.Context
+	stop context.CancelFunc
+	// requestsCtx ends the requests in progress.
+	requestsCtx    context.Context
+	endRequests    context.CancelFunc
+	stopsAt        atomic.Int64 // see StopsAt
 	startedAt      time.Duration
 	draining       atomic.Bool
 	refuseNew      atomic.Bool
@@ -164,6 +168,7 @@
 func (g *Gateway) Init(prefillSpeed float64) {
 	g.startedAt = sinceBoot()
 	g.ctx, g.stop = context.WithCancel(context.Background())
+	g.requestsCtx, g.endRequests = context.WithCancel(context.Background())
 	g.localPool, g.remotePool = upstream.NewPool(localDialTimeout), upstream.NewPool(remoteDialTimeout)
 	g.path = attachment.NewMonitor()
 	dials := metrics.GetOrRegisterCounter("gateway.connections_opened", g.Metrics)
@@ -202,6 +207,9 @@
 // reports false.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
+// StopsAt sets the time at which a draining host ends the requests in progress.
+func (g *Gateway) StopsAt(at time.Duration) { g.stopsAt.Store(int64(at)) }
+
 // Draining reports whether Drain was called.
 func (g *Gateway) Draining() bool { return g.draining.Load() }
 
@@ -215,6 +223,27 @@
 // before it stops.
 func (g *Gateway) RefuseNew() { g.refuseNew.Store(true) }
 
+// EndRequests ends the requests in progress: their callers are told that it is unknown
+// whether they ran. It is called at the end of a stop.
+func (g *Gateway) EndRequests() { g.endRequests() }
+
+// refuseLate returns a refusal if this host is stopping and would send a request, of which no
+// target has got anything, so late that it may not end: after RefuseNew, or if it is expected
+// to take longer than the host has left.
+func (g *Gateway) refuseLate(now time.Duration, x *requestState, total time.Duration) error {
+	if x.ran != refusal.NotRun || x.responseStarted || !g.Draining() {
+		return nil
+	}
+	if stopsAt := time.Duration(g.stopsAt.Load()); g.refuseNew.Load() || stopsAt > 0 && now+total > stopsAt {
+		return errStopping()
+	}
+	return nil
+}
+
+func errStopping() error {
+	return refusal.New(refusal.Draining, refusal.NotRun, "this host is shutting down").WithRetry(time.Millisecond)
+}
+
 // ConfigurationFresh reports whether the configuration is younger than half of
 // KeyMaxStaleness, so that keys can still be accepted on it for some time.
 func (g *Gateway) ConfigurationFresh() bool {
@@ -302,7 +331,7 @@
 
 func (g *Gateway) serve(w http.ResponseWriter, x *requestState) error {
 	if g.refuseNew.Load() {
-		return refusal.New(refusal.Draining, refusal.NotRun, "this host is shutting down").WithRetry(time.Millisecond)
+		return errStopping()
 	}
 	var err error
 	if x.call, err = g.CallerProtocol.Decode(x.request); err != nil {
@@ -314,6 +343,7 @@
 	}
 	ctx, cancel := context.WithTimeout(x.request.Context(), x.deadline-x.started)
 	defer cancel()
+	defer context.AfterFunc(g.requestsCtx, cancel)()
 	if err := g.readBody(w, x); err != nil {
 		return err
 	}
@@ -331,6 +361,9 @@
 	if x.reservation != nil && err != nil && x.ran == refusal.NotRun && !x.responseStarted {
 		g.refund(x.reservation)
 	}
+	if err != nil && !x.responseStarted && g.requestsCtx.Err() != nil && x.request.Context().Err() == nil {
+		return refusal.New(refusal.Draining, x.ran, "this host is shutting down: %v", err).WithRetry(minRetryAfter)
+	}
 	if err != nil && !x.responseStarted && ctx.Err() != nil && x.request.Context().Err() == nil {
 		return refusal.New(refusal.Deadline, x.ran, "request deadline exceeded: %v", err).WithRetry(minRetryAfter)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -773,6 +773,12 @@
 	t.Helper()
 	forward := httptest.NewServer(f.ForwardHandler())
 	t.Cleanup(forward.Close)
+	return forwardToAddress(t, f, strings.TrimPrefix(forward.URL, "http://"))
+}
+
+// forwardToAddress does the same for a host that takes forwarded requests at an address.
+func forwardToAddress(t *testing.T, f *fixture, address string) *fixture {
+	t.Helper()
 	local := newFixture(t)
 	local.RegionByDataCentre["far"] = "elsewhere"
 	local.update(0)
@@ -782,7 +788,7 @@
 		far[i].DataCentre = "far"
 	}
 	local.Apply(now, fleetsync.Update{SentAt: now, Records: far, ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, Hosts: []*syncpb.EntryHost{
-		{Name: "there", Region: "elsewhere", Forward: strings.TrimPrefix(forward.URL, "http://"), Serving: true, Loads: []*syncpb.Load{{Service: "s", WaitMs: 10}}}}}})
+		{Name: "there", Region: "elsewhere", Forward: address, Serving: true, Loads: []*syncpb.Load{{Service: "s", WaitMs: 10}}}}}})
 	return local
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -246,6 +246,9 @@
 		}
 	}
 	x.choice = choice
+	if err := g.refuseLate(now, x, choice.Total); err != nil {
+		return nil, err
+	}
 	switch {
 	case remote == nil && inStep != nil:
 		return nil, refusal.New(refusal.UnknownOrigin, refusal.NotRun, "%v", inStep).WithRetry(stateRetryAfter)
