placement: a refusal that is reported again does not make a target cold again

Hosts repeat a refused connection in their reports for 5 s. Its age is measured at the receiver, with the delay of the report, so the same refusal could look newer than the first report of it, and the target, which had responded since, counted as ended once more: its pace was limited for longer than its warm-up. Refusals before the request that was responded to are known.

--- a/internal/placement/availability_test.go
+++ b/internal/placement/availability_test.go
@@ -217,6 +217,7 @@
 		if n := sent(p, 14*second); n != 2 {
 			t.Errorf("%s: %d requests at once to a process that has just started, want 2", name, n)
 		}
+		p.RecordEnded(placement.EndedTarget{Target: "t", StartMillis: 1000, At: now + 50*ms}) // the same refusal, reported again
 		if n := sent(p, 16*second); n != 2 {
 			t.Errorf("%s: %d requests at once within its warm-up, want 2", name, n)
 		}
--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -33,8 +33,10 @@
 // connection. Whatever responds next at its address has started since and is cold, also if
 // its heartbeats do not arrive.
 type endedProcess struct {
-	at       time.Duration // the newest refusal, here or at another host
-	refusing bool          // nothing has responded since
+	// at is the newest refusal, here or at another host, or the start of the request that
+	// was responded to since; refusals before it are known.
+	at       time.Duration
+	refusing bool // nothing has responded since
 	// coldUntil is the end of the warm-up of the process that has responded since.
 	coldUntil   time.Duration
 	reportUntil time.Duration
@@ -78,7 +80,7 @@
 // observeEnded records that a target has responded to an attempt.
 func (t *Target) observeEnded(now time.Duration, a *Attempt) {
 	if ended := &a.availability.ended; ended.refusing && a.started > ended.at {
-		ended.refusing, ended.coldUntil = false, now+t.Warmup
+		ended.refusing, ended.coldUntil, ended.at = false, now+t.Warmup, a.started
 	}
 }
 
