--- a/internal/bytebudget/budget.go
+++ b/internal/bytebudget/budget.go
@@ -10,7 +10,7 @@
 	// responses are smaller.
 	Free = 16 << 10
 	// DefaultLimit is the sum of what buffers may hold beyond Free, in bytes.
-	DefaultLimit = 24 << 20
+	DefaultLimit = 8 << 20
 )
 
 // Budget is the number of bytes that the buffers of a process may hold beyond Free each. The
