gateway: TestColdTargetNeedsLease does not depend on the machine's pace

It counted at a fixed time. It now waits for all calls and looks at the time of each arrival: at least the limit arrive, and no second has more, which is stricter.

--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"sync"
 	"testing"
@@ -46,7 +47,14 @@
 		for _, path := range []string{"/once/", "/safe/", "/resume/"} {
 			t.Run(fmt.Sprint(path, forwarded), func(t *testing.T) {
 				t.Parallel()
-				s := newTarget(t, success)
+				var mu sync.Mutex
+				var arrived []time.Time
+				s := newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+					mu.Lock()
+					arrived = append(arrived, time.Now())
+					mu.Unlock()
+					success(w, r)
+				})
 				start := func(asOf time.Duration) (f, entry *fixture) {
 					f = startCold(t, s)
 					if f.lease(asOf, all); !forwarded {
@@ -54,17 +62,22 @@
 					}
 					return f, forwardTo(t, f)
 				}
-				call := func(entry *fixture, when string, want int) {
+				// A host that has just started lets requests wait.
+				call := func(entry *fixture, when string, limit int) {
 					t.Helper()
-					before := s.count()
+					arrived = nil
 					var calls sync.WaitGroup
-					defer calls.Wait()
 					for range 8 {
 						calls.Go(func() { entry.call(t, path) })
 					}
-					time.Sleep(900 * time.Millisecond) // a host that has just started lets requests wait
-					if got := s.count() - before; got != want {
-						t.Errorf("%s: %d requests sent, want %d", when, got, want)
+					calls.Wait()
+					if len(arrived) < limit || limit == 0 && len(arrived) > 0 {
+						t.Errorf("%s: %d requests sent, %d a second are allowed", when, len(arrived), limit)
+					}
+					for i := limit; limit > 0 && i < len(arrived); i++ {
+						if span := arrived[i].Sub(arrived[i-limit]); span < time.Second {
+							t.Errorf("%s: %d requests within %v, %d a second are allowed", when, limit+1, span, limit)
+						}
 					}
 				}
 				f, entry := start(clock.SinceBoot())
