controlplane: log each applied change of the replicated state

The log of a control host had a line for an order only when its call ended. A call whose caller had left ended with "outcome uncertain", and no line told whether, when and behind which other change the command was committed, so a stale order that was carried out could not be told from a second order of an operator. Each control host now logs what it applies, with the log index.

--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -96,6 +96,39 @@
 	s.Logger.WithFields(fields).Info("change")
 }
 
+// LogChanges logs each change of the replicated state as this host applies it, until ctx
+// ends. A change that was committed is visible there also if the host that proposed it, or
+// its caller, never learned of the outcome.
+func (s *Service) LogChanges(ctx context.Context) error {
+	previous := &document.State{}
+	for {
+		state, changed := s.Document.State()
+		s.logApplied(previous, state)
+		previous = state
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+func (s *Service) logApplied(previous, state *document.State) {
+	if state.Version != previous.Version {
+		s.Logger.WithFields(logrus.Fields{"version": state.Version, "index": state.Index}).Info("document applied")
+	}
+	for dataCentre, index := range state.Evacuated {
+		if previous.Evacuated[dataCentre] != index {
+			s.Logger.WithFields(logrus.Fields{"data_centre": dataCentre, "evacuate": true, "index": index}).Info("evacuation applied")
+		}
+	}
+	for dataCentre, index := range state.Restored {
+		if previous.Restored[dataCentre] != index {
+			s.Logger.WithFields(logrus.Fields{"data_centre": dataCentre, "evacuate": false, "index": index}).Info("evacuation applied")
+		}
+	}
+}
+
 // Read returns the newest document as the operator sent it. The leader confirms that
 // the local state is current.
 func (s *Service) Read(ctx context.Context) ([]byte, error) {
--- a/internal/daemon/deployment_control.go
+++ b/internal/daemon/deployment_control.go
@@ -59,6 +59,7 @@
 		return nil, err
 	}
 	addLoop(&d.group, node.Run)
+	addLoop(&d.group, plane.LogChanges)
 	addLoop(&d.group, func(ctx context.Context) error { return server.Run(ctx, d.seedPeers) })
 	front, err := d.addServer(p.Control, platform.ControlHandler(plane))
 	if err != nil {
