control plane: an order that was given up does not undo a newer one (EVAC)

Callers saw: an operator ended the evacuation of a data centre while one control host stood still, got the acknowledgement from another host, and evacuated it again.

Cause: an order for an evacuation has no identity, age or version. A host that reads one from the connection of a caller who left long ago cannot tell it from a new one, and the state machine applied it as it came. The frozen host logged "change ... evacuate false, outcome uncertain (from another host): context canceled" at 40.083 s, and "evacuation applied, index 28" of the same change at 40.088 s, behind index 26, the newer order that had been acknowledged at 36.631 s. The end of the caller's connection is seen only after the proposal has left.

Change: an order is carried out behind a log position that its caller has confirmed. The leader compares the position, over its applied state and the unapplied entries of its log, right before it appends (control.Guard, document.Machine.Admit); behind that point the log keeps the order. An order that changes nothing is acknowledged, as a resend must be.

Why not less: proposing behind the position that the host knows when it reads the order still failed in simulation (a host that has caught up before it reads), and a check of the connection comes as late as the order itself.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,6 +17,8 @@
 	ErrUnknownMachine = errors.New("control: unknown machine")
 	// ErrTooLarge means that the command is larger than 4 MiB. It was not appended.
 	ErrTooLarge = errors.New("control: command is too large")
+	// ErrRefused means that the machine refused the command before it was appended.
+	ErrRefused = errors.New("control: command refused")
 )
 
 // Log is the interface of the replicated log for other packages.
@@ -33,6 +35,15 @@
 	LeaseRemaining() time.Duration
 }
 
+// Guard is implemented by a Machine that refuses some commands before they are appended,
+// which keeps conditions out of the log: every build applies all of its entries.
+type Guard interface {
+	// Admit returns an error if the command must not take effect on the state of the
+	// machine after it has applied the pending commands. It runs on the leader, with the
+	// commands that are in its log and not applied.
+	Admit(pending [][]byte, command []byte) error
+}
+
 // Machine is a replicated state machine. Each voter applies the committed commands
 // to it in log order. Calls are serialised.
 type Machine interface {
--- a/internal/control/core/core.go
+++ b/internal/control/core/core.go
@@ -271,15 +271,23 @@
 	c.commit = index
 }
 
-// Propose appends commands in order. It returns the index of the first one and the
-// term. An error means that none was appended.
-func (c *Core) Propose(now time.Duration, commands ...[]byte) (first, term uint64, err error) {
+// CanPropose returns an error unless this voter is the leader and its lease holds.
+func (c *Core) CanPropose(now time.Duration) error {
 	c.advanceClock(now)
 	if c.role != Leader {
-		return 0, 0, ErrNotLeader
+		return ErrNotLeader
 	}
 	if !c.leaseHolds() {
-		return 0, 0, ErrNoLease
+		return ErrNoLease
+	}
+	return nil
+}
+
+// Propose appends commands in order. It returns the index of the first one and the
+// term. An error means that none was appended.
+func (c *Core) Propose(now time.Duration, commands ...[]byte) (first, term uint64, err error) {
+	if err := c.CanPropose(now); err != nil {
+		return 0, 0, err
 	}
 	first = c.log.last() + 1
 	for _, data := range commands {
@@ -289,6 +297,11 @@
 	return first, c.state.Term, nil
 }
 
+// EntriesAfter returns the entries of the log after an index that is not compacted,
+// whether they are committed or not. A command that is proposed next takes effect behind
+// them, or not at all.
+func (c *Core) EntriesAfter(index uint64) []Entry { return c.log.slice(index+1, c.log.last()) }
+
 // appendAsLeader appends an entry at the end of the leader's log.
 func (c *Core) appendAsLeader(e Entry) {
 	if c.role != Leader {
--- a/internal/control/core/sim_test.go
+++ b/internal/control/core/sim_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
+
+	"geraniumturn.example/geraniumturn/internal/document"
 )
 
 var (
@@ -84,8 +86,30 @@
 	syncCrashes int
 
 	register  uint64
+	machine   *document.Machine
 	applied   uint64
 	snapIndex uint64
+	// onApply is called with the term of the entry that this process applies at an index.
+	onApply map[uint64]func(term uint64)
+}
+
+// isOrder reports whether an entry is a command of machine. Others are values of register.
+func isOrder(e Entry) bool { return e.Kind == EntryCommand && bytes.HasPrefix(e.Data, []byte("{")) }
+
+// state returns the content of a snapshot of the host's machines.
+func (s *sim) state(h *simHost) []byte {
+	data, err := h.machine.Snapshot()
+	if err != nil {
+		s.fail("%v", err)
+	}
+	return append(binary.LittleEndian.AppendUint64(nil, h.register), data...)
+}
+
+func (s *sim) restore(h *simHost, data []byte) {
+	h.register = binary.LittleEndian.Uint64(data)
+	if err := h.machine.Restore(data[8:]); err != nil {
+		s.fail("%v", err)
+	}
 }
 
 // operation is one client operation on the register.
@@ -180,9 +204,10 @@
 	d := h.disk
 	h.core = New(Config{ID: d.id, Host: h.name, State: d.state, Snapshot: d.snapshot, Base: d.base, BaseTerm: d.baseTerm,
 		Entries: slices.Clone(d.entries), Rand: rand.New(rand.NewPCG(s.r.Uint64(), 3)), Process: s.r.Uint64(), VoterCount: s.voterCount}, 0)
-	h.applied, h.snapIndex, h.register = d.snapshot.Index, d.snapshot.Index, 0
+	h.applied, h.snapIndex, h.register, h.machine = d.snapshot.Index, d.snapshot.Index, 0, document.NewMachine()
+	h.onApply = map[uint64]func(uint64){}
 	if d.snapshot.Index > 0 {
-		h.register = binary.LittleEndian.Uint64(d.snapshot.Data)
+		s.restore(h, d.snapshot.Data)
 	}
 	// An initial voter that crashed before its first sync starts with an empty log again.
 	if slices.ContainsFunc(s.initial, func(m Member) bool { return m.ID == d.id }) && h.core.log.last() == 0 {
@@ -267,7 +292,8 @@
 
 func (s *sim) afterSync(h *simHost, out Output) {
 	if out.Install != nil {
-		h.register, h.applied = binary.LittleEndian.Uint64(out.Install.Data), out.Install.Index
+		s.restore(h, out.Install.Data)
+		h.applied = out.Install.Index
 		h.snapIndex = out.Install.Index
 	}
 	h.core.Synced()
@@ -296,7 +322,7 @@
 func (s *sim) snapshot(h *simHost) {
 	base, baseTerm, kept := h.core.Compact(h.applied)
 	snapshot := h.core.Snapshot()
-	snapshot.Data = binary.LittleEndian.AppendUint64(nil, h.register)
+	snapshot.Data = s.state(h)
 	// Keep only 4 trailing entries instead of trailingEntries, so that followers need
 	// the snapshot more often.
 	if from := h.applied - 4; from > base {
@@ -328,11 +354,17 @@
 		s.fail("%s applies another entry at %d: term %d, before term %d", h.name, e.Index, e.Term, first.Term)
 	}
 	read := h.register
-	if e.Kind == EntryCommand {
+	if isOrder(e) {
+		h.machine.Apply(e.Index, e.Data)
+	} else if e.Kind == EntryCommand {
 		if value := binary.LittleEndian.Uint64(e.Data); value > 0 {
 			h.register = value
 		}
 	}
+	if onApply := h.onApply[e.Index]; onApply != nil {
+		delete(h.onApply, e.Index)
+		onApply(e.Term)
+	}
 	for _, op := range s.ops {
 		s.complete(op, h, e, read)
 	}
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -635,9 +635,9 @@
 	defer n.proposeTime.UpdateSince(time.Now())
 	p := &pendingProposal{result: make(chan proposeResult, 1)}
 	queued := n.enqueue(ctx, func() {
-		index, term, err := n.core.Propose(n.now(), encodeCommand(machine, command))
+		index, term, err := n.append(machine, command)
 		if err != nil {
-			p.result <- proposeResult{err: fmt.Errorf("%w: %w", errNotAppended, err)}
+			p.result <- proposeResult{err: err}
 			return
 		}
 		if replaced := n.pending[index]; replaced != nil { // its entry was truncated
@@ -659,6 +659,49 @@
 	}
 }
 
+// append appends the command if this voter is the leader and the machine admits it. It runs
+// on the event loop, so that nothing is appended between the two.
+func (n *Node) append(machine string, command []byte) (index, term uint64, err error) {
+	now := n.now()
+	if err := n.core.CanPropose(now); err != nil {
+		return 0, 0, fmt.Errorf("%w: %w", errNotAppended, err)
+	}
+	if err := n.admit(machine, command); err != nil {
+		return 0, 0, err
+	}
+	index, term, err = n.core.Propose(now, encodeCommand(machine, command))
+	if err != nil {
+		return 0, 0, fmt.Errorf("%w: %w", errNotAppended, err)
+	}
+	return index, term, nil
+}
+
+// admit returns ErrRefused if the machine is a Guard that refuses the command behind the
+// entries of this host's log.
+func (n *Node) admit(machine string, command []byte) error {
+	guard, ok := n.machines[machine].(Guard)
+	if !ok {
+		return nil
+	}
+	var pending [][]byte
+	for _, e := range n.core.EntriesAfter(n.machineIndex) {
+		if e.Kind != core.EntryCommand {
+			continue
+		}
+		name, data, err := decodeCommand(e.Data)
+		if err != nil {
+			return fmt.Errorf("%w: %w", errNotAppended, err)
+		}
+		if name == machine {
+			pending = append(pending, data)
+		}
+	}
+	if err := guard.Admit(pending, command); err != nil {
+		return fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	return nil
+}
+
 // errNotAppended means that the command was certainly not appended, or was truncated
 // from the log, and can be proposed again. It does not leave the package.
 var errNotAppended = errors.New("not appended")
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -21,6 +21,7 @@
 	codeUncertain      = 1003
 	codeUnknownMachine = 1004
 	codeTooLarge       = 1005
+	codeRefused        = 1006
 )
 
 const (
@@ -47,6 +48,8 @@
 		return drpcerr.WithCode(err, codeUnknownMachine)
 	case errors.Is(err, ErrTooLarge):
 		return drpcerr.WithCode(err, codeTooLarge)
+	case errors.Is(err, ErrRefused):
+		return drpcerr.WithCode(err, codeRefused)
 	}
 	return drpcerr.WithCode(err, codeUncertain)
 }
@@ -70,6 +73,8 @@
 		sentinel = ErrUnknownMachine
 	case codeTooLarge:
 		sentinel = ErrTooLarge
+	case codeRefused:
+		sentinel = ErrRefused
 	}
 	return fmt.Errorf("%w (from another host): %v", sentinel, err)
 }
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -24,6 +24,19 @@
 	ErrUnavailable = errors.New("controlplane: unavailable")
 )
 
+// UnconfirmedError means that an order was not carried out, because its caller has not
+// confirmed that it still waits for it. The caller confirms by sending the order once more,
+// with the position.
+type UnconfirmedError struct {
+	// Position is the log position of the last order that this host knows of for the same
+	// data centre.
+	Position uint64
+}
+
+func (e *UnconfirmedError) Error() string {
+	return fmt.Sprintf("controlplane: order is not confirmed behind position %d", e.Position)
+}
+
 const (
 	// changeTimeout bounds a change. Callers switch to another host after a second; the
 	// change may still complete and satisfy a later call.
@@ -67,7 +80,10 @@
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	started := clock.SinceBoot()
-	err = document.Replace(ctx, s.Node, d.Version, content)
+	command, err := document.EncodeDocument(d.Version, content)
+	if err == nil {
+		err = s.propose(ctx, command)
+	}
 	s.logChange(logrus.Fields{"version": d.Version}, started, err)
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrUnavailable, err)
@@ -76,14 +92,49 @@
 }
 
 // Evacuate starts or ends the evacuation of a data centre.
-func (s *Service) Evacuate(ctx context.Context, dataCentre string, evacuate bool) error {
+//
+// A caller that gets no response in time sends its order to another host, and may send newer
+// orders once that has succeeded. So an order may be read long after its caller has given it
+// up, for example by a process that was frozen, and nothing in it tells how old it is. It is
+// therefore not carried out before its caller has confirmed it with the position after, nor
+// if an order of anyone has followed that position: an order that waits anywhere behind the
+// confirmation is overtaken by the next one. after is nil in an order that is not confirmed.
+func (s *Service) Evacuate(ctx context.Context, dataCentre string, evacuate bool, after *uint64) error {
+	if after == nil {
+		return s.requestConfirmation(dataCentre, evacuate, "new order")
+	}
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	started := clock.SinceBoot()
-	err := document.Evacuate(ctx, s.Node, dataCentre, evacuate)
-	s.logChange(logrus.Fields{"data_centre": dataCentre, "evacuate": evacuate}, started, err)
+	command, err := document.EncodeEvacuation(dataCentre, evacuate, *after)
+	if err == nil {
+		err = s.propose(ctx, command)
+	}
+	s.logChange(logrus.Fields{"data_centre": dataCentre, "evacuate": evacuate, "after": *after}, started, err)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, control.ErrRefused) && s.Node.AwaitCurrent(ctx):
+		return s.requestConfirmation(dataCentre, evacuate, "outdated position")
+	}
+	return fmt.Errorf("%w: %v", ErrUnavailable, err)
+}
+
+func (s *Service) requestConfirmation(dataCentre string, evacuate bool, cause string) error {
+	state, _ := s.Document.State()
+	err := &UnconfirmedError{Position: state.Orders[dataCentre]}
+	s.Logger.WithFields(logrus.Fields{"data_centre": dataCentre, "evacuate": evacuate, "position": err.Position, "cause": cause}).Info("order not confirmed")
+	return err
+}
+
+// propose appends a command for the replicated state and waits until it is applied.
+func (s *Service) propose(ctx context.Context, command []byte) error {
+	result, err := s.Node.Propose(ctx, document.MachineName, command)
 	if err != nil {
-		return fmt.Errorf("%w: %v", ErrUnavailable, err)
+		return err
+	}
+	if len(result) > 0 {
+		return errors.New(string(result))
 	}
 	return nil
 }
--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -168,10 +168,81 @@
 	})
 }
 
+// Guards against an order that is carried out behind a newer one, also one that changed
+// nothing or is not applied yet, and against the refusal of an order that is repeated because
+// its acknowledgement was lost.
+func TestAdmit(t *testing.T) {
+	order := func(evacuate bool, after uint64) []byte {
+		data, err := document.EncodeEvacuation("a", evacuate, after)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}
+	m := document.NewMachine()
+	apply := func(index uint64, data []byte) {
+		t.Helper()
+		if result := m.Apply(index, data); len(result) > 0 {
+			t.Fatalf("entry %d: %s", index, result)
+		}
+	}
+	check := func(what string, want bool, command []byte, pending ...[]byte) {
+		t.Helper()
+		err := m.Admit(pending, command)
+		if (err == nil) != want || err != nil && !errors.Is(err, document.ErrOutdated) {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+	check("first order", true, order(true, 0))
+	apply(3, order(true, 0))
+	check("repeated order", true, order(true, 0))
+	check("order that has not seen the last one", false, order(false, 0))
+	check("next order", true, order(false, 3))
+	check("next order behind one that is not applied", false, order(false, 3), order(true, 3))
+	check("order that the one before it repeats", true, order(false, 3), order(false, 3))
+	check("reversed order that is not applied", false, order(true, 3), order(false, 3))
+	check("orders for another data centre", true, order(false, 3), machineCommand{dataCentre: "b", evacuate: false}.encode(), machineCommand{version: 1}.encode())
+	check("order of an earlier build", true, machineCommand{dataCentre: "a"}.encode(), order(true, 3))
+	apply(5, order(true, 3)) // changes nothing
+	check("order from before one that changed nothing", false, order(false, 3))
+	data, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m = document.NewMachine()
+	if err := m.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	check("order from before a snapshot", false, order(false, 3))
+	check("order after a snapshot", true, order(false, 5))
+	apply(8, order(true, 0))
+	if state, _ := m.State(); state.Index != 3 || len(state.Restored) > 0 {
+		t.Errorf("an entry that changed nothing changed the state: %+v", state)
+	}
+	apply(9, order(false, 0)) // entries of the log are applied whatever they follow
+	if state, _ := m.State(); len(state.Evacuated) > 0 || state.Restored["a"] != 9 {
+		t.Errorf("an entry of the log was not applied: %+v", state)
+	}
+}
+
+// Guards against a snapshot of an earlier build after which each first order is refused.
+func TestRestoreWithoutOrders(t *testing.T) {
+	m := document.NewMachine()
+	if err := m.Restore([]byte(`{"index":9,"version":0,"evacuated":{"a":9},"restored":{"a":4,"b":6}}`)); err != nil {
+		t.Fatal(err)
+	}
+	if state, _ := m.State(); state.Orders["a"] != 9 || state.Orders["b"] != 6 {
+		t.Errorf("orders %v", state.Orders)
+	}
+}
+
 // Guards against a malformed log entry or snapshot that crashes the process or is
 // accepted.
 func TestMachineMalformedCommand(t *testing.T) {
 	m := document.NewMachine()
+	if err := m.Admit(nil, []byte("{")); err == nil {
+		t.Error("a malformed command was admitted")
+	}
 	if result := m.Apply(1, []byte("{")); len(result) == 0 {
 		t.Error("a malformed command was accepted")
 	}
--- a/internal/document/machine.go
+++ b/internal/document/machine.go
@@ -1,13 +1,11 @@
 package document
 
 import (
-	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"sync"
-
-	"geraniumturn.example/geraniumturn/internal/control"
 )
 
 // MachineName is the name of the machine in the replicated log.
@@ -27,14 +25,45 @@
 	// Restored maps a data centre to the log position at which its last evacuation
 	// ended.
 	Restored map[string]uint64 `json:"restored"`
+	// Orders maps a data centre to the log position of the last order to evacuate or
+	// restore it. Unlike the other positions it counts orders that changed nothing.
+	Orders map[string]uint64 `json:"orders,omitempty"`
 }
 
+// ErrOutdated means that another order for the data centre has followed the position
+// behind which an order was to take effect.
+var ErrOutdated = errors.New("document: a later order exists")
+
 // command is one entry of the log.
 type command struct {
 	Version    uint64 `json:"version,omitempty"`
 	Content    []byte `json:"content,omitempty"`
 	DataCentre string `json:"data_centre,omitempty"`
 	Evacuate   bool   `json:"evacuate,omitempty"`
+	// After is the position of the last order for the data centre that the sender of this
+	// one knew of. Only Admit reads it: an entry of the log is applied in any case, so that
+	// builds without Admit apply the same. Commands of such builds have none.
+	After *uint64 `json:"after,omitempty"`
+}
+
+// EncodeDocument returns the command that stores a document, unless its version is not
+// higher than that of the stored one.
+func EncodeDocument(version uint64, content []byte) ([]byte, error) {
+	return encode(command{Version: version, Content: content})
+}
+
+// EncodeEvacuation returns the command that begins or ends the evacuation of a data
+// centre, unless an order behind the position after exists.
+func EncodeEvacuation(dataCentre string, evacuate bool, after uint64) ([]byte, error) {
+	return encode(command{DataCentre: dataCentre, Evacuate: evacuate, After: &after})
+}
+
+func encode(c command) ([]byte, error) {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("document: command: %w", err)
+	}
+	return data, nil
 }
 
 // Machine is the replicated state machine. Invariant: the version never decreases.
@@ -46,7 +75,7 @@
 
 // NewMachine returns a machine with an empty state.
 func NewMachine() *Machine {
-	return &Machine{state: &State{Evacuated: map[string]uint64{}, Restored: map[string]uint64{}}, changed: make(chan struct{})}
+	return &Machine{state: &State{Evacuated: map[string]uint64{}, Restored: map[string]uint64{}, Orders: map[string]uint64{}}, changed: make(chan struct{})}
 }
 
 // State returns the current state and a channel that is closed when it changes.
@@ -67,7 +96,10 @@
 	next := *m.state
 	switch {
 	case c.DataCentre != "":
+		next.Orders = maps.Clone(next.Orders)
+		next.Orders[c.DataCentre] = index
 		if _, evacuated := next.Evacuated[c.DataCentre]; evacuated == c.Evacuate {
+			m.publish(&next)
 			return nil
 		}
 		next.Evacuated, next.Restored = maps.Clone(next.Evacuated), maps.Clone(next.Restored)
@@ -87,6 +119,33 @@
 	return nil
 }
 
+// Admit implements control.Guard. A sender may have given up an order, and sent newer ones
+// to other hosts, while the order waited at a host, in a queue, or for a leader. So an order
+// that changes the state is refused if another one has followed the position that it names.
+// One that changes nothing is admitted: it repeats an order whose acknowledgement was lost.
+func (m *Machine) Admit(pending [][]byte, data []byte) error {
+	var c command
+	if err := json.Unmarshal(data, &c); err != nil {
+		return fmt.Errorf("document: malformed command: %w", err)
+	}
+	if c.DataCentre == "" || c.After == nil {
+		return nil
+	}
+	state, _ := m.State()
+	_, evacuated := state.Evacuated[c.DataCentre]
+	outdated := state.Orders[c.DataCentre] != *c.After
+	for _, p := range pending {
+		var earlier command
+		if json.Unmarshal(p, &earlier) == nil && earlier.DataCentre == c.DataCentre {
+			evacuated, outdated = earlier.Evacuate, true
+		}
+	}
+	if outdated && evacuated != c.Evacuate {
+		return fmt.Errorf("%w: for data centre %s at position %d, expected %d", ErrOutdated, c.DataCentre, state.Orders[c.DataCentre], *c.After)
+	}
+	return nil
+}
+
 func (m *Machine) publish(s *State) {
 	if s.Version < m.state.Version {
 		panic(fmt.Sprintf("document: version decreased from %d to %d", m.state.Version, s.Version))
@@ -118,34 +177,12 @@
 	if s.Restored == nil {
 		s.Restored = map[string]uint64{}
 	}
+	if s.Orders == nil { // the snapshot is of a build that did not count orders
+		s.Orders = maps.Clone(s.Restored)
+		maps.Copy(s.Orders, s.Evacuated)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.publish(s)
 	return nil
 }
-
-// Replace proposes a document. It returns when the document, or a higher version,
-// is durable on a majority of the voters.
-func Replace(ctx context.Context, log control.Log, version uint64, content []byte) error {
-	return propose(ctx, log, command{Version: version, Content: content})
-}
-
-// Evacuate proposes the start or the end of an evacuation.
-func Evacuate(ctx context.Context, log control.Log, dataCentre string, evacuate bool) error {
-	return propose(ctx, log, command{DataCentre: dataCentre, Evacuate: evacuate})
-}
-
-func propose(ctx context.Context, log control.Log, c command) error {
-	data, err := json.Marshal(c)
-	if err != nil {
-		return fmt.Errorf("document: %w", err)
-	}
-	result, err := log.Propose(ctx, MachineName, data)
-	if err != nil {
-		return fmt.Errorf("document: %w", err)
-	}
-	if len(result) > 0 {
-		return fmt.Errorf("document: %s", result)
-	}
-	return nil
-}
