fleet: removals and registrations of hosts do not take effect over newer ones

Found while looking for the cause of the evacuation that was undone on related paths. What operators would see: a removal of a host that they had given up at one host, and repeated at another, removes the host once more after it has returned; or a host that died and was removed is listed again by its registration from before. While a running host is not listed, its part of the rates may be given to others without its confirmation.

Cause: RemoveHost and PutHost had neither a base nor an identity.

Change: both carry the index of the state that their sender knew. The machine refuses them before they are appended if a later change of that host exists. An operator confirms a removal by following a redirect with the index, as with evacuations.

TestLateHostCommands: with the checks disabled it fails at its first line ("order: status 200, want 307"); it passes now. TestRemovedHostIsNotAwaited (processes, geraniumctl) passes.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -469,10 +469,11 @@
 	}
 	ticker.Reset(registerInterval)
 	for {
-		listed := slices.ContainsFunc(f.d.replica.View().State.Hosts, func(h *fleetpb.Host) bool { return proto.Equal(h, self) })
+		view := f.d.replica.View()
+		listed := slices.ContainsFunc(view.State.Hosts, func(h *fleetpb.Host) bool { return proto.Equal(h, self) })
 		if !listed {
 			callCtx, cancel := context.WithTimeout(ctx, proposeTimeout)
-			_, _ = fleet.Propose(callCtx, f.d.controlLog, &fleetpb.Command{Kind: &fleetpb.Command_PutHost{PutHost: self}})
+			_, _ = fleet.Propose(callCtx, f.d.controlLog, &fleetpb.Command{After: &view.Index, Kind: &fleetpb.Command_PutHost{PutHost: self}})
 			cancel()
 		}
 		select {
--- a/internal/fleet/http.go
+++ b/internal/fleet/http.go
@@ -199,15 +199,38 @@
 	return c.JSON(http.StatusOK, ReachResponse{Hosts: a.Propagator.Reach(c.Request().Context(), index)})
 }
 
+// removeHost asks the operator to confirm the removal by a redirect with the index of the
+// state that this host has. Operators follow it only while they wait for the response, so a
+// removal that was given up does not remove the host after its return.
 func (a *Admin) removeHost(c echo.Context) error {
-	return a.propose(c, &fleetpb.Command{Kind: &fleetpb.Command_RemoveHost{RemoveHost: &fleetpb.RemoveHost{
+	confirm := func() error {
+		location := *c.Request().URL
+		query := location.Query()
+		query.Set("after", strconv.FormatUint(a.Replica.View().Index, 10))
+		location.RawQuery = query.Encode()
+		return c.Redirect(http.StatusTemporaryRedirect, location.String())
+	}
+	if c.QueryParam("after") == "" {
+		return confirm()
+	}
+	after, err := strconv.ParseUint(c.QueryParam("after"), 10, 64)
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "after must be a number")
+	}
+	err = a.propose(c, &fleetpb.Command{After: &after, Kind: &fleetpb.Command_RemoveHost{RemoveHost: &fleetpb.RemoveHost{
 		Name: c.Param("name"), Operator: c.QueryParam("operator"),
 	}}})
+	if errors.Is(err, control.ErrRefused) && a.Replica.View().Index > after {
+		return confirm()
+	}
+	return err
 }
 
 func (a *Admin) propose(c echo.Context, command *fleetpb.Command) error {
 	result, err := Propose(c.Request().Context(), a.Log, command)
 	switch {
+	case errors.Is(err, control.ErrRefused):
+		return echo.NewHTTPError(http.StatusServiceUnavailable, "the change was certainly not made: "+err.Error()).SetInternal(err)
 	case errors.Is(err, control.ErrNoQuorum):
 		return echo.NewHTTPError(http.StatusServiceUnavailable, "no quorum: the change was certainly not made")
 	case err != nil:
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -4,7 +4,9 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 
@@ -44,6 +46,8 @@
 	keys      map[string]*fleetpb.Key
 	withdrawn map[string]bool
 	answers   map[string]*fleetpb.Answer
+	// hostIndexes has the index of the last change that put or removed a host, by name.
+	hostIndexes map[string]uint64
 	// answerOrder lists the request ids in answers, oldest first.
 	answerOrder   []string
 	recentChanges changeBuffer
@@ -88,12 +92,57 @@
 	result, change := m.execute(&command)
 	if change != nil {
 		m.publish(index, change)
+		if name := hostOf(&command); name != "" {
+			m.hostIndexes[name] = index
+		}
 	}
 	result.Index = m.state.Index
 	m.cacheAnswer(id, content, result)
 	return result
 }
 
+// hostOf returns the host that a command puts or removes, or "".
+func hostOf(c *fleetpb.Command) string {
+	switch k := c.Kind.(type) {
+	case *fleetpb.Command_PutHost:
+		return k.PutHost.GetName()
+	case *fleetpb.Command_RemoveHost:
+		return k.RemoveHost.GetName()
+	}
+	return ""
+}
+
+// ErrOutdated means that a command for a host was followed by another one that its sender
+// did not know of.
+var ErrOutdated = errors.New("fleet: a later command for the host exists")
+
+// Admit implements control.Guard. It refuses to put or remove a host behind another such
+// command that the sender did not know of: an operator may have given up the removal of a
+// host that has returned since, and a host may have been removed after it died.
+func (m *Machine) Admit(pending [][]byte, data []byte) error {
+	var command fleetpb.Command
+	if err := proto.Unmarshal(data, &command); err != nil {
+		return fmt.Errorf("fleet: command cannot be decoded: %w", err)
+	}
+	name := hostOf(&command)
+	if name == "" || command.After == nil {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	isOutdated := m.hostIndexes[name] > command.GetAfter()
+	for _, p := range pending {
+		var earlier fleetpb.Command
+		if proto.Unmarshal(p, &earlier) == nil && hostOf(&earlier) == name {
+			isOutdated = true
+		}
+	}
+	if isOutdated {
+		return fmt.Errorf("%w: %s at index %d, sent behind %d", ErrOutdated, name, m.hostIndexes[name], command.GetAfter())
+	}
+	return nil
+}
+
 // publish applies an accepted change to the state under its log index.
 func (m *Machine) publish(index uint64, change *fleetpb.Change) {
 	if index <= m.state.Index {
@@ -283,7 +332,7 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	snapshot := &fleetpb.Snapshot{State: m.state}
+	snapshot := &fleetpb.Snapshot{State: m.state, HostIndexes: m.hostIndexes}
 	for _, id := range m.answerOrder {
 		snapshot.Answers = append(snapshot.Answers, m.answers[id])
 	}
@@ -323,6 +372,8 @@
 	for _, id := range s.State.Withdrawn {
 		m.withdrawn[id] = true
 	}
+	m.hostIndexes = map[string]uint64{}
+	maps.Copy(m.hostIndexes, s.HostIndexes)
 	m.answers = make(map[string]*fleetpb.Answer, len(s.Answers))
 	for _, a := range s.Answers {
 		m.answers[a.RequestId] = a
