quota: an allocation of a former leader does not take effect over a newer one

Found while looking for the cause of the evacuation that was undone on related paths. What callers could see: for a short time a workspace gets more than its rate. A leader computes a list of hosts and allocations and proposes them. If it stands still in between and loses the lead, its proposal is forwarded to the next leader up to four seconds later and replaced that leader's newer list. A host that has returned meanwhile then counts as removed: its share goes to others without its confirmation while it goes on using it.

Change: a Set carries the position of the last one that its leader had applied, and is not appended behind another one (control.Guard). Earlier builds skip the new fields.

TestLateAllocation: with the check disabled "the late allocation was applied; pending [], hosts that run: a, b"; it passes now.

--- a/internal/quota/bucket_test.go
+++ b/internal/quota/bucket_test.go
@@ -201,3 +201,74 @@
 		t.Error("a removed host still blocks the allocation")
 	}
 }
+
+// Guards against an allocation of a former leader that takes effect over a newer one: its
+// list lacks a host that has returned, which would not have to confirm the decrease of its
+// share to zero, so that the shares in use add up to more than the rate.
+func TestLateAllocation(t *testing.T) {
+	m, index := NewMachine(), uint64(0)
+	encode := func(c *quotapb.Command) []byte {
+		data, err := proto.Marshal(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}
+	propose := func(c *quotapb.Command) error {
+		if err := m.Admit(nil, encode(c)); err != nil {
+			return err
+		}
+		index++
+		m.Apply(index, encode(c))
+		return nil
+	}
+	mustPropose := func(c *quotapb.Command) {
+		t.Helper()
+		if err := propose(c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	workspaces := []Workspace{{Name: "w", Rate: 100, Burst: 100}}
+	compute := func(hosts ...string) *quotapb.Command {
+		var members []Member
+		for _, h := range hosts {
+			members = append(members, Member{h, "dc-" + h})
+		}
+		return &quotapb.Command{Kind: &quotapb.Command_Set{Set: m.ReconcileCommand(1, index, members, workspaces, 10)}}
+	}
+	record := func() *quotapb.Record {
+		_, records := m.ChangedSince(0)
+		return records[0]
+	}
+	confirmAll := func() {
+		for r := record(); len(r.Pending) > 0; r = record() {
+			mustPropose(&quotapb.Command{Kind: &quotapb.Command_Confirm{Confirm: &quotapb.Confirm{Host: r.Pending[0], Confirmed: []*quotapb.Confirmed{{Workspace: "w", Epoch: r.Epoch}}}}})
+		}
+	}
+	for _, h := range []string{"a", "b"} {
+		mustPropose(&quotapb.Command{Kind: &quotapb.Command_Join{Join: &quotapb.Join{Host: h}}})
+	}
+	mustPropose(compute("a"))
+	confirmAll()
+	late := compute("a", "c")
+	mustPropose(compute("a", "b"))
+	confirmAll()
+	if err := propose(late); err == nil {
+		t.Errorf("the late allocation was applied; pending %v, hosts that run: a, b", record().Pending)
+	}
+	mustPropose(compute("a", "c"))
+	if m.Admit([][]byte{encode(compute("a"))}, encode(compute("a"))) == nil {
+		t.Error("an allocation behind one that is not applied was admitted")
+	}
+	data, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := NewMachine()
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	if restored.Admit(nil, encode(late)) == nil || restored.Admit(nil, encode(compute("a"))) != nil {
+		t.Error("a snapshot loses the position of the last allocation")
+	}
+}
--- a/internal/quota/machine.go
+++ b/internal/quota/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -38,6 +39,7 @@
 	// index at which the leader first observed the current host list.
 	joinIndex map[string]uint64
 	hostsAsOf uint64
+	setIndex  uint64 // log index of the last Set
 }
 
 // NewMachine returns a machine without workspaces.
@@ -67,6 +69,7 @@
 func (m *Machine) execute(c *quotapb.Command, index uint64) {
 	switch k := c.Kind.(type) {
 	case *quotapb.Command_Set:
+		m.setIndex = index
 		m.applySet(k.Set, index)
 	case *quotapb.Command_Confirm:
 		m.applyConfirm(k.Confirm, index)
@@ -95,6 +98,33 @@
 	}
 }
 
+// ErrOutdated means that a Set was computed before a later one was appended.
+var ErrOutdated = errors.New("quota: a later allocation exists")
+
+// Admit implements control.Guard. It refuses a Set that a former leader computed before a
+// later one: its list of hosts may lack a host that runs and has to confirm decreases.
+func (m *Machine) Admit(pending [][]byte, data []byte) error {
+	var command quotapb.Command
+	if err := proto.Unmarshal(data, &command); err != nil {
+		return fmt.Errorf("quota: command cannot be decoded: %w", err)
+	}
+	set := command.GetSet()
+	if set == nil || set.After == nil {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	isOutdated := m.setIndex != set.GetAfter()
+	for _, p := range pending {
+		var earlier quotapb.Command
+		isOutdated = isOutdated || proto.Unmarshal(p, &earlier) == nil && earlier.GetSet() != nil
+	}
+	if isOutdated {
+		return fmt.Errorf("%w: at index %d, this one follows %d", ErrOutdated, m.setIndex, set.GetAfter())
+	}
+	return nil
+}
+
 func validAllocation(a *quotapb.Allocation) bool {
 	if a == nil || a.Rate < 0 || a.Burst < 0 || a.Rate > maxAmount || a.Burst > maxAmount {
 		return false
@@ -218,7 +248,8 @@
 	if revision < m.revision {
 		return nil
 	}
-	out := &quotapb.Set{Revision: revision, AsOf: asOf}
+	after := m.setIndex
+	out := &quotapb.Set{Revision: revision, AsOf: asOf, After: &after}
 	wanted := map[string]bool{}
 	for _, w := range workspaces {
 		wanted[w.Name] = true
@@ -256,7 +287,7 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
 	s := &quotapb.Snapshot{Index: m.index, Records: m.changedSince(0), ElasticTerm: m.elasticTerm, Revision: m.revision,
-		AsOf: m.hostsAsOf, Joined: maps.Clone(m.joinIndex),
+		AsOf: m.hostsAsOf, SetIndex: m.setIndex, Joined: maps.Clone(m.joinIndex),
 		Hosts: slices.Sorted(maps.Keys(m.hosts))}
 	m.mu.Unlock()
 	out, err := proto.Marshal(s)
@@ -274,7 +305,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.index, m.elasticTerm, m.revision, m.hostsAsOf = s.Index, s.ElasticTerm, s.Revision, s.AsOf
+	m.index, m.elasticTerm, m.revision, m.hostsAsOf, m.setIndex = s.Index, s.ElasticTerm, s.Revision, s.AsOf, s.SetIndex
 	m.joinIndex = map[string]uint64{}
 	maps.Copy(m.joinIndex, s.Joined)
 	m.hosts, m.records = map[string]bool{}, map[string]*quotapb.Record{}
