registry: a departure outranks every heartbeat of its process

What callers could see: requests go on reaching a target that has deregistered. A host that has merged the target's last heartbeat, which another control host received, ignored the departure, because the host that recorded it knew a lower sequence number. The review read this and could not show it in a script.

Change: within one start of a target, a departure is the last record whatever its sequence number. The separate rule for late heartbeats is part of that order now.

TestDepartureOutranksHeartbeats failed ("heartbeat first: the target is registered"), and so did TestTablesConverge with departures among its records ("1 and 0 targets"); both pass.

--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -64,11 +64,15 @@
 	Silent bool
 }
 
-// Newer reports whether r is a later record of its target than other.
+// Newer reports whether r is a later record of its target than other. The departure of a
+// process is its last record, whatever sequence number the host knew that recorded it.
 func (r Record) Newer(other Record) bool {
 	if c := cmp.Compare(r.StartMillis, other.StartMillis); c != 0 {
 		return c > 0
 	}
+	if (r.State == Left) != (other.State == Left) {
+		return r.State == Left
+	}
 	if c := cmp.Compare(r.Sequence, other.Sequence); c != 0 {
 		return c > 0
 	}
@@ -128,13 +132,10 @@
 		current = &row{}
 		t.rows[r.ID] = current
 	case r.Newer(current.Record):
-	case r.Silent && !current.Silent && r.StartMillis == current.StartMillis && r.Sequence == current.Sequence:
+	case r.Silent && !current.Silent && r.StartMillis == current.StartMillis && r.Sequence == current.Sequence && r.State == current.State:
 	default:
 		return false
 	}
-	if current.State == Left && r.StartMillis == current.StartMillis && r.State != Left {
-		return false // the heartbeat was in flight when the target left
-	}
 	changed := current.StartMillis != r.StartMillis || current.State != r.State || current.Address != r.Address || current.Service != r.Service || current.Software != r.Software ||
 		current.Silent != r.Silent || current.Slots != r.Slots || current.DataCentre != r.DataCentre || coldDiffers(r.ColdUntil, current.toldColdUntil, now)
 	t.recordPastSoftware(now, current.Record)
--- a/internal/registry/table_test.go
+++ b/internal/registry/table_test.go
@@ -45,6 +45,24 @@
 	}
 }
 
+// Guards against a departure that is ignored where the last heartbeat of the target arrived
+// first: the heartbeat has a higher sequence number than the host knew at which the target
+// deregistered, but no heartbeat follows a departure.
+func TestDepartureOutranksHeartbeats(t *testing.T) {
+	left, ready := record("a", 100, 8, registry.Left), record("a", 100, 9, registry.Ready)
+	silent := record("a", 100, 8, registry.Ready)
+	silent.Silent = true
+	for name, order := range map[string][]registry.Record{"heartbeat first": {ready, left}, "departure first": {left, ready}, "silent": {left, silent}} {
+		table := registry.NewTable()
+		for _, r := range order {
+			table.Merge(second, r)
+		}
+		if stateOf(table, "a") != registry.Left {
+			t.Errorf("%s: the target is registered", name)
+		}
+	}
+}
+
 // Guards against two registered targets at one address, of which the older has crashed.
 func TestReusedAddress(t *testing.T) {
 	table := registry.NewTable()
@@ -88,6 +106,9 @@
 			if r.Sequence > 2 {
 				r.State = registry.Draining
 			}
+			if rapid.IntRange(0, 5).Draw(t, "left") == 0 {
+				r.State = registry.Left
+			}
 			records = append(records, r)
 		}
 		one, two := registry.NewTable(), registry.NewTable()
