registry: a departure is that of the process that sent it

What callers could see: requests go on reaching a target that has deregistered. A target that starts again under its ID and leaves before this host has had a heartbeat of the new process was recorded as the departure of the old one; a late heartbeat of the new process then registered it again.

Change: a departure takes over the start time that it names, if that is later.

TestDepartureOfUnknownProcess failed ("a heartbeat registered target a again") and passes.

--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -187,11 +187,11 @@
 		current = &row{Record: Record{ID: id, StartMillis: startMillis}}
 		t.rows[id] = current
 	}
-	if startMillis != 0 && startMillis < current.StartMillis || current.State == Left {
+	if startMillis != 0 && startMillis < current.StartMillis || current.State == Left && startMillis <= current.StartMillis {
 		return false
 	}
 	t.recordPastSoftware(now, current.Record)
-	current.State, current.lastHeard = Left, now
+	current.State, current.StartMillis, current.lastHeard = Left, max(startMillis, current.StartMillis), now
 	t.markChanged(current)
 	t.heartbeatIDs[id] = true
 	return true
--- a/internal/registry/table_test.go
+++ b/internal/registry/table_test.go
@@ -63,6 +63,24 @@
 	}
 }
 
+// Guards against a late heartbeat that undoes the departure of a process of which this host
+// knew only an earlier process under the same ID, or nothing.
+func TestDepartureOfUnknownProcess(t *testing.T) {
+	table := registry.NewTable()
+	table.Heartbeat(second, record("a", 100, 5, registry.Ready))
+	table.Deregister(2*second, "a", 200)
+	table.Deregister(2*second, "b", 200)
+	for _, id := range []string{"a", "b"} {
+		if table.Heartbeat(3*second, record(id, 200, 3, registry.Ready)) || stateOf(table, id) != registry.Left {
+			t.Errorf("a heartbeat registered target %s again", id)
+		}
+	}
+	restarted := record("a", 300, 1, registry.Ready)
+	if !table.Heartbeat(4*second, restarted) || stateOf(table, "a") != registry.Ready {
+		t.Error("a restarted target was not registered")
+	}
+}
+
 // Guards against two registered targets at one address, of which the older has crashed.
 func TestReusedAddress(t *testing.T) {
 	table := registry.NewTable()
