proctest: connections hang only when the kernel says that the queue is full

Cause: HangNew filled the queue of its listener until an attempt to connect took longer than 20 ms, so an attempt that was merely slow ended the filling. Shown with a test that reads the length of the queue: with 40 processes of it at a time beside 48 busy loops, 1 of 600 runs had "connected: 0 fillers, queue 0 of 0" after HangNew. On the quiet machine and beside 24 busy loops it did not occur (0 of 70).

Change: HangNew reads the length of the queue and its limit from the kernel (TCP_INFO of the listener) and goes on until it is full, or fails after 10 s.

TestSlowConnectionDoesNotEndFilling, in which the first two attempts are slow, failed ("a connection was opened") and passes; both relay tests passed 5 of 5 with the race detector.

--- a/internal/proctest/relay.go
+++ b/internal/proctest/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"sync"
@@ -58,8 +59,16 @@
 	return err
 }
 
-// fillTimeout is the time after which a connection to the relay counts as hanging.
-const fillTimeout = 20 * time.Millisecond
+const (
+	// fillTimeout bounds one attempt to fill the queue of the listener: it hangs when the
+	// queue has become full meanwhile.
+	fillTimeout = 20 * time.Millisecond
+	// maxFillTime bounds all of them.
+	maxFillTime = 10 * time.Second
+)
+
+// dialFiller opens a connection that occupies the queue of a listener.
+var dialFiller = func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, fillTimeout) }
 
 // HangNew makes attempts to connect hang until AcceptNew, as the queue of the listener is
 // full. Open connections go on.
@@ -74,13 +83,33 @@
 	if err := errors.Join(r.listener.SetDeadline(time.Now()), r.setBacklog(0)); err != nil {
 		return err
 	}
-	for {
-		c, err := net.DialTimeout("tcp", r.address, fillTimeout)
-		if err != nil {
-			return nil
+	for end := time.Now().Add(maxFillTime); time.Now().Before(end); {
+		if full, err := r.queueIsFull(); full || err != nil {
+			return err
+		}
+		// An attempt that fails may only have been slow.
+		if c, err := dialFiller(r.address); err == nil {
+			r.fillers = append(r.fillers, c)
 		}
-		r.fillers = append(r.fillers, c)
 	}
+	return fmt.Errorf("proctest: the queue of %s is not full after %s", r.address, maxFillTime)
+}
+
+// queueIsFull reports whether the kernel refuses further connections to the listener. r.mu
+// must be held.
+func (r *Relay) queueIsFull() (full bool, err error) {
+	raw, err := r.listener.SyscallConn()
+	if err != nil {
+		return false, err
+	}
+	controlErr := raw.Control(func(fd uintptr) {
+		var info *unix.TCPInfo
+		if info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			// Of a listener these are the length of the queue and its limit.
+			full = info.Unacked > info.Sacked
+		}
+	})
+	return full, errors.Join(controlErr, err)
 }
 
 // setBacklog sets the length of the listener's queue. r.mu must be held.
--- a/internal/proctest/relay_test.go
+++ b/internal/proctest/relay_test.go
@@ -78,4 +78,29 @@
 	}
 }
 
+// Guards against connections that do not hang because an attempt to fill the queue was slow
+// and was taken for one that hangs.
+func TestSlowConnectionDoesNotEndFilling(t *testing.T) {
+	slow, dial := 2, dialFiller
+	dialFiller = func(address string) (net.Conn, error) {
+		if slow--; slow >= 0 {
+			return nil, os.ErrDeadlineExceeded
+		}
+		return dial(address)
+	}
+	defer func() { dialFiller = dial }()
+	r, err := NewRelay("127.0.0.1:0", "127.0.0.1:9")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	if err := r.HangNew(); err != nil {
+		t.Fatal(err)
+	}
+	if c, err := net.DialTimeout("tcp", r.Address(), 300*time.Millisecond); err == nil {
+		_ = c.Close()
+		t.Error("a connection was opened")
+	}
+}
+
 func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
