--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -624,6 +624,15 @@
 	return memberHost(*s, s.Leader)
 }
 
+// MemberHosts returns the hosts of the members of the log, as far as this voter knows.
+func (n *Node) MemberHosts() []string {
+	var out []string
+	for _, m := range n.status.Load().Members {
+		out = append(out, m.Host)
+	}
+	return out
+}
+
 // proposeLocal appends the command if this voter is the leader, and waits for the result.
 func (n *Node) proposeLocal(ctx context.Context, machine string, command []byte) ([]byte, error) {
 	if _, ok := n.machines[machine]; !ok {
--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -51,6 +51,13 @@
 	Decode(content []byte) (*document.Document, error)
 }
 
+// Departures makes departures of targets outlive this host.
+type Departures interface {
+	// AwaitDeparture returns nil when the departure of a target may be acknowledged, or if
+	// the target is not leaving.
+	AwaitDeparture(ctx context.Context, target string) error
+}
+
 // Service is the control plane of one control host.
 type Service struct {
 	Node     *control.Node
@@ -58,7 +65,9 @@
 	Decoder  Decoder
 	Targets  *registry.Table
 	Presence *fleetsync.Presence
-	Logger   *logrus.Logger
+	// Departures tells when the departure of a target may be acknowledged.
+	Departures Departures
+	Logger     *logrus.Logger
 
 	mu      sync.Mutex
 	decoded decodedDocument
@@ -199,8 +208,9 @@
 	return state.Content, nil
 }
 
-// Heartbeat records a heartbeat of a target. cold is the remaining time of its warm-up.
-func (s *Service) Heartbeat(r registry.Record, cold time.Duration) {
+// Heartbeat records a heartbeat of a target. cold is the remaining time of its warm-up. A
+// target that drains gets an acknowledgement that outlives this host: others rely on it.
+func (s *Service) Heartbeat(ctx context.Context, r registry.Record, cold time.Duration) error {
 	now := clock.SinceBoot()
 	if cold > 0 {
 		r.ColdUntil = now + cold
@@ -209,6 +219,10 @@
 		s.Logger.WithFields(logrus.Fields{"target": r.ID, "service": r.Service, "address": r.Address, "state": r.State.String(),
 			"sequence": r.Sequence, "born": r.StartMillis, "cold_ms": cold.Milliseconds()}).Info("target changed")
 	}
+	if r.State == registry.Ready {
+		return nil
+	}
+	return s.awaitDeparture(ctx, r.ID)
 }
 
 // InvalidHeartbeat logs a heartbeat or deregistration that was refused.
@@ -220,9 +234,22 @@
 const maxLoggedID = 64
 
 // Deregister marks a target as left. startMillis is 0 if the target did not report its
-// start time.
-func (s *Service) Deregister(id string, startMillis int64) {
+// start time. It returns nil when the departure outlives this host, which acts on it at once.
+func (s *Service) Deregister(ctx context.Context, id string, startMillis int64) error {
 	if s.Targets.Deregister(clock.SinceBoot(), id, startMillis) {
-		s.Logger.WithField("target", id).Info("target left")
+		s.Logger.WithFields(logrus.Fields{"target": id, "born": startMillis}).Info("target left")
 	}
+	return s.awaitDeparture(ctx, id)
+}
+
+func (s *Service) awaitDeparture(ctx context.Context, id string) error {
+	started := clock.SinceBoot()
+	err := s.Departures.AwaitDeparture(ctx, id)
+	fields := logrus.Fields{"target": id, "took_ms": (clock.SinceBoot() - started).Milliseconds()}
+	if err != nil {
+		s.Logger.WithFields(fields).WithError(err).Warn("departure not acknowledged")
+		return fmt.Errorf("%w: %v", ErrUnavailable, err)
+	}
+	s.Logger.WithFields(fields).Info("departure acknowledged")
+	return nil
 }
--- a/internal/daemon/deployment_control.go
+++ b/internal/daemon/deployment_control.go
@@ -10,6 +10,7 @@
 	"geraniumturn.example/geraniumturn/internal/control"
 	"geraniumturn.example/geraniumturn/internal/control/controlpb"
 	"geraniumturn.example/geraniumturn/internal/controlplane"
+	"geraniumturn.example/geraniumturn/internal/departures"
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
@@ -48,10 +49,15 @@
 	machine := document.NewMachine()
 	node.Register(document.MachineName, machine)
 	table := registry.NewTable()
+	store, err := d.loadDepartures(table)
+	if err != nil {
+		return nil, err
+	}
 	server := &fleetsync.Server{Self: &syncpb.ControlHost{Peer: p.PeerAddress(), Region: s.Region}, Leadership: node, Document: machine,
-		Targets: table, Presence: presence, Dial: d.transport.Dial, InvalidRecords: d.logInvalidRecords, OnPanic: d.logPanic("relay"), RegionCount: p.CountRegions(), Incarnation: rand.Uint64()}
+		Targets: table, Presence: presence, Dial: d.transport.Dial, InvalidRecords: d.logInvalidRecords, OnPanic: d.logPanic("relay"), RegionCount: p.CountRegions(), Incarnation: rand.Uint64(),
+		Departures: store, LostDisks: p.LostDisks, OnDepartureError: func(err error) { d.log.WithError(err).Error("departures not stored") }}
 	server.Init()
-	plane := &controlplane.Service{Node: node, Document: machine, Decoder: platform.ConfigurationDecoder{}, Targets: table, Presence: presence, Logger: d.log}
+	plane := &controlplane.Service{Node: node, Document: machine, Decoder: platform.ConfigurationDecoder{}, Targets: table, Presence: presence, Departures: server, Logger: d.log}
 	if err := d.transport.Register(node.Service(), controlpb.DRPCControlDescription{}); err != nil {
 		return nil, err
 	}
@@ -69,6 +75,27 @@
 	return func(ctx context.Context) { d.stopControl(ctx, node, front, directory) }, err
 }
 
+// loadDepartures opens the store of departures and adds what it has to the table. Without
+// what cannot be read, this host learns of departures from the others, as after the loss of
+// its disk.
+func (d *deploymentDaemon) loadDepartures(table *registry.Table) (*departures.Store, error) {
+	store, err := departures.OpenStore(d.settings.DataDir)
+	if err != nil {
+		return nil, err
+	}
+	records, err := store.Load()
+	if err != nil {
+		d.log.WithError(err).Error("departures not loaded")
+		return store, nil
+	}
+	now := clock.SinceBoot()
+	for _, r := range records {
+		table.Merge(now, r)
+	}
+	d.log.WithField("departures", len(records)).Info("departures loaded")
+	return store, nil
+}
+
 // voterCandidates returns the control hosts that are present, which the control log
 // may make voters.
 func voterCandidates(presence *fleetsync.Presence) []control.Voter {
--- a/internal/fleetsync/client_test.go
+++ b/internal/fleetsync/client_test.go
@@ -28,6 +28,12 @@
 func (l stubLog) Lease() (uint64, bool)           { return 1, l.leader }
 func (l stubLog) LeaderHost() string              { return "" }
 func (l stubLog) StateAge() (time.Duration, bool) { return 0, true }
+func (l stubLog) MemberHosts() []string           { return nil }
+
+// memoryStore is a DepartureStore without a disk.
+type memoryStore struct{}
+
+func (memoryStore) Save([]registry.Record) error { return nil }
 
 // startControlHost starts a server on a loopback address and returns it with the address.
 func startControlHost(t *testing.T) (*fleetsync.Server, string) {
@@ -47,7 +53,8 @@
 	address = listener.Addr().String()
 	transport := peer.New(address, &clock.HLC{}, nil)
 	s := &fleetsync.Server{Self: &syncpb.ControlHost{Peer: address, Region: "here"}, Leadership: stubLog{true}, Document: document.NewMachine(),
-		Targets: registry.NewTable(), Presence: fleetsync.NewPresence(), Dial: transport.Dial, Incarnation: incarnation, InvalidRecords: func(string, error) {}}
+		Targets: registry.NewTable(), Presence: fleetsync.NewPresence(), Dial: transport.Dial, Incarnation: incarnation, InvalidRecords: func(string, error) {},
+		Departures: memoryStore{}, OnDepartureError: func(err error) { t.Error(err) }}
 	s.Init()
 	if err := transport.Register(s, syncpb.DRPCSyncDescription{}); err != nil {
 		t.Fatal(err)
--- a/internal/fleetsync/hosts_test.go
+++ b/internal/fleetsync/hosts_test.go
@@ -69,6 +69,7 @@
 func (alwaysLeader) Lease() (uint64, bool)           { return 1, true }
 func (alwaysLeader) LeaderHost() string              { return "" }
 func (alwaysLeader) StateAge() (time.Duration, bool) { return 0, true }
+func (alwaysLeader) MemberHosts() []string           { return nil }
 
 // Guards against a report that another control host relays late and that makes the
 // leader replace newer demands of the host with older ones.
--- a/internal/fleetsync/presence.go
+++ b/internal/fleetsync/presence.go
@@ -167,6 +167,16 @@
 	}
 }
 
+// controlRegion returns the region of a control host, or "" while it is unknown.
+func (p *Presence) controlRegion(peer string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.controls[peer]; c != nil {
+		return c.host.GetRegion()
+	}
+	return ""
+}
+
 // Controls returns the control hosts that were heard from within controlRetention,
 // sorted by address.
 func (p *Presence) Controls(now time.Duration) []*syncpb.ControlHost {
--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -15,6 +15,7 @@
 	"storj.io/drpc"
 
 	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/departures"
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/origins"
@@ -31,9 +32,6 @@
 	// roundsPerPresenceReport is the number of relay rounds per report of the entry
 	// hosts. entryTimeout covers several such reports.
 	roundsPerPresenceReport = 4
-	// departureRetention is how long other control hosts that do not respond are told again
-	// that a target has left. By then it is silent for them.
-	departureRetention = 10 * time.Second
 	// maxGrantAge bounds the age of the demands that are relayed to the leader and of
 	// the grants that are returned to entry hosts.
 	maxGrantAge = 2 * time.Second
@@ -48,6 +46,14 @@
 	// StateAge returns an upper bound on the age of the applied state; false means
 	// that the age is unknown.
 	StateAge() (time.Duration, bool)
+	// MemberHosts returns the peer addresses of the members of the log.
+	MemberHosts() []string
+}
+
+// DepartureStore stores the departures of targets on the disk of this host.
+type DepartureStore interface {
+	// Save replaces what is stored. The records are durable when it returns.
+	Save([]registry.Record) error
 }
 
 // Server serves the RPCs of entry hosts and of other control hosts on a control host.
@@ -63,6 +69,14 @@
 	InvalidRecords func(control string, err error)
 	// OnPanic is called with an unexpected error, which ends one relay round only.
 	OnPanic func(err error)
+	// Departures stores the departures that this host acknowledges. Load the table from it
+	// before the server starts.
+	Departures DepartureStore
+	// LostDisks is the number of control hosts with their disks whose loss an acknowledged
+	// departure outlives.
+	LostDisks int
+	// OnDepartureError is called when departures could not be stored.
+	OnDepartureError func(err error)
 	// RegionCount is the number of regions of the deployment.
 	RegionCount int
 	// Incarnation identifies this process, so that a cursor issued by an earlier one
@@ -82,10 +96,9 @@
 	grants       map[string]*hostGrants  // from the leader, by host
 	// originCursors are by the address of the control host.
 	originCursors map[string]relayCursor
-	// undelivered are the targets of whose departure another control host has not been
-	// told, with the time of the first attempt, by its address. A target that has left
-	// sends no further heartbeat that would make up for a lost one.
-	undelivered map[string]map[string]time.Duration
+	ledger        *departures.Ledger
+	// departureWake receives when departures may have to be stored or told.
+	departureWake chan struct{}
 }
 
 type hostDemands struct {
@@ -102,7 +115,8 @@
 // Init prepares the server. It must run before the server is registered for calls.
 func (s *Server) Init() {
 	s.startedAt, s.origins, s.originCursors = clock.SinceBoot(), origins.NewStore(), map[string]relayCursor{}
-	s.undelivered = map[string]map[string]time.Duration{}
+	s.ledger = departures.NewLedger(s.Targets, departures.Control{Address: s.Self.GetPeer(), Region: s.Self.GetRegion()}, s.LostDisks)
+	s.departureWake = make(chan struct{}, 1)
 	s.demands, s.grants, s.newestReport = map[string]*hostDemands{}, map[string]*hostGrants{}, map[string]time.Duration{}
 }
 
@@ -249,7 +263,7 @@
 }
 
 // Relay implements the drpc service.
-func (s *Server) Relay(_ context.Context, in *syncpb.RelayRequest) (*syncpb.RelayResponse, error) {
+func (s *Server) Relay(ctx context.Context, in *syncpb.RelayRequest) (*syncpb.RelayResponse, error) {
 	now := clock.SinceBoot()
 	s.Presence.RecordControl(now, in.GetFrom(), true)
 	for _, c := range in.GetControls() {
@@ -266,6 +280,11 @@
 		s.Presence.RecordEntry(now-time.Duration(h.GetHeardMs())*time.Millisecond, h, false)
 	}
 	addOrigins(now, in.GetOrigins(), s.origins.Merge)
+	if in.GetStore() {
+		if err := s.awaitStored(ctx); err != nil {
+			return nil, err
+		}
+	}
 	out := &syncpb.RelayResponse{Controls: s.Presence.Controls(now), Process: s.Incarnation}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -286,6 +305,9 @@
 // Run relays to the other control hosts until ctx ends. seeds returns the peer
 // addresses from the settings.
 func (s *Server) Run(ctx context.Context, seeds func() []string) error {
+	var background sync.WaitGroup
+	defer background.Wait()
+	background.Go(func() { s.keepDepartures(ctx, seeds) })
 	ticker := time.NewTicker(relayInterval)
 	defer ticker.Stop()
 	for round := 0; ; round++ {
@@ -319,7 +341,7 @@
 			request := &syncpb.RelayRequest{From: s.Self, Hosts: s.Presence.TakeChangedEntries(now)}
 			for _, c := range s.Presence.Controls(now) {
 				if address := c.GetPeer(); address != s.Self.GetPeer() && len(request.GetHosts()) > 0 {
-					go s.relayTo(ctx, address, request)
+					go func() { _, _ = s.relayTo(ctx, address, request) }() // the next round relays them again
 				}
 			}
 		}
@@ -351,18 +373,18 @@
 			in = withDemands
 		}
 		in, next := s.withOrigins(now, a, in)
-		in.Targets = append(slices.Clip(in.Targets), s.undeliveredTo(now, a, in.Targets)...)
 		if a != leader && !withPresence && len(in.GetTargets()) == 0 && len(in.GetOrigins()) == 0 {
 			continue
 		}
 		g.Go(func() error {
-			process, ok := s.relayTo(ctx, a, in)
+			process, err := s.relayTo(ctx, a, in)
+			if err != nil {
+				return nil // the next rounds relay later heartbeats, reports and demands
+			}
+			s.ledger.Observe(a, process)
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			s.recordDelivery(now, a, in.GetTargets(), ok)
-			if ok {
-				s.recordRelayed(a, process, next)
-			}
+			s.recordRelayed(a, process, next)
 			return nil
 		})
 	}
@@ -371,37 +393,6 @@
 	go func() { _ = g.Wait() }()
 }
 
-// undeliveredTo returns the departed targets that a control host has not been told of, other
-// than those in records.
-func (s *Server) undeliveredTo(now time.Duration, address string, records []*syncpb.Target) []*syncpb.Target {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []registry.Record
-	for id := range s.undelivered[address] {
-		r, known := s.Targets.Get(id)
-		if known && !slices.ContainsFunc(records, func(t *syncpb.Target) bool { return t.GetId() == id }) {
-			out = append(out, r)
-		}
-	}
-	return encodeRecords(now, out)
-}
-
-// recordDelivery records whether a control host has got the records. s.mu must be held.
-func (s *Server) recordDelivery(now time.Duration, address string, records []*syncpb.Target, delivered bool) {
-	for _, t := range records {
-		firstAt, pending := s.undelivered[address][t.GetId()]
-		switch {
-		case delivered || pending && now-firstAt > departureRetention:
-			delete(s.undelivered[address], t.GetId())
-		case !pending && registry.State(t.GetState()) != registry.Ready:
-			if s.undelivered[address] == nil {
-				s.undelivered[address] = map[string]time.Duration{}
-			}
-			s.undelivered[address][t.GetId()] = now
-		}
-	}
-}
-
 func (s *Server) recentDemands(now time.Duration) []*syncpb.HostDemands {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -418,14 +409,14 @@
 	return out
 }
 
-// relayTo returns the process of the other control host, or false without a response.
-func (s *Server) relayTo(ctx context.Context, address string, in *syncpb.RelayRequest) (process uint64, ok bool) {
+// relayTo returns the process of the other control host.
+func (s *Server) relayTo(ctx context.Context, address string, in *syncpb.RelayRequest) (process uint64, err error) {
 	sent := clock.SinceBoot()
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	out, err := syncpb.NewDRPCSyncClient(s.Dial(address)).Relay(ctx, in)
 	if err != nil {
-		return 0, false // the next rounds relay later heartbeats, reports and demands
+		return 0, err
 	}
 	now := clock.SinceBoot()
 	for _, c := range out.GetControls() {
@@ -439,7 +430,7 @@
 			s.grants[g.GetHost()] = &hostGrants{g, asOf}
 		}
 	}
-	return out.GetProcess(), true
+	return out.GetProcess(), nil
 }
 
 // encodeRecords leaves out records that protobuf would refuse together with the whole
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -12,9 +12,13 @@
 	// silenceTimeout is the time without a heartbeat after which a target counts as
 	// silent. At an interval of 1.2 s it tolerates one lost heartbeat.
 	silenceTimeout = 3 * time.Second
-	// tombstoneTTL is how long the record of a target that left is kept. It exceeds the
-	// time for which a network partition may delay heartbeats.
+	// tombstoneTTL is how long the record of a target that left, or that fell silent while
+	// it was draining, is kept. It exceeds the time for which a network partition may delay
+	// heartbeats.
 	tombstoneTTL = 5 * time.Minute
+	// maxTombstones bounds the records of targets that left to about 4 MB. Beyond it the
+	// oldest ones are forgotten.
+	maxTombstones = 1 << 14
 	// minColdChange is the change of ColdUntil above which a record counts as changed.
 	minColdChange = 300 * time.Millisecond
 )
@@ -93,8 +97,8 @@
 	mu       sync.Mutex
 	rows     map[string]*row
 	revision uint64
-	// heartbeatIDs are the targets that sent a heartbeat to this host, or deregistered
-	// here, since the last call of TakeHeartbeats.
+	// heartbeatIDs are the targets that sent a heartbeat to this host since the last call of
+	// TakeHeartbeats.
 	heartbeatIDs map[string]bool
 	// pastSoftware has when a target of a service was last registered with a version of the
 	// software that it no longer has.
@@ -193,10 +197,37 @@
 	t.recordPastSoftware(now, current.Record)
 	current.State, current.StartMillis, current.lastHeard = Left, max(startMillis, current.StartMillis), now
 	t.markChanged(current)
-	t.heartbeatIDs[id] = true
 	return true
 }
 
+// Departures returns the records of the targets that are draining or have left and that
+// changed after a revision, sorted by ID, and the revision of the table.
+func (t *Table) Departures(after uint64) ([]Record, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var records []Record
+	if after < t.revision {
+		for _, r := range t.rows {
+			if r.State != Ready && r.revision > after {
+				records = append(records, r.Record)
+			}
+		}
+		slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return records, t.revision
+}
+
+// DepartureRevision returns the revision at which a target began to drain or left; 0 if it
+// is ready or unknown.
+func (t *Table) DepartureRevision(id string) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.rows[id]; r != nil && r.State != Ready {
+		return r.revision
+	}
+	return 0
+}
+
 // recordPastSoftware records the software of a target that changes or leaves. t.mu must
 // be held.
 func (t *Table) recordPastSoftware(now time.Duration, old Record) {
@@ -229,21 +260,40 @@
 func (t *Table) Expire(now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expireTombstones(now)
 	maps.DeleteFunc(t.pastSoftware, func(_ serviceSoftware, at time.Duration) bool { return now-at > tombstoneTTL })
+	for _, r := range t.rows {
+		if r.State != Left && !r.Silent && now-r.lastHeard > silenceTimeout {
+			r.Silent = true
+			t.markChanged(r)
+		}
+	}
+}
+
+// expireTombstones deletes the records of targets that left, or were draining when they fell
+// silent: those that are older than tombstoneTTL, and the oldest beyond maxTombstones. t.mu
+// must be held.
+func (t *Table) expireTombstones(now time.Duration) {
+	var left []*row
 	for id, r := range t.rows {
-		silence := now - r.lastHeard
 		switch {
-		case r.State == Left && silence > tombstoneTTL:
+		case r.State != Ready && now-r.lastHeard > tombstoneTTL:
 			delete(t.rows, id)
-		case r.State != Left && !r.Silent && silence > silenceTimeout:
-			r.Silent = true
-			t.markChanged(r)
+		case r.State == Left:
+			left = append(left, r)
 		}
 	}
+	if len(left) <= maxTombstones {
+		return
+	}
+	slices.SortFunc(left, func(a, b *row) int { return cmp.Compare(a.lastHeard, b.lastHeard) })
+	for _, r := range left[:len(left)-maxTombstones] {
+		delete(t.rows, r.ID)
+	}
 }
 
-// TakeHeartbeats returns the records of the targets that sent a heartbeat to this host,
-// or deregistered here, since the last call, sorted by ID.
+// TakeHeartbeats returns the records of the targets that sent a heartbeat to this host since
+// the last call, sorted by ID.
 func (t *Table) TakeHeartbeats() []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/registry/table_test.go
+++ b/internal/registry/table_test.go
@@ -236,3 +236,30 @@
 		}
 	}
 }
+
+// Guards against departures that are kept for ever, or beyond a bounded number, and against a
+// target that drains and is forgotten while it still sends heartbeats.
+func TestDeparturesAreForgotten(t *testing.T) {
+	const kept, retention = 1 << 14, 5 * time.Minute
+	table := registry.NewTable()
+	for i := range kept + 2 {
+		table.Deregister(time.Duration(i), fmt.Sprint(i), 1)
+	}
+	table.Heartbeat(second, record("draining", 1, 1, registry.Draining))
+	table.Heartbeat(second, record("ready", 1, 1, registry.Ready))
+	table.Expire(second)
+	if records, _ := table.Departures(0); len(records) != kept+1 {
+		t.Errorf("%d departures are kept", len(records))
+	}
+	if _, known := table.Get("1"); known {
+		t.Error("the oldest departure is kept")
+	}
+	table.Heartbeat(retention, record("draining", 1, 2, registry.Draining))
+	table.Expire(retention + 2*second)
+	if records, _ := table.Departures(0); len(records) != 1 || records[0].ID != "draining" {
+		t.Errorf("%d departures are kept after their retention", len(records))
+	}
+	if _, known := table.Get("ready"); !known || table.DepartureRevision("ready") != 0 || table.DepartureRevision("draining") == 0 {
+		t.Error("a target that is registered is forgotten, or counts as departed")
+	}
+}
