gateway, dispatch: a request whose caller has left is not sent

Found while looking for the cause of the evacuation that was undone on related paths: work that its sender has given up. A host that stands still reads requests late, behind the end of their connections. The context of such a request ends when a goroutine has read that end, which may be after the request was written to a target: a filing then runs although its caller has gone.

Change: right before a request is written, the host looks at the caller's socket without reading it. The pool of connections to targets uses the same function.

The test of the same name in dispatch: "caller that left: sent 2 times" without the check; passes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"geraniumturn.example/geraniumturn/internal/quota"
 	"geraniumturn.example/geraniumturn/internal/routing"
 	"geraniumturn.example/geraniumturn/internal/settings"
+	"geraniumturn.example/geraniumturn/internal/sockets"
 	"geraniumturn.example/geraniumturn/internal/suspects"
 	"geraniumturn.example/geraniumturn/internal/targets"
 	"geraniumturn.example/geraniumturn/internal/timeline"
@@ -189,7 +190,9 @@
 // while the loops still run.
 func (d *Daemon) addHTTP(g *run.Group, listener net.Listener) {
 	server := &http.Server{Handler: d.echo, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: d.keys.ConnContext, ConnState: d.keys.ConnState}
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return d.keys.ConnContext(sockets.WithConn(ctx, c), c)
+		}, ConnState: d.keys.ConnState}
 	g.Add(func() error { return server.Serve(listener) }, func(error) {
 		d.drain()
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -210,6 +210,9 @@
 	s := &server{listener: listener, groupStopped: make(chan struct{}),
 		Server: &http.Server{Handler: handler, ReadHeaderTimeout: serverHeaderTimeout, IdleTimeout: serverIdleTimeout}}
 	s.ConnState = connState
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return sockets.WithConn(ctx, c.(*busyConn).Conn)
+	}
 	d.group.Add(func() error {
 		if err := s.Serve(busyListener{listener, &s.busy}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			return fmt.Errorf("daemon: serve %s: %w", address, err)
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -17,6 +17,7 @@
 	"geraniumturn.example/geraniumturn/internal/bytebudget"
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/rules"
+	"geraniumturn.example/geraniumturn/internal/sockets"
 	"geraniumturn.example/geraniumturn/internal/targets"
 )
 
@@ -107,6 +108,7 @@
 	errTargetBusy         = errors.New("dispatch: target refused the request")
 	errTargetFailed       = errors.New("dispatch: target failed")
 	errCallerWrite        = errors.New("dispatch: write to the caller failed")
+	errCallerLeft         = errors.New("dispatch: the caller has disconnected")
 )
 
 // client runs attempts on targets.
@@ -128,6 +130,11 @@
 func (c *client) attempt(ctx context.Context, req *Request, target *targets.Target, out *responseSink) (Result, Outcome, error) {
 	start := time.Now()
 	outcome := Outcome{Request: req, Target: target.Name, Incarnation: target.Incarnation}
+	if sockets.IsClosed(ctx) {
+		// The context ends only when a goroutine has read the end of the connection.
+		outcome.Cancelled = true
+		return Result{}, outcome, &attemptError{err: errCallerLeft, ran: refusal.NotRun}
+	}
 	var connected, reused atomic.Bool
 	trace := &httptrace.ClientTrace{
 		GotConn:              func(c httptrace.GotConnInfo) { connected.Store(true); reused.Store(c.Reused) },
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -20,6 +20,7 @@
 	"geraniumturn.example/geraniumturn/internal/dispatch/dispatchpb"
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/rules"
+	"geraniumturn.example/geraniumturn/internal/sockets"
 	"geraniumturn.example/geraniumturn/internal/targets"
 	"geraniumturn.example/geraniumturn/internal/timeline"
 )
@@ -497,3 +498,35 @@
 		}
 	})
 }
+
+// Guards against a request that is sent to a target although its caller has closed the
+// connection: this host may have read the request late.
+func TestRequestOfCallerThatLeftIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	var count atomic.Int64
+	target := newTarget(t, "t1", nil, func(http.ResponseWriter, *http.Request) { count.Add(1) })
+	ctx := sockets.WithConn(t.Context(), conn)
+	if _, err := newDispatcher(target).Do(ctx, request(http.MethodPost, false), &memorySink{}); err != nil || count.Load() != 1 {
+		t.Fatalf("caller that waits: sent %d times, %v", count.Load(), err)
+	}
+	_ = caller.Close()
+	for end := time.Now().Add(5 * time.Second); !sockets.IsClosed(ctx) && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	_, err = newDispatcher(target).Do(ctx, request(http.MethodPost, false), &memorySink{})
+	if refused := refusal.From(err); count.Load() != 1 || err == nil || refused.Ran != refusal.NotRun {
+		t.Errorf("caller that left: sent %d times, %v", count.Load(), err)
+	}
+}
--- a/internal/gateway/availability.go
+++ b/internal/gateway/availability.go
@@ -13,6 +13,7 @@
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/refusal"
+	"geraniumturn.example/geraniumturn/internal/sockets"
 )
 
 // observe records what a response of a local target says about its process.
@@ -99,6 +100,10 @@
 			return err
 		}
 	}
+	if sockets.IsClosed(x.request.Context()) {
+		// The context ends only when a goroutine has read the end of the connection.
+		return errCallerGone
+	}
 	now := sinceBoot()
 	if err := g.checkKeyLease(now, x); err != nil {
 		return err
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -512,7 +512,7 @@
 // says nothing about its destination.
 func withheld(err error) bool {
 	_, refused := errors.AsType[*refusal.Error](err)
-	return refused || errors.Is(err, errNotAccepted) || errors.Is(err, errOutOfStep) || errors.Is(err, errNoRetry)
+	return refused || errors.Is(err, errNotAccepted) || errors.Is(err, errOutOfStep) || errors.Is(err, errNoRetry) || errors.Is(err, errCallerGone)
 }
 
 func (g *Gateway) finishAttempt(x *requestState, s *sendAttempt, o placement.Outcome) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -11,8 +11,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"geraniumturn.example/geraniumturn/internal/sockets"
 )
 
@@ -189,20 +187,7 @@
 
 // socketEmpty reports whether nothing can be read from the socket, neither data nor the
 // end of the stream.
-func (c *conn) socketEmpty() bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	empty := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		empty = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && empty
-}
+func (c *conn) socketEmpty() bool { return sockets.Peek(c) == sockets.NoInput }
 
 // Connect opens a connection to an address and keeps it for the next request. It returns an
 // error if the connection is closed at once: something on the path may accept connections
