--- a/internal/gateway/departed_test.go
+++ b/internal/gateway/departed_test.go
@@ -7,6 +7,10 @@
 	"testing"
 	"time"
 
+	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/fleetsync"
+	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/registry"
 	"geraniumturn.example/geraniumturn/internal/sockets"
 )
 
@@ -40,3 +44,21 @@
 		})
 	}
 }
+
+// Guards against an entry host that keeps the records of all targets that ever left.
+func TestOldDeparturesAreForgotten(t *testing.T) {
+	f := newFixture(t)
+	now := clock.SinceBoot()
+	apply := func(now time.Duration, r ...registry.Record) {
+		f.Apply(now, fleetsync.Update{SentAt: now, ControlAddress: "c", ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1}, Records: r})
+	}
+	apply(now, registry.Record{ID: "left", StartMillis: 1, State: registry.Left})
+	apply(now + time.Minute)
+	if _, known := f.Table.Get("left"); !known {
+		t.Error("a departure is forgotten after a minute")
+	}
+	apply(now + time.Hour)
+	if _, known := f.Table.Get("left"); known {
+		t.Error("a departure is kept for an hour")
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,8 +127,10 @@
 	// hostsRequestedAt is when the list of hosts was last requested. totalHosts is the
 	// number of entry hosts, including those that the list omits; 0 if it is unknown.
 	hostsRequestedAt time.Duration
-	totalHosts       int
-	placedRevision   uint64 // revision of Table that the placer uses
+	// departuresForgottenAt is when old departures were last removed from the table.
+	departuresForgottenAt time.Duration
+	totalHosts            int
+	placedRevision        uint64 // revision of Table that the placer uses
 	// peerSet has the entry hosts of this region, which send to the same targets. sharingHosts
 	// are those among which the slots of brittle targets were last divided.
 	peerSet      *shares.PeerSet
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -63,6 +63,9 @@
 // is the largest part of an exchange.
 const hostsInterval = 500 * time.Millisecond
 
+// forgetInterval is the time between removals of old departures from the table.
+const forgetInterval = 10 * time.Second
+
 // wantsHosts reports whether the list of hosts should be requested now and, if so,
 // records the request. g.mu must be held.
 func (g *Gateway) wantsHosts(now time.Duration) bool {
@@ -88,6 +91,10 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if now-g.departuresForgottenAt > forgetInterval {
+		g.departuresForgottenAt = now
+		g.Table.ForgetDepartures(now)
+	}
 	g.regionLastHeard[u.Region] = now
 	if changed {
 		g.applyView(now, u.ControlAddress)
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -258,9 +258,9 @@
 // Expire marks targets without recent heartbeats as silent and deletes expired
 // tombstones.
 func (t *Table) Expire(now time.Duration) {
+	t.ForgetDepartures(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.expireTombstones(now)
 	maps.DeleteFunc(t.pastSoftware, func(_ serviceSoftware, at time.Duration) bool { return now-at > tombstoneTTL })
 	for _, r := range t.rows {
 		if r.State != Left && !r.Silent && now-r.lastHeard > silenceTimeout {
@@ -270,10 +270,11 @@
 	}
 }
 
-// expireTombstones deletes the records of targets that left, or were draining when they fell
-// silent: those that are older than tombstoneTTL, and the oldest beyond maxTombstones. t.mu
-// must be held.
-func (t *Table) expireTombstones(now time.Duration) {
+// ForgetDepartures deletes the records of targets that left, or were draining when they fell
+// silent: those that are older than tombstoneTTL, and the oldest beyond maxTombstones.
+func (t *Table) ForgetDepartures(now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	var left []*row
 	for id, r := range t.rows {
 		switch {
