fleetsync: log departures that another control host has told

The log of a control host had nothing of what other control hosts told it, so it could not show whether a departure had reached it before its sender was lost.

--- a/internal/daemon/deployment_control.go
+++ b/internal/daemon/deployment_control.go
@@ -6,6 +6,8 @@
 	"path/filepath"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/control"
 	"geraniumturn.example/geraniumturn/internal/control/controlpb"
@@ -55,7 +57,7 @@
 	}
 	server := &fleetsync.Server{Self: &syncpb.ControlHost{Peer: p.PeerAddress(), Region: s.Region}, Leadership: node, Document: machine,
 		Targets: table, Presence: presence, Dial: d.transport.Dial, InvalidRecords: d.logInvalidRecords, OnPanic: d.logPanic("relay"), RegionCount: p.CountRegions(), Incarnation: rand.Uint64(),
-		Departures: store, LostDisks: p.LostDisks, OnDepartureError: func(err error) { d.log.WithError(err).Error("departures not stored") }}
+		Departures: store, LostDisks: p.LostDisks, OnDeparture: d.logDeparture, OnDepartureError: func(err error) { d.log.WithError(err).Error("departures not stored") }}
 	server.Init()
 	plane := &controlplane.Service{Node: node, Document: machine, Decoder: platform.ConfigurationDecoder{}, Targets: table, Presence: presence, Departures: server, Logger: d.log}
 	if err := d.transport.Register(node.Service(), controlpb.DRPCControlDescription{}); err != nil {
@@ -96,6 +98,11 @@
 	return store, nil
 }
 
+// logDeparture logs a departure that another control host has told this one.
+func (d *deploymentDaemon) logDeparture(r registry.Record, control string) {
+	d.log.WithFields(logrus.Fields{"target": r.ID, "born": r.StartMillis, "sequence": r.Sequence, "state": r.State.String(), "control": control}).Info("target changed")
+}
+
 // voterCandidates returns the control hosts that are present, which the control log
 // may make voters.
 func voterCandidates(presence *fleetsync.Presence) []control.Voter {
--- a/internal/fleetsync/client_test.go
+++ b/internal/fleetsync/client_test.go
@@ -54,7 +54,7 @@
 	transport := peer.New(address, &clock.HLC{}, nil)
 	s := &fleetsync.Server{Self: &syncpb.ControlHost{Peer: address, Region: "here"}, Leadership: stubLog{true}, Document: document.NewMachine(),
 		Targets: registry.NewTable(), Presence: fleetsync.NewPresence(), Dial: transport.Dial, Incarnation: incarnation, InvalidRecords: func(string, error) {},
-		Departures: memoryStore{}, OnDepartureError: func(err error) { t.Error(err) }}
+		Departures: memoryStore{}, OnDeparture: func(registry.Record, string) {}, OnDepartureError: func(err error) { t.Error(err) }}
 	s.Init()
 	if err := transport.Register(s, syncpb.DRPCSyncDescription{}); err != nil {
 		t.Fatal(err)
--- a/internal/fleetsync/recorded_test.go
+++ b/internal/fleetsync/recorded_test.go
@@ -61,7 +61,7 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s := &Server{Self: &syncpb.ControlHost{Peer: "self"}, Leadership: alwaysLeader{}, Presence: NewPresence(), Targets: registry.NewTable(), Document: document.NewMachine(),
-			RegionCount: 3, InvalidRecords: func(string, error) {}}
+			RegionCount: 3, InvalidRecords: func(string, error) {}, OnDeparture: func(registry.Record, string) {}}
 		s.Init()
 		var exchange syncpb.ExchangeRequest
 		if proto.Unmarshal(data, &exchange) == nil {
--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -75,6 +75,9 @@
 	// LostDisks is the number of control hosts with their disks whose loss an acknowledged
 	// departure outlives.
 	LostDisks int
+	// OnDeparture is called with the first record of a departure that another control host
+	// has told, and with its address.
+	OnDeparture func(r registry.Record, control string)
 	// OnDepartureError is called when departures could not be stored.
 	OnDepartureError func(err error)
 	// RegionCount is the number of regions of the deployment.
@@ -274,7 +277,9 @@
 		s.InvalidRecords(in.GetFrom().GetPeer(), err)
 	}
 	for _, r := range records {
-		s.Targets.Merge(now, r)
+		if s.Targets.Merge(now, r) && r.State != registry.Ready {
+			s.OnDeparture(r, in.GetFrom().GetPeer())
+		}
 	}
 	for _, h := range in.GetHosts() {
 		s.Presence.RecordEntry(now-time.Duration(h.GetHeardMs())*time.Millisecond, h, false)
