--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -4,7 +4,7 @@
 # targets.
 # Usage: soak.sh [SEEDS [FIRST [PARALLEL [KINDS [COMMIT]]]]]. Without FIRST the first seed is
 # random. PARALLEL deployments of six processes run at a time. KINDS names kinds of faults
-# or sets of them: hosts (default), signals, stranded, targets, upgrade. With upgrade, the
+# or sets of them: hosts (default), signals, stranded, orders, targets, upgrade. With upgrade, the
 # hosts begin on the build of COMMIT (default: the last merge) and are replaced one after the
 # other. A failure prints its seed.
 set -euo pipefail
