rates: hosts spend only what they hold, and each part of a burst once (QUOTA)

Cause: the bucket of each process began with the region's whole share of the burst, whether the process held that share or not. When the holder did not respond, every other host of the region took tokens from its own bucket: with eight hosts seven times the share. A holder that was restarted had a full bucket again, whatever the process before it had spent. Besides, the slack for that case, 0.6 of a region's part of the tolerance, was given to each host.

Change: - A bucket begins with its slack. The allocator on the control leader tells a holder that its part of the burst is unspent, only after a start of the whole system, up to the whole burst in all, and never a later process of a host. A grant for an earlier process of a host is not passed on. - Hosts that do not hold a share divide 0.2 of their region's part of the tolerance, and none of them exceeds it for a large request. - A host that has just started lets requests wait for its first grant for up to 0.4 s, in place of the burst that it no longer has. TestBucketInitialTokens asserted the fault (a new process spends its part of the burst before any grant). TestBucketFirstFraction replaces it: it asks for exact counts before, at and after the first grant, of started and restarted processes. TestRate's grant now says that the burst is unspent, as after a system start.

--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -231,11 +231,10 @@
 	if g == nil || now-g.asOf > maxGrantAge {
 		return nil
 	}
-	out := &syncpb.HostGrants{Grants: g.GetGrants(), AgeMs: (now - g.asOf).Milliseconds() + 1}
-	if g.GetStarted() == d.GetStarted() { // otherwise an earlier process of the host holds them
-		out.Partitions = g.GetPartitions()
+	if g.GetStarted() != d.GetStarted() {
+		return nil // they are for an earlier process of the host
 	}
-	return out
+	return &syncpb.HostGrants{Grants: g.GetGrants(), Partitions: g.GetPartitions(), AgeMs: (now - g.asOf).Milliseconds() + 1}
 }
 
 // allocate runs the allocators on the leader, with s.mu held. Those of an earlier term are
@@ -257,7 +256,7 @@
 	}
 	out := &syncpb.HostGrants{Host: d.GetHost(), AgeMs: d.GetAgeMs(), Started: d.GetStarted()}
 	for _, g := range s.allocator.Report(now, d.GetHost(), time.Duration(d.GetUptimeMs())*time.Millisecond, in) {
-		out.Grants = append(out.Grants, &syncpb.Grant{Workspace: g.Workspace, Fraction: g.Fraction})
+		out.Grants = append(out.Grants, &syncpb.Grant{Workspace: g.Workspace, Fraction: g.Fraction, Unspent: g.Unspent})
 	}
 	if d.GetRegion() != "" && !s.Presence.lacksPaceLease(now, d.GetRegion()) {
 		out.Partitions = uint64(s.partitions.Report(now, d.GetRegion(), shares.Holder{Host: d.GetHost(), StartMillis: d.GetStarted()}, shares.PartitionSet(d.GetPartitions())))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -98,7 +98,8 @@
 		Routes: []document.Route{route("safe", document.Idempotent, false, 2), route("once", document.NonIdempotent, false, 2),
 			route("stream", document.Streaming, false, 1), route("resume", document.Streaming, true, 3), route("open", document.Idempotent, false, 2),
 			route("bound", document.Idempotent, false, 2)},
-		Workspaces: []document.Workspace{{Name: "w", Keys: []string{"k"}}, {Name: "small", Keys: []string{"k2"}, Rate: 1, Burst: 1, PerRequest: true}}}
+		Workspaces: []document.Workspace{{Name: "w", Keys: []string{"k"}}, {Name: "small", Keys: []string{"k2"}, Rate: 1, Burst: 1, PerRequest: true},
+			{Name: "bursty", Keys: []string{"k3"}, Rate: 10, Burst: 300, PerRequest: true}}}
 	d.Routes[4].Public = true
 	d.Routes[5].HomeRegions = []string{"elsewhere"}
 	return d
@@ -222,7 +223,7 @@
 func (f *fixture) update(age time.Duration, targets ...*target) {
 	now := clock.SinceBoot()
 	u := fleetsync.Update{SentAt: now, ControlAddress: "c", ExchangeResponse: &syncpb.ExchangeResponse{Known: true, AgeMs: age.Milliseconds(), Index: 1, Version: 1, TotalHosts: 1,
-		Grants: []*syncpb.Grant{{Workspace: "small", Fraction: 1}}}}
+		Grants: []*syncpb.Grant{{Workspace: "small", Fraction: 1, Unspent: true}}}}
 	u.Records = records(targets)
 	f.Apply(now, u)
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -46,8 +46,11 @@
 			x.reservation = r
 			return nil
 		}
-		wait := time.Duration(out.GetWaitMs()) * time.Millisecond
-		if sinceBoot()-x.started+wait > maxRateWait || !clock.Sleep(ctx, wait) {
+		wait, maxWait := time.Duration(out.GetWaitMs())*time.Millisecond, maxRateWait
+		if r.holder == nil && !r.holderSilent && out.GetHeld() == 0 && sinceBoot()-g.startedAt < firstGrantPeriod {
+			wait, maxWait = firstGrantPoll, maxFirstGrantWait
+		}
+		if sinceBoot()-x.started+wait > maxWait || !clock.Sleep(ctx, wait) {
 			return refusal.New(refusal.RateLimited, refusal.NotRun, "workspace %s exceeds its rate: request costs %.0f tokens, fraction of the rate held by %s is %.2f",
 				w.Name, r.cost, r.holderName(), out.GetHeld()).WithRetry(max(minRetryAfter, wait))
 		}
@@ -60,6 +63,8 @@
 	cost      float64
 	// holder is the host that the tokens were taken from; nil for this host.
 	holder *peerHost
+	// holderSilent means that the holder is another host, which did not respond.
+	holderSilent bool
 }
 
 func (r *reservation) holderName() string {
@@ -74,7 +79,7 @@
 // its share of the rate slack because it has no fraction of the rate.
 func (g *Gateway) takeTokens(ctx context.Context, r *reservation, retry bool) *syncpb.TakeResponse {
 	g.mu.Lock()
-	r.holder = g.rateHolder(sinceBoot(), r.workspace.Name)
+	r.holder, r.holderSilent = g.rateHolder(sinceBoot(), r.workspace.Name), false
 	g.mu.Unlock()
 	if r.holder != nil {
 		ctx, cancel := context.WithTimeout(ctx, takeTimeout)
@@ -84,7 +89,7 @@
 			return out
 		}
 		g.Log.WithFields(logrus.Fields{"workspace": r.workspace.Name, "holder": r.holder.GetName()}).WithError(err).Info("rate not reached")
-		r.holder = nil
+		r.holder, r.holderSilent = nil, true
 	}
 	return g.takeLocalTokens(r.workspace, r.cost, retry)
 }
@@ -96,7 +101,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b := g.bucket(w)
-	b.SetSlack(g.Bounds.RateSlack * rateSlackShare / float64(g.countRegions(now)))
+	b.SetSlack(g.rateSlack(now, w.Name))
 	if tokens < 0 {
 		b.Refund(-tokens)
 		return &syncpb.TakeResponse{Ok: true}
@@ -105,6 +110,23 @@
 	return &syncpb.TakeResponse{Ok: ok, WaitMs: int64(wait/time.Millisecond) + 1, Held: b.HeldFraction(now)}
 }
 
+// rateSlack returns this host's share of the tolerance of a rate. The hosts of a region that
+// do not hold its share of the rate divide a part of their own: all of them may use it at
+// once while the holder does not respond. g.mu must be held.
+func (g *Gateway) rateSlack(now time.Duration, workspace string) float64 {
+	ofRegion := g.Bounds.RateSlack / float64(g.countRegions(now))
+	if g.rateHolder(now, workspace) == nil {
+		return ofRegion * holderSlackShare
+	}
+	others := 0
+	for _, h := range g.hosts {
+		if h.GetRegion() == g.Region && now-h.lastHeard < hostRetention {
+			others++
+		}
+	}
+	return ofRegion * otherSlackShare / float64(max(1, others))
+}
+
 // Take implements the drpc service for the other hosts of the region.
 func (g *Gateway) Take(_ context.Context, in *syncpb.TakeRequest) (*syncpb.TakeResponse, error) {
 	v := g.Views.Current()
@@ -173,9 +195,17 @@
 const (
 	// maxRateWait bounds the time that a request waits for tokens.
 	maxRateWait = 100 * time.Millisecond
-	// rateSlackShare is the part of Bounds.RateSlack that is divided between the holders
-	// of the regions. The remainder covers a change of the holder.
-	rateSlackShare = 0.6
+	// A host that has just started gets its first fractions of rates within a few exchanges
+	// with control hosts. Until firstGrantPeriod after its start requests wait for that for up
+	// to maxFirstGrantWait, and look every firstGrantPoll.
+	firstGrantPeriod  = 2 * time.Second
+	maxFirstGrantWait = 400 * time.Millisecond
+	firstGrantPoll    = 20 * time.Millisecond
+	// holderSlackShare is the part of a region's share of Bounds.RateSlack that the holder of
+	// a rate may use, and otherSlackShare the part that the other hosts of the region divide.
+	// The remainder covers a change of the holder.
+	holderSlackShare = 0.6
+	otherSlackShare  = 0.2
 	// takeTimeout bounds an RPC to the holder, which is in the same region.
 	takeTimeout = 150 * time.Millisecond
 )
@@ -188,7 +218,6 @@
 		b = &shares.Bucket{}
 		g.buckets[w.Name] = b
 		b.SetLimits(sinceBoot(), w.Rate, w.Burst)
-		b.SetInitialTokens(w.Burst / float64(len(g.allRegions())))
 	}
 	return b
 }
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -40,9 +40,7 @@
 	for _, name := range slices.Sorted(maps.Keys(g.buckets)) {
 		b := g.buckets[name]
 		if g.rateHolder(now, name) != nil {
-			if b.HeldFraction(now) > 0 {
-				b.Release(now)
-			}
+			b.Release(now)
 			out.Demands = append(out.Demands, &syncpb.Demand{Workspace: name, Released: true})
 			continue
 		}
@@ -172,6 +170,10 @@
 	}
 	for _, grant := range u.GetGrants() {
 		if b := g.buckets[grant.GetWorkspace()]; b != nil && g.rateHolder(now, grant.GetWorkspace()) == nil {
+			if grant.GetUnspent() {
+				b.SetFirstFraction(now, grant.GetFraction(), asOf+shares.LeaseDuration)
+				continue
+			}
 			b.SetFraction(now, grant.GetFraction(), asOf+shares.LeaseDuration)
 		}
 	}
--- a/internal/shares/allocator.go
+++ b/internal/shares/allocator.go
@@ -43,6 +43,9 @@
 type Grant struct {
 	Workspace string
 	Fraction  float64
+	// Unspent means that nobody can have spent the same fraction of the burst before, as the
+	// whole system has just started.
+	Unspent bool
 }
 
 type holderState struct {
@@ -51,6 +54,12 @@
 	reserved   float64
 	granted    float64
 	reportedAt time.Duration
+	// uptime is that of the last report. unspent is the fraction of the burst that the
+	// process that sent it was told is unspent, and acknowledged whether it has reported a
+	// fraction since.
+	uptime       time.Duration
+	unspent      float64
+	acknowledged bool
 }
 
 // Allocator divides the rates of workspaces among hosts. Invariant: for each workspace
@@ -64,13 +73,15 @@
 	// fractions from an earlier allocator.
 	systemWasRunning bool
 	holders          map[string]map[string]*holderState // by workspace, then host
+	// unspent is the sum of the fractions of the burst that hosts were told are unspent.
+	unspent map[string]float64
 }
 
 // NewAllocator returns an allocator without grants. For the duration of one lease it
 // keeps a reserve, because hosts that have not reported yet may hold a fraction from an
 // earlier allocator.
 func NewAllocator(now time.Duration, regions int) *Allocator {
-	return &Allocator{startedAt: now, regions: regions, holders: map[string]map[string]*holderState{}}
+	return &Allocator{startedAt: now, regions: regions, holders: map[string]map[string]*holderState{}, unspent: map[string]float64{}}
 }
 
 // Report processes the demands of a host and returns its grants. uptime is the uptime
@@ -81,11 +92,36 @@
 	}
 	grants := make([]Grant, 0, len(demands))
 	for _, d := range demands {
-		grants = append(grants, Grant{Workspace: d.Workspace, Fraction: a.grant(now, host, d)})
+		fraction := a.grant(now, host, d)
+		grants = append(grants, Grant{Workspace: d.Workspace, Fraction: fraction, Unspent: a.markUnspent(host, uptime, d, fraction)})
 	}
 	return grants
 }
 
+// markUnspent reports whether the granted fraction of the burst is unspent. It is for the
+// first holders after a start of the whole system, up to the whole burst, and never for a
+// later process of a host: the one before may have spent it.
+func (a *Allocator) markUnspent(host string, uptime time.Duration, d Demand, fraction float64) bool {
+	h := a.holders[d.Workspace][host]
+	if h == nil || a.systemWasRunning {
+		return false
+	}
+	isRestarted := uptime < h.uptime
+	h.uptime = uptime
+	h.acknowledged = h.acknowledged || isRestarted || d.HeldFraction > 0
+	switch {
+	case h.acknowledged || fraction == 0:
+		return false
+	case h.unspent > 0:
+		return fraction <= h.unspent // the response before may be lost
+	case a.unspent[d.Workspace]+fraction > 1:
+		return false
+	}
+	h.unspent = fraction
+	a.unspent[d.Workspace] += fraction
+	return true
+}
+
 func (a *Allocator) grant(now time.Duration, host string, d Demand) float64 {
 	holders := a.holders[d.Workspace]
 	if holders == nil {
--- a/internal/shares/bucket.go
+++ b/internal/shares/bucket.go
@@ -7,9 +7,9 @@
 const rateMargin = 1.03
 
 // Bucket is a token bucket for a host's fraction of a workspace's rate and burst.
-// Invariant: once a fraction was granted, no refill or refund raises the level above the
-// host's fraction of the burst plus its slack. A refill adds the host's fraction of the
-// rate, times rateMargin.
+// Invariant: the level is at most the host's fraction of the burst plus its slack, and
+// without a fraction at most its slack. A refill adds the host's fraction of the rate, times
+// rateMargin.
 type Bucket struct {
 	rate, burst float64
 	// slack is this host's share of the limit's tolerance, in tokens.
@@ -32,17 +32,15 @@
 func (b *Bucket) SetLimits(now time.Duration, rate, burst float64) {
 	b.refill(now)
 	b.rate, b.burst = rate, burst
-	if b.leaseEnd > 0 {
-		b.level = min(b.level, b.capacity())
-	}
+	b.level = min(b.level, b.capacity())
 }
 
 // capacity is the maximum level of the bucket.
 func (b *Bucket) capacity() float64 { return b.burst*b.fraction + b.slack }
 
 // SetSlack sets this host's share of the limit's tolerance, in tokens. It lets a host
-// with a small fraction serve a large request at once, and a host that has just started
-// serve some requests before it holds a fraction.
+// with a small fraction serve a large request at once, and a host without a fraction some
+// requests.
 func (b *Bucket) SetSlack(tokens float64) {
 	if b.slack == 0 {
 		b.level += tokens
@@ -79,12 +77,13 @@
 	b.level = min(b.level, b.slack)
 }
 
-// SetInitialTokens sets the level of a bucket that has never held a fraction, so that a
-// host that has just started can serve requests. Its share of the burst is unspent,
-// because it was down for longer than the burst takes to refill.
-func (b *Bucket) SetInitialTokens(tokens float64) {
-	if b.leaseEnd == 0 {
-		b.level = tokens
+// SetFirstFraction is SetFraction for a fraction of the burst that nobody has spent. It
+// fills the bucket, unless the host has held a fraction before.
+func (b *Bucket) SetFirstFraction(now time.Duration, fraction float64, leaseEnd time.Duration) {
+	isFirst := b.leaseEnd == 0
+	b.SetFraction(now, fraction, leaseEnd)
+	if isFirst {
+		b.level = min(b.capacity(), b.level+b.burst*fraction)
 	}
 }
 
@@ -101,7 +100,7 @@
 		b.level = min(b.capacity(), b.level+b.rate*rateMargin*b.fraction*(end-b.refilledAt).Seconds())
 	}
 	b.refilledAt = max(b.refilledAt, now)
-	if now >= b.leaseEnd && b.leaseEnd > 0 {
+	if now >= b.leaseEnd {
 		b.level = min(b.level, b.slack) // the rest may have been granted to another host
 	}
 }
@@ -115,8 +114,11 @@
 		b.requested += cost
 	}
 	// A request that exceeds the capacity needs a full bucket and leaves a negative
-	// level.
-	need := min(cost, b.capacity())
+	// level. Without a fraction nothing would make up for it.
+	need := cost
+	if b.HeldFraction(now) > 0 {
+		need = min(cost, b.capacity())
+	}
 	if b.level >= need && need > 0 {
 		b.level -= cost
 		return true, 0
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -273,27 +273,87 @@
 	})
 }
 
-// Load: all hosts restart and their callers reconnect at once. Guards against refusals
-// within the rate until the first grant arrives, and against granting the initial tokens
-// twice.
-func TestBucketInitialTokens(t *testing.T) {
-	var b shares.Bucket
-	b.SetLimits(second, 900, 900)
-	b.SetSlack(10)
-	b.SetInitialTokens(300)
-	b.SetLimits(second, 900, 900)
-	for i := range 3 {
-		if ok, _ := b.Take(second, 100, true); !ok {
-			t.Fatalf("request %d was refused before the first grant", i)
+// Load: the whole system starts and callers come at once. Guards against a bucket that fills
+// only at its rate although nobody has spent the burst, and against a process that has just
+// started and spends a burst that the one before may have spent, or fills its bucket twice.
+func TestBucketFirstFraction(t *testing.T) {
+	served := func(b *shares.Bucket, now time.Duration) (n int) {
+		for range 10 {
+			if ok, wait := b.Take(now, 100, true); !ok && wait <= 0 {
+				t.Fatal("refused without a wait")
+			} else if ok {
+				n++
+			}
+		}
+		return n
+	}
+	newBucket := func() *shares.Bucket {
+		b := &shares.Bucket{}
+		b.SetLimits(second, 900, 900)
+		b.SetSlack(110)
+		return b
+	}
+	started := newBucket()
+	if n := served(started, second); n != 1 {
+		t.Errorf("%d requests without a fraction, the slack is for 1", n)
+	}
+	started.SetFirstFraction(2*second, 0.33, time.Hour)
+	if n := served(started, 2*second); n != 3 {
+		t.Errorf("%d requests of an unspent fraction of the burst, want 3", n)
+	}
+	started.SetFirstFraction(2*second, 0.33, time.Hour)
+	if n := served(started, 2*second); n != 0 {
+		t.Errorf("%d requests when the same grant arrives again", n)
+	}
+	restarted := newBucket()
+	restarted.SetFraction(2*second, 0.33, time.Hour)
+	if n := served(restarted, 2*second); n != 1 {
+		t.Errorf("%d requests of a fraction that may be spent, the slack is for 1", n)
+	}
+	if n := served(restarted, 3*second); n != 3 {
+		t.Errorf("%d requests a second later, the rate is for 3", n)
+	}
+	large := newBucket()
+	if ok, _ := large.Take(2*second, 5000, true); ok {
+		t.Error("a host without a fraction exceeds its slack")
+	}
+}
+
+// Guards against a burst that is told to be unspent to a process that has started again, to a
+// second holder of a region, or while hosts from before the allocator may have spent it.
+func TestUnspentBurstIsGrantedOnce(t *testing.T) {
+	report := func(a *shares.Allocator, now time.Duration, host string, uptime time.Duration, held float64) shares.Grant {
+		return a.Report(now, host, uptime, []shares.Demand{{Workspace: "w", PerSecond: 10, HeldFraction: held}})[0]
+	}
+	a := shares.NewAllocator(0, 3)
+	sum := 0.0
+	for _, host := range []string{"a", "b", "c"} {
+		g := report(a, 100*ms, host, 100*ms, 0)
+		if !g.Unspent {
+			t.Errorf("%s: %+v after a start of the whole system", host, g)
 		}
+		sum += g.Fraction
+	}
+	if sum > 1+1e-9 {
+		t.Errorf("%.2f of the burst is unspent", sum)
+	}
+	if g := report(a, 200*ms, "a", 200*ms, 0); !g.Unspent {
+		t.Error("the grant is not repeated although its response may be lost")
+	}
+	if g := report(a, 300*ms, "b", 10*ms, 0); g.Unspent {
+		t.Error("a process that has started again has an unspent burst")
+	}
+	if g := report(a, 400*ms, "a", 400*ms, 0.3); g.Unspent {
+		t.Error("unspent after the host has used its fraction")
 	}
-	if ok, wait := b.Take(second, 100, true); ok || wait <= 0 {
-		t.Error("more than the initial tokens were spent without a fraction")
+	a.Report(500*ms, "c", 500*ms, []shares.Demand{{Workspace: "w", Released: true}})
+	if g := report(a, 600*ms, "d", 600*ms, 0); g.Unspent {
+		t.Error("the holder after another one has an unspent burst")
 	}
-	b.SetFraction(2*second, 0.33, time.Hour)
-	b.SetInitialTokens(300)
-	if ok, _ := b.Take(2*second, 100, true); ok {
-		t.Error("the initial tokens were granted again with the first fraction")
+	running := shares.NewAllocator(0, 1)
+	report(running, 100*ms, "old", time.Minute, 0)
+	if g := report(running, 6*second, "new", 100*ms, 0); g.Unspent {
+		t.Error("a host that starts in a running system has an unspent burst")
 	}
 }
 
