gateway, entry: the bodies of callers keep to a common bound of memory (Fault)

Cause: each body was read with io.ReadAll, without a bound of the sum and without a time, and copied once more for the target.

Change: internal/requestbody reads bodies within a budget of 0.45 of memory_mb and up to the deadline of the request. A stated length is taken from the budget before a byte is read: what cannot be kept is refused at once, as not run. Bodies above 64 KiB are not copied for the target.

--- a/internal/bytebudget/budget.go
+++ b/internal/bytebudget/budget.go
@@ -7,15 +7,26 @@
 
 const (
 	// Free is the size up to which a buffer needs no part of the budget, in bytes. Usual
-	// responses are smaller.
+	// responses and bodies are not much larger.
 	Free = 16 << 10
 	// DefaultLimit is the sum of what buffers may hold beyond Free, in bytes.
 	DefaultLimit = 8 << 20
 )
 
-// Budget is the number of bytes that the buffers of a process may hold beyond Free each. The
-// zero value has DefaultLimit. It is safe for concurrent use.
-type Budget struct{ used atomic.Int64 }
+// Budget is the number of bytes that the buffers of a process may hold beyond Free each. It is
+// safe for concurrent use.
+type Budget struct {
+	// Limit is the sum in bytes; 0 means DefaultLimit. It must not change while buffers exist.
+	Limit int64
+	used  atomic.Int64
+}
+
+func (b *Budget) limit() int64 {
+	if b.Limit > 0 {
+		return b.Limit
+	}
+	return DefaultLimit
+}
 
 // Buffer is the part of a budget that one buffer holds. The zero value has no limit.
 type Buffer struct {
@@ -33,7 +44,7 @@
 		return true
 	}
 	added := max(0, int64(size)-Free) - b.held
-	if used := b.budget.used.Add(added); added > 0 && used > DefaultLimit {
+	if used := b.budget.used.Add(added); added > 0 && used > b.budget.limit() {
 		b.budget.used.Add(-added)
 		return false
 	}
--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -32,6 +32,9 @@
 	// memoryLimitFraction of the memory limit is the soft limit of the garbage
 	// collector. The remainder is for socket buffers and stacks.
 	memoryLimitFraction = 0.6
+	// bodyMemoryFraction of the memory limit is for the bodies of requests. It is below
+	// memoryLimitFraction, so that the garbage collector does not run all the time.
+	bodyMemoryFraction = 0.45
 	// reloadInterval is the time between checks whether the settings file has changed
 	// without a signal.
 	reloadInterval = 2 * time.Second
--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -52,7 +52,7 @@
 		},
 		CallerProtocol: platform.CallerProtocol{}, TargetProtocol: platform.TargetProtocol{}, Views: gateway.NewViewStore(platform.ConfigurationDecoder{}),
 		Table: registry.NewTable(), Log: d.log, Metrics: d.metrics, Front: p.Front, Forward: p.ForwardAddress(), Peer: p.PeerAddress(), RateClient: rateClient{d.transport.Dial},
-		Started: time.Now().UnixMilli(),
+		Started: time.Now().UnixMilli(), MaxBodyMemory: int64(bodyMemoryFraction * float64(p.MemoryMB) * (1 << 20)),
 	}
 	g.Init(p.PrefillTokensPerMS * float64(time.Second/time.Millisecond))
 	g.SetPolicy(placement.Policy(s.Policy.Target))
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -6,6 +6,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rcrowley/go-metrics"
 
+	"geraniumturn.example/geraniumturn/internal/bytebudget"
 	"geraniumturn.example/geraniumturn/internal/entry"
 	"geraniumturn.example/geraniumturn/internal/fleet"
 	"geraniumturn.example/geraniumturn/internal/peer"
@@ -23,7 +24,8 @@
 		return err
 	}
 	d.entry = &entry.Server{
-		Fleet: d.replica, Keys: d.keys, Placement: entryPlacement{d.settings.Self(), d.members.All}, Runner: d.dispatcher,
+		Bodies: bytebudget.Budget{Limit: entry.MaxBodyMemory},
+		Fleet:  d.replica, Keys: d.keys, Placement: entryPlacement{d.settings.Self(), d.members.All}, Runner: d.dispatcher,
 		Quota: quotaAdapter{d.quota}, Operations: operationsAdapter{d.operations}, Fingerprints: fingerprints{d.suspects},
 		Events: d.events, Metrics: d.metrics,
 		Ready:    func() bool { return d.fleet.started.Load() && d.replica.View().Revision > 0 },
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,7 +6,6 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -15,10 +14,12 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rcrowley/go-metrics"
 
+	"geraniumturn.example/geraniumturn/internal/bytebudget"
 	"geraniumturn.example/geraniumturn/internal/dispatch"
 	"geraniumturn.example/geraniumturn/internal/fleet"
 	"geraniumturn.example/geraniumturn/internal/keys"
 	"geraniumturn.example/geraniumturn/internal/refusal"
+	"geraniumturn.example/geraniumturn/internal/requestbody"
 	"geraniumturn.example/geraniumturn/internal/rules"
 	"geraniumturn.example/geraniumturn/internal/timeline"
 )
@@ -26,6 +27,10 @@
 const (
 	// MaxBodyBytes bounds a caller's request body.
 	MaxBodyBytes = 8 << 20
+	// MaxBodyMemory is the usual bound of the memory of all bodies together, in bytes, and
+	// bodyRetryAfter is when a caller whose body finds none may come back.
+	MaxBodyMemory  = 256 << 20
+	bodyRetryAfter = 500 * time.Millisecond
 	// MaxTimeout limits the timeout that a caller may request.
 	MaxTimeout = time.Hour
 
@@ -116,6 +121,8 @@
 	// Starting reports whether the host has not yet learned which state is in force,
 	// so that it must not accept or refuse keys. Nil means never.
 	Starting func() bool
+	// Bodies bounds the memory of all request bodies together.
+	Bodies   bytebudget.Budget
 	draining atomic.Bool
 }
 
@@ -133,6 +140,7 @@
 	key            keys.Key
 	route          *rules.Route
 	request        *dispatch.Request
+	bodyPart       bytebudget.Buffer // of the request's body
 	idempotencyKey string
 }
 
@@ -141,6 +149,7 @@
 	s.counter("requests").Inc(1)
 	k := &call{id: newRequestID()}
 	c.Response().Header().Set(headerRequestID, k.id)
+	defer func() { k.bodyPart.Release() }()
 	err := s.serve(c, k)
 	if err == nil {
 		return nil
@@ -248,7 +257,7 @@
 		return err
 	}
 	deadline := time.Now().Add(timeout)
-	body, err := readBody(c, deadline)
+	body, err := s.readBody(c, k, deadline)
 	if err != nil {
 		return err
 	}
@@ -468,22 +477,20 @@
 	return min(time.Duration(ms)*time.Millisecond, route.Timeout), nil
 }
 
-// readBody reads the body up to the size limit and the deadline, so that a slow
-// caller cannot occupy memory for longer.
-func readBody(c echo.Context, deadline time.Time) ([]byte, error) {
-	r := c.Request()
-	if r.ContentLength > MaxBodyBytes {
-		return nil, refusal.New(refusal.TooLarge, refusal.NotRun, "body has %d bytes, the limit is %d", r.ContentLength, MaxBodyBytes)
-	}
-	controller := http.NewResponseController(c.Response())
-	_ = controller.SetReadDeadline(deadline) // not supported by test recorders
-	body, err := io.ReadAll(io.LimitReader(r.Body, MaxBodyBytes+1))
-	_ = controller.SetReadDeadline(time.Time{})
-	if err != nil {
-		return nil, refusal.New(refusal.InvalidRequest, refusal.NotRun, "reading the body failed: %v", err)
-	}
-	if len(body) > MaxBodyBytes {
+// readBody reads the body up to the size limit and the deadline, so that a slow caller
+// cannot occupy memory for longer, and within the memory that all bodies may use.
+func (s *Server) readBody(c echo.Context, k *call, deadline time.Time) ([]byte, error) {
+	k.bodyPart = s.Bodies.Buffer()
+	body, err := requestbody.Read(c.Response(), c.Request(), MaxBodyBytes, deadline, &k.bodyPart)
+	switch {
+	case errors.Is(err, requestbody.ErrTooLarge):
 		return nil, refusal.New(refusal.TooLarge, refusal.NotRun, "body has more than %d bytes", MaxBodyBytes)
+	case errors.Is(err, requestbody.ErrNoMemory):
+		return nil, refusal.New(refusal.Overloaded, refusal.NotRun, "%v", err).WithRetry(bodyRetryAfter)
+	case errors.Is(err, requestbody.ErrDeadline):
+		return nil, refusal.New(refusal.Deadline, refusal.NotRun, "%v", err)
+	case err != nil:
+		return nil, refusal.New(refusal.InvalidRequest, refusal.NotRun, "reading the body failed: %v", err)
 	}
 	return body, nil
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -15,6 +15,7 @@
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/refusal"
+	"geraniumturn.example/geraniumturn/internal/requestbody"
 )
 
 // Headers of forwarded requests between entry hosts and of their responses.
@@ -94,7 +95,9 @@
 		writeForwardRefusal(w, ranNotAttempted, err)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, defaultMaxBodyBytes))
+	part := g.bodies.Buffer()
+	defer func() { part.Release() }()
+	body, err := requestbody.Read(w, r, defaultMaxBodyBytes, time.Now().Add(time.Duration(f.RemainingMS)*time.Millisecond), &part)
 	if err != nil {
 		writeForwardRefusal(w, ranNotAttempted, err)
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,10 +1,10 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -24,6 +24,7 @@
 	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/registry"
+	"geraniumturn.example/geraniumturn/internal/requestbody"
 	"geraniumturn.example/geraniumturn/internal/shares"
 	"geraniumturn.example/geraniumturn/internal/suspects"
 	"geraniumturn.example/geraniumturn/internal/upstream"
@@ -68,6 +69,10 @@
 	minRetryAfter = 250 * time.Millisecond
 	// defaultMaxBodyBytes bounds a request body when the configuration sets no limit.
 	defaultMaxBodyBytes = 8 << 20
+	defaultBodyMemory   = 256 << 20
+	// bodyRetryAfter is the time after which a caller whose body finds no memory may come
+	// back. Bodies that need much memory take long to arrive.
+	bodyRetryAfter = 500 * time.Millisecond
 	// localDialTimeout and remoteDialTimeout bound the time to connect within the region
 	// and to another region.
 	localDialTimeout  = 300 * time.Millisecond
@@ -97,6 +102,9 @@
 	Front, Forward, Peer string
 	// Started is the start time of the process in Unix milliseconds.
 	Started int64
+	// MaxBodyMemory bounds the memory of the request bodies that are being received or
+	// sent, in bytes; 0 means defaultBodyMemory.
+	MaxBodyMemory int64
 
 	localPool, remotePool *upstream.Pool
 	// ctx ends with Close.
@@ -137,6 +145,7 @@
 	sharingHosts []string
 	paceLease    shares.PartitionLease // of the pace of cold targets
 	buffers      bytebudget.Budget     // of the parts of responses that are kept
+	bodies       bytebudget.Budget     // of the bodies of requests
 	origins      *origins.Store        // of the streams that began at this host
 	quarantine   *suspects.Quarantine
 	usagePlanner *usagerelay.Planner
@@ -169,6 +178,7 @@
 // of an engine in prompt tokens per second.
 func (g *Gateway) Init(prefillSpeed float64) {
 	g.startedAt = sinceBoot()
+	g.bodies.Limit = cmp.Or(g.MaxBodyMemory, defaultBodyMemory)
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.requestsCtx, g.endRequests = context.WithCancel(context.Background())
 	g.localPool, g.remotePool = upstream.NewPool(localDialTimeout), upstream.NewPool(remoteDialTimeout)
@@ -267,6 +277,8 @@
 	urgency          int
 	header           http.Header
 	body             []byte
+	bodyPart         bytebudget.Buffer
+	bodyLate         bool // the deadline was reached before the end of the body
 	request          *http.Request
 	placementRequest placement.Request
 	suspectKeys      []uint64
@@ -313,6 +325,7 @@
 	if g.Draining() {
 		w.Header().Set("Connection", "close")
 	}
+	defer func() { x.bodyPart.Release() }()
 	err := g.serve(w, x)
 	g.finish(w, x, err)
 }
@@ -456,6 +469,7 @@
 	return ""
 }
 
+// readBody reads the body of a request. All bodies together keep to MaxBodyMemory.
 func (g *Gateway) readBody(w http.ResponseWriter, x *requestState) error {
 	limit := x.view.Config.Limits.MaxBodyBytes
 	if limit <= 0 {
@@ -464,12 +478,18 @@
 	began := sinceBoot()
 	// A caller that sends slowly is late by itself; its targets are not overloaded for that.
 	defer func() { x.hostWait += sinceBoot() - began }()
+	x.bodyPart = g.bodies.Buffer()
 	var err error
-	x.body, err = io.ReadAll(http.MaxBytesReader(w, x.request.Body, limit))
-	if _, tooLarge := errors.AsType[*http.MaxBytesError](err); tooLarge {
+	x.body, err = requestbody.Read(w, x.request, limit, time.Now().Add(x.deadline-began), &x.bodyPart)
+	switch {
+	case errors.Is(err, requestbody.ErrTooLarge):
 		return refusal.New(refusal.TooLarge, refusal.NotRun, "request body exceeds %d bytes", limit)
-	}
-	if err != nil {
+	case errors.Is(err, requestbody.ErrNoMemory):
+		return refusal.New(refusal.Overloaded, refusal.NotRun, "%v", err).WithRetry(bodyRetryAfter)
+	case errors.Is(err, requestbody.ErrDeadline):
+		x.bodyLate = true
+		return refusal.New(refusal.Deadline, refusal.NotRun, "%v", err).WithRetry(minRetryAfter)
+	case err != nil:
 		return fmt.Errorf("%w: read request body: %v", errCallerGone, err)
 	}
 	x.placementRequest.BodyBytes = len(x.body)
@@ -487,7 +507,8 @@
 // finish writes a refusal, or aborts the connection so that the caller notices a
 // truncated response, and logs the request.
 func (g *Gateway) finish(w http.ResponseWriter, x *requestState, err error) {
-	callerGone := err != nil && (errors.Is(err, errCallerGone) || x.request.Context().Err() != nil)
+	// The HTTP server also ends the context when the deadline of a read is reached.
+	callerGone := err != nil && (errors.Is(err, errCallerGone) || x.request.Context().Err() != nil && !x.bodyLate)
 	outcome := "served"
 	switch {
 	case err == nil:
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -125,7 +125,7 @@
 		return nil, fmt.Errorf("%w: %v", ErrNotSent, err)
 	}
 	out := &Response{pool: p, address: r.Address, conn: c, written: make(chan struct{})}
-	data, began, writeFailed := r.encode(), make(chan error, 1), make(chan error, 1)
+	parts, began, writeFailed := r.encode(), make(chan error, 1), make(chan error, 1)
 	go func() {
 		if r.BeforeWrite != nil {
 			if err := recovery.Do(r.BeforeWrite); err != nil {
@@ -134,7 +134,7 @@
 			}
 		}
 		close(began)
-		_, err := c.Write(data)
+		err := writeAll(c, parts)
 		if r.AfterWrite != nil {
 			r.AfterWrite()
 		}
@@ -191,9 +191,9 @@
 
 // encode returns the request as written to the connection. A body always has a
 // Content-Length.
-func (r *Request) encode() []byte {
+func (r *Request) encode() [][]byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512 + min(len(r.Body), maxCopiedBody))
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.RequestURI, r.Host)
 	for name, values := range r.Header {
 		for _, v := range values {
@@ -209,8 +209,24 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
+	if len(r.Body) > maxCopiedBody {
+		return [][]byte{b.Bytes(), r.Body}
+	}
 	b.Write(r.Body)
-	return b.Bytes()
+	return [][]byte{b.Bytes()}
+}
+
+// maxCopiedBody is the size up to which a body is copied behind its head, so that both are
+// written at once.
+const maxCopiedBody = 64 << 10
+
+func writeAll(w io.Writer, parts [][]byte) error {
+	for _, p := range parts {
+		if _, err := w.Write(p); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // awaitHead waits for the headers of the response.
