--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -149,6 +149,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	out.stopCancel = context.AfterFunc(ctx, func() { _ = c.abandon() })
+	p.begin(r.Address, c)
 	fresh := !c.used
 	if err := out.awaitHead(r); err != nil {
 		_ = out.Close()
@@ -163,11 +164,20 @@
 		p.recordPath(r.Address, c.openedAt, nil)
 	}
 	if out.Unframed {
-		out.confirmEnd = func() error { return p.replaceConn(ctx, r, out.keepAliveTime()) }
+		out.confirmEnd = func() error {
+			err := p.replaceConn(ctx, r, out.keepAliveTime())
+			if errors.Is(err, errRefused) && p.makesProgress(ctx, r.Address, c) {
+				return nil
+			}
+			return err
+		}
 	}
 	return out, nil
 }
 
+// errRefused means that a target accepts no connection after the end of a response.
+var errRefused = errors.New("the response ended with its connection, and the target accepts no other")
+
 // replaceConn opens a connection and adds it to the pool. A response that ends with its
 // connection is followed by a new connection to the same address if the target still
 // runs: a process that has crashed refuses it. A silent one is asked again.
@@ -179,7 +189,7 @@
 			return nil
 		}
 		if timeout, ok := errors.AsType[net.Error](err); !ok || !timeout.Timeout() || ctx.Err() != nil {
-			return fmt.Errorf("the response ended with its connection, and the target accepts no other: %v", err)
+			return fmt.Errorf("%w: %v", errRefused, err)
 		}
 		if r.OnSilence != nil {
 			if err := r.OnSilence(); err != nil {
@@ -305,6 +315,7 @@
 // read completely. Otherwise it closes the connection, so that the target stops working
 // on the request.
 func (o *Response) Close() error {
+	o.pool.end(o.address, o.conn)
 	if !o.stopCancel() {
 		return o.conn.abandon()
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"geraniumturn.example/geraniumturn/internal/sockets"
@@ -53,14 +54,16 @@
 	// response or when Connect has opened it. openedAt is zero if it was not established.
 	OnPath func(address string, openedAt time.Time, err error)
 
-	mu        sync.Mutex
-	idle      map[string][]*conn
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// active are the connections with an exchange in progress, by address.
+	active    map[string]map[*conn]bool
 	lastSweep time.Time
 }
 
 // NewPool returns an empty pool.
 func NewPool(dialTimeout time.Duration) *Pool {
-	return &Pool{DialTimeout: dialTimeout, idle: map[string][]*conn{}}
+	return &Pool{DialTimeout: dialTimeout, idle: map[string][]*conn{}, active: map[string]map[*conn]bool{}}
 }
 
 type conn struct {
@@ -70,6 +73,7 @@
 	used   bool          // a request was sent on the connection before
 	// openedAt is when the connection was established.
 	openedAt time.Time
+	received atomic.Int64 // bytes that were read
 	// onSilence is called at the read deadline; nil if there is none.
 	onSilence func() (time.Duration, error)
 	// expires is when the peer may close the idle connection.
@@ -159,6 +163,7 @@
 func (c *conn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.TCPConn.Read(b)
+		c.received.Add(int64(n))
 		if n > 0 || c.onSilence == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
