intake: one account of memory and connections for whom nobody controls

Change: internal/intake charges a connection from its accept, its head, its request and all buffers of its body to one account that follows from the memory of the machine and the limit of descriptors; classes of callers, hosts and operators have places of their own; when places or memory are used up, what does not move gives way, of the address and workspace that hold most. Both wirings, all listeners; bodies of operators and targets too. The collector's limit follows from the same memory. Probes, crash checks and refunds are guarded against unexpected errors.

--- a/internal/bytebudget/budget.go
+++ b/internal/bytebudget/budget.go
@@ -31,27 +31,63 @@
 // Buffer is the part of a budget that one buffer holds. The zero value has no limit.
 type Buffer struct {
 	budget *Budget
+	owner  Owner
 	held   int64
+	// doubled means that the owner accounts for a copy, until the next Resize.
+	doubled bool
 }
 
+// Owner accounts for what a buffer holds beyond Free, besides its budget. Resize reports false,
+// and changes nothing, if the buffer may not have the size.
+type Owner interface{ Resize(size int64) bool }
+
 // Buffer returns the part of a new, empty buffer. Release must be called.
 func (b *Budget) Buffer() Buffer { return Buffer{budget: b} }
 
+// BufferOf returns the part of a new, empty buffer that an owner accounts for too.
+func (b *Budget) BufferOf(o Owner) Buffer { return Buffer{budget: b, owner: o} }
+
+// BufferOf returns the part of a new, empty buffer that only an owner accounts for.
+func BufferOf(o Owner) Buffer { return Buffer{owner: o} }
+
 // Resize sets the size of the buffer, in bytes. It reports false, and keeps what the buffer
 // holds, if the budget does not suffice.
 func (b *Buffer) Resize(size int) bool {
+	if b.budget == nil && b.owner == nil {
+		return true
+	}
+	wanted := max(0, int64(size)-Free)
+	added := wanted - b.held
+	if b.owner != nil && (added != 0 || b.doubled) && !b.owner.Resize(wanted) {
+		return false
+	}
+	b.doubled = false
 	if b.budget == nil {
+		b.held = wanted
 		return true
 	}
-	added := max(0, int64(size)-Free) - b.held
 	if used := b.budget.used.Add(added); added > 0 && used > b.budget.limit() {
 		b.budget.used.Add(-added)
+		if b.owner != nil {
+			b.owner.Resize(b.held) // less than before
+		}
 		return false
 	}
 	b.held += added
 	return true
 }
 
+// Copy makes an owner account for a second buffer of a size until the next Resize. It reports
+// false, and changes nothing, if there is no memory for it.
+func (b *Buffer) Copy(size int) bool {
+	if b.owner == nil {
+		return true
+	}
+	ok := b.owner.Resize(b.held + int64(size))
+	b.doubled = b.doubled || ok
+	return ok
+}
+
 // Release gives back what the buffer holds.
 func (b *Buffer) Release() { b.Resize(0) }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"geraniumturn.example/geraniumturn/internal/dispatch"
 	"geraniumturn.example/geraniumturn/internal/entry"
 	"geraniumturn.example/geraniumturn/internal/fleet"
+	"geraniumturn.example/geraniumturn/internal/intake"
 	"geraniumturn.example/geraniumturn/internal/keys"
 	"geraniumturn.example/geraniumturn/internal/membership"
 	"geraniumturn.example/geraniumturn/internal/operations"
@@ -79,6 +80,7 @@
 	suspects     *suspects.Table
 	admission    *admission.Admission
 	echo         *echo.Echo
+	gate         *intake.Gate
 }
 
 // New builds the process from its settings. Nothing runs before Run is called.
@@ -96,6 +98,9 @@
 		keys:      keys.NewTable(),
 		targets:   targets.NewTable(s.Name, s.DataCentre),
 	}
+	if d.gate, err = newGate(s, log, d.metrics); err != nil {
+		return nil, err
+	}
 	builders := []func() error{
 		d.buildControl,
 		d.buildMembership,
@@ -138,7 +143,9 @@
 	var g run.Group
 	g.Add(run.SignalHandler(ctx, os.Interrupt, syscall.SIGTERM))
 	d.addHTTP(&g, httpListener)
-	addLoop(&g, func(ctx context.Context) error { return d.transport.Serve(ctx, peerListener) })
+	addLoop(&g, func(ctx context.Context) error {
+		return d.transport.Serve(ctx, d.gate.ListenRaw(peerListener, intake.Hosts))
+	})
 	for _, loop := range d.loops() {
 		addLoop(&g, loop)
 	}
@@ -191,9 +198,12 @@
 func (d *Daemon) addHTTP(g *run.Group, listener net.Listener) {
 	server := &http.Server{Handler: d.echo, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return d.keys.ConnContext(sockets.WithConn(ctx, c), c)
-		}, ConnState: d.keys.ConnState}
-	g.Add(func() error { return server.Serve(listener) }, func(error) {
+			return d.keys.ConnContext(intake.WithConn(sockets.WithConn(ctx, c.(*intake.Conn).Conn), c), c)
+		}, ConnState: func(c net.Conn, state http.ConnState) {
+			intake.SetState(c, state)
+			d.keys.ConnState(c, state)
+		}}
+	g.Add(func() error { return server.Serve(d.gate.Listen(listener, intake.Callers)) }, func(error) {
 		d.drain()
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	ossignal "os/signal"
-	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -22,6 +21,7 @@
 
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/eventlog"
+	"geraniumturn.example/geraniumturn/internal/intake"
 	"geraniumturn.example/geraniumturn/internal/peer"
 	"geraniumturn.example/geraniumturn/internal/processors"
 	"geraniumturn.example/geraniumturn/internal/settings"
@@ -29,12 +29,6 @@
 )
 
 const (
-	// memoryLimitFraction of the memory limit is the soft limit of the garbage
-	// collector. The remainder is for socket buffers and stacks.
-	memoryLimitFraction = 0.6
-	// bodyMemoryFraction of the memory limit is for the bodies of requests. It is below
-	// memoryLimitFraction, so that the garbage collector does not run all the time.
-	bodyMemoryFraction = 0.45
 	// reloadInterval is the time between checks whether the settings file has changed
 	// without a signal.
 	reloadInterval = 2 * time.Second
@@ -58,6 +52,7 @@
 	log       *logrus.Logger
 	metrics   metrics.Registry
 	transport *peer.Transport
+	gate      *intake.Gate
 	group     run.Group
 }
 
@@ -67,18 +62,20 @@
 func RunDeployment(path string, s *settings.Settings, out io.Writer) error {
 	writer := eventlog.NewWriter(out)
 	defer writer.Close()
-	if mb := s.Deployment.MemoryMB; mb > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(mb) * (1 << 20)))
-	}
 	d := &deploymentDaemon{path: path, settings: s, log: eventlog.NewLogger(writer), metrics: metrics.NewRegistry(),
 		transport: peer.New(s.Name, &clock.HLC{}, nil)}
+	gate, err := newGate(s, d.log, d.metrics)
+	if err != nil {
+		return err
+	}
+	d.gate = gate
 	d.transport.OnPanic = func(rpc string, err error) { d.logPanic(rpc)(err) }
 	seeds := s.Deployment.SeedPeerAddresses()
 	d.seeds.Store(&seeds)
 	metrics.NewRegisteredFunctionalGauge("log.dropped", d.metrics, writer.Dropped)
 	role := string(s.Roles[0])
 	d.log.WithFields(logrus.Fields{"host": s.Name, "role": role, "seeds": seeds, "found": s.Deployment.Bootstrap}).Info("start")
-	err := d.run()
+	err = d.run()
 	d.log.WithFields(logrus.Fields{"host": s.Name, "error": fmt.Sprint(err)}).Info("stop")
 	return err
 }
@@ -97,7 +94,7 @@
 	addLoop(&d.group, d.watchSettings)
 	addLoop(&d.group, processors.Run)
 	if address := d.settings.Deployment.MetricsAddress(); address != "" {
-		if _, err := d.addServer(address, metricsHandler(d.metrics)); err != nil {
+		if _, err := d.addServer(address, intake.Operators, intake.Handler(metricsHandler(d.metrics))); err != nil {
 			return err
 		}
 	}
@@ -188,6 +185,7 @@
 	if !ok {
 		return
 	}
+	intake.SetState(c.Conn, state)
 	next := connIdle
 	switch state {
 	case http.StateClosed, http.StateHijacked:
@@ -204,8 +202,8 @@
 // refuseConnections closes the listener. Open connections continue to be served.
 func (s *server) refuseConnections() { _ = s.listener.Close() }
 
-// addServer serves a handler on an address until the group ends.
-func (d *deploymentDaemon) addServer(address string, handler http.Handler) (*server, error) {
+// addServer serves a handler on an address until the group ends. class tells who connects.
+func (d *deploymentDaemon) addServer(address string, class intake.Class, handler http.Handler) (*server, error) {
 	listener, err := d.listen(address)
 	if err != nil {
 		return nil, err
@@ -214,10 +212,11 @@
 		Server: &http.Server{Handler: handler, ReadHeaderTimeout: serverHeaderTimeout, IdleTimeout: serverIdleTimeout}}
 	s.ConnState = connState
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		return sockets.WithConn(ctx, c.(*busyConn).Conn)
+		counted := c.(*busyConn).Conn.(*intake.Conn)
+		return intake.WithConn(sockets.WithConn(ctx, counted.Conn), counted)
 	}
 	d.group.Add(func() error {
-		if err := s.Serve(busyListener{listener, &s.busy}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := s.Serve(busyListener{d.gate.Listen(listener, class), &s.busy}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			return fmt.Errorf("daemon: serve %s: %w", address, err)
 		}
 		<-s.groupStopped
@@ -238,7 +237,9 @@
 	if err != nil {
 		return err
 	}
-	addLoop(&d.group, func(ctx context.Context) error { return d.transport.Serve(ctx, listener) })
+	addLoop(&d.group, func(ctx context.Context) error {
+		return d.transport.Serve(ctx, d.gate.ListenRaw(listener, intake.Hosts))
+	})
 	return nil
 }
 
--- a/internal/daemon/deployment_control.go
+++ b/internal/daemon/deployment_control.go
@@ -16,6 +16,7 @@
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/intake"
 	"geraniumturn.example/geraniumturn/internal/registry"
 	"geraniumturn.example/geraniumturn/platform"
 )
@@ -69,11 +70,11 @@
 	addLoop(&d.group, node.Run)
 	addLoop(&d.group, plane.LogChanges)
 	addLoop(&d.group, func(ctx context.Context) error { return server.Run(ctx, d.seedPeers) })
-	front, err := d.addServer(p.Control, platform.ControlHandler(plane))
+	front, err := d.addServer(p.Control, intake.Operators, intake.Handler(platform.ControlHandler(plane)))
 	if err != nil {
 		return nil, err
 	}
-	directory, err := d.addServer(p.Directory, platform.DirectoryHandler(plane, min(directoryTTL, clock.Seconds(p.Bounds.DirectoryTTLS))))
+	directory, err := d.addServer(p.Directory, intake.Callers, intake.Handler(platform.DirectoryHandler(plane, min(directoryTTL, clock.Seconds(p.Bounds.DirectoryTTLS)))))
 	return func(ctx context.Context) { d.stopControl(ctx, node, front, directory) }, err
 }
 
--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -11,6 +11,7 @@
 	"geraniumturn.example/geraniumturn/internal/fleetsync"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/gateway"
+	"geraniumturn.example/geraniumturn/internal/intake"
 	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/registry"
 	"geraniumturn.example/geraniumturn/internal/usagerelay"
@@ -52,7 +53,7 @@
 		},
 		CallerProtocol: platform.CallerProtocol{}, TargetProtocol: platform.TargetProtocol{}, Views: gateway.NewViewStore(platform.ConfigurationDecoder{}),
 		Table: registry.NewTable(), Log: d.log, Metrics: d.metrics, Front: p.Front, Forward: p.ForwardAddress(), Peer: p.PeerAddress(), RateClient: rateClient{d.transport.Dial},
-		Started: time.Now().UnixMilli(), MaxBodyMemory: int64(bodyMemoryFraction * float64(p.MemoryMB) * (1 << 20)),
+		Started: time.Now().UnixMilli(), MaxBodyMemory: d.gate.Account.Limits().Account, MaxResponseMemory: d.gate.Account.Limits().Responses,
 	}
 	g.Init(p.PrefillTokensPerMS * float64(time.Second/time.Millisecond))
 	g.SetPolicy(placement.Policy(s.Policy.Target))
@@ -67,14 +68,14 @@
 			entry.Info("control host")
 		}}
 	g.OriginClient = client
-	front, err := d.addServer(p.Front, g)
+	front, err := d.addServer(p.Front, intake.Callers, g)
 	if err != nil {
 		return nil, err
 	}
-	if _, err := d.addServer(p.ForwardListenAddress(), g.ForwardHandler()); err != nil {
+	if _, err := d.addServer(p.ForwardListenAddress(), intake.Hosts, g.ForwardHandler()); err != nil {
 		return nil, err
 	}
-	if _, err := d.addServer(p.Ready, platform.ReadyHandler(g.Ready)); err != nil {
+	if _, err := d.addServer(p.Ready, intake.Operators, intake.Handler(platform.ReadyHandler(g.Ready))); err != nil {
 		return nil, err
 	}
 	addLoop(&d.group, func(ctx context.Context) error { return client.Run(ctx, d.seedPeers) })
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -9,6 +9,7 @@
 	"geraniumturn.example/geraniumturn/internal/bytebudget"
 	"geraniumturn.example/geraniumturn/internal/entry"
 	"geraniumturn.example/geraniumturn/internal/fleet"
+	"geraniumturn.example/geraniumturn/internal/intake"
 	"geraniumturn.example/geraniumturn/internal/peer"
 	"geraniumturn.example/geraniumturn/internal/settings"
 	"geraniumturn.example/geraniumturn/internal/targets"
@@ -24,7 +25,7 @@
 		return err
 	}
 	d.entry = &entry.Server{
-		Bodies: bytebudget.Budget{Limit: entry.MaxBodyMemory},
+		Bodies: bytebudget.Budget{Limit: d.gate.Account.Limits().Account},
 		Fleet:  d.replica, Keys: d.keys, Placement: entryPlacement{d.settings.Self(), d.members.All}, Runner: d.dispatcher,
 		Quota: quotaAdapter{d.quota}, Operations: operationsAdapter{d.operations}, Fingerprints: fingerprints{d.suspects},
 		Events: d.events, Metrics: d.metrics,
@@ -34,14 +35,14 @@
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	d.entry.Register(e)
-	admin := e.Group("/admin/v1", entry.RequireToken(operatorToken))
+	admin := e.Group("/admin/v1", echo.WrapMiddleware(intake.Handler), entry.RequireToken(operatorToken))
 	(&fleet.Admin{Log: d.controlLog, Replica: d.replica, Propagator: d.fleet}).Register(admin)
 	d.events.Register(admin)
 	d.operations.Register(admin)
 	d.quota.Register(admin)
 	admin.GET("/status", d.status)
 	d.registerControl(admin)
-	targets.Register(e.Group("/targets/v1", entry.RequireToken(announceToken)), d.targets, d.urgentAnnouncement)
+	targets.Register(e.Group("/targets/v1", echo.WrapMiddleware(intake.Handler), entry.RequireToken(announceToken)), d.targets, d.urgentAnnouncement)
 	d.echo = e
 	d.registerTrafficGauges()
 	return nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"geraniumturn.example/geraniumturn/internal/bytebudget"
 	"geraniumturn.example/geraniumturn/internal/dispatch"
 	"geraniumturn.example/geraniumturn/internal/fleet"
+	"geraniumturn.example/geraniumturn/internal/intake"
 	"geraniumturn.example/geraniumturn/internal/keys"
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/requestbody"
@@ -169,6 +170,10 @@
 	if s.Starting != nil && s.Starting() {
 		return refusal.New(refusal.Draining, refusal.NotRun, "this host is starting").WithHosts(s.hostsForCaller(c.Request()))
 	}
+	if !intake.FromContext(c.Request().Context()).Begin() {
+		c.Response().Header().Set("Connection", "close")
+		return refusal.New(refusal.Overloaded, refusal.NotRun, "other requests use the memory").WithRetry(bodyRetryAfter)
+	}
 	view := s.Fleet.View()
 	if err := s.authenticate(c, k, view); err != nil {
 		return err
@@ -299,6 +304,10 @@
 	if k.request.Pool != "" && k.request.Kind == rules.Service {
 		return nil
 	}
+	if !k.bodyPart.Copy(len(k.request.Body)) { // for the prompt that is parsed
+		return refusal.New(refusal.Overloaded, refusal.NotRun, "%v", requestbody.ErrNoMemory).WithRetry(bodyRetryAfter)
+	}
+	defer k.bodyPart.Resize(len(k.request.Body))
 	body, err := parseEngineBody(k.request.Body)
 	if err != nil {
 		return err
@@ -480,7 +489,14 @@
 // readBody reads the body up to the size limit and the deadline, so that a slow caller
 // cannot occupy memory for longer, and within the memory that all bodies may use.
 func (s *Server) readBody(c echo.Context, k *call, deadline time.Time) ([]byte, error) {
-	k.bodyPart = s.Bodies.Buffer()
+	if account := intake.FromContext(c.Request().Context()); account != nil {
+		if k.workspace != nil {
+			account.SetWorkspace(k.workspace.Name)
+		}
+		k.bodyPart = s.Bodies.BufferOf(account)
+	} else {
+		k.bodyPart = s.Bodies.Buffer()
+	}
 	body, err := requestbody.Read(c.Response(), c.Request(), MaxBodyBytes, deadline, &k.bodyPart)
 	switch {
 	case errors.Is(err, requestbody.ErrTooLarge):
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -102,7 +102,13 @@
 	if check == nil {
 		check = &crashCheck{address: s.address, startedAt: now}
 		g.crashChecks[s.target] = check
-		go g.checkCrash(s.target, s.address, check)
+		go func() {
+			if !g.guarded("crash check", func() { g.checkCrash(s.target, s.address, check) }) {
+				g.mu.Lock()
+				defer g.mu.Unlock()
+				delete(g.crashChecks, s.target)
+			}
+		}()
 	}
 	check.keys = append(check.keys, x.suspectKeys...)
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"geraniumturn.example/geraniumturn/internal/document"
+	"geraniumturn.example/geraniumturn/internal/intake"
 	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/requestbody"
@@ -96,6 +97,14 @@
 		return
 	}
 	part := g.bodies.Buffer()
+	if account := intake.FromContext(r.Context()); account != nil {
+		if !account.Begin() {
+			writeForwardRefusal(w, ranNotAttempted, errors.New("other requests use the memory"))
+			return
+		}
+		account.SetWorkspace(f.Workspace)
+		part = g.bodies.BufferOf(account)
+	}
 	defer func() { part.Release() }()
 	body, err := requestbody.Read(w, r, defaultMaxBodyBytes, time.Now().Add(time.Duration(f.RemainingMS)*time.Millisecond), &part)
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"geraniumturn.example/geraniumturn/internal/bytebudget"
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/intake"
 	"geraniumturn.example/geraniumturn/internal/origins"
 	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/refusal"
@@ -103,8 +104,9 @@
 	// Started is the start time of the process in Unix milliseconds.
 	Started int64
 	// MaxBodyMemory bounds the memory of the request bodies that are being received or
-	// sent, in bytes; 0 means defaultBodyMemory.
-	MaxBodyMemory int64
+	// sent, in bytes; 0 means defaultBodyMemory. MaxResponseMemory is the same for responses;
+	// 0 means bytebudget.DefaultLimit.
+	MaxBodyMemory, MaxResponseMemory int64
 
 	localPool, remotePool *upstream.Pool
 	// ctx ends with Close.
@@ -178,7 +180,7 @@
 // of an engine in prompt tokens per second.
 func (g *Gateway) Init(prefillSpeed float64) {
 	g.startedAt = sinceBoot()
-	g.bodies.Limit = cmp.Or(g.MaxBodyMemory, defaultBodyMemory)
+	g.bodies.Limit, g.buffers.Limit = cmp.Or(g.MaxBodyMemory, defaultBodyMemory), g.MaxResponseMemory
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.requestsCtx, g.endRequests = context.WithCancel(context.Background())
 	g.localPool, g.remotePool = upstream.NewPool(localDialTimeout), upstream.NewPool(remoteDialTimeout)
@@ -352,6 +354,10 @@
 	if x.call, err = g.CallerProtocol.Decode(x.request); err != nil {
 		return refusal.New(refusal.InvalidRequest, refusal.NotRun, "%v", err)
 	}
+	if !intake.FromContext(x.request.Context()).Begin() {
+		w.Header().Set("Connection", "close")
+		return refusal.New(refusal.Overloaded, refusal.NotRun, "other requests use the memory").WithRetry(bodyRetryAfter)
+	}
 	g.awaitConfiguration(x)
 	if err := g.identify(x); err != nil {
 		return err
@@ -478,8 +484,13 @@
 	began := sinceBoot()
 	// A caller that sends slowly is late by itself; its targets are not overloaded for that.
 	defer func() { x.hostWait += sinceBoot() - began }()
-	x.bodyPart = g.bodies.Buffer()
 	var err error
+	if account := intake.FromContext(x.request.Context()); account != nil {
+		account.SetWorkspace(x.workspaceName())
+		x.bodyPart = g.bodies.BufferOf(account)
+	} else {
+		x.bodyPart = g.bodies.Buffer()
+	}
 	x.body, err = requestbody.Read(w, x.request, limit, time.Now().Add(x.deadline-began), &x.bodyPart)
 	switch {
 	case errors.Is(err, requestbody.ErrTooLarge):
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -228,13 +228,13 @@
 		g.takeLocalTokens(r.workspace, -r.cost, true)
 		return
 	}
-	go func() {
+	go g.guarded("refund", func() {
 		ctx, cancel := context.WithTimeout(context.Background(), takeTimeout)
 		defer cancel()
 		if _, err := g.RateClient.Take(ctx, r.holder.GetPeer(), &syncpb.TakeRequest{Workspace: r.workspace.Name, Tokens: -r.cost, Again: true}); err != nil {
 			g.Log.WithField("workspace", r.workspace.Name).WithError(err).Info("tokens not given back")
 		}
-	}()
+	})
 }
 
 // retryBudget returns the retry budget of a service and creates it if it is missing.
--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -8,6 +8,7 @@
 
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/placement"
+	"geraniumturn.example/geraniumturn/internal/recovery"
 	"geraniumturn.example/geraniumturn/internal/rendezvous"
 )
 
@@ -34,7 +35,13 @@
 	}
 	if g.path.Active() && !g.probing {
 		g.probing = true
-		go g.probeTargets()
+		go func() {
+			if !g.guarded("probes", g.probeTargets) {
+				g.mu.Lock()
+				defer g.mu.Unlock()
+				g.probing = false // the next failure starts them again
+			}
+		}()
 	}
 }
 
@@ -42,22 +49,26 @@
 // has lost the path to all of them, until one of them is reached.
 func (g *Gateway) probeTargets() {
 	for g.ctx.Err() == nil {
-		g.mu.Lock()
-		addresses := g.path.Probes(sinceBoot(), g.placer.LocalAddresses())
-		if !g.path.Active() {
-			g.probing = false
-			g.mu.Unlock()
+		addresses, active := g.nextProbes()
+		if !active {
 			return
 		}
-		g.mu.Unlock()
 		for _, a := range addresses {
-			// The pool reports the outcome to recordPath.
-			go func() { _ = g.localPool.Connect(g.ctx, a) }()
+			go g.probe(a)
 		}
 		clock.Sleep(g.ctx, g.path.ProbeInterval())
 	}
 }
 
+// nextProbes returns the targets to connect to now, or that no more probes are needed.
+func (g *Gateway) nextProbes() (addresses []string, active bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	addresses = g.path.Probes(sinceBoot(), g.placer.LocalAddresses())
+	g.probing = g.path.Active()
+	return addresses, g.probing
+}
+
 // Detached reports whether this host reaches no target of its region. It still serves its
 // callers through other hosts.
 func (g *Gateway) Detached() bool {
@@ -147,7 +158,7 @@
 	others = others[:min(len(others), controlConnections)]
 	outcomes := make(chan error, len(others))
 	for _, a := range others {
-		go func() { outcomes <- g.localPool.Connect(g.ctx, a) }()
+		go func() { outcomes <- recovery.Do(func() error { return g.localPool.Connect(g.ctx, a) }) }()
 	}
 	for range others {
 		if <-outcomes == nil {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -46,8 +46,7 @@
 // set.
 func (g *Gateway) replaceSilent(x *requestState, s *sendAttempt, silence time.Duration, logKept bool) error {
 	if logKept && !s.forwarded && !x.responseStarted {
-		// The pool reports the outcome to recordPath.
-		go func() { _ = g.localPool.Connect(g.ctx, s.address) }()
+		go g.probe(s.address)
 	}
 	next, err := g.chooseReplacement(x)
 	if next != nil {
--- /dev/null
+++ b/internal/intake/account.go
@@ -0,0 +1,400 @@
+package intake
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// stallTime is how long a body that does not move keeps its place if others need it, and
+	// writeStallTime how long a response does.
+	stallTime      = 300 * time.Millisecond
+	writeStallTime = time.Second
+	// A body that is older than paceTime keeps its place only at pressedPace, in bytes a
+	// second. Without need, requestbody.MinPace holds.
+	paceTime    = 2 * time.Second
+	pressedPace = 16 << 10
+)
+
+// Phase is what a connection does.
+type Phase int32
+
+func (p Phase) String() string { return [...]string{"quiet", "head", "body", "exchange"}[p] }
+
+// The phases.
+const (
+	// Quiet connections have sent nothing since their accept or their last response.
+	Quiet Phase = iota
+	// Head means that a head is arriving.
+	Head
+	// Body means that a body is arriving.
+	Body
+	// Exchange is the rest of a request.
+	Exchange
+)
+
+// Account is the account of one process. It is safe for concurrent use.
+type Account struct {
+	limits Limits
+
+	mu      sync.Mutex
+	used    int64
+	open    [classes]int
+	holders map[*Holder]struct{}
+	places  map[place]int
+	groups  map[group]int64
+	refused [classes]int64
+	closed  [classes]int64
+}
+
+// place has the connections of an address.
+type place struct {
+	class   Class
+	address netip.Addr
+}
+
+// group has the bytes that an address holds for a workspace.
+type group struct {
+	place
+	workspace string
+}
+
+// NewAccount returns an account with nothing in it.
+func NewAccount(l Limits) *Account {
+	return &Account{limits: l, holders: map[*Holder]struct{}{}, places: map[place]int{}, groups: map[group]int64{}}
+}
+
+// Holder is what one connection holds. All of it ends with Release.
+type Holder struct {
+	account *Account
+	group   group
+	// raw connections have no phases.
+	raw bool
+
+	phase             atomic.Int32
+	phaseAt           atomic.Int64
+	received, movedAt atomic.Int64
+	bodyFrom          atomic.Int64 // received at the begin of the body
+	writeAt           atomic.Int64 // begin of the write in progress; 0 for none
+
+	// The account's mutex guards these.
+	request, head, body int64
+	held, heldAtEnd     int64
+	gone                bool
+	closeConn           func() // ends the connection
+}
+
+// Decision is what the account has decided about a connection.
+type Decision struct {
+	// Closed means that the connection was closed for another one, otherwise it was refused.
+	Closed    bool
+	Class     Class
+	Address   netip.Addr
+	Workspace string
+	Phase     Phase
+	// Held is what the connection held, and Needed what was needed, in bytes; 0 for a place.
+	Held, Needed int64
+	Quiet        time.Duration
+}
+
+// Usage is what is held.
+type Usage struct {
+	Bytes           int64
+	Connections     [classes]int
+	Refused, Closed [classes]int64
+}
+
+// Limits returns the limits of the account.
+func (a *Account) Limits() Limits { return a.limits }
+
+// Usage returns what is held, and how many connections or requests were refused or closed.
+func (a *Account) Usage() Usage {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return Usage{a.used, a.open, a.refused, a.closed}
+}
+
+// Accept charges a new connection. Without a holder it is to be closed at once; the others
+// that are returned are to be closed for it.
+func (a *Account) Accept(now time.Duration, class Class, address netip.Addr) (h *Holder, closed []*Holder) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h = &Holder{account: a, group: group{place: place{class, address}}}
+	h.phaseAt.Store(int64(now))
+	h.movedAt.Store(int64(now))
+	if a.open[class] >= a.limits.Connections[class] {
+		v := a.placeFor(now, h)
+		if v == nil {
+			a.refused[class]++
+			return nil, nil
+		}
+		a.evict(v)
+		closed = append(closed, v)
+	}
+	more, ok := a.makeRoom(now, h, connectionBytes, a.smallLimit(class), true)
+	closed = append(closed, more...)
+	if !ok {
+		a.refused[class]++
+		return nil, closed
+	}
+	a.holders[h] = struct{}{}
+	a.open[class]++
+	a.places[h.group.place]++
+	a.add(h, connectionBytes)
+	return h, closed
+}
+
+// smallLimit is the limit for connections and requests of a class.
+func (a *Account) smallLimit(c Class) int64 {
+	if c == Callers {
+		return int64(callerFraction * float64(a.limits.Account))
+	}
+	return a.limits.Account
+}
+
+// add charges a holder. a.mu must be held.
+func (a *Account) add(h *Holder, bytes int64) {
+	h.held += bytes
+	a.used += bytes
+	if a.groups[h.group] += bytes; a.groups[h.group] == 0 {
+		delete(a.groups, h.group)
+	}
+}
+
+// evict removes a holder that is to be closed. a.mu must be held.
+func (a *Account) evict(h *Holder) {
+	a.closed[h.group.class]++
+	a.remove(h)
+}
+
+// remove ends all charges of a holder. a.mu must be held.
+func (a *Account) remove(h *Holder) {
+	if h.gone {
+		return
+	}
+	h.gone, h.heldAtEnd = true, h.held
+	a.add(h, -h.held)
+	delete(a.holders, h)
+	a.open[h.group.class]--
+	if a.places[h.group.place]--; a.places[h.group.place] == 0 {
+		delete(a.places, h.group.place)
+	}
+}
+
+// placeFor returns the connection whose place a new one gets, or nil. a.mu must be held.
+func (a *Account) placeFor(now time.Duration, h *Holder) *Holder {
+	var best *Holder
+	for v := range a.holders {
+		if v.group.class != h.group.class || !v.waits() && !v.stalled(now) {
+			continue
+		}
+		if v.group.address != h.group.address && a.places[v.group.place] <= a.places[h.group.place]+1 {
+			continue
+		}
+		if best == nil || a.comparePlaces(v, best) < 0 {
+			best = v
+		}
+	}
+	return best
+}
+
+// comparePlaces orders connections by who gives its place first. a.mu must be held.
+func (a *Account) comparePlaces(v, w *Holder) int {
+	return cmp.Or(cmp.Compare(a.places[w.group.place], a.places[v.group.place]), cmp.Compare(v.since(), w.since()))
+}
+
+// since is the time from which a connection counts as waiting.
+func (h *Holder) since() int64 {
+	if Phase(h.phase.Load()) == Quiet {
+		return max(h.phaseAt.Load(), h.movedAt.Load())
+	}
+	return h.phaseAt.Load()
+}
+
+// waits reports whether the connection has no whole head.
+func (h *Holder) waits() bool { return Phase(h.phase.Load()) <= Head }
+
+// stalled reports whether a request keeps its place although it does not move.
+func (h *Holder) stalled(now time.Duration) bool {
+	switch Phase(h.phase.Load()) {
+	case Body:
+		began := time.Duration(h.phaseAt.Load())
+		return now-time.Duration(h.movedAt.Load()) >= stallTime || now-began >= paceTime && h.pace(now) < pressedPace
+	case Exchange:
+		began := time.Duration(h.writeAt.Load())
+		return began > 0 && now-began >= writeStallTime
+	}
+	return false
+}
+
+// pace returns the bytes a second of a body.
+func (h *Holder) pace(now time.Duration) float64 {
+	age := max(now-time.Duration(h.phaseAt.Load()), time.Millisecond)
+	return float64(h.received.Load()-h.bodyFrom.Load()) / age.Seconds()
+}
+
+// makeRoom makes sure that bytes fit below the limit, and returns who has to be closed for it.
+// Connections without a request give way only to small needs. a.mu must be held.
+func (a *Account) makeRoom(now time.Duration, h *Holder, bytes, limit int64, small bool) (closed []*Holder, ok bool) {
+	need := a.used + bytes - limit
+	if need <= 0 {
+		return nil, true
+	}
+	var candidates []*Holder
+	possible := int64(0)
+	own := a.groups[h.group] + bytes
+	for v := range a.holders {
+		if v == h || !v.stalled(now) && !(small && v.waits()) || v.group != h.group && a.groups[v.group] < own {
+			continue
+		}
+		candidates = append(candidates, v)
+		possible += v.held
+	}
+	if possible < need {
+		return nil, false
+	}
+	slices.SortFunc(candidates, func(v, w *Holder) int {
+		return cmp.Or(cmp.Compare(a.groups[w.group], a.groups[v.group]), cmp.Compare(v.pace(now), w.pace(now)), cmp.Compare(v.since(), w.since()))
+	})
+	for _, v := range candidates {
+		if need <= 0 {
+			break
+		}
+		need -= v.held
+		a.evict(v)
+		closed = append(closed, v)
+	}
+	return closed, true
+}
+
+// grow sets one of the charges of a holder.
+func (h *Holder) grow(now time.Duration, charge *int64, size int64, small bool) (closed []*Holder, ok bool) {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if h.gone {
+		return nil, false
+	}
+	added := size - *charge
+	if added > 0 {
+		limit := a.smallLimit(h.group.class)
+		if !small {
+			limit = int64(largeFraction * float64(a.limits.Account))
+		}
+		if closed, ok = a.makeRoom(now, h, added, limit, small); !ok {
+			a.refused[h.group.class]++
+			return nil, false
+		}
+	}
+	a.add(h, added)
+	*charge = size
+	return closed, true
+}
+
+// BeginRequest charges a request whose head has arrived.
+func (h *Holder) BeginRequest(now time.Duration) (closed []*Holder, ok bool) {
+	h.setPhase(now, Exchange)
+	return h.grow(now, &h.request, requestBytes, true)
+}
+
+// GrowHead sets the memory of a head that is larger than usual.
+func (h *Holder) GrowHead(now time.Duration, size int64) (closed []*Holder, ok bool) {
+	return h.grow(now, &h.head, size, true)
+}
+
+// GrowBody sets the memory of the body of the request, without its first buffer.
+func (h *Holder) GrowBody(now time.Duration, size int64) (closed []*Holder, ok bool) {
+	return h.grow(now, &h.body, size, false)
+}
+
+// EndRequest ends the charges of a request; its connection stays.
+func (h *Holder) EndRequest(now time.Duration) {
+	h.setPhase(now, Quiet)
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if h.gone {
+		return
+	}
+	a.add(h, -(h.request + h.head + h.body))
+	h.request, h.head, h.body = 0, 0, 0
+}
+
+// SetWorkspace tells for whom the request is.
+func (h *Holder) SetWorkspace(name string) {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if h.gone || h.group.workspace == name {
+		return
+	}
+	held := h.held
+	a.add(h, -held)
+	h.group.workspace = name
+	a.add(h, held)
+}
+
+// BeginBody and EndBody enclose the arrival of a body.
+func (h *Holder) BeginBody(now time.Duration) {
+	h.bodyFrom.Store(h.received.Load())
+	h.movedAt.Store(int64(now))
+	h.setPhase(now, Body)
+}
+
+// EndBody ends the arrival of a body.
+func (h *Holder) EndBody(now time.Duration) { h.setPhase(now, Exchange) }
+
+// Received counts bytes that have arrived. It reports whether a head begins with them.
+func (h *Holder) Received(now time.Duration, bytes int) {
+	h.received.Add(int64(bytes))
+	h.movedAt.Store(int64(now))
+	if !h.raw && Phase(h.phase.Load()) == Quiet {
+		h.setPhase(now, Head)
+	}
+}
+
+func (h *Holder) setPhase(now time.Duration, p Phase) {
+	h.phaseAt.Store(int64(now))
+	h.phase.Store(int32(p))
+}
+
+// Release ends all charges when the connection ends.
+func (h *Holder) Release() {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.account.remove(h)
+}
+
+// decision describes what was decided about a holder.
+func (h *Holder) decision(now time.Duration, closed bool, needed int64) Decision {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return Decision{Closed: closed, Class: h.group.class, Address: h.group.address, Workspace: h.group.workspace, Phase: Phase(h.phase.Load()),
+		Held: max(h.held, h.heldAtEnd), Needed: needed, Quiet: now - time.Duration(h.movedAt.Load())}
+}
+
+// setClose sets how the connection is ended, and ends it if it has lost its place meanwhile.
+func (h *Holder) setClose(f func()) {
+	h.account.mu.Lock()
+	h.closeConn = f
+	gone := h.gone
+	h.account.mu.Unlock()
+	if gone {
+		f()
+	}
+}
+
+// close ends the connection.
+func (h *Holder) close() {
+	h.account.mu.Lock()
+	f := h.closeConn
+	h.account.mu.Unlock()
+	if f != nil {
+		f()
+	}
+}
--- /dev/null
+++ b/internal/intake/account_test.go
@@ -0,0 +1,205 @@
+package intake
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+)
+
+var (
+	here  = netip.MustParseAddr("127.0.0.1")
+	there = netip.MustParseAddr("127.0.0.2")
+)
+
+func account(bytes int64, connections int) *Account {
+	return NewAccount(Limits{Account: bytes, Connections: [classes]int{connections, connections, connections}})
+}
+
+// open accepts a connection of callers, which must get a place.
+func open(t *testing.T, a *Account, now time.Duration, address netip.Addr) (*Holder, []*Holder) {
+	t.Helper()
+	h, closed := a.Accept(now, Callers, address)
+	if h == nil {
+		t.Fatal("a connection is refused")
+	}
+	return h, closed
+}
+
+// body begins a request with a body that has size bytes in memory.
+func body(t *testing.T, h *Holder, now time.Duration, workspace string, size int64) (closed []*Holder, ok bool) {
+	t.Helper()
+	if _, ok := h.BeginRequest(now); !ok {
+		return nil, false
+	}
+	h.SetWorkspace(workspace)
+	h.BeginBody(now)
+	h.Received(now, int(size))
+	return h.GrowBody(now, size)
+}
+
+// Load: more connections than places, most of them idle.
+func TestPlaces(t *testing.T) {
+	a := account(1<<30, 10)
+	var crowd []*Holder
+	for i := range 10 {
+		h, _ := open(t, a, time.Duration(i), here)
+		crowd = append(crowd, h)
+	}
+	crowd[0].Received(20, 1) // its head has begun, later than the accept of the others
+	if _, closed := open(t, a, 30, there); !slices.Equal(closed, crowd[1:2]) {
+		t.Errorf("closed %v, want the one that has been idle for longest", closed)
+	}
+	if _, closed := open(t, a, 31, here); !slices.Equal(closed, crowd[2:3]) {
+		t.Errorf("closed %v for the crowd itself", closed)
+	}
+	if h, closed := a.Accept(32, Hosts, here); h == nil || closed != nil {
+		t.Error("callers take the places of hosts")
+	}
+	if u := a.Usage(); u.Connections != [classes]int{10, 1, 0} || u.Closed[Callers] != 2 {
+		t.Errorf("%+v", u)
+	}
+}
+
+// Load: connections of one address that take all places, one after another, beside a caller
+// with few of another address that keeps its connections.
+func TestCrowdKeepsToItself(t *testing.T) {
+	a := account(1<<30, 10)
+	var calm []*Holder
+	for range 3 {
+		h, _ := open(t, a, 0, there)
+		calm = append(calm, h)
+	}
+	for i := range 100 {
+		if _, closed := open(t, a, time.Duration(i+1), here); slices.ContainsFunc(closed, func(h *Holder) bool { return slices.Contains(calm, h) }) {
+			t.Fatalf("connection %d of the crowd closes one of another address", i)
+		}
+	}
+}
+
+// Load: bodies that stop just short of their end, with all memory for bodies.
+func TestStalledBodiesGiveWay(t *testing.T) {
+	a := account(10<<20, 100)
+	var crowd []*Holder
+	for i := range 20 {
+		h, _ := open(t, a, 0, here)
+		if _, ok := body(t, h, time.Duration(i)*time.Millisecond, "w", 1<<20); ok {
+			crowd = append(crowd, h)
+		}
+	}
+	if len(crowd) != 7 {
+		t.Fatalf("%d bodies of 1 MiB fit into three quarters of 10 MiB", len(crowd))
+	}
+	early, _ := open(t, a, 100*time.Millisecond, here)
+	if closed, ok := body(t, early, 100*time.Millisecond, "w", 1<<20); ok || closed != nil {
+		t.Error("a body that has just arrived gives way")
+	}
+	if _, ok := body(t, early, 100*time.Millisecond, "w", 0); !ok {
+		t.Error("no memory is left for small requests")
+	}
+	crowd[3].Received(4*time.Second, 1<<20) // faster than the others
+	late, _ := open(t, a, 5*time.Second, here)
+	closed, ok := body(t, late, 5*time.Second, "w", 5<<20)
+	if !ok || len(closed) < 5 || slices.Contains(closed, crowd[3]) {
+		t.Errorf("closed %d, done %v; the fastest goes: %v", len(closed), ok, slices.Contains(closed, crowd[3]))
+	}
+}
+
+// Load: many bodies of one workspace beside few of another one at the same address.
+func TestWorkspaceKeepsToItself(t *testing.T) {
+	a := account(10<<20, 100)
+	calm, _ := open(t, a, 0, here)
+	if _, ok := body(t, calm, 0, "calm", 1<<20); !ok {
+		t.Fatal("no memory")
+	}
+	for i := range 50 {
+		now := time.Duration(i) * time.Second
+		h, _ := open(t, a, now, here)
+		if closed, _ := body(t, h, now, "crowd", 1<<20); slices.Contains(closed, calm) {
+			t.Fatalf("body %d of the crowd closes that of another workspace", i)
+		}
+	}
+}
+
+// Guards against charges that are lost or stay, whatever the order of events, and against
+// more memory or places than the limits.
+func TestRandomEvents(t *testing.T) {
+	for seed := range uint64(200) {
+		r := rand.New(rand.NewPCG(seed, 44))
+		a := account(4<<20, 20)
+		var live []*Holder
+		drop := func(closed []*Holder) {
+			live = slices.DeleteFunc(live, func(h *Holder) bool { return slices.Contains(closed, h) })
+		}
+		for step := range 400 {
+			now := time.Duration(step) * 50 * time.Millisecond
+			if len(live) == 0 || r.IntN(3) == 0 {
+				h, closed := a.Accept(now, Class(r.IntN(int(classes))), netip.AddrFrom4([4]byte{127, 0, 0, byte(r.IntN(4))}))
+				drop(closed)
+				if h != nil {
+					live = append(live, h)
+				}
+				continue
+			}
+			h := live[r.IntN(len(live))]
+			var closed []*Holder
+			switch r.IntN(7) {
+			case 0:
+				closed, _ = h.BeginRequest(now)
+			case 1:
+				h.SetWorkspace(fmt.Sprint(r.IntN(3)))
+			case 2:
+				h.BeginBody(now)
+				closed, _ = h.GrowBody(now, r.Int64N(2<<20))
+			case 3:
+				closed, _ = h.GrowHead(now, r.Int64N(64<<10))
+			case 4:
+				h.EndRequest(now)
+			case 5:
+				h.Received(now, r.IntN(100))
+			case 6:
+				h.Release()
+				h.Release()
+				closed = []*Holder{h}
+			}
+			drop(closed)
+			held := int64(0)
+			for _, h := range live {
+				held += h.held
+			}
+			if u := a.Usage(); u.Bytes != held || held > 4<<20 || slices.Max(u.Connections[:]) > 20 || len(live) != u.Connections[0]+u.Connections[1]+u.Connections[2] {
+				t.Fatalf("seed %d, step %d: %+v, %d bytes in %d connections", seed, step, u, held, len(live))
+			}
+		}
+		for _, h := range live {
+			h.Release()
+		}
+		if u := a.Usage(); u.Bytes != 0 || len(a.groups) != 0 || len(a.places) != 0 {
+			t.Fatalf("seed %d: %+v is left", seed, u)
+		}
+	}
+}
+
+// Guards against limits that exceed the memory or the descriptors, and against a largest body
+// that a small machine cannot take: while it grows there are two buffers of it.
+func TestLimits(t *testing.T) {
+	for _, c := range []struct {
+		memoryMB, descriptors int
+		body                  int64
+	}{{136, 2870, 4 << 20}, {136, 2870, 8 << 20}, {280, 4096, 3 << 20}, {414, 6150, 8 << 20}, {40, 1000, 1 << 20}} {
+		l := LimitsFor(int64(c.memoryMB)<<20, c.descriptors, 0)
+		if l.Account+l.Responses >= int64(CollectorFraction*float64(l.Memory)) {
+			t.Errorf("%+v: the collector's limit leaves no memory for the state: %+v", c, l)
+		}
+		if sum := 2*l.Connections[Callers] + 2*l.Connections[Hosts] + l.Connections[Operators]; sum > c.descriptors-ownDescriptors {
+			t.Errorf("%+v: %d descriptors with one connection to a target for each request", c, sum)
+		}
+		a := NewAccount(l)
+		h, _ := a.Accept(0, Callers, here)
+		if _, ok := body(t, h, 0, "w", c.body/2+c.body); !ok {
+			t.Errorf("%+v: no memory for a body", c)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,6 +50,7 @@
 	Control  Control  `toml:"control"`
 	Security Security `toml:"security"`
 	Policy   Policy   `toml:"policy"`
+	Limits   Limits   `toml:"limits"`
 	// Hosts lists the hosts of the fleet that are known at the start of this one; it
 	// need not list all. The voters must be among them.
 	Hosts []Host `toml:"hosts"`
@@ -69,6 +70,16 @@
 	Voters []string `toml:"voters"`
 }
 
+// Limits bound what others make the process hold.
+type Limits struct {
+	// MemoryMB is the memory that the process may use; 0 means that of the machine. When the
+	// configuration is a document, deployment.memory_mb has it.
+	MemoryMB int `toml:"memory_mb"`
+	// Connections is the number of connections of callers; 0 means what memory and
+	// descriptors allow.
+	Connections int `toml:"connections"`
+}
+
 // Policy selects the routing policies. The defaults are for production; the others
 // are baselines for measurements.
 type Policy struct {
@@ -182,6 +193,9 @@
 func (s *Settings) validate() []string {
 	var out []string
 	fail := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
+	if s.Limits.MemoryMB < 0 || s.Limits.Connections < 0 || s.Deployment.MemoryMB < 0 {
+		fail("limits.memory_mb, limits.connections and deployment.memory_mb must not be negative")
+	}
 	switch s.Configuration {
 	case SourceDocument:
 		s.checkDeployment(fail)
