--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -85,7 +85,8 @@
 	request, head, body int64
 	held, heldAtEnd     int64
 	gone                bool
-	closeConn           func() // ends the connection
+	closeConn           func()      // ends the connection
+	unread              func() bool // reports whether bytes of the caller wait to be read
 }
 
 // Decision is what the account has decided about a connection.
@@ -218,12 +219,15 @@
 // waits reports whether the connection has no whole head.
 func (h *Holder) waits() bool { return Phase(h.phase.Load()) <= Head }
 
-// stalled reports whether a request keeps its place although it does not move.
+// stalled reports whether a request keeps its place although it does not move. The account's
+// mutex must be held.
 func (h *Holder) stalled(now time.Duration) bool {
 	switch Phase(h.phase.Load()) {
 	case Body:
 		began := time.Duration(h.phaseAt.Load())
-		return now-time.Duration(h.movedAt.Load()) >= stallTime || now-began >= paceTime && h.pace(now) < pressedPace
+		slow := now-time.Duration(h.movedAt.Load()) >= stallTime || now-began >= paceTime && h.pace(now) < pressedPace
+		// While this process stands still, or has no processor, its callers are not slow.
+		return slow && (h.unread == nil || !h.unread())
 	case Exchange:
 		began := time.Duration(h.writeAt.Load())
 		return began > 0 && now-began >= writeStallTime
@@ -378,10 +382,11 @@
 		Held: max(h.held, h.heldAtEnd), Needed: needed, Quiet: now - time.Duration(h.movedAt.Load())}
 }
 
-// setClose sets how the connection is ended, and ends it if it has lost its place meanwhile.
-func (h *Holder) setClose(f func()) {
+// attach sets how the connection is ended, and how to find out whether bytes wait in it. It
+// ends a connection that has lost its place meanwhile.
+func (h *Holder) attach(f func(), unread func() bool) {
 	h.account.mu.Lock()
-	h.closeConn = f
+	h.closeConn, h.unread = f, unread
 	gone := h.gone
 	h.account.mu.Unlock()
 	if gone {
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -7,10 +7,13 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+
+	"geraniumturn.example/geraniumturn/internal/sockets"
 )
 
 const (
@@ -95,7 +98,10 @@
 		return nil
 	}
 	h.raw = noPhases
-	h.setClose(func() { abort(raw) })
+	h.attach(func() { abort(raw) }, func() bool {
+		c, ok := raw.(syscall.Conn)
+		return ok && sockets.Peek(c) == sockets.Data
+	})
 	return &Conn{Conn: raw, gate: g, holder: h}
 }
 
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -44,15 +44,25 @@
 
 	// ownDescriptors are not for connections.
 	ownDescriptors = 200
-	// The parts of the other descriptors that each class may use. A request of a caller or
-	// of another host may need a second one, for the connection to its target.
-	callerDescriptors, hostDescriptors, operatorDescriptors = 0.3, 0.14, 0.12
 	// callerConnectionMemory is the part of the account that connections of callers may use.
 	callerConnectionMemory = 0.6
 
 	// connectionBytes and requestBytes are what a connection and its request take at least:
 	// goroutines, buffers of the HTTP server, and the first buffers of body and response.
-	connectionBytes, requestBytes = 20 << 10, 24 << 10
+	connectionBytes, requestBytes = 20 << 10, 44 << 10
+)
+
+// Shares are the parts of the descriptors, without those of the process itself, that the
+// connections of each class may use.
+type Shares [classes]float64
+
+var (
+	// EntryShares leave a second descriptor for each request of a caller or another host, for
+	// the connection to its target.
+	EntryShares = Shares{Callers: 0.3, Hosts: 0.17, Operators: 0.06}
+	// ControlShares are those of a host that sends no requests to targets. Each host of the
+	// deployment has several connections to it.
+	ControlShares = Shares{Callers: 0.15, Hosts: 0.55, Operators: 0.25}
 )
 
 // Limits are the limits of a process.
@@ -69,14 +79,14 @@
 
 // LimitsFor returns the limits for a memory in bytes and a number of descriptors.
 // connections is the number of connections of callers; 0 means what both allow.
-func LimitsFor(memory int64, descriptors, connections int) Limits {
+func LimitsFor(memory int64, descriptors, connections int, shares Shares) Limits {
 	part := func(of float64) int64 { return int64(of * float64(memory)) }
 	l := Limits{Memory: memory, Account: part(accountFraction), Responses: min(max(part(responseFraction), minResponseBytes), maxResponseBytes)}
 	free := float64(descriptors - min(ownDescriptors, descriptors/2))
 	if connections == 0 {
-		connections = int(min(callerDescriptors*free, callerConnectionMemory*float64(l.Account)/connectionBytes))
+		connections = int(min(shares[Callers]*free, callerConnectionMemory*float64(l.Account)/connectionBytes))
 	}
-	l.Connections = [classes]int{max(1, connections), max(1, int(hostDescriptors*free)), max(1, int(operatorDescriptors*free))}
+	l.Connections = [classes]int{max(1, connections), max(1, int(shares[Hosts]*free)), max(1, int(shares[Operators]*free))}
 	return l
 }
 
