--- a/internal/crowd/process_test.go
+++ b/internal/crowd/process_test.go
@@ -138,6 +138,7 @@
 	now, peak, open := p.settle()
 	err := ordinary()
 	for end := time.Now().Add(callerTimeout); errors.Is(err, errUnavailable) && time.Now().Before(end); err = ordinary() {
+		p.t.Logf("%s: an ordinary request: %v", p.name, err)
 		time.Sleep(retryDelay)
 	}
 	select {
--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -43,6 +43,7 @@
 
 	mu      sync.Mutex
 	used    int64
+	bodies  int64 // the part of used for bodies
 	open    [classes]int
 	holders map[*Holder]struct{}
 	places  map[place]int
@@ -136,7 +137,7 @@
 		a.evict(v)
 		closed = append(closed, v)
 	}
-	more, ok := a.makeRoom(now, h, connectionBytes, a.smallLimit(class), true)
+	more, ok := a.makeRoom(now, h, need{bytes: connectionBytes})
 	closed = append(closed, more...)
 	if !ok {
 		a.refused[class]++
@@ -149,8 +150,8 @@
 	return h, closed
 }
 
-// smallLimit is the limit for connections and requests of a class.
-func (a *Account) smallLimit(c Class) int64 {
+// limitOf is the limit of all charges for a new one of a class.
+func (a *Account) limitOf(c Class) int64 {
 	if c == Callers {
 		return int64(callerFraction * float64(a.limits.Account))
 	}
@@ -179,6 +180,7 @@
 	}
 	h.gone, h.heldAtEnd = true, h.held
 	a.add(h, -h.held)
+	a.bodies -= h.body
 	delete(a.holders, h)
 	a.open[h.group.class]--
 	if a.places[h.group.place]--; a.places[h.group.place] == 0 {
@@ -241,60 +243,70 @@
 	return float64(h.received.Load()-h.bodyFrom.Load()) / age.Seconds()
 }
 
-// makeRoom makes sure that bytes fit below the limit, and returns who has to be closed for it.
-// Connections without a request give way only to small needs. a.mu must be held.
-func (a *Account) makeRoom(now time.Duration, h *Holder, bytes, limit int64, small bool) (closed []*Holder, ok bool) {
-	need := a.used + bytes - limit
-	if need <= 0 {
+// need is what a new charge takes: bytes in all, of which body is for bodies.
+type need struct{ bytes, body int64 }
+
+// makeRoom makes sure that a charge fits, and returns who has to be closed for it. a.mu must be
+// held.
+func (a *Account) makeRoom(now time.Duration, h *Holder, n need) (closed []*Holder, ok bool) {
+	total := a.used + n.bytes - a.limitOf(h.group.class)
+	bodies := int64(0)
+	if n.body > 0 {
+		bodies = a.bodies + n.body - int64(largeFraction*float64(a.limits.Account))
+	}
+	if total <= 0 && bodies <= 0 {
 		return nil, true
 	}
 	var candidates []*Holder
-	possible := int64(0)
-	own := a.groups[h.group] + bytes
+	own := a.groups[h.group] + n.bytes
 	for v := range a.holders {
-		if v == h || !v.stalled(now) && !(small && v.waits()) || v.group != h.group && a.groups[v.group] < own {
-			continue
+		if v != h && (v.waits() || v.stalled(now)) && (v.group == h.group || a.groups[v.group] >= own) {
+			candidates = append(candidates, v)
 		}
-		candidates = append(candidates, v)
-		possible += v.held
-	}
-	if possible < need {
-		return nil, false
 	}
 	slices.SortFunc(candidates, func(v, w *Holder) int {
 		return cmp.Or(cmp.Compare(a.groups[w.group], a.groups[v.group]), cmp.Compare(v.pace(now), w.pace(now)), cmp.Compare(v.since(), w.since()))
 	})
-	for _, v := range candidates {
-		if need <= 0 {
-			break
-		}
-		need -= v.held
+	chosen := func(useful func(v *Holder) bool) {
+		candidates = slices.DeleteFunc(candidates, func(v *Holder) bool {
+			if !useful(v) {
+				return false
+			}
+			closed, total, bodies = append(closed, v), total-v.held, bodies-v.body
+			return true
+		})
+	}
+	chosen(func(v *Holder) bool { return bodies > 0 && v.body > 0 })
+	chosen(func(*Holder) bool { return total > 0 })
+	if total > 0 || bodies > 0 {
+		return nil, false
+	}
+	for _, v := range closed {
 		a.evict(v)
-		closed = append(closed, v)
 	}
 	return closed, true
 }
 
 // grow sets one of the charges of a holder.
-func (h *Holder) grow(now time.Duration, charge *int64, size int64, small bool) (closed []*Holder, ok bool) {
+func (h *Holder) grow(now time.Duration, charge *int64, size int64) (closed []*Holder, ok bool) {
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if h.gone {
 		return nil, false
 	}
-	added := size - *charge
-	if added > 0 {
-		limit := a.smallLimit(h.group.class)
-		if !small {
-			limit = int64(largeFraction * float64(a.limits.Account))
-		}
-		if closed, ok = a.makeRoom(now, h, added, limit, small); !ok {
+	added := need{bytes: size - *charge}
+	if charge == &h.body {
+		added.body = added.bytes
+	}
+	if added.bytes > 0 {
+		if closed, ok = a.makeRoom(now, h, added); !ok {
 			a.refused[h.group.class]++
 			return nil, false
 		}
 	}
-	a.add(h, added)
+	a.add(h, added.bytes)
+	a.bodies += added.body
 	*charge = size
 	return closed, true
 }
@@ -302,17 +314,17 @@
 // BeginRequest charges a request whose head has arrived.
 func (h *Holder) BeginRequest(now time.Duration) (closed []*Holder, ok bool) {
 	h.setPhase(now, Exchange)
-	return h.grow(now, &h.request, requestBytes, true)
+	return h.grow(now, &h.request, requestBytes)
 }
 
 // GrowHead sets the memory of a head that is larger than usual.
 func (h *Holder) GrowHead(now time.Duration, size int64) (closed []*Holder, ok bool) {
-	return h.grow(now, &h.head, size, true)
+	return h.grow(now, &h.head, size)
 }
 
 // GrowBody sets the memory of the body of the request, without its first buffer.
 func (h *Holder) GrowBody(now time.Duration, size int64) (closed []*Holder, ok bool) {
-	return h.grow(now, &h.body, size, false)
+	return h.grow(now, &h.body, size)
 }
 
 // EndRequest ends the charges of a request; its connection stays.
@@ -325,6 +337,7 @@
 		return
 	}
 	a.add(h, -(h.request + h.head + h.body))
+	a.bodies -= h.body
 	h.request, h.head, h.body = 0, 0, 0
 }
 
--- a/internal/intake/account_test.go
+++ b/internal/intake/account_test.go
@@ -121,6 +121,18 @@
 	}
 }
 
+// Load: idle connections that take all memory of the account, and one request with a body.
+func TestIdleConnectionsGiveWayToBodies(t *testing.T) {
+	a := account(100*connectionBytes, 1000)
+	for i := range 200 {
+		open(t, a, time.Duration(i), here)
+	}
+	h, _ := open(t, a, time.Second, there)
+	if closed, ok := body(t, h, time.Second, "w", 10*connectionBytes); !ok || len(closed) < 9 {
+		t.Errorf("closed %d, done %v", len(closed), ok)
+	}
+}
+
 // Load: many bodies of one workspace beside few of another one at the same address.
 func TestWorkspaceKeepsToItself(t *testing.T) {
 	a := account(10<<20, 100)
@@ -183,14 +195,18 @@
 			for _, h := range live {
 				held += h.held
 			}
-			if u := a.Usage(); u.Bytes != held || held > 4<<20 || slices.Max(u.Connections[:]) > 20 || len(live) != u.Connections[0]+u.Connections[1]+u.Connections[2] {
+			bodies := int64(0)
+			for _, h := range live {
+				bodies += h.body
+			}
+			if u := a.Usage(); u.Bytes != held || a.bodies != bodies || bodies > 3<<20 || held > 4<<20 || slices.Max(u.Connections[:]) > 20 || len(live) != u.Connections[0]+u.Connections[1]+u.Connections[2] {
 				t.Fatalf("seed %d, step %d: %+v, %d bytes in %d connections", seed, step, u, held, len(live))
 			}
 		}
 		for _, h := range live {
 			h.Release()
 		}
-		if u := a.Usage(); u.Bytes != 0 || len(a.groups) != 0 || len(a.places) != 0 {
+		if u := a.Usage(); u.Bytes != 0 || a.bodies != 0 || len(a.groups) != 0 || len(a.places) != 0 {
 			t.Fatalf("seed %d: %+v is left", seed, u)
 		}
 	}
