shares: what an ended process of a host held is free at once

Cause: the allocator kept the fractions of a rate that a killed process held until its lease had expired, so for up to 6 s after all hosts were killed the hosts that hold the rates then got nothing of them and callers were refused within their rates. Change: reports name the process; the first report of a later process of the host frees what the earlier one held, and late reports of the earlier one get nothing.

--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -165,9 +165,9 @@
 // demandsOf returns what an entry host reports of its part of shared limits.
 func demandsOf(in *syncpb.ExchangeRequest) *syncpb.HostDemands {
 	h := in.GetHost()
-	out := &syncpb.HostDemands{Host: h.GetName(), Demands: in.GetDemands(), UptimeMs: in.GetUptimeMs()}
+	out := &syncpb.HostDemands{Host: h.GetName(), Demands: in.GetDemands(), UptimeMs: in.GetUptimeMs(), Started: h.GetStarted()}
 	if h.GetPaceLease() {
-		out.Region, out.Started, out.Partitions = h.GetRegion(), h.GetStarted(), in.GetPartitions()
+		out.Region, out.Partitions = h.GetRegion(), in.GetPartitions()
 	}
 	return out
 }
@@ -255,11 +255,12 @@
 		in[i] = shares.Demand{Workspace: w.GetWorkspace(), PerSecond: w.GetPerSecond(), HeldFraction: w.GetHeld(), Released: w.GetReleased()}
 	}
 	out := &syncpb.HostGrants{Host: d.GetHost(), AgeMs: d.GetAgeMs(), Started: d.GetStarted()}
-	for _, g := range s.allocator.Report(now, d.GetHost(), time.Duration(d.GetUptimeMs())*time.Millisecond, in) {
+	holder := shares.Holder{Host: d.GetHost(), StartMillis: d.GetStarted()}
+	for _, g := range s.allocator.Report(now, holder, time.Duration(d.GetUptimeMs()+d.GetAgeMs())*time.Millisecond, in) {
 		out.Grants = append(out.Grants, &syncpb.Grant{Workspace: g.Workspace, Fraction: g.Fraction, Unspent: g.Unspent})
 	}
 	if d.GetRegion() != "" && !s.Presence.lacksPaceLease(now, d.GetRegion()) {
-		out.Partitions = uint64(s.partitions.Report(now, d.GetRegion(), shares.Holder{Host: d.GetHost(), StartMillis: d.GetStarted()}, shares.PartitionSet(d.GetPartitions())))
+		out.Partitions = uint64(s.partitions.Report(now, d.GetRegion(), holder, shares.PartitionSet(d.GetPartitions())))
 	}
 	return out
 }
--- a/internal/shares/allocator.go
+++ b/internal/shares/allocator.go
@@ -54,14 +54,21 @@
 	reserved   float64
 	granted    float64
 	reportedAt time.Duration
-	// uptime is that of the last report. unspent is the fraction of the burst that the
-	// process that sent it was told is unspent, and acknowledged whether it has reported a
-	// fraction since.
-	uptime       time.Duration
+	// unspent is the fraction of the burst that the host was told is unspent, and
+	// acknowledged whether it has reported a fraction since.
 	unspent      float64
 	acknowledged bool
 }
 
+// hostProcess is the newest process of a host that has reported.
+type hostProcess struct {
+	startMillis int64
+	startedAt   time.Duration // on the allocator's clock
+	reportedAt  time.Duration
+	// isRestart means that an earlier process of the host has reported as well.
+	isRestart bool
+}
+
 // Allocator divides the rates of workspaces among hosts. Invariant: for each workspace
 // the reserved fractions of all hosts add up to at most 1.
 type Allocator struct {
@@ -72,6 +79,7 @@
 	// allocator was not started together with the whole system, so hosts may hold
 	// fractions from an earlier allocator.
 	systemWasRunning bool
+	processes        map[string]*hostProcess            // by host
 	holders          map[string]map[string]*holderState // by workspace, then host
 	// unspent is the sum of the fractions of the burst that hosts were told are unspent.
 	unspent map[string]float64
@@ -81,34 +89,60 @@
 // keeps a reserve, because hosts that have not reported yet may hold a fraction from an
 // earlier allocator.
 func NewAllocator(now time.Duration, regions int) *Allocator {
-	return &Allocator{startedAt: now, regions: regions, holders: map[string]map[string]*holderState{}, unspent: map[string]float64{}}
+	return &Allocator{startedAt: now, regions: regions, processes: map[string]*hostProcess{},
+		holders: map[string]map[string]*holderState{}, unspent: map[string]float64{}}
 }
 
-// Report processes the demands of a host and returns its grants. uptime is the uptime
-// of the host's process.
-func (a *Allocator) Report(now time.Duration, host string, uptime time.Duration, demands []Demand) []Grant {
+// Report processes the demands of a process that has run for uptime, and returns its grants.
+// Reports of a process that the host has replaced get none.
+func (a *Allocator) Report(now time.Duration, h Holder, uptime time.Duration, demands []Demand) []Grant {
 	if uptime > maxFreshUptime {
 		a.systemWasRunning = true
 	}
+	if !a.observeProcess(now, h, now-uptime) {
+		return nil
+	}
 	grants := make([]Grant, 0, len(demands))
 	for _, d := range demands {
-		fraction := a.grant(now, host, d)
-		grants = append(grants, Grant{Workspace: d.Workspace, Fraction: fraction, Unspent: a.markUnspent(host, uptime, d, fraction)})
+		fraction := a.grant(now, h.Host, d)
+		grants = append(grants, Grant{Workspace: d.Workspace, Fraction: fraction, Unspent: a.markUnspent(h.Host, d, fraction)})
 	}
 	return grants
 }
 
+// observeProcess reports whether the process is the newest one of its host. What an earlier
+// one held is free at once, without waiting for the end of its lease. The order of processes
+// follows from their uptimes, because the clock of their start times may have been set. A
+// report that was delayed for longer than its process ran seems to be of a later one, so a
+// process that has been silent for a lease does not keep others out.
+func (a *Allocator) observeProcess(now time.Duration, h Holder, startedAt time.Duration) bool {
+	p := a.processes[h.Host]
+	switch {
+	case p == nil:
+		a.processes[h.Host] = &hostProcess{startMillis: h.StartMillis, startedAt: startedAt, reportedAt: now}
+	case p.startMillis == h.StartMillis:
+		p.startedAt = min(p.startedAt, startedAt) // the report with the least delay
+		p.reportedAt = now
+	case startedAt < p.startedAt && now-p.reportedAt <= LeaseDuration:
+		return false
+	default:
+		*p = hostProcess{startMillis: h.StartMillis, startedAt: startedAt, reportedAt: now, isRestart: true}
+		for _, holders := range a.holders {
+			delete(holders, h.Host)
+		}
+	}
+	return true
+}
+
 // markUnspent reports whether the granted fraction of the burst is unspent. It is for the
 // first holders after a start of the whole system, up to the whole burst, and never for a
 // later process of a host: the one before may have spent it.
-func (a *Allocator) markUnspent(host string, uptime time.Duration, d Demand, fraction float64) bool {
+func (a *Allocator) markUnspent(host string, d Demand, fraction float64) bool {
 	h := a.holders[d.Workspace][host]
-	if h == nil || a.systemWasRunning {
+	if h == nil || a.systemWasRunning || a.processes[host].isRestart {
 		return false
 	}
-	isRestarted := uptime < h.uptime
-	h.uptime = uptime
-	h.acknowledged = h.acknowledged || isRestarted || d.HeldFraction > 0
+	h.acknowledged = h.acknowledged || d.HeldFraction > 0
 	switch {
 	case h.acknowledged || fraction == 0:
 		return false
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -18,10 +18,15 @@
 
 // Guards against fractions that add up to more than 1, with which the hosts would
 // together exceed the rate. Hosts join, lose contact and restart; a fraction counts until
-// its lease has expired.
+// its lease has expired or its process has ended. The last report of an ended process may
+// arrive behind the first one of the next.
 func TestAllocatorGrantsAtMostOne(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		type host struct{ fraction, leaseEnd float64 }
+		type host struct {
+			fraction, leaseEnd float64
+			shares.Holder
+			startedAt time.Duration
+		}
 		now := 100 * second
 		a := shares.NewAllocator(now, 3)
 		hosts := map[string]*host{}
@@ -30,14 +35,24 @@
 			name := fmt.Sprint("h", rapid.IntRange(0, 4).Draw(t, "host"))
 			h := hosts[name]
 			if h == nil {
-				h = &host{}
+				h = &host{Holder: shares.Holder{Host: name}}
 				hosts[name] = h
 			}
-			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 || now.Seconds() >= h.leaseEnd {
+			if now.Seconds() >= h.leaseEnd {
 				h.fraction = 0
 			}
 			demand := rapid.Float64Range(0, 1000).Draw(t, "demand")
-			granted := a.Report(now, name, time.Hour, []shares.Demand{{Workspace: "w", PerSecond: demand, HeldFraction: h.fraction}})[0].Fraction
+			report := []shares.Demand{{Workspace: "w", PerSecond: demand, HeldFraction: h.fraction}}
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				late, lateUptime := h.Holder, now-h.startedAt
+				h.StartMillis, h.startedAt, h.fraction = rapid.Int64Range(1, 1e9).Draw(t, "start"), now, 0
+				if rapid.Bool().Draw(t, "late") {
+					a.Report(now, h.Holder, 0, nil)
+					a.Report(now, late, lateUptime, report)
+				}
+				report[0].HeldFraction = 0
+			}
+			granted := a.Report(now, h.Holder, now-h.startedAt, report)[0].Fraction
 			if rapid.IntRange(0, 5).Draw(t, "lost") == 0 {
 				continue // the response is lost: the host keeps its fraction until its lease expires
 			}
@@ -61,17 +76,17 @@
 func TestAllocatorAfterLeaderChange(t *testing.T) {
 	demand := []shares.Demand{{Workspace: "w", PerSecond: 10}}
 	a := shares.NewAllocator(0, 1)
-	if got := a.Report(100*ms, "a", time.Minute, demand)[0].Fraction; got != 0 {
+	if got := a.Report(100*ms, shares.Holder{Host: "a"}, time.Minute, demand)[0].Fraction; got != 0 {
 		t.Errorf("%.2f granted before all hosts in contact could report", got)
 	}
-	if got := a.Report(2*second, "a", time.Minute, demand)[0].Fraction; got > 0.65+1e-9 || got <= 0 {
+	if got := a.Report(2*second, shares.Holder{Host: "a"}, time.Minute, demand)[0].Fraction; got > 0.65+1e-9 || got <= 0 {
 		t.Errorf("%.2f granted while leases of an earlier allocator may be valid", got)
 	}
-	if got := a.Report(6*second, "a", time.Minute, demand)[0].Fraction; got != 1 {
+	if got := a.Report(6*second, shares.Holder{Host: "a"}, time.Minute, demand)[0].Fraction; got != 1 {
 		t.Errorf("%.2f granted after all earlier leases have expired", got)
 	}
 	fresh := shares.NewAllocator(0, 1)
-	if got := fresh.Report(100*ms, "a", second, demand)[0].Fraction; got != 1 {
+	if got := fresh.Report(100*ms, shares.Holder{Host: "a"}, second, demand)[0].Fraction; got != 1 {
 		t.Errorf("%.2f granted after a start of the whole system", got)
 	}
 }
@@ -85,7 +100,7 @@
 	for now, step := 100*ms, 0; step < 12; now, step = now+200*ms, step+1 {
 		for _, host := range []string{"a", "b", "c"} {
 			demand := map[string]float64{"a": 80, "b": 10, "c": 10}[host]
-			fractions[host] = a.Report(now, host, now, []shares.Demand{{Workspace: "w", PerSecond: demand, HeldFraction: fractions[host]}})[0].Fraction
+			fractions[host] = a.Report(now, shares.Holder{Host: host}, now, []shares.Demand{{Workspace: "w", PerSecond: demand, HeldFraction: fractions[host]}})[0].Fraction
 			if fractions[host] < 0.15 {
 				t.Errorf("host %s holds %.2f at %s", host, fractions[host], now)
 			}
@@ -97,20 +112,58 @@
 	// The share of a region that stays down goes to the others.
 	single := shares.NewAllocator(0, 3)
 	for now := 100 * ms; now < 3*second; now += 200 * ms {
-		fractions["a"] = single.Report(now, "a", now, []shares.Demand{{Workspace: "w", PerSecond: 80, HeldFraction: fractions["a"]}})[0].Fraction
+		fractions["a"] = single.Report(now, shares.Holder{Host: "a"}, now, []shares.Demand{{Workspace: "w", PerSecond: 80, HeldFraction: fractions["a"]}})[0].Fraction
 	}
 	if fractions["a"] != 1 {
 		t.Errorf("the only region holds %.2f after 3 s", fractions["a"])
 	}
 }
 
+// Load: all hosts are killed and start again under one leader. Guards against requests that
+// are refused until the leases of the ended processes expire.
+func TestAllocatorAfterRestartOfHosts(t *testing.T) {
+	a := shares.NewAllocator(0, 2)
+	demand := []shares.Demand{{Workspace: "w", PerSecond: 10}}
+	for now := 10 * second; now < 13*second; now += 200 * ms {
+		for _, host := range []string{"a1", "b1"} { // the holder of each region
+			a.Report(now, shares.Holder{Host: host, StartMillis: 1}, now, demand)
+		}
+	}
+	// Other hosts hold the shares of the regions now; those of before have no demand.
+	for _, host := range []string{"a1", "b1"} {
+		a.Report(13500*ms, shares.Holder{Host: host, StartMillis: 2}, 100*ms, nil)
+	}
+	sum := 0.0
+	for _, host := range []string{"a2", "b2"} {
+		sum += a.Report(13500*ms, shares.Holder{Host: host, StartMillis: 2}, 100*ms, demand)[0].Fraction
+	}
+	if sum < 0.99 {
+		t.Errorf("the started hosts hold %.2f of the rate", sum)
+	}
+}
+
+// Guards against a host that gets nothing for good, because a delayed report of a process
+// that ran for a shorter time than the delay was taken for that of a later one.
+func TestAllocatorAfterDelayedReport(t *testing.T) {
+	a := shares.NewAllocator(0, 1)
+	demand := []shares.Demand{{Workspace: "w", PerSecond: 10}}
+	a.Report(20*second, shares.Holder{Host: "a", StartMillis: 1}, 500*ms, demand) // sent 4 s ago
+	var got []shares.Grant
+	for now := 20 * second; now < 27*second; now += 200 * ms {
+		got = a.Report(now, shares.Holder{Host: "a", StartMillis: 2}, now-16*second, demand)
+	}
+	if len(got) == 0 || got[0].Fraction < 0.99 {
+		t.Errorf("granted %v", got)
+	}
+}
+
 // Guards against fractions that do not follow the demand of the hosts.
 func TestAllocatorFollowsDemand(t *testing.T) {
 	a := shares.NewAllocator(0, 1)
 	fractions := map[string]float64{}
 	for now, step := 10*second, 0; step < 40; now, step = now+200*ms, step+1 {
 		for host, d := range map[string]float64{"busy": 90, "idle": 10} {
-			fractions[host] = a.Report(now, host, time.Hour, []shares.Demand{{Workspace: "w", PerSecond: d, HeldFraction: fractions[host]}})[0].Fraction
+			fractions[host] = a.Report(now, shares.Holder{Host: host}, time.Hour, []shares.Demand{{Workspace: "w", PerSecond: d, HeldFraction: fractions[host]}})[0].Fraction
 		}
 	}
 	if fractions["busy"] < 0.7 || fractions["idle"] < 0.1 || fractions["busy"]+fractions["idle"] < 0.99 {
@@ -323,7 +376,7 @@
 // second holder of a region, or while hosts from before the allocator may have spent it.
 func TestUnspentBurstIsGrantedOnce(t *testing.T) {
 	report := func(a *shares.Allocator, now time.Duration, host string, uptime time.Duration, held float64) shares.Grant {
-		return a.Report(now, host, uptime, []shares.Demand{{Workspace: "w", PerSecond: 10, HeldFraction: held}})[0]
+		return a.Report(now, shares.Holder{Host: host, StartMillis: int64(now - uptime)}, uptime, []shares.Demand{{Workspace: "w", PerSecond: 10, HeldFraction: held}})[0]
 	}
 	a := shares.NewAllocator(0, 3)
 	sum := 0.0
@@ -346,7 +399,7 @@
 	if g := report(a, 400*ms, "a", 400*ms, 0.3); g.Unspent {
 		t.Error("unspent after the host has used its fraction")
 	}
-	a.Report(500*ms, "c", 500*ms, []shares.Demand{{Workspace: "w", Released: true}})
+	a.Report(500*ms, shares.Holder{Host: "c"}, 500*ms, []shares.Demand{{Workspace: "w", Released: true}})
 	if g := report(a, 600*ms, "d", 600*ms, 0); g.Unspent {
 		t.Error("the holder after another one has an unspent burst")
 	}
