check: a configuration is checked and compared before it is sent

Cause: geraniumctl check only parsed rules files; a document could only be tried by sending it, and contradictions that hosts accept were found by callers.

--- a/cmd/geraniumctl/main.go
+++ b/cmd/geraniumctl/main.go
@@ -7,11 +7,14 @@
 	"strings"
 
 	"geraniumturn.example/geraniumturn/internal/ctl"
+	"geraniumturn.example/geraniumturn/platform"
 )
 
 func main() {
-	if err := ctl.Run(os.Args[1:], os.Stdout); err != nil {
+	decoder := platform.ConfigurationDecoder{}
+	err := ctl.Run(os.Args[1:], os.Stdout, ctl.Documents{Decode: decoder.Decode, Locate: decoder.Locate, Read: platform.ReadConfiguration})
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "geraniumctl:", strings.ReplaceAll(err.Error(), "\n", "; "))
-		os.Exit(1)
+		os.Exit(ctl.ExitCode(err))
 	}
 }
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -39,8 +39,8 @@
 	Out      io.Writer
 }
 
-// Check parses a rules file and prints a summary, or returns its errors.
-func (t *Tool) Check(path string) error {
+// parse parses a rules file and prints a summary, or returns its errors.
+func (t *Tool) parse(path string) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return err
@@ -58,7 +58,7 @@
 // is based on; 0 means the current one. An empty requestID generates one. With wait,
 // Apply returns when the revision is in force on all hosts.
 func (t *Tool) Apply(ctx context.Context, path string, base uint64, requestID string, wait bool) error {
-	if err := t.Check(path); err != nil {
+	if err := t.parse(path); err != nil {
 		return err
 	}
 	text, err := os.ReadFile(path)
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -38,18 +38,21 @@
 	slots                                  int
 	prefill, interval                      time.Duration
 
+	against, settings string
+	json              bool
+
 	method, path, body, timeoutMS, idempotencyKey, callerKey string
 }
 
 // Run parses the arguments and runs one command.
-func Run(args []string, out io.Writer) error {
+func Run(args []string, out io.Writer, documents Documents) error {
 	f := &flags{operator: os.Getenv("USER"), slots: 8, interval: 5 * time.Millisecond, prefill: 50 * time.Microsecond, listen: "127.0.0.1:0", method: "POST"}
 	if f.operator == "" {
 		f.operator = "operator"
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	commands, parser := f.commands(out)
+	commands, parser := f.commands(out, documents)
 	if err := parser.ParseArgs(args); err != nil {
 		return fmt.Errorf("%w: %v", ErrUsage, err)
 	}
@@ -68,7 +71,7 @@
 }
 
 // commands returns all commands and a parser with their flags.
-func (f *flags) commands(out io.Writer) ([]command, *flaggy.Parser) {
+func (f *flags) commands(out io.Writer, documents Documents) ([]command, *flaggy.Parser) {
 	parser := flaggy.NewParser("geraniumctl")
 	parser.Description = "command line for operators and testers of geraniumturn"
 	parser.String(&f.hosts, "", "hosts", "HTTP addresses of entry hosts, separated by commas")
@@ -92,8 +95,11 @@
 		}
 	}
 	add("init", "write the initial membership to all voters of a new fleet", withTool(func(ctx context.Context, t *Tool) error { return t.Init(ctx) }))
-	c := add("check", "check a rules file", func(context.Context) error { return (&Tool{Out: out}).Check(f.file) })
-	c.AddPositionalValue(&f.file, "file", 1, true, "rules file")
+	c := add("check", "check a rules file or a configuration document", func(ctx context.Context) error { return f.check(ctx, out, documents) })
+	c.AddPositionalValue(&f.file, "file", 1, true, "rules file or document")
+	c.String(&f.against, "", "against", "hosts with the version in force: HTTP addresses of entry hosts for rules, control addresses for a document")
+	c.String(&f.settings, "", "settings", "settings file of a host, for its memory and the regions")
+	c.Bool(&f.json, "", "json", "print the report as JSON")
 	c = add("apply", "apply a rules file as a new revision", withTool(func(ctx context.Context, t *Tool) error {
 		return t.Apply(ctx, f.file, f.base, f.requestID, f.wait)
 	}))
@@ -146,9 +152,11 @@
 	return commands, parser
 }
 
-func (f *flags) hostList() []string {
+func (f *flags) hostList() []string { return splitHosts(f.hosts) }
+
+func splitHosts(hosts string) []string {
 	var out []string
-	for _, h := range strings.Split(f.hosts, ",") {
+	for _, h := range strings.Split(hosts, ",") {
 		if h = strings.TrimSpace(h); h != "" {
 			out = append(out, h)
 		}
@@ -168,6 +176,18 @@
 	return &Tool{Admin: &AdminClient{Hosts: hosts, Token: token}, Operator: f.operator, Out: out}, nil
 }
 
+func (f *flags) check(ctx context.Context, out io.Writer, documents Documents) error {
+	c := &Checker{Documents: documents, Against: splitHosts(f.against), Settings: f.settings, Out: out, JSON: f.json}
+	if f.tokenFile != "" {
+		token, err := settings.ReadSecret(f.tokenFile, minTokenBytes)
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrNotUsable, err)
+		}
+		c.Admin = &AdminClient{Hosts: c.Against, Token: token}
+	}
+	return c.Check(ctx, f.file)
+}
+
 func (f *flags) timelineQuery() url.Values {
 	q := url.Values{}
 	for name, value := range map[string]string{
--- a/internal/rules/parse.go
+++ b/internal/rules/parse.go
@@ -27,6 +27,8 @@
 	// Line counts from 1; it is 0 for a problem of the whole file.
 	Line    int
 	Message string
+	// Mend tells how to correct the file; empty if Message does.
+	Mend string
 }
 
 func (p Problem) Error() string {
@@ -64,6 +66,7 @@
 		return nil, Problems{{Message: fmt.Sprintf("file has %d bytes, more than the limit of %d", len(text), maxFileBytes)}}
 	}
 	p := &parser{set: EmptySet(), definedAt: map[string]int{}}
+	p.set.lines = p.definedAt
 	for i, line := range strings.Split(text, "\n") {
 		p.line = i + 1
 		p.parseLine(strings.TrimSpace(line))
@@ -76,8 +79,10 @@
 	return p.set, nil
 }
 
-func (p *parser) addProblem(format string, args ...any) {
+// addProblem returns the problem, for the caller to set Mend.
+func (p *parser) addProblem(format string, args ...any) *Problem {
 	p.problems = append(p.problems, Problem{Line: p.line, Message: fmt.Sprintf(format, args...)})
+	return &p.problems[len(p.problems)-1]
 }
 
 func (p *parser) parseLine(line string) {
@@ -92,7 +97,7 @@
 	}
 	words := strings.Fields(rule)
 	if len(words) < 2 {
-		p.addProblem("a rule needs a kind and a name")
+		p.addProblem("a rule needs a kind and a name").Mend = "write it as in: pool NAME kind=engine # requester"
 		return
 	}
 	options, ok := p.parseOptions(words[2:])
@@ -105,7 +110,7 @@
 
 func (p *parser) parseRule(kind, name string, o *options, requester string) {
 	if first, ok := p.definedAt[kind+" "+name]; ok {
-		p.addProblem("%s %s is already defined in line %d", kind, name, first)
+		p.addProblem("%s %s is already defined in line %d", kind, name, first).Mend = "remove one of the two lines, or rename one"
 		return
 	}
 	p.definedAt[kind+" "+name] = p.line
@@ -140,14 +145,14 @@
 	if residency := o.text("residency", "any"); residency != "any" {
 		w.Residency = strings.Split(residency, ",")
 		if slices.Contains(w.Residency, "") {
-			p.addProblem("residency has an empty data centre name")
+			p.addProblem("residency has an empty data centre name").Mend = "remove the extra comma"
 		}
 	}
 	if w.Rate <= 0 || w.Burst <= 0 {
 		p.addProblem("workspace %s needs rate=N/s and burst=N, both above 0 tokens", name)
 	}
 	if w.Home != "" && !w.Allows(w.Home) {
-		p.addProblem("home %s of workspace %s is outside its residency", w.Home, name)
+		p.addProblem("home %s of workspace %s is outside its residency", w.Home, name).Mend = "add the data centre to the residency, or choose a home within it"
 	}
 	p.set.Workspaces[name] = w
 }
@@ -166,7 +171,7 @@
 	}
 	for _, reserved := range []string{"/admin/", "/targets/", "/healthz", "/readyz", "/metrics", "/v1/hosts"} {
 		if strings.HasPrefix(path, reserved) {
-			p.addProblem("route path %s is reserved for the system", path)
+			p.addProblem("route path %s is reserved for the system", path).Mend = "choose another path"
 		}
 	}
 	r := &Route{
@@ -184,7 +189,7 @@
 		r.Methods = strings.Split(strings.ToUpper(methods), ",")
 	}
 	if r.Open && r.Pool == "" {
-		p.addProblem("open route %s needs a pool, since there is no workspace to charge for a model", path)
+		p.addProblem("open route %s needs a pool, since there is no workspace to charge for a model", path).Mend = "add pool=NAME, or remove open=yes"
 	}
 	p.set.Routes = append(p.set.Routes, r)
 }
@@ -196,15 +201,15 @@
 		p.line = p.definedAt["model "+m.Name]
 		pool, ok := p.set.Pools[m.Pool]
 		if !ok {
-			p.addProblem("model %s names pool %q, which is not defined", m.Name, m.Pool)
+			p.addProblem("model %s names pool %q, which is not defined", m.Name, m.Pool).Mend = "define the pool, or name one of the file"
 		} else if pool.Kind != Engine {
-			p.addProblem("model %s names pool %s, which is not of kind engine", m.Name, m.Pool)
+			p.addProblem("model %s names pool %s, which is not of kind engine", m.Name, m.Pool).Mend = "name a pool with kind=engine"
 		}
 	}
 	for _, r := range p.set.Routes {
 		p.line = p.definedAt["route "+r.Path]
 		if _, ok := p.set.Pools[r.Pool]; r.Pool != "" && !ok {
-			p.addProblem("route %s names pool %q, which is not defined", r.Path, r.Pool)
+			p.addProblem("route %s names pool %q, which is not defined", r.Path, r.Pool).Mend = "define the pool, or name one of the file"
 		}
 	}
 }
@@ -239,7 +244,7 @@
 			return nil, false
 		}
 		if _, duplicate := o.values[key]; duplicate {
-			p.addProblem("option %s is given twice", key)
+			p.addProblem("option %s is given twice", key).Mend = "keep one of the two"
 			return nil, false
 		}
 		o.values[key] = value
@@ -255,7 +260,7 @@
 	}
 	slices.Sort(unused)
 	for _, key := range unused {
-		p.addProblem("%s has no option %q", kind, key)
+		p.addProblem("%s has no option %q", kind, key).Mend = "remove the option, or correct its name"
 	}
 }
 
--- a/internal/rules/types.go
+++ b/internal/rules/types.go
@@ -122,8 +122,12 @@
 	Models     map[string]*Model
 	// Routes are in the order of the file.
 	Routes []*Route
+	lines  map[string]int // kind and name of a rule -> line
 }
 
+// Line returns the line of a rule in the file, or 0.
+func (s *Set) Line(kind, name string) int { return s.lines[kind+" "+name] }
+
 // Route returns the most specific route for the path: an exact match if there is
 // one, otherwise the longest matching prefix. It returns nil if no route matches.
 func (s *Set) Route(path string) *Route {
