--- a/internal/configcheck/change.go
+++ b/internal/configcheck/change.go
@@ -232,7 +232,7 @@
 }
 
 func ruleRouteEntry(r *rules.Route, other *rules.Set) entry {
-	added, removed := "until now such requests got 403", "such requests get 403"
+	added, removed := "until now such requests got 403, without a key 401", "such requests get 403, without a key 401"
 	if next := other.Route(strings.TrimSuffix(r.Path, "*")); next != nil {
 		added = fmt.Sprintf("until now route %s served such requests", next.Path)
 		removed = fmt.Sprintf("route %s serves such requests", next.Path)
