--- a/internal/configcheck/change.go
+++ b/internal/configcheck/change.go
@@ -58,7 +58,7 @@
 	for _, e := range before {
 		old[e.name] = e
 	}
-	var out []Change
+	out := []Change{} // not nil: a report tells "none" from "not compared"
 	kept := map[string]bool{}
 	for _, e := range after {
 		previous, existed := old[e.name]
--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -190,7 +190,7 @@
 	report.InForce = &inForce.Version
 	report.Changes = configcheck.DocumentChanges(inForce, d, locate)
 	if d.Version <= inForce.Version && len(report.Changes) > 0 {
-		report.Findings = append(report.Findings, configcheck.Outdated(d.Version, inForce.Version, locate))
+		report.Findings = slices.Insert(report.Findings, 0, configcheck.Outdated(d.Version, inForce.Version, locate))
 	}
 	return nil
 }
