--- a/cmd/geraniumctl/main.go
+++ b/cmd/geraniumctl/main.go
@@ -12,7 +12,7 @@
 
 func main() {
 	decoder := platform.ConfigurationDecoder{}
-	err := ctl.Run(os.Args[1:], os.Stdout, ctl.Documents{Decode: decoder.Decode, Locate: decoder.Locate, Read: platform.ReadConfiguration})
+	err := ctl.Run(os.Args[1:], os.Stdout, ctl.Documents{MaxBytes: platform.MaxConfigurationBytes, Decode: decoder.Decode, Locate: decoder.Locate, Read: platform.ReadConfiguration})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "geraniumctl:", strings.ReplaceAll(err.Error(), "\n", "; "))
 		os.Exit(ctl.ExitCode(err))
--- a/internal/configcheck/document.go
+++ b/internal/configcheck/document.go
@@ -151,3 +151,8 @@
 	return Finding{Severity: Warning, Line: line, Field: field, Message: fmt.Sprintf("version %d is not above the one in force, %d: hosts keep theirs", version, inForce),
 		Mend: fmt.Sprintf("use at least %d", inForce+1)}
 }
+
+// TooLarge is the finding for a document of more bytes than hosts accept.
+func TooLarge(bytes, limit int) Finding {
+	return Finding{Severity: Error, Message: fmt.Sprintf("the document has %d bytes, more than the limit of %d", bytes, limit), Mend: "remove entries that are not used"}
+}
--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -44,8 +44,10 @@
 
 // Documents are the functions of the deployment's protocol that read documents.
 type Documents struct {
-	Decode func(content []byte) (*document.Document, error)
-	Locate func(content []byte) func(document.Place) (line int, field string)
+	// MaxBytes is the size above which hosts refuse a document.
+	MaxBytes int
+	Decode   func(content []byte) (*document.Document, error)
+	Locate   func(content []byte) func(document.Place) (line int, field string)
 	// Read returns the document in force from the control host at an address.
 	Read func(ctx context.Context, client *http.Client, address string) ([]byte, error)
 }
@@ -160,6 +162,10 @@
 }
 
 func (c *Checker) document(ctx context.Context, report *Report, content []byte) error {
+	if limit := c.Documents.MaxBytes; len(content) > limit {
+		report.Findings = append(report.Findings, configcheck.TooLarge(len(content), limit))
+		return nil
+	}
 	locate := c.Documents.Locate(content)
 	d, err := c.Documents.Decode(content)
 	if err != nil {
--- a/internal/ctl/check_test.go
+++ b/internal/ctl/check_test.go
@@ -57,3 +57,16 @@
 		}
 	}
 }
+
+// Guards against a document that is called usable although hosts refuse its size.
+func TestCheckDocumentTooLarge(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "document")
+	if err := os.WriteFile(file, []byte(`{"version":1}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	out := &strings.Builder{}
+	err := (&Checker{Documents: Documents{MaxBytes: 12}, Out: out}).Check(t.Context(), file)
+	if ExitCode(err) != exitNotUsable || !strings.Contains(out.String(), "error: the document has 13 bytes") {
+		t.Errorf("%v, printed %s", err, out)
+	}
+}
