fleetsync: entry hosts fetch the configuration document from the nearest host

An exchange carried the whole document whenever the versions differed, also from a control host with the older one, from six control hosts at once, and began again after its timeout. Now it confirms version, digest and length; hosts fetch the content in parts, one transfer at a time, compressed or as a delta, and hand it on. Forms of up to 8 KiB ride with the confirmation of a control host of the own region. Earlier builds get content as before.

--- a/internal/daemon/deployment_control.go
+++ b/internal/daemon/deployment_control.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &fleetsync.Server{Self: &syncpb.ControlHost{Peer: p.PeerAddress(), Region: s.Region}, Leadership: node, Document: machine,
+	server := &fleetsync.Server{Self: &syncpb.ControlHost{Peer: p.PeerAddress(), Region: s.Region, DataCentre: s.DataCentre, Documents: true}, Leadership: node, Document: machine,
 		Targets: table, Presence: presence, Dial: d.transport.Dial, InvalidRecords: d.logInvalidRecords, OnPanic: d.logPanic("relay"), RegionCount: p.CountRegions(), Incarnation: rand.Uint64(),
 		Departures: store, LostDisks: p.LostDisks, OnDeparture: d.logDeparture, OnDepartureError: func(err error) { d.log.WithError(err).Error("departures not stored") }}
 	server.Init()
@@ -63,6 +63,10 @@
 	if err := d.transport.Register(node.Service(), controlpb.DRPCControlDescription{}); err != nil {
 		return nil, err
 	}
+	if err := d.transport.Register(server, syncpb.DRPCDocumentsDescription{}); err != nil {
+		return nil, err
+	}
+	d.addSourceMetrics(server.DocumentStats)
 	if err := d.servePeers(server, syncpb.DRPCSyncDescription{}); err != nil {
 		return nil, err
 	}
--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -66,6 +66,7 @@
 			}
 			entry.Info("control host")
 		}}
+	client.Documents = d.newDocuments(g)
 	g.OriginClient = client
 	front, err := d.addServer(p.Front, g)
 	if err != nil {
@@ -78,6 +79,9 @@
 		return nil, err
 	}
 	addLoop(&d.group, func(ctx context.Context) error { return client.Run(ctx, d.seedPeers) })
+	if err := d.transport.Register(client.Documents, syncpb.DRPCDocumentsDescription{}); err != nil {
+		return nil, err
+	}
 	if err := d.servePeers(g, syncpb.DRPCUsageDescription{}); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/doctransfer/fetcher.go
@@ -0,0 +1,463 @@
+package doctransfer
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"geraniumturn.example/geraniumturn/internal/rendezvous"
+)
+
+const (
+	// firstPartBytes is the size of the first part that is asked for, minPartBytes that
+	// after failures. A part that took less than fastPart doubles it, one that took longer
+	// than slowPart halves it.
+	firstPartBytes = 16 << 10
+	minPartBytes   = 4 << 10
+	fastPart       = 100 * time.Millisecond
+	slowPart       = 300 * time.Millisecond
+	// minPartTimeout and maxPartTimeout bound the time that a part may take. Between them
+	// it is partTimeoutFactor times the time expected by the rate of the parts before.
+	minPartTimeout    = 600 * time.Millisecond
+	maxPartTimeout    = 3 * time.Second
+	partTimeoutFactor = 4
+	// failureDelay is the time for which a source that failed is not asked, times the
+	// failures in a row, up to maxFailureDelay.
+	failureDelay    = 500 * time.Millisecond
+	maxFailureDelay = 4 * time.Second
+	// corruptDelay is that for the sources of bytes that were not what was confirmed.
+	corruptDelay = 10 * time.Second
+	// absentDelay is the time after which a source that lacked the content is asked again.
+	absentDelay = 100 * time.Millisecond
+	// leads is the number of hosts of a data centre that may take a version from outside at
+	// once. Of the others, as many at a time may after each further regionStep (from the
+	// region) or outsideStep (from another region), but not before a control host of the
+	// region has had followDelay to get it.
+	leads       = 2
+	regionStep  = 100 * time.Millisecond
+	outsideStep = 200 * time.Millisecond
+	followDelay = 200 * time.Millisecond
+	// maxOutsideDelay is the time after which any source may be asked, and any host of the
+	// region whether it has the content.
+	maxOutsideDelay = 1200 * time.Millisecond
+	// nearDelay keeps a host from going further away while a nearer source is busy with
+	// the content, up to maxNearDelay.
+	nearDelay    = 300 * time.Millisecond
+	maxNearDelay = 2 * time.Second
+	// pollInterval is the longest time between looks for another source.
+	pollInterval = 200 * time.Millisecond
+	// formReserveBytes is how much longer than its content a form may be.
+	formReserveBytes = 64 << 10
+)
+
+// Distances of a source.
+const (
+	sameDataCentre = iota
+	sameRegion
+	otherRegion
+	distances
+)
+
+// Host is the host that fetches.
+type Host struct {
+	// Address is its peer address.
+	Address    string
+	DataCentre string
+	Region     string
+}
+
+// Candidate is a host that may be a source.
+type Candidate struct {
+	// Address is its peer address.
+	Address    string
+	DataCentre string
+	Region     string
+	// Control is true for a control host.
+	Control bool
+	// Version is the newest version that it is known to have.
+	Version uint64
+	// Silent means that it did not respond to its last call.
+	Silent bool
+}
+
+// Target is a version that a control host has confirmed.
+type Target struct {
+	Version uint64
+	Digest  Digest
+	Length  int
+}
+
+// Call is a request to a source.
+type Call struct {
+	Address string
+	Request Request
+	Timeout time.Duration
+	sentAt  time.Duration
+}
+
+// Transfer describes a transfer that has ended.
+type Transfer struct {
+	Target
+	Content []byte
+	// Delta means that the content came as a delta to an earlier one.
+	Delta bool
+	// Bytes is the number of bytes received, Parts that of parts.
+	Bytes, Parts int
+	// Busy, Absent and Failed count the calls without a part: the source was busy, had not
+	// the content, or failed. Resumed counts how often another source continued.
+	Busy, Absent, Failed, Resumed int
+	// From is the source of the last part.
+	From string
+	Took time.Duration
+}
+
+// transfer is the one in progress.
+type transfer struct {
+	Transfer
+	base       Digest
+	baseData   []byte
+	encoding   uint64
+	received   []byte
+	total      int
+	startedAt  time.Duration
+	progressAt time.Duration
+	// nearBusyAt is when a source at a distance last said that the content is there or
+	// will be.
+	nearBusyAt [distances]time.Duration
+	senders    map[string]bool
+	// holders have the content by what other sources say.
+	holders map[string]bool
+}
+
+type sourceState struct {
+	notBefore time.Duration
+	failures  int
+}
+
+// Fetcher decides from where a host gets the newest content. It is safe for concurrent
+// use; one call is to be made at a time.
+type Fetcher struct {
+	self  Host
+	store *Source
+
+	mu      sync.Mutex
+	newest  Target
+	current *transfer
+	sources map[string]*sourceState
+	// partBytes is the size of the next part, rate the bytes per millisecond of the last
+	// ones, timeouts the number of failures since.
+	partBytes int
+	rate      float64
+	timeouts  int
+}
+
+// NewFetcher returns a fetcher that adds what it has got to the store of its host.
+func NewFetcher(self Host, store *Source) *Fetcher {
+	return &Fetcher{self: self, store: store, sources: map[string]*sourceState{}, partBytes: firstPartBytes}
+}
+
+// Confirm records what a control host has confirmed and reports whether it is new.
+func (f *Fetcher) Confirm(t Target) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t.Version <= f.newest.Version || t.Digest == (Digest{}) || t.Length <= 0 || t.Length > MaxContentBytes {
+		return false
+	}
+	f.newest = t
+	return true
+}
+
+// Current returns the version that is being fetched, or 0.
+func (f *Fetcher) Current() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.current == nil {
+		return 0
+	}
+	return f.current.Version
+}
+
+// Next returns the call to make now, or nil and the time after which to ask again. A zero
+// time means that nothing is to be fetched before the next confirmation.
+func (f *Fetcher) Next(now time.Duration, candidates []Candidate) (*Call, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.choose(now) {
+		return nil, 0
+	}
+	t := f.current
+	best, wait := f.source(now, candidates)
+	if best == nil {
+		return nil, wait
+	}
+	if t.From != "" && t.From != best.Address && len(t.received) > 0 {
+		t.Resumed++
+	}
+	t.From = best.Address
+	c := &Call{Address: best.Address, sentAt: now, Timeout: f.timeout(), Request: Request{Caller: f.self.Address, Wanted: t.Digest, Base: t.base,
+		Encoding: t.encoding, Offset: len(t.received), Limit: f.partBytes}}
+	return c, 0
+}
+
+// choose sets the version to fetch and reports whether there is one. A transfer that has
+// begun goes on when a newer version is confirmed, because the newer one then is a small
+// delta; it ends if no source has its version any more.
+func (f *Fetcher) choose(now time.Duration) bool {
+	have, digest := f.store.Newest()
+	if f.current != nil && (f.current.Version <= have || f.current.Version < f.newest.Version && (len(f.current.received) == 0 || now-f.current.progressAt > minPartTimeout)) {
+		f.current = nil
+	}
+	if f.current == nil && f.newest.Version > have {
+		f.begin(now, digest)
+	}
+	if f.current == nil {
+		f.store.await(Digest{})
+		return false
+	}
+	f.store.await(f.current.Digest)
+	return true
+}
+
+// begin begins a transfer of the newest version; base is what this host has.
+func (f *Fetcher) begin(now time.Duration, base Digest) {
+	for address, s := range f.sources {
+		if s.notBefore+maxFailureDelay < now {
+			delete(f.sources, address)
+		}
+	}
+	f.current = &transfer{Transfer: Transfer{Target: f.newest}, base: base, baseData: f.store.Content(base), startedAt: now, progressAt: now,
+		senders: map[string]bool{}, holders: map[string]bool{}}
+}
+
+func (f *Fetcher) timeout() time.Duration {
+	expected := minPartTimeout
+	if f.rate > 0 {
+		expected = time.Duration(float64(f.partBytes)/f.rate*partTimeoutFactor) * time.Millisecond
+	}
+	return min(max(expected, minPartTimeout)*time.Duration(1+f.timeouts), maxPartTimeout)
+}
+
+// source returns the source to ask, or nil and the time after which there may be one.
+func (f *Fetcher) source(now time.Duration, candidates []Candidate) (*Candidate, time.Duration) {
+	t := f.current
+	version := strconv.FormatUint(t.Version, 10)
+	weight := func(address string) uint64 { return rendezvous.Weight(version, address) }
+	rank, controlNear := 0, false
+	for i := range candidates {
+		c := &candidates[i]
+		distance := f.distance(c)
+		if distance == sameDataCentre && !c.Control && weight(c.Address) > weight(f.self.Address) {
+			rank++
+		}
+		controlNear = controlNear || c.Control && !c.Silent && distance <= sameRegion
+	}
+	wait := pollInterval
+	var best *Candidate
+	var bestKey [4]uint64
+	for i := range candidates {
+		c := &candidates[i]
+		distance := f.distance(c)
+		holds := c.Version >= t.Version || t.holders[c.Address]
+		// A host that has not said that it has the content may get it before this one.
+		before := distance == sameDataCentre && weight(c.Address) > weight(f.self.Address)
+		if c.Address == f.self.Address || !c.Control && !holds && !before && (distance == otherRegion || now-t.startedAt < maxOutsideDelay) {
+			continue
+		}
+		from := t.startedAt + f.delay(now, distance, rank, controlNear)
+		if s := f.sources[c.Address]; s != nil {
+			from = max(from, s.notBefore)
+		}
+		if from > now {
+			wait = min(wait, from-now)
+			continue
+		}
+		key := [4]uint64{uint64(distance), 0, 0, ^rendezvous.Weight(f.self.Address, c.Address)}
+		switch {
+		case c.Address == t.From && len(t.received) > 0:
+			key = [4]uint64{}
+		case c.Silent:
+			key[0] = distances
+		case holds && c.Control:
+		case holds:
+			key[1] = 1
+		case c.Control:
+			key[1] = 2
+		default:
+			key[1], key[2] = 3, ^weight(c.Address)
+		}
+		if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
+			best, bestKey = c, key
+		}
+	}
+	return best, max(wait, time.Millisecond)
+}
+
+func (f *Fetcher) distance(c *Candidate) int {
+	switch {
+	case c.DataCentre != "" && c.DataCentre == f.self.DataCentre:
+		return sameDataCentre
+	case c.Region == f.self.Region:
+		return sameRegion
+	}
+	return otherRegion
+}
+
+// delay returns the time after the start of the transfer from which sources at a distance
+// may be asked.
+func (f *Fetcher) delay(now time.Duration, distance, rank int, controlNear bool) time.Duration {
+	t := f.current
+	turn := time.Duration(rank / leads)
+	var out time.Duration
+	switch distance {
+	case sameDataCentre:
+		return 0
+	case sameRegion:
+		out = turn * regionStep
+	default:
+		out = turn * outsideStep
+		if controlNear {
+			out += followDelay
+		}
+	}
+	out = min(out, maxOutsideDelay)
+	for nearer := range distance {
+		if busy := t.nearBusyAt[nearer]; busy > 0 && now-busy < nearDelay {
+			out = max(out, min(busy+nearDelay-t.startedAt, maxNearDelay))
+		}
+	}
+	return out
+}
+
+// Result records the outcome of a call. It returns the transfer if it is complete, and an
+// error if the bytes received are not the content that was confirmed.
+func (f *Fetcher) Result(now time.Duration, c *Call, candidates []Candidate, r Response, callErr error) (*Transfer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.sources[c.Address]
+	if s == nil {
+		s = &sourceState{}
+		f.sources[c.Address] = s
+	}
+	if callErr != nil {
+		s.failures++
+		s.notBefore = now + min(failureDelay*time.Duration(s.failures), maxFailureDelay)
+		f.partBytes = max(minPartBytes, f.partBytes/2)
+		f.timeouts++
+		if t := f.current; t != nil {
+			t.Failed++
+		}
+		return nil, nil
+	}
+	s.failures = 0
+	t := f.current
+	if t == nil || t.Digest != c.Request.Wanted {
+		return nil, nil
+	}
+	if len(r.Part) == 0 {
+		f.recordRefusal(now, c, s, candidates, r)
+		return nil, nil
+	}
+	if err := f.add(now, c, r); err != nil || len(t.received) < t.total {
+		if err != nil {
+			s.notBefore = now + corruptDelay
+		}
+		return nil, err
+	}
+	return f.finish(now)
+}
+
+// recordRefusal records a response without a part.
+func (f *Fetcher) recordRefusal(now time.Duration, c *Call, s *sourceState, candidates []Candidate, r Response) {
+	t := f.current
+	for _, h := range r.Holders {
+		t.holders[h] = true
+	}
+	if r.RetryAfter > 0 {
+		if i := slices.IndexFunc(candidates, func(k Candidate) bool { return k.Address == c.Address }); i >= 0 {
+			t.nearBusyAt[f.distance(&candidates[i])] = now
+		}
+	}
+	if r.Found {
+		t.Busy++
+	} else {
+		t.Absent++
+		delete(t.holders, c.Address)
+	}
+	s.notBefore = now + min(max(cmp.Or(r.RetryAfter, absentDelay), time.Millisecond), maxBusyTime)
+}
+
+// add appends a part.
+func (f *Fetcher) add(now time.Duration, c *Call, r Response) error {
+	t := f.current
+	switch {
+	case r.Total <= 0 || r.Total > t.Length+formReserveBytes || r.Base != (Digest{}) && r.Base != c.Request.Base || r.Offset+len(r.Part) > r.Total:
+		return errors.Join(ErrCorrupt, errors.New("impossible part"))
+	case r.Encoding == t.encoding && r.Offset == len(t.received) && r.Total == t.total:
+	case r.Offset == 0: // the first part, or another form
+		t.received, t.encoding, t.total, t.Delta = make([]byte, 0, min(r.Total, MaxPartBytes)), r.Encoding, r.Total, r.Base != (Digest{})
+	default:
+		t.received, t.encoding = nil, 0
+		return nil
+	}
+	t.received = append(t.received, r.Part...)
+	t.Bytes += len(r.Part)
+	t.Parts++
+	t.progressAt, t.senders[c.Address] = now, true
+	f.timeouts = 0
+	took := max(now-c.sentAt, time.Millisecond)
+	f.rate = float64(len(r.Part)) / float64(took.Milliseconds())
+	if took < fastPart && len(r.Part) == c.Request.Limit {
+		f.partBytes = min(2*f.partBytes, MaxPartBytes)
+	} else if took > slowPart {
+		f.partBytes = max(minPartBytes, f.partBytes/2)
+	}
+	return nil
+}
+
+// finish checks the content of a complete transfer and adds it to the store.
+func (f *Fetcher) finish(now time.Duration) (*Transfer, error) {
+	t := f.current
+	var base []byte
+	if t.Delta {
+		base = t.baseData
+	}
+	content, err := decode(base, t.received, t.Length, t.Digest)
+	if err != nil {
+		for address := range t.senders {
+			f.sources[address] = &sourceState{notBefore: now + corruptDelay}
+		}
+		f.begin(now, Digest{}) // without a base, which may be what is wrong
+		f.current.Failed = t.Failed + 1
+		return nil, err
+	}
+	f.current = nil
+	f.store.Add(t.Version, content)
+	if !t.Delta {
+		t.base = Digest{}
+	}
+	f.store.addForm(t.base, t.Digest, t.received)
+	f.store.await(Digest{})
+	t.Content, t.Took = content, now-t.startedAt
+	return &t.Transfer, nil
+}
+
+// Accept decodes a small form that came with a confirmation and adds its content to the
+// store. The base must be one that the store has, or none.
+func (f *Fetcher) Accept(t Target, base Digest, encoded []byte) ([]byte, error) {
+	var baseData []byte
+	if base != (Digest{}) {
+		if baseData = f.store.Content(base); baseData == nil {
+			return nil, errors.Join(ErrCorrupt, errors.New("unknown base"))
+		}
+	}
+	content, err := decode(baseData, encoded, t.Length, t.Digest)
+	if err != nil {
+		return nil, err
+	}
+	f.store.Add(t.Version, content)
+	f.store.addForm(base, t.Digest, encoded)
+	return content, nil
+}
--- a/internal/fleetsync/client.go
+++ b/internal/fleetsync/client.go
@@ -68,6 +68,9 @@
 	// InvalidRecords is called with the address of a control host that sent records that
 	// were skipped.
 	InvalidRecords func(control string, err error)
+	// Documents fetches the content of configurations. Without it the control hosts send
+	// it with their responses.
+	Documents *Documents
 
 	mu                sync.Mutex
 	regionByControl   map[string]string // region by peer address
@@ -83,6 +86,9 @@
 	c.regionByControl, c.polling, c.responds = map[string]string{}, map[string]bool{}, map[string]bool{}
 	var pollers sync.WaitGroup
 	defer pollers.Wait()
+	if c.Documents != nil {
+		pollers.Go(func() { c.fetchDocuments(ctx) })
+	}
 	for {
 		c.mu.Lock()
 		for _, a := range seeds() {
@@ -116,6 +122,7 @@
 		sentAt := clock.SinceBoot()
 		in := c.NewRequest(sentAt, c.needsFullReport(address, sentAt), originCursor)
 		in.Table, in.Cursor = table, cursor
+		c.requestDocument(in, address, sentAt)
 		timeout := exchangeTimeout
 		if !c.ConfigurationFresh() {
 			timeout = startupTimeout
@@ -127,7 +134,7 @@
 		wasFresh := c.ConfigurationFresh()
 		if err == nil {
 			// A response that cannot be applied fails like one that did not arrive.
-			err = recovery.Do(func() error { c.applyResponse(now, sentAt, address, out); return nil })
+			err = recovery.Do(func() error { c.applyResponse(now, sentAt, address, in.GetVersion(), out); return nil })
 		}
 		c.recordOutcome(address, err == nil)
 		if ok := err == nil; ok != reachable && ctx.Err() == nil {
@@ -154,9 +161,12 @@
 	}
 }
 
-func (c *Client) applyResponse(now, sentAt time.Duration, address string, out *syncpb.ExchangeResponse) {
+// applyResponse applies the response to a request of a host that had a version of the
+// configuration.
+func (c *Client) applyResponse(now, sentAt time.Duration, address string, version uint64, out *syncpb.ExchangeResponse) {
 	c.addControls(out.GetControls())
 	c.recordResponse(address, now)
+	c.receiveDocument(sentAt, address, version, out)
 	records, invalid := decodeRecords(now, out.GetTargets())
 	if invalid != nil {
 		c.InvalidRecords(address, invalid)
--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -16,6 +16,7 @@
 
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/departures"
+	"geraniumturn.example/geraniumturn/internal/doctransfer"
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/origins"
@@ -87,6 +88,7 @@
 	Incarnation uint64
 	startedAt   time.Duration
 	origins     *origins.Store // of the streams that entry hosts have reported
+	documents   *doctransfer.Source
 	mu          sync.Mutex
 	// allocator and partitions are those of the term in which this host last led.
 	allocator  *shares.Allocator
@@ -118,6 +120,7 @@
 // Init prepares the server. It must run before the server is registered for calls.
 func (s *Server) Init() {
 	s.startedAt, s.origins, s.originCursors = clock.SinceBoot(), origins.NewStore(), map[string]relayCursor{}
+	s.documents = doctransfer.NewSource(controlTransfers, controlContentBytes)
 	s.ledger = departures.NewLedger(s.Targets, departures.Control{Address: s.Self.GetPeer(), Region: s.Self.GetRegion()}, s.LostDisks)
 	s.departureWake = make(chan struct{}, 1)
 	s.demands, s.grants, s.newestReport = map[string]*hostDemands{}, map[string]*hostGrants{}, map[string]time.Duration{}
@@ -134,9 +137,7 @@
 	age, known := s.Leadership.StateAge()
 	state, _ := s.Document.State()
 	out.Known, out.AgeMs, out.Index, out.Version = known, age.Milliseconds()+1, state.Index, state.Version
-	if in.GetVersion() != state.Version {
-		out.Content = state.Content
-	}
+	s.addContent(in, state, out)
 	out.Evacuated, out.Restored = encodeEvacuations(state.Evacuated), encodeEvacuations(state.Restored)
 	cursor := in.GetCursor()
 	if in.GetTable() != s.Incarnation {
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"geraniumturn.example/geraniumturn/internal/clock"
+	"geraniumturn.example/geraniumturn/internal/doctransfer"
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
@@ -35,7 +36,7 @@
 	began, originCursor := g.origins.Since(now, originCursor)
 	out := &syncpb.ExchangeRequest{Index: index, Version: version, WantHosts: g.wantsHosts(now), UptimeMs: (now - g.startedAt).Milliseconds(), Partitions: uint64(g.paceLease.Held(now)),
 		Host: &syncpb.EntryHost{Name: g.Name, DataCentre: g.DataCentre, Region: g.Region, Front: g.Front, Forward: g.Forward, Peer: g.Peer,
-			Started: g.Started, Serving: g.Ready(), Detached: g.path.Detached(), UsageRelay: true, PaceLease: true},
+			Started: g.Started, Serving: g.Ready(), Detached: g.path.Detached(), UsageRelay: true, PaceLease: true, Documents: true, ContentVersion: version},
 		Origins: fleetsync.EncodeOrigins(began), OriginCursor: originCursor}
 	for _, name := range slices.Sorted(maps.Keys(g.buckets)) {
 		b := g.buckets[name]
@@ -140,6 +141,19 @@
 	g.Log.WithFields(logrus.Fields{"version": version, "index": v.Index, "evacuated": slices.Sorted(maps.Keys(v.Evacuated)), "control": control}).Info("configuration in force")
 }
 
+// DocumentPeers returns the entry hosts from which this host may fetch a configuration.
+func (g *Gateway) DocumentPeers(now time.Duration) []doctransfer.Candidate {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []doctransfer.Candidate
+	for _, h := range g.hosts {
+		if h.GetDocuments() && h.GetPeer() != "" && now-h.lastHeard <= hostTimeout {
+			out = append(out, doctransfer.Candidate{Address: h.GetPeer(), DataCentre: h.GetDataCentre(), Region: h.GetRegion(), Version: h.GetContentVersion()})
+		}
+	}
+	return out
+}
+
 func (g *Gateway) recordHost(now time.Duration, h *syncpb.EntryHost) {
 	if h.GetName() == g.Name {
 		return
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -71,7 +71,8 @@
 }
 
 // apply applies the response of a control host and reports whether the view changed.
-// Calls must be serialised.
+// Evacuations take effect before the content of a newer version that has yet to be
+// fetched; the view is not confirmed meanwhile. Calls must be serialised.
 func (v *ViewStore) apply(u fleetsync.Update) (changed bool, err error) {
 	if !v.usable() {
 		defer func() {
@@ -81,23 +82,28 @@
 		}()
 	}
 	index, version := v.position()
-	if u.GetIndex() > index {
-		next := &View{Index: u.GetIndex(), Evacuated: evacuationIndexes(u.GetEvacuated()), Restored: evacuationIndexes(u.GetRestored())}
-		if c := v.Current(); c != nil {
-			next.Config = c.Config
-		}
-		if u.GetVersion() > version {
-			d, err := v.decoder.Decode(u.GetContent())
-			if err != nil {
-				return false, fmt.Errorf("gateway: version %d: %w", u.GetVersion(), err)
-			}
-			next.Config = document.NewIndex(d)
+	next := &View{}
+	if c := v.Current(); c != nil {
+		*next = *c
+	}
+	newer := u.GetVersion() > version
+	if newer && !u.AwaitsContent() {
+		d, err := v.decoder.Decode(u.GetContent())
+		if err != nil {
+			return false, fmt.Errorf("gateway: version %d: %w", u.GetVersion(), err)
 		}
+		next.Config, changed = document.NewIndex(d), true
+	}
+	if u.GetIndex() > index {
+		next.Index, next.Evacuated, next.Restored = u.GetIndex(), evacuationIndexes(u.GetEvacuated()), evacuationIndexes(u.GetRestored())
+		changed = true
+	}
+	if changed {
 		v.current.Store(next)
-		index, changed = next.Index, true
 	}
-	// The view contains everything in the response, so it is as new as the response.
-	if u.GetKnown() && index > 0 {
+	// Without a content that is missing, the view has everything in the response, so it is
+	// as new as the response.
+	if u.GetKnown() && next.Index > 0 && (!newer || !u.AwaitsContent()) {
 		asOf := u.SentAt - time.Duration(u.GetAgeMs())*time.Millisecond
 		v.validAsOf.Store(max(v.validAsOf.Load(), int64(asOf)))
 	}
