--- a/internal/doctransfer/fetcher.go
+++ b/internal/doctransfer/fetcher.go
@@ -19,19 +19,29 @@
 	minPartBytes   = 4 << 10
 	fastPart       = 100 * time.Millisecond
 	slowPart       = 300 * time.Millisecond
-	// minPartTimeout and maxPartTimeout bound the time that a part may take. Between them
-	// it is partTimeoutFactor times the time expected by the rate of the parts before.
-	minPartTimeout    = 600 * time.Millisecond
-	maxPartTimeout    = 3 * time.Second
-	partTimeoutFactor = 4
+	// regionPartTimeout is the least time that a part from the own region may take,
+	// outsidePartTimeout that from another one, maxPartTimeout the most. Between them it is
+	// partTimeoutFactor times the time expected by the rate of the part before.
+	regionPartTimeout  = 400 * time.Millisecond
+	outsidePartTimeout = 600 * time.Millisecond
+	maxPartTimeout     = 3 * time.Second
+	partTimeoutFactor  = 4
+	// stalledTime is the time without progress after which a transfer gives way to a newer
+	// version.
+	stalledTime = 600 * time.Millisecond
+	// patience is how long a source that responds is waited for before one that failed is
+	// tried again.
+	patience = 300 * time.Millisecond
 	// failureDelay is the time for which a source that failed is not asked, times the
 	// failures in a row, up to maxFailureDelay.
 	failureDelay    = 500 * time.Millisecond
 	maxFailureDelay = 4 * time.Second
 	// corruptDelay is that for the sources of bytes that were not what was confirmed.
 	corruptDelay = 10 * time.Second
-	// absentDelay is the time after which a source that lacked the content is asked again.
-	absentDelay = 100 * time.Millisecond
+	// absentDelay is the time after which a source that lacked the content is asked again. It
+	// doubles each time up to maxAbsentDelay.
+	absentDelay    = 100 * time.Millisecond
+	maxAbsentDelay = 2 * time.Second
 	// leads is the number of hosts of a data centre that may take a version from outside at
 	// once. Of the others, as many at a time may after each further regionStep (from the
 	// region) or outsideStep (from another region), but not before a control host of the
@@ -128,8 +138,10 @@
 	// will be.
 	nearBusyAt [distances]time.Duration
 	senders    map[string]bool
-	// holders have the content by what other sources say.
+	// holders have the content by what other sources say; absent counts how often a source
+	// lacked it.
 	holders map[string]bool
+	absent  map[string]int
 }
 
 type sourceState struct {
@@ -147,11 +159,9 @@
 	newest  Target
 	current *transfer
 	sources map[string]*sourceState
-	// partBytes is the size of the next part, rate the bytes per millisecond of the last
-	// ones, timeouts the number of failures since.
+	// partBytes is the size of the next part, rate the bytes per millisecond of the last one.
 	partBytes int
 	rate      float64
-	timeouts  int
 }
 
 // NewFetcher returns a fetcher that adds what it has got to the store of its host.
@@ -197,7 +207,7 @@
 		t.Resumed++
 	}
 	t.From = best.Address
-	c := &Call{Address: best.Address, sentAt: now, Timeout: f.timeout(), Request: Request{Caller: f.self.Address, Wanted: t.Digest, Base: t.base,
+	c := &Call{Address: best.Address, sentAt: now, Timeout: f.timeout(best), Request: Request{Caller: f.self.Address, Wanted: t.Digest, Base: t.base,
 		Encoding: t.encoding, Offset: len(t.received), Limit: f.partBytes}}
 	return c, 0
 }
@@ -207,11 +217,16 @@
 // delta; it ends if no source has its version any more.
 func (f *Fetcher) choose(now time.Duration) bool {
 	have, digest := f.store.Newest()
-	if f.current != nil && (f.current.Version <= have || f.current.Version < f.newest.Version && (len(f.current.received) == 0 || now-f.current.progressAt > minPartTimeout)) {
+	since := now
+	if t := f.current; t != nil && (t.Version <= have || t.Version < f.newest.Version && (len(t.received) == 0 || now-t.progressAt > stalledTime)) {
+		if t.Version > have {
+			since = t.startedAt // the search goes on
+		}
 		f.current = nil
 	}
 	if f.current == nil && f.newest.Version > have {
 		f.begin(now, digest)
+		f.current.startedAt = since
 	}
 	if f.current == nil {
 		f.store.await(Digest{})
@@ -229,72 +244,125 @@
 		}
 	}
 	f.current = &transfer{Transfer: Transfer{Target: f.newest}, base: base, baseData: f.store.Content(base), startedAt: now, progressAt: now,
-		senders: map[string]bool{}, holders: map[string]bool{}}
+		senders: map[string]bool{}, holders: map[string]bool{}, absent: map[string]int{}}
 }
 
-func (f *Fetcher) timeout() time.Duration {
-	expected := minPartTimeout
+// timeout returns the time that the next part may take. A source that failed gets more.
+func (f *Fetcher) timeout(c *Candidate) time.Duration {
+	out := regionPartTimeout
+	if f.distance(c) == otherRegion {
+		out = outsidePartTimeout
+	}
 	if f.rate > 0 {
-		expected = time.Duration(float64(f.partBytes)/f.rate*partTimeoutFactor) * time.Millisecond
+		out = max(out, time.Duration(float64(f.partBytes)/f.rate*partTimeoutFactor)*time.Millisecond)
 	}
-	return min(max(expected, minPartTimeout)*time.Duration(1+f.timeouts), maxPartTimeout)
+	if s := f.sources[c.Address]; s != nil {
+		out *= time.Duration(1 + s.failures)
+	}
+	return min(out, maxPartTimeout)
 }
 
 // source returns the source to ask, or nil and the time after which there may be one.
 func (f *Fetcher) source(now time.Duration, candidates []Candidate) (*Candidate, time.Duration) {
 	t := f.current
-	version := strconv.FormatUint(t.Version, 10)
-	weight := func(address string) uint64 { return rendezvous.Weight(version, address) }
-	rank, controlNear := 0, false
-	for i := range candidates {
-		c := &candidates[i]
-		distance := f.distance(c)
-		if distance == sameDataCentre && !c.Control && weight(c.Address) > weight(f.self.Address) {
-			rank++
-		}
-		controlNear = controlNear || c.Control && !c.Silent && distance <= sameRegion
-	}
-	wait := pollInterval
+	ranks, controlNear := f.rank(candidates)
+	own := ranks[f.self.Address]
+	wait, usualWait := pollInterval, maxPartTimeout
 	var best *Candidate
-	var bestKey [4]uint64
+	var bestKey preference
 	for i := range candidates {
 		c := &candidates[i]
 		distance := f.distance(c)
 		holds := c.Version >= t.Version || t.holders[c.Address]
-		// A host that has not said that it has the content may get it before this one.
-		before := distance == sameDataCentre && weight(c.Address) > weight(f.self.Address)
-		if c.Address == f.self.Address || !c.Control && !holds && !before && (distance == otherRegion || now-t.startedAt < maxOutsideDelay) {
+		rank, near := ranks[c.Address]
+		// A host that has not said that it has the content may be the one that fetches first.
+		if c.Address == f.self.Address || !c.Control && !holds && (!near || rank >= leads || rank > own) && (distance == otherRegion || now-t.startedAt < maxOutsideDelay) {
 			continue
 		}
-		from := t.startedAt + f.delay(now, distance, rank, controlNear)
+		from := t.startedAt + f.delay(now, distance, own, controlNear)
+		failed := c.Silent
 		if s := f.sources[c.Address]; s != nil {
 			from = max(from, s.notBefore)
+			failed = failed || s.failures > 0
 		}
 		if from > now {
 			wait = min(wait, from-now)
+			if !failed {
+				usualWait = min(usualWait, from-now)
+			}
 			continue
 		}
-		key := [4]uint64{uint64(distance), 0, 0, ^rendezvous.Weight(f.self.Address, c.Address)}
+		key := preference{distance: distance, weight: rendezvous.Weight(f.self.Address, c.Address)}
 		switch {
-		case c.Address == t.From && len(t.received) > 0:
-			key = [4]uint64{}
-		case c.Silent:
-			key[0] = distances
+		case c.Address == t.From && len(t.received) > 0 && !failed:
+			key.tier = tierCurrent
+		case failed:
+			key.tier = tierFailed
+		case !holds && t.absent[c.Address] > 0:
+			key.tier = tierAbsent
 		case holds && c.Control:
+			key.kind = 0
 		case holds:
-			key[1] = 1
+			key.kind = 1
 		case c.Control:
-			key[1] = 2
+			key.kind = 2
 		default:
-			key[1], key[2] = 3, ^weight(c.Address)
+			key.kind = 3
 		}
-		if best == nil || slices.Compare(key[:], bestKey[:]) < 0 {
+		if best == nil || key.before(bestKey) {
 			best, bestKey = c, key
 		}
 	}
+	if best != nil && bestKey.tier == tierFailed && usualWait <= patience {
+		return nil, max(usualWait, time.Millisecond)
+	}
 	return best, max(wait, time.Millisecond)
 }
 
+// Tiers of sources, the first to be preferred.
+const (
+	// tierCurrent is the source of the parts before.
+	tierCurrent = iota - 1
+	tierUsual
+	// tierAbsent lacked the content, tierFailed did not respond.
+	tierAbsent
+	tierFailed
+)
+
+// preference orders sources: by tier, distance, whether they have the content, and for the
+// rest evenly over the hosts that fetch.
+type preference struct {
+	tier, distance, kind int
+	weight               uint64
+}
+
+func (p preference) before(q preference) bool {
+	return cmp.Or(cmp.Compare(p.tier, q.tier), cmp.Compare(p.distance, q.distance), cmp.Compare(p.kind, q.kind), cmp.Compare(q.weight, p.weight)) < 0
+}
+
+// rank returns the order of the entry hosts of this data centre for the version, and whether
+// a control host of the region responds.
+func (f *Fetcher) rank(candidates []Candidate) (ranks map[string]int, controlNear bool) {
+	addresses := []string{f.self.Address}
+	for i := range candidates {
+		c := &candidates[i]
+		distance := f.distance(c)
+		if distance == sameDataCentre && !c.Control {
+			addresses = append(addresses, c.Address)
+		}
+		controlNear = controlNear || c.Control && !c.Silent && distance <= sameRegion
+	}
+	version := strconv.FormatUint(f.current.Version, 10)
+	slices.SortFunc(addresses, func(a, b string) int {
+		return cmp.Compare(rendezvous.Weight(version, b), rendezvous.Weight(version, a))
+	})
+	ranks = make(map[string]int, len(addresses))
+	for i, a := range addresses {
+		ranks[a] = i
+	}
+	return ranks, controlNear
+}
+
 func (f *Fetcher) distance(c *Candidate) int {
 	switch {
 	case c.DataCentre != "" && c.DataCentre == f.self.DataCentre:
@@ -345,7 +413,6 @@
 		s.failures++
 		s.notBefore = now + min(failureDelay*time.Duration(s.failures), maxFailureDelay)
 		f.partBytes = max(minPartBytes, f.partBytes/2)
-		f.timeouts++
 		if t := f.current; t != nil {
 			t.Failed++
 		}
@@ -386,7 +453,12 @@
 		t.Absent++
 		delete(t.holders, c.Address)
 	}
-	s.notBefore = now + min(max(cmp.Or(r.RetryAfter, absentDelay), time.Millisecond), maxBusyTime)
+	if r.RetryAfter > 0 {
+		s.notBefore = now + min(max(r.RetryAfter, time.Millisecond), maxBusyTime)
+		return
+	}
+	s.notBefore = now + min(absentDelay<<min(t.absent[c.Address], 8), maxAbsentDelay)
+	t.absent[c.Address]++
 }
 
 // add appends a part.
@@ -406,7 +478,6 @@
 	t.Bytes += len(r.Part)
 	t.Parts++
 	t.progressAt, t.senders[c.Address] = now, true
-	f.timeouts = 0
 	took := max(now-c.sentAt, time.Millisecond)
 	f.rate = float64(len(r.Part)) / float64(took.Milliseconds())
 	if took < fastPart && len(r.Part) == c.Request.Limit {
