--- a/internal/fleetsync/client_test.go
+++ b/internal/fleetsync/client_test.go
@@ -59,6 +59,9 @@
 	if err := transport.Register(s, syncpb.DRPCSyncDescription{}); err != nil {
 		t.Fatal(err)
 	}
+	if err := transport.Register(s, syncpb.DRPCDocumentsDescription{}); err != nil {
+		t.Fatal(err)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = transport.Serve(ctx, listener) }()
