doctransfer: the time that a part may take does not follow from small ones

A source that froze in the middle of a transfer was waited for up to 3 s, because a delta of 300 bytes had shown the latency and not the rate.

--- a/internal/doctransfer/fetcher.go
+++ b/internal/doctransfer/fetcher.go
@@ -24,7 +24,7 @@
 	// partTimeoutFactor times the time expected by the rate of the part before.
 	regionPartTimeout  = 400 * time.Millisecond
 	outsidePartTimeout = 600 * time.Millisecond
-	maxPartTimeout     = 3 * time.Second
+	maxPartTimeout     = 2 * time.Second
 	partTimeoutFactor  = 4
 	// stalledTime is the time without progress after which a transfer gives way to a newer
 	// version.
@@ -254,7 +254,11 @@
 		out = outsidePartTimeout
 	}
 	if f.rate > 0 {
-		out = max(out, time.Duration(float64(f.partBytes)/f.rate*partTimeoutFactor)*time.Millisecond)
+		part := f.partBytes
+		if t := f.current; t.total > 0 {
+			part = min(part, t.total-len(t.received))
+		}
+		out = max(out, time.Duration(float64(part)/f.rate*partTimeoutFactor)*time.Millisecond)
 	}
 	if s := f.sources[c.Address]; s != nil {
 		out *= time.Duration(1 + s.failures)
@@ -479,7 +483,9 @@
 	t.Parts++
 	t.progressAt, t.senders[c.Address] = now, true
 	took := max(now-c.sentAt, time.Millisecond)
-	f.rate = float64(len(r.Part)) / float64(took.Milliseconds())
+	if len(r.Part) >= minPartBytes { // a smaller one shows the latency
+		f.rate = float64(len(r.Part)) / float64(took.Milliseconds())
+	}
 	if took < fastPart && len(r.Part) == c.Request.Limit {
 		f.partBytes = min(2*f.partBytes, MaxPartBytes)
 	} else if took > slowPart {
--- a/internal/doctransfer/fetcher_test.go
+++ b/internal/doctransfer/fetcher_test.go
@@ -183,3 +183,26 @@
 		t.Errorf("unknown content: %+v", r)
 	}
 }
+
+// Guards against a form that cannot be decoded within the memory that its length allows.
+func TestFormsOfAllSizes(t *testing.T) {
+	random := randomContent(MaxContentBytes)
+	sizes := []int{1, 7, 1000, 70_000, 1<<20 + 1, 4 << 20, MaxContentBytes}
+	for _, n := range sizes {
+		for _, content := range [][]byte{random[:n], bytes.Repeat([]byte("x"), n)} {
+			for _, base := range append(sizes, 0) {
+				var baseData []byte
+				if base > 0 {
+					baseData = random[len(random)-base:]
+				}
+				encoded, err := encode(baseData, content)
+				if err != nil {
+					t.Fatalf("%d bytes, base of %d: %v", n, base, err)
+				}
+				if got, err := decode(baseData, encoded, n, DigestOf(content)); err != nil || !bytes.Equal(got, content) || len(encoded) > n+formReserveBytes {
+					t.Errorf("%d bytes, base of %d: %d bytes encoded, %v", n, base, len(encoded), err)
+				}
+			}
+		}
+	}
+}
