--- a/internal/fleetsync/client.go
+++ b/internal/fleetsync/client.go
@@ -157,7 +157,7 @@
 		} else if now-respondedAt > controlRetention && c.removeControl(address, seeds()) {
 			return
 		}
-		clock.Sleep(ctx, wait)
+		c.pause(ctx, wait)
 	}
 }
 
--- a/internal/fleetsync/documents.go
+++ b/internal/fleetsync/documents.go
@@ -82,7 +82,10 @@
 	store   *doctransfer.Source
 	fetcher *doctransfer.Fetcher
 	wake    chan struct{} // receives when a newer version is confirmed
-	mu      sync.Mutex
+	// first is closed when the first content that was fetched is in force.
+	first     chan struct{}
+	closeOnce sync.Once
+	mu        sync.Mutex
 	// controls are the control hosts that hand out contents, by address.
 	controls map[string]doctransfer.Candidate
 	// confirmed are the last confirmations of versions that have not arrived.
@@ -109,7 +112,7 @@
 // NewDocuments returns the documents of a host, which has none yet.
 func NewDocuments(self doctransfer.Host) *Documents {
 	store := doctransfer.NewSource(entryTransfers, entryContentBytes)
-	return &Documents{store: store, fetcher: doctransfer.NewFetcher(self, store), wake: make(chan struct{}, 1),
+	return &Documents{store: store, fetcher: doctransfer.NewFetcher(self, store), wake: make(chan struct{}, 1), first: make(chan struct{}),
 		controls: map[string]doctransfer.Candidate{}, confirmed: map[uint64]confirmation{}}
 }
 
@@ -131,10 +134,10 @@
 	if d == nil {
 		return
 	}
-	_, digest := d.store.Newest()
-	in.Fetches, in.Digest = true, digest.Bytes()
+	in.Fetches = true
 	if d.fetcher.Current() == 0 && c.near(address, now) {
-		in.FormLimit = maxFormBytes
+		_, digest := d.store.Newest()
+		in.FormLimit, in.Digest = maxFormBytes, digest.Bytes()
 	}
 }
 
@@ -319,4 +322,27 @@
 	c.applyMu.Lock()
 	defer c.applyMu.Unlock()
 	c.Apply(now, Update{SentAt: k.sentAt, ControlAddress: k.address, ExchangeResponse: k.out})
+	c.Documents.closeOnce.Do(func() { close(c.Documents.first) })
+}
+
+// pause waits between two exchanges. Until the first content has been fetched it ends when
+// that is in force, so that the host reports at once that it serves.
+func (c *Client) pause(ctx context.Context, wait time.Duration) {
+	if c.Documents == nil {
+		clock.Sleep(ctx, wait)
+		return
+	}
+	select {
+	case <-c.Documents.first:
+		clock.Sleep(ctx, wait)
+		return
+	default:
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-c.Documents.first:
+	case <-timer.C:
+	}
 }
