--- a/internal/doctransfer/fetcher_test.go
+++ b/internal/doctransfer/fetcher_test.go
@@ -206,3 +206,28 @@
 		}
 	}
 }
+
+// BenchmarkForms measures what a form of a document of 1,400 routes costs.
+func BenchmarkForms(b *testing.B) {
+	f := newFleet(false)
+	old := f.content
+	f.change()
+	for name, base := range map[string][]byte{"whole": nil, "delta": old} {
+		encoded, _ := encode(base, f.content)
+		b.Run("encode "+name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				encoded, _ = encode(base, f.content)
+			}
+			b.ReportMetric(float64(len(encoded)), "form-bytes")
+		})
+		b.Run("decode "+name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := decode(base, encoded, len(f.content), DigestOf(f.content)); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
