--- a/internal/fleetsync/documents.go
+++ b/internal/fleetsync/documents.go
@@ -142,12 +142,23 @@
 }
 
 // near reports whether a control host is of the region of this host or of an unknown one, or
-// whether those of the region have become silent.
+// whether no control host of the region responds or is known.
 func (c *Client) near(address string, now time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	region := c.regionByControl[address]
-	return region == c.Region || region == "" || c.sameRegionHeardAt > 0 && now-c.sameRegionHeardAt > sameRegionSilenceTimeout
+	if region == c.Region || region == "" {
+		return true
+	}
+	if c.sameRegionHeardAt > 0 {
+		return now-c.sameRegionHeardAt > sameRegionSilenceTimeout
+	}
+	for _, other := range c.regionByControl {
+		if other == c.Region {
+			return false
+		}
+	}
+	return true
 }
 
 // receiveDocument completes a response with the content, if this host has it or the response
