fleetsync: entry hosts do not tell the version of their document

It would change every record of the list of hosts with each document. A test sent a small change to a control host that had missed the version before, which rightly hands out a whole form; it leaves that host at its version now.

--- a/internal/doctransfer/fetcher.go
+++ b/internal/doctransfer/fetcher.go
@@ -87,7 +87,7 @@
 	Region     string
 	// Control is true for a control host.
 	Control bool
-	// Version is the newest version that it is known to have.
+	// Version is the newest version that a control host has told; 0 if it is unknown.
 	Version uint64
 	// Silent means that it did not respond to its last call.
 	Silent bool
--- a/internal/fleetsync/presence.go
+++ b/internal/fleetsync/presence.go
@@ -116,7 +116,7 @@
 func copyWithAge(e *entryRecord, now time.Duration) *syncpb.EntryHost {
 	h := e.host
 	return &syncpb.EntryHost{Name: h.GetName(), DataCentre: h.GetDataCentre(), Region: h.GetRegion(), Front: h.GetFront(),
-		Forward: h.GetForward(), Started: h.GetStarted(), Serving: h.GetServing(), Loads: h.GetLoads(), Peer: h.GetPeer(), Detached: h.GetDetached(), UsageRelay: h.GetUsageRelay(), PaceLease: h.GetPaceLease(), Documents: h.GetDocuments(), ContentVersion: h.GetContentVersion(), HeardMs: (now - e.heardAt).Milliseconds()}
+		Forward: h.GetForward(), Started: h.GetStarted(), Serving: h.GetServing(), Loads: h.GetLoads(), Peer: h.GetPeer(), Detached: h.GetDetached(), UsageRelay: h.GetUsageRelay(), PaceLease: h.GetPaceLease(), Documents: h.GetDocuments(), HeardMs: (now - e.heardAt).Milliseconds()}
 }
 
 // TakeDirectEntries returns the entry hosts that reported to this host since the last
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -36,7 +36,7 @@
 	began, originCursor := g.origins.Since(now, originCursor)
 	out := &syncpb.ExchangeRequest{Index: index, Version: version, WantHosts: g.wantsHosts(now), UptimeMs: (now - g.startedAt).Milliseconds(), Partitions: uint64(g.paceLease.Held(now)),
 		Host: &syncpb.EntryHost{Name: g.Name, DataCentre: g.DataCentre, Region: g.Region, Front: g.Front, Forward: g.Forward, Peer: g.Peer,
-			Started: g.Started, Serving: g.Ready(), Detached: g.path.Detached(), UsageRelay: true, PaceLease: true, Documents: true, ContentVersion: version},
+			Started: g.Started, Serving: g.Ready(), Detached: g.path.Detached(), UsageRelay: true, PaceLease: true, Documents: true},
 		Origins: fleetsync.EncodeOrigins(began), OriginCursor: originCursor}
 	for _, name := range slices.Sorted(maps.Keys(g.buckets)) {
 		b := g.buckets[name]
@@ -148,7 +148,7 @@
 	var out []doctransfer.Candidate
 	for _, h := range g.hosts {
 		if h.GetDocuments() && h.GetPeer() != "" && now-h.lastHeard <= hostTimeout {
-			out = append(out, doctransfer.Candidate{Address: h.GetPeer(), DataCentre: h.GetDataCentre(), Region: h.GetRegion(), Version: h.GetContentVersion()})
+			out = append(out, doctransfer.Candidate{Address: h.GetPeer(), DataCentre: h.GetDataCentre(), Region: h.GetRegion()})
 		}
 	}
 	return out
