doctransfer: hosts that wait for each other ask other sources too

Found by a review. Hosts of a data centre that all fetch the same version told each other to wait, and never again asked a control host that had failed once (test: not within 6 s). The digest of a version could be that of a later one, a part at another offset was asked for without end, a host that had just started fetched before it knew its neighbours, and counted control hosts that it had not called yet as failed.

The search is limited: 0.5 s for hosts that are fetching themselves, and after 1.2 s they count as hosts that lack the content.

--- a/internal/doctransfer/fetcher.go
+++ b/internal/doctransfer/fetcher.go
@@ -54,9 +54,10 @@
 	// region whether it has the content.
 	maxOutsideDelay = 1200 * time.Millisecond
 	// nearDelay keeps a host from going further away while a nearer source is busy with
-	// the content, up to maxNearDelay.
-	nearDelay    = 300 * time.Millisecond
-	maxNearDelay = 2 * time.Second
+	// the content, up to maxNearDelay, or is itself fetching it, up to maxArrivingDelay.
+	nearDelay        = 300 * time.Millisecond
+	maxNearDelay     = 2 * time.Second
+	maxArrivingDelay = 500 * time.Millisecond
 	// pollInterval is the longest time between looks for another source.
 	pollInterval = 200 * time.Millisecond
 	// formReserveBytes is how much longer than its content a form may be.
@@ -134,10 +135,10 @@
 	total      int
 	startedAt  time.Duration
 	progressAt time.Duration
-	// nearBusyAt is when a source at a distance last said that the content is there or
-	// will be.
-	nearBusyAt [distances]time.Duration
-	senders    map[string]bool
+	// nearBusyAt is when a source at a distance last said that it has the content,
+	// arrivingAt when one said that it is fetching it.
+	nearBusyAt, arrivingAt [distances]time.Duration
+	senders                map[string]bool
 	// holders have the content by what other sources say; absent counts how often a source
 	// lacked it.
 	holders map[string]bool
@@ -147,6 +148,8 @@
 type sourceState struct {
 	notBefore time.Duration
 	failures  int
+	// corrupt means that its bytes were not what was confirmed.
+	corrupt bool
 }
 
 // Fetcher decides from where a host gets the newest content. It is safe for concurrent
@@ -177,6 +180,11 @@
 		return false
 	}
 	f.newest = t
+	for _, s := range f.sources {
+		if s.corrupt { // that was another content
+			*s = sourceState{}
+		}
+	}
 	return true
 }
 
@@ -243,8 +251,11 @@
 			delete(f.sources, address)
 		}
 	}
-	f.current = &transfer{Transfer: Transfer{Target: f.newest}, base: base, baseData: f.store.Content(base), startedAt: now, progressAt: now,
+	f.current = &transfer{Transfer: Transfer{Target: f.newest}, startedAt: now, progressAt: now,
 		senders: map[string]bool{}, holders: map[string]bool{}, absent: map[string]int{}}
+	if data := f.store.Content(base); data != nil {
+		f.current.base, f.current.baseData = base, data
+	}
 }
 
 // timeout returns the time that the next part may take. A source that failed gets more.
@@ -272,6 +283,7 @@
 	ranks, controlNear := f.rank(candidates)
 	own := ranks[f.self.Address]
 	wait, usualWait := pollInterval, maxPartTimeout
+	late := now-t.startedAt >= maxOutsideDelay
 	var best *Candidate
 	var bestKey preference
 	for i := range candidates {
@@ -280,7 +292,7 @@
 		holds := c.Version >= t.Version || t.holders[c.Address]
 		rank, near := ranks[c.Address]
 		// A host that has not said that it has the content may be the one that fetches first.
-		if c.Address == f.self.Address || !c.Control && !holds && (!near || rank >= leads || rank > own) && (distance == otherRegion || now-t.startedAt < maxOutsideDelay) {
+		if c.Address == f.self.Address || !c.Control && !holds && (!near || rank >= leads || rank > own) && (distance == otherRegion || !late) {
 			continue
 		}
 		from := t.startedAt + f.delay(now, distance, own, controlNear)
@@ -289,13 +301,6 @@
 			from = max(from, s.notBefore)
 			failed = failed || s.failures > 0
 		}
-		if from > now {
-			wait = min(wait, from-now)
-			if !failed {
-				usualWait = min(usualWait, from-now)
-			}
-			continue
-		}
 		key := preference{distance: distance, weight: rendezvous.Weight(f.self.Address, c.Address)}
 		switch {
 		case c.Address == t.From && len(t.received) > 0 && !failed:
@@ -313,6 +318,13 @@
 		default:
 			key.kind = 3
 		}
+		if from > now {
+			wait = min(wait, from-now)
+			if key.tier <= tierUsual {
+				usualWait = min(usualWait, from-now)
+			}
+			continue
+		}
 		if best == nil || key.before(bestKey) {
 			best, bestKey = c, key
 		}
@@ -399,6 +411,9 @@
 		if busy := t.nearBusyAt[nearer]; busy > 0 && now-busy < nearDelay {
 			out = max(out, min(busy+nearDelay-t.startedAt, maxNearDelay))
 		}
+		if arriving := t.arrivingAt[nearer]; arriving > 0 && now-arriving < nearDelay {
+			out = max(out, min(arriving+nearDelay-t.startedAt, maxArrivingDelay))
+		}
 	}
 	return out
 }
@@ -433,7 +448,7 @@
 	}
 	if err := f.add(now, c, r); err != nil || len(t.received) < t.total {
 		if err != nil {
-			s.notBefore = now + corruptDelay
+			f.block(now, c.Address)
 		}
 		return nil, err
 	}
@@ -448,7 +463,11 @@
 	}
 	if r.RetryAfter > 0 {
 		if i := slices.IndexFunc(candidates, func(k Candidate) bool { return k.Address == c.Address }); i >= 0 {
-			t.nearBusyAt[f.distance(&candidates[i])] = now
+			at := &t.arrivingAt
+			if r.Found {
+				at = &t.nearBusyAt
+			}
+			at[f.distance(&candidates[i])] = now
 		}
 	}
 	if r.Found {
@@ -457,7 +476,8 @@
 		t.Absent++
 		delete(t.holders, c.Address)
 	}
-	if r.RetryAfter > 0 {
+	// Hosts that all wait for each other must not keep each other from other sources.
+	if r.RetryAfter > 0 && (r.Found || now-t.startedAt < maxOutsideDelay) {
 		s.notBefore = now + min(max(r.RetryAfter, time.Millisecond), maxBusyTime)
 		return
 	}
@@ -475,8 +495,8 @@
 	case r.Offset == 0: // the first part, or another form
 		t.received, t.encoding, t.total, t.Delta = make([]byte, 0, min(r.Total, MaxPartBytes)), r.Encoding, r.Total, r.Base != (Digest{})
 	default:
-		t.received, t.encoding = nil, 0
-		return nil
+		t.received, t.encoding, t.total = nil, 0, 0
+		return errors.Join(ErrCorrupt, errors.New("part at another offset"))
 	}
 	t.received = append(t.received, r.Part...)
 	t.Bytes += len(r.Part)
@@ -494,6 +514,15 @@
 	return nil
 }
 
+// block keeps a source from being asked for the time being, unless a newer version, which
+// may be confirmed rightly, is to be fetched.
+func (f *Fetcher) block(now time.Duration, address string) {
+	f.sources[address] = &sourceState{corrupt: true}
+	if f.current.Version == f.newest.Version {
+		f.sources[address].notBefore = now + corruptDelay
+	}
+}
+
 // finish checks the content of a complete transfer and adds it to the store.
 func (f *Fetcher) finish(now time.Duration) (*Transfer, error) {
 	t := f.current
@@ -504,7 +533,7 @@
 	content, err := decode(base, t.received, t.Length, t.Digest)
 	if err != nil {
 		for address := range t.senders {
-			f.sources[address] = &sourceState{notBefore: now + corruptDelay}
+			f.block(now, address)
 		}
 		f.begin(now, Digest{}) // without a base, which may be what is wrong
 		f.current.Failed = t.Failed + 1
--- a/internal/doctransfer/fetcher_test.go
+++ b/internal/doctransfer/fetcher_test.go
@@ -231,3 +231,73 @@
 		})
 	}
 }
+
+// Guards against hosts that wait for each other, and never ask again the source that failed
+// once or that is far away.
+func TestHostsThatWaitForEachOther(t *testing.T) {
+	content := randomContent(20 << 10)
+	for name, source := range map[string]Candidate{"control host failed once": near, "other region": {Address: "far", DataCentre: "dc3", Region: "r2", Control: true, Version: 9}} {
+		a := NewSource(16, 1<<20)
+		target := Target{9, a.Add(9, content), len(content)}
+		candidates := []Candidate{source}
+		for i := range 24 {
+			candidates = append(candidates, Candidate{Address: string(rune('a' + i)), DataCentre: "dc", Region: "r"})
+		}
+		waits := NewSource(1, 1<<20)
+		waits.await(target.Digest)
+		f := NewFetcher(Host{Address: "self", DataCentre: "dc", Region: "r"}, NewSource(1, 1<<20))
+		f.Confirm(target)
+		now, failures := time.Second, 0
+		var got *Transfer
+		for got == nil && now < 6*time.Second {
+			call, wait := f.Next(now, candidates)
+			if call == nil {
+				now += wait
+				continue
+			}
+			var r Response
+			var callErr, err error
+			switch {
+			case call.Address != source.Address:
+				r = waits.Fetch(now, call.Request)
+				now += time.Millisecond
+			case name != "other region" && failures == 0:
+				failures++
+				callErr = errors.New("no response")
+				now += call.Timeout
+			default:
+				r = a.Fetch(now, call.Request)
+				now += 20 * time.Millisecond
+			}
+			if got, err = f.Result(now, call, candidates, r, callErr); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got == nil || now > 4*time.Second {
+			t.Errorf("%s: arrived: %v, after %s", name, got != nil, now-time.Second)
+		}
+	}
+}
+
+// Guards against a version that is confirmed with the digest of a later one, and against a
+// part at another offset that is asked for without end.
+func TestDigestAndOffsetOfTheVersion(t *testing.T) {
+	a := NewSource(1, 1<<20)
+	five, six := randomContent(1000), randomContent(2000)
+	d := a.Add(5, five)
+	a.Add(6, six)
+	if a.Add(5, five) != d || a.Add(4, six) != DigestOf(six) {
+		t.Error("digest of another version")
+	}
+	now := time.Second
+	f := NewFetcher(self, NewSource(1, 1<<20))
+	f.Confirm(Target{6, DigestOf(six), len(six)})
+	for range 2 {
+		if _, _, err := step(t, f, &now, map[string]*Source{"near": a, "far": a}, func(r *Response) { r.Offset = 7; r.Part = r.Part[:9] }); !errors.Is(err, ErrCorrupt) {
+			t.Errorf("part at another offset: %v", err)
+		}
+	}
+	if call, wait := f.Next(now, []Candidate{near, far}); call != nil || wait == 0 {
+		t.Errorf("asked again at once: %v", call)
+	}
+}
--- a/internal/doctransfer/source.go
+++ b/internal/doctransfer/source.go
@@ -117,13 +117,17 @@
 	return &Source{maxTransfers: maxTransfers, maxBytes: maxBytes, encode: encode, forms: map[formKey]*form{}, active: map[string]*outgoing{}, meanTime: minBusyTime}
 }
 
-// Add adds the content of a version, unless there is a higher one, and returns the digest of
-// the newest.
+// Add adds the content of a version, unless there is a higher one, and returns its digest.
 func (s *Source) Add(version uint64, data []byte) Digest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if n := len(s.contents); n > 0 && s.contents[n-1].version >= version {
-		return s.contents[n-1].digest
+		for _, c := range s.contents {
+			if c.version == version {
+				return c.digest
+			}
+		}
+		return DigestOf(data)
 	}
 	d := DigestOf(data)
 	s.contents = append(s.contents, content{version, d, data})
--- a/internal/fleetsync/client.go
+++ b/internal/fleetsync/client.go
@@ -166,7 +166,7 @@
 func (c *Client) applyResponse(now, sentAt time.Duration, address string, version uint64, out *syncpb.ExchangeResponse) {
 	c.addControls(out.GetControls())
 	c.recordResponse(address, now)
-	c.receiveDocument(sentAt, address, version, out)
+	fetch := c.receiveDocument(sentAt, address, version, out)
 	records, invalid := decodeRecords(now, out.GetTargets())
 	if invalid != nil {
 		c.InvalidRecords(address, invalid)
@@ -174,6 +174,7 @@
 	c.applyMu.Lock()
 	defer c.applyMu.Unlock()
 	c.Apply(now, Update{SentAt: sentAt, ControlAddress: address, Region: c.regionOf(address), ExchangeResponse: out, Records: records})
+	fetch()
 }
 
 func (c *Client) addControls(controls []*syncpb.ControlHost) {
--- a/internal/fleetsync/documents.go
+++ b/internal/fleetsync/documents.go
@@ -163,37 +163,41 @@
 
 // receiveDocument completes a response with the content, if this host has it or the response
 // brought it. Otherwise the content is fetched, and the response holds until then.
-func (c *Client) receiveDocument(sentAt time.Duration, address string, version uint64, out *syncpb.ExchangeResponse) {
+// It returns the function that begins to fetch, to be called when the rest of the response,
+// which lists the hosts, has been applied.
+func (c *Client) receiveDocument(sentAt time.Duration, address string, version uint64, out *syncpb.ExchangeResponse) (fetch func()) {
 	d := c.Documents
+	fetch = func() {}
 	if d == nil {
-		return
+		return fetch
 	}
 	d.recordControls(address, out)
 	if out.GetVersion() <= version {
-		return
+		return fetch
 	}
 	if len(out.GetDigest()) == 0 { // a control host of an earlier build
 		if len(out.GetContent()) > 0 {
 			d.store.Add(out.GetVersion(), out.GetContent())
 		}
-		return
+		return fetch
 	}
 	target := doctransfer.Target{Version: out.GetVersion(), Digest: doctransfer.ParseDigest(out.GetDigest()), Length: clampInt(out.GetLength())}
 	if out.Content = d.store.Content(target.Digest); out.Content != nil {
 		d.takeConfirmation(target.Version)
-		return
+		return fetch
 	}
 	if len(out.GetForm()) > 0 {
 		content, err := d.fetcher.Accept(target, doctransfer.ParseDigest(out.GetFormBase()), out.GetForm())
 		if err == nil {
 			out.Content = content
 			d.takeConfirmation(target.Version)
-			return
+			return fetch
 		}
 		d.OnFailure(address, err) // it is fetched
 	}
-	d.confirm(target, confirmation{sentAt, address, &syncpb.ExchangeResponse{Known: out.GetKnown(), AgeMs: out.GetAgeMs(), Index: out.GetIndex(), Version: out.GetVersion(),
-		Evacuated: out.GetEvacuated(), Restored: out.GetRestored()}})
+	k := confirmation{sentAt, address, &syncpb.ExchangeResponse{Known: out.GetKnown(), AgeMs: out.GetAgeMs(), Index: out.GetIndex(), Version: out.GetVersion(),
+		Evacuated: out.GetEvacuated(), Restored: out.GetRestored()}}
+	return func() { d.confirm(target, k) }
 }
 
 func (d *Documents) recordControls(address string, out *syncpb.ExchangeResponse) {
@@ -201,6 +205,7 @@
 	defer d.mu.Unlock()
 	for _, h := range out.GetControls() {
 		if !h.GetDocuments() {
+			delete(d.controls, h.GetPeer()) // of an earlier build, perhaps again
 			continue
 		}
 		k := d.controls[h.GetPeer()]
@@ -253,7 +258,8 @@
 			delete(c.Documents.controls, address)
 			continue
 		}
-		k.Silent = !c.responds[address]
+		responds, called := c.responds[address]
+		k.Silent = called && !responds
 		out = append(out, k)
 	}
 	return out
