registry: index by address, and changes by digests

Cause: each changed record was compared with all others for an earlier target at its address, so a table of 3,000 targets cost 9 million comparisons when it was filled, on each host, and again when targets fell silent and came back.

Change: rows are indexed by address. The table keeps a digest of each of 64 buckets; Table.Changes answers a host that tells its digests with what differs, in bounded parts, and answers a host that gets all changes elsewhere with departures and warm-ups at once and the rest after a second.

--- /dev/null
+++ b/internal/registry/buckets.go
@@ -0,0 +1,157 @@
+package registry
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Buckets is the number of parts into which a table is divided by the IDs of the targets.
+// Tables are compared by a digest of each part.
+const Buckets = 64
+
+// bucketOf returns the bucket of a target.
+func bucketOf(id string) int { return int(xxhash.Sum64String(id) % Buckets) }
+
+// digest returns a hash of what a host must know of the target. The sequence is left out, as
+// it differs between hosts without effect, and the warm-up, as each host has its own clock.
+func (r Record) digest() uint64 {
+	d := xxhash.New()
+	for _, s := range []string{r.ID, r.Service, r.Address, r.DataCentre, r.Software} {
+		_, _ = d.WriteString(s)      // never fails
+		_, _ = d.Write([]byte{0xff}) // no UTF-8 text has this byte
+	}
+	numbers := binary.BigEndian.AppendUint64(nil, uint64(r.StartMillis))
+	numbers = binary.BigEndian.AppendUint64(numbers, uint64(r.Slots))
+	numbers = append(numbers, byte(r.State))
+	if r.Silent {
+		numbers = append(numbers, 1)
+	}
+	_, _ = d.Write(numbers)
+	return d.Sum64()
+}
+
+// updateDigest follows a change of the row. t.mu must be held.
+func (t *Table) updateDigest(r *row) {
+	b := bucketOf(r.ID)
+	t.digests[b] -= r.digest
+	r.digest = r.Record.digest()
+	t.digests[b] += r.digest
+}
+
+// deleteRow removes a record. t.mu must be held.
+func (t *Table) deleteRow(r *row) {
+	t.digests[bucketOf(r.ID)] -= r.digest
+	t.clearAddress(r)
+	delete(t.rows, r.ID)
+}
+
+// Digests returns the digest of each bucket. Tables with equal digests have the same
+// targets.
+func (t *Table) Digests() []uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]uint64(nil), t.digests[:]...)
+}
+
+// urgencyDelay is how long a caller is expected to have a change from another source before
+// it is told the change as well.
+const urgencyDelay = time.Second
+
+// Query asks for changes on behalf of another host.
+type Query struct {
+	// Cursor is the position up to which the host has the changes; 0 if unknown.
+	Cursor uint64
+	// Digests are those of the host's table; nil if it has not told them.
+	Digests []uint64
+	// Lap is where a comparison by digests is, from the answer before; the zero value begins
+	// one.
+	Lap Lap
+	// Limit is the number of records from which the rest is left for the next query.
+	Limit int
+	// Secondary means that another table tells the host all changes. It is told departures
+	// and warm-ups at once and the rest only if it still lacks that after urgencyDelay.
+	Secondary bool
+}
+
+// Lap is a comparison of all buckets over several queries. Each bucket is compared once, so
+// it ends also if the tables go on to differ.
+type Lap struct {
+	// First is the bucket with which it begins, Done the number of buckets compared.
+	First, Done int
+	// Revision is that of the table at the beginning.
+	Revision uint64
+}
+
+// Changes is the answer to a query.
+type Changes struct {
+	Records []Record
+	// Cursor is the position up to which the host has the changes with these records.
+	Cursor uint64
+	// Incomplete means that more is to be told, and that the next query needs digests.
+	Incomplete bool
+	Lap        Lap
+}
+
+// Changes returns what a host has to be told.
+func (t *Table) Changes(now time.Duration, q Query) Changes {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if q.Cursor == t.revision {
+		return Changes{Cursor: q.Cursor}
+	}
+	hasDigests := len(q.Digests) == Buckets
+	var urgent []Record
+	var pending []*row
+	isOld := false
+	for _, r := range t.rows {
+		switch {
+		case r.revision <= q.Cursor:
+		case r.State != Ready || r.ColdUntil > now:
+			urgent = append(urgent, r.Record)
+		case hasDigests && q.Digests[bucketOf(r.ID)] == t.digests[bucketOf(r.ID)]:
+		default:
+			pending = append(pending, r)
+			isOld = isOld || now-r.changedAt > urgencyDelay
+		}
+	}
+	switch {
+	case len(pending) == 0:
+		return Changes{Records: urgent, Cursor: t.revision}
+	case !hasDigests && (q.Secondary || q.Cursor == 0 || len(pending) > q.Limit):
+		return Changes{Records: urgent, Cursor: q.Cursor, Incomplete: isOld || !q.Secondary}
+	case !hasDigests:
+		return Changes{Records: append(urgent, recordsOf(pending)...), Cursor: t.revision}
+	}
+	return t.continueLap(q, urgent, pending)
+}
+
+// continueLap adds the pending records of the next buckets, at least of one. t.mu must be
+// held.
+func (t *Table) continueLap(q Query, records []Record, pending []*row) Changes {
+	lap := q.Lap
+	if lap.Done == 0 {
+		lap.Revision = t.revision
+	}
+	var byBucket [Buckets][]*row
+	for _, r := range pending {
+		byBucket[bucketOf(r.ID)] = append(byBucket[bucketOf(r.ID)], r)
+	}
+	for told := 0; lap.Done < Buckets && told <= q.Limit; lap.Done++ {
+		rows := byBucket[(lap.First+lap.Done)%Buckets]
+		records, told = append(records, recordsOf(rows)...), told+len(rows)
+	}
+	if lap.Done < Buckets {
+		return Changes{records, q.Cursor, true, lap}
+	}
+	return Changes{Records: records, Cursor: min(lap.Revision, t.revision)}
+}
+
+func recordsOf(rows []*row) []Record {
+	out := make([]Record, len(rows))
+	for i, r := range rows {
+		out[i] = r.Record
+	}
+	return out
+}
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -83,20 +83,40 @@
 	return r.State > other.State
 }
 
+// sameContent reports whether the records differ in nothing but sequence and warm-up.
+func (r Record) sameContent(other Record) bool {
+	r.Sequence, r.ColdUntil = other.Sequence, other.ColdUntil
+	return r == other
+}
+
+// Repeats reports whether r says nothing new after an earlier record of its target, except
+// that the target was still running.
+func (r Record) Repeats(earlier Record, now time.Duration) bool {
+	return r.sameContent(earlier) && r.Sequence >= earlier.Sequence && !coldDiffers(r.ColdUntil, earlier.ColdUntil, now)
+}
+
 type row struct {
 	Record
 	revision  uint64
 	lastHeard time.Duration
 	// toldColdUntil is the ColdUntil of the last change.
 	toldColdUntil time.Duration
+	// changedAt is the time of the last change.
+	changedAt time.Duration
+	// digest is that of the record as counted in Table.digests.
+	digest uint64
 }
 
 // Table holds the records of the targets. Invariant: a record is only replaced by a
 // newer one. It is safe for concurrent use.
 type Table struct {
-	mu       sync.Mutex
-	rows     map[string]*row
-	revision uint64
+	mu   sync.Mutex
+	rows map[string]*row
+	// byAddress has the rows with each address, by ID.
+	byAddress map[string]map[string]*row
+	revision  uint64
+	// digests has the sum of the digests of the rows of each bucket.
+	digests [Buckets]uint64
 	// heartbeatIDs are the targets that sent a heartbeat to this host since the last call of
 	// TakeHeartbeats.
 	heartbeatIDs map[string]bool
@@ -109,7 +129,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{rows: map[string]*row{}, heartbeatIDs: map[string]bool{}, pastSoftware: map[serviceSoftware]time.Duration{}}
+	return &Table{rows: map[string]*row{}, byAddress: map[string]map[string]*row{}, heartbeatIDs: map[string]bool{}, pastSoftware: map[serviceSoftware]time.Duration{}}
 }
 
 // Heartbeat merges a heartbeat that a target sent to this host. It reports whether the
@@ -140,13 +160,13 @@
 	default:
 		return false
 	}
-	changed := current.StartMillis != r.StartMillis || current.State != r.State || current.Address != r.Address || current.Service != r.Service || current.Software != r.Software ||
-		current.Silent != r.Silent || current.Slots != r.Slots || current.DataCentre != r.DataCentre || coldDiffers(r.ColdUntil, current.toldColdUntil, now)
+	changed := !r.sameContent(current.Record) || coldDiffers(r.ColdUntil, current.toldColdUntil, now)
 	t.recordPastSoftware(now, current.Record)
+	t.setAddress(current, r)
 	current.Record, current.lastHeard = r, now
 	if changed {
 		current.toldColdUntil = r.ColdUntil
-		t.markChanged(current)
+		t.markChanged(now, current)
 		t.deregisterOlder(now, r)
 	}
 	return changed
@@ -162,9 +182,38 @@
 	return difference > minColdChange || difference < -minColdChange
 }
 
-func (t *Table) markChanged(r *row) {
+// markChanged must follow each change of a row. t.mu must be held.
+func (t *Table) markChanged(now time.Duration, r *row) {
+	r.changedAt = now
 	t.revision++
 	r.revision = t.revision
+	t.updateDigest(r)
+}
+
+// setAddress follows the change of a row's record to r. t.mu must be held.
+func (t *Table) setAddress(current *row, r Record) {
+	if current.Address == r.Address && current.ID == r.ID {
+		return
+	}
+	t.clearAddress(current)
+	if r.Address == "" {
+		return
+	}
+	rows := t.byAddress[r.Address]
+	if rows == nil {
+		rows = map[string]*row{}
+		t.byAddress[r.Address] = rows
+	}
+	rows[r.ID] = current
+}
+
+// clearAddress removes a row from byAddress. t.mu must be held.
+func (t *Table) clearAddress(r *row) {
+	rows := t.byAddress[r.Address]
+	delete(rows, r.ID)
+	if len(rows) == 0 {
+		delete(t.byAddress, r.Address)
+	}
 }
 
 // deregisterOlder marks older targets at the address of a new one as left.
@@ -172,11 +221,11 @@
 	if r.State == Left || r.Address == "" {
 		return
 	}
-	for _, other := range t.rows {
-		if other.ID != r.ID && other.Address == r.Address && other.State != Left && other.StartMillis < r.StartMillis {
+	for _, other := range t.byAddress[r.Address] {
+		if other.ID != r.ID && other.State != Left && other.StartMillis < r.StartMillis {
 			t.recordPastSoftware(now, other.Record)
 			other.State, other.lastHeard = Left, now
-			t.markChanged(other)
+			t.markChanged(now, other)
 		}
 	}
 }
@@ -196,7 +245,7 @@
 	}
 	t.recordPastSoftware(now, current.Record)
 	current.State, current.StartMillis, current.lastHeard = Left, max(startMillis, current.StartMillis), now
-	t.markChanged(current)
+	t.markChanged(now, current)
 	return true
 }
 
@@ -265,7 +314,7 @@
 	for _, r := range t.rows {
 		if r.State != Left && !r.Silent && now-r.lastHeard > silenceTimeout {
 			r.Silent = true
-			t.markChanged(r)
+			t.markChanged(now, r)
 		}
 	}
 }
@@ -276,10 +325,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var left []*row
-	for id, r := range t.rows {
+	for _, r := range t.rows {
 		switch {
 		case r.State != Ready && now-r.lastHeard > tombstoneTTL:
-			delete(t.rows, id)
+			t.deleteRow(r)
 		case r.State == Left:
 			left = append(left, r)
 		}
@@ -289,7 +338,7 @@
 	}
 	slices.SortFunc(left, func(a, b *row) int { return cmp.Compare(a.lastHeard, b.lastHeard) })
 	for _, r := range left[:len(left)-maxTombstones] {
-		delete(t.rows, r.ID)
+		t.deleteRow(r)
 	}
 }
 
