fleetsync: hosts are told changes only

Cause: each relay round sent each heartbeat in full to five control hosts, each report of an entry host in full to five, each demand of the last 2 s again to the leader, the list of hosts in full to each host twice a second, and six whole tables of targets to each host that starts.

Change: what repeats goes by reference (internal/references). Entry hosts get the list of hosts and of control hosts by changes, the ages of hosts in a byte each, and the targets from one control host; the others tell departures and warm-ups at once and what is still lacking after a second. Builds that do not announce that they understand this get what they got before.

--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -57,8 +57,8 @@
 	g.Init(p.PrefillTokensPerMS * float64(time.Second/time.Millisecond))
 	g.SetPolicy(placement.Policy(s.Policy.Target))
 	g.LocalOnly = s.Policy.DataCentre == alwaysLocal
-	client := &fleetsync.Client{Region: s.Region, Dial: d.transport.Dial, NewRequest: g.ExchangeRequest, Apply: g.Apply, ConfigurationFresh: g.ConfigurationFresh,
-		InvalidRecords: d.logInvalidRecords,
+	client := &fleetsync.Client{Name: s.Name, Region: s.Region, Dial: d.transport.Dial, NewRequest: g.ExchangeRequest, Apply: g.Apply, ConfigurationFresh: g.ConfigurationFresh,
+		InvalidRecords: d.logInvalidRecords, TargetDigests: g.Table.Digests,
 		ReachabilityChanged: func(control string, reachable bool, err error) {
 			entry := d.log.WithFields(logrus.Fields{"control": control, "reachable": reachable})
 			if err != nil {
--- a/internal/fleetsync/client.go
+++ b/internal/fleetsync/client.go
@@ -11,6 +11,7 @@
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/recovery"
 	"geraniumturn.example/geraniumturn/internal/registry"
+	"geraniumturn.example/geraniumturn/internal/rendezvous"
 )
 
 const (
@@ -52,13 +53,16 @@
 
 // Client exchanges reports with control hosts on behalf of an entry host.
 type Client struct {
-	Region string
-	Dial   func(address string) drpc.Conn
+	Name, Region string
+	Dial         func(address string) drpc.Conn
 	// NewRequest returns the report of this host, with the origins of streams after a
 	// cursor; the client adds its position in the target table. Control hosts of the same region get full reports and relay them.
 	// Those of other regions get full reports only while none of the same region
 	// responds.
 	NewRequest func(now time.Duration, full bool, originCursor uint64) *syncpb.ExchangeRequest
+	// TargetDigests returns the digests of this host's table of targets. If it is nil, control
+	// hosts tell everything in full, as to earlier builds.
+	TargetDigests func() []uint64
 	// ConfigurationFresh reports whether the configuration is recent enough to serve.
 	ConfigurationFresh func() bool
 	// Apply processes an update. Calls are serialised.
@@ -110,12 +114,16 @@
 // poll exchanges with one control host until ctx ends or the host is removed.
 func (c *Client) poll(ctx context.Context, address string, seeds func() []string) {
 	var table, cursor, originCursor uint64
+	state := newControlState(c.Region, address)
 	reachable := true
 	respondedAt := clock.SinceBoot()
 	for ctx.Err() == nil {
 		sentAt := clock.SinceBoot()
 		in := c.NewRequest(sentAt, c.needsFullReport(address, sentAt), originCursor)
 		in.Table, in.Cursor = table, cursor
+		if c.TargetDigests != nil {
+			state.prepare(in, c.TargetDigests, c.primary() != address)
+		}
 		timeout := exchangeTimeout
 		if !c.ConfigurationFresh() {
 			timeout = startupTimeout
@@ -127,7 +135,11 @@
 		wasFresh := c.ConfigurationFresh()
 		if err == nil {
 			// A response that cannot be applied fails like one that did not arrive.
-			err = recovery.Do(func() error { c.applyResponse(now, sentAt, address, out); return nil })
+			err = recovery.Do(func() error {
+				state.apply(out)
+				c.applyResponse(now, sentAt, address, out)
+				return nil
+			})
 		}
 		c.recordOutcome(address, err == nil)
 		if ok := err == nil; ok != reachable && ctx.Err() == nil {
@@ -142,6 +154,9 @@
 			}
 			table, cursor, respondedAt = out.GetTable(), out.GetCursor(), now
 			wait = c.pollInterval(address)
+			if out.GetIncomplete() {
+				wait = resyncPause
+			}
 			if !wasFresh && c.ConfigurationFresh() {
 				wait = 0 // report at once that this host serves
 			}
@@ -195,6 +210,27 @@
 	return interval * time.Duration(inRegion)
 }
 
+// primary returns the control host that tells this host all changes of targets: one of its
+// region that responds, or else another one. Hosts are spread over them by rendezvous.
+func (c *Client) primary() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	best, bestWeight, bestRank := "", uint64(0), -1
+	for a, region := range c.regionByControl {
+		rank := 0
+		if c.responds[a] {
+			rank = 1
+			if region == c.Region {
+				rank = 2
+			}
+		}
+		if weight := rendezvous.Weight(c.Name, a); rank > bestRank || rank == bestRank && weight > bestWeight {
+			best, bestWeight, bestRank = a, weight, rank
+		}
+	}
+	return best
+}
+
 func (c *Client) regionOf(address string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fleetsync/departures.go
+++ b/internal/fleetsync/departures.go
@@ -82,14 +82,7 @@
 		if w, due := s.ledger.NextWrite(now); due {
 			calls.Go(func() { s.storeDepartures(w) })
 		}
-		var controls []departures.Control
-		for _, c := range s.Presence.Controls(now) {
-			controls = append(controls, departures.Control{Address: c.GetPeer(), Region: c.GetRegion()})
-		}
-		for _, a := range seeds() {
-			controls = append(controls, departures.Control{Address: a})
-		}
-		for _, c := range s.ledger.NextCalls(now, controls) {
+		for _, c := range s.ledger.NextCalls(now, s.otherControls(now, seeds())) {
 			calls.Go(func() { s.tellDepartures(ctx, c) })
 		}
 		select {
@@ -101,6 +94,18 @@
 	}
 }
 
+// otherControls returns the control hosts that are told of departures.
+func (s *Server) otherControls(now time.Duration, seeds []string) []departures.Control {
+	var out []departures.Control
+	for _, c := range s.Presence.Controls(now) {
+		out = append(out, departures.Control{Address: c.GetPeer(), Region: c.GetRegion()})
+	}
+	for _, a := range seeds {
+		out = append(out, departures.Control{Address: a})
+	}
+	return out
+}
+
 func (s *Server) storeDepartures(w departures.Write) {
 	err := recovery.Do(func() error { return s.Departures.Save(w.Records) })
 	s.ledger.Written(clock.SinceBoot(), w, err)
--- a/internal/fleetsync/origins.go
+++ b/internal/fleetsync/origins.go
@@ -52,15 +52,14 @@
 // origins, and the process of that host that has them.
 type relayCursor struct{ process, cursor uint64 }
 
-// withOrigins returns the request with the origins that a control host does not have yet,
-// and the position after them.
-func (s *Server) withOrigins(now time.Duration, address string, in *syncpb.RelayRequest) (*syncpb.RelayRequest, uint64) {
+// originsFor returns the origins that a control host does not have yet, and the position
+// after them.
+func (s *Server) originsFor(now time.Duration, address string) ([]*syncpb.StreamOrigins, uint64) {
 	s.mu.Lock()
 	from := s.originCursors[address].cursor
 	s.mu.Unlock()
 	groups, next := s.origins.Since(now, from)
-	return &syncpb.RelayRequest{From: in.From, Targets: in.Targets, Hosts: in.Hosts, Demands: in.Demands, Controls: in.Controls,
-		Origins: EncodeOrigins(groups)}, next
+	return EncodeOrigins(groups), next
 }
 
 // recordRelayed records that a process of a control host has the origins before next. A
--- a/internal/fleetsync/partitions_test.go
+++ b/internal/fleetsync/partitions_test.go
@@ -72,7 +72,7 @@
 	leader, _ := newPartitionServer(1)
 	follower, _ := newPartitionServer(0)
 	exchangePartitions(t, follower, entryHost("a", 1), everyPartition)
-	out, err := leader.Relay(context.Background(), &syncpb.RelayRequest{Demands: follower.recentDemands(follower.startedAt + 10*time.Millisecond)})
+	out, err := leader.Relay(context.Background(), &syncpb.RelayRequest{Demands: follower.dueDemands(follower.startedAt+10*time.Millisecond, "leader")})
 	if err != nil || len(out.GetGrants()) != 1 {
 		t.Fatalf("grants %v, %v", out.GetGrants(), err)
 	}
--- a/internal/fleetsync/presence.go
+++ b/internal/fleetsync/presence.go
@@ -31,11 +31,18 @@
 	// serving, or that lost or regained the path to their targets.
 	changedEntries map[string]bool
 	changed        chan struct{} // buffered; receives when changedEntries becomes non-empty
+	hostTable
 }
 
 type entryRecord struct {
 	host    *syncpb.EntryHost
 	heardAt time.Duration
+	// revision is the position in the table of the last change that sameEntry shows, place
+	// that of the host among those of its region.
+	revision uint64
+	place    int
+	// chosenAt is the position at which it was last chosen for hosts of other regions.
+	chosenAt uint64
 }
 
 type controlRecord struct {
@@ -46,7 +53,7 @@
 // NewPresence returns an empty table.
 func NewPresence() *Presence {
 	return &Presence{entries: map[string]*entryRecord{}, controls: map[string]*controlRecord{}, directEntries: map[string]bool{},
-		changedEntries: map[string]bool{}, changed: make(chan struct{}, 1)}
+		changedEntries: map[string]bool{}, changed: make(chan struct{}, 1), hostTable: newHostTable()}
 }
 
 // RecordEntry adds or updates an entry host that reported at heardAt. direct means that
@@ -62,7 +69,9 @@
 	if old != nil && (h.GetStarted() < old.host.GetStarted() || h.GetStarted() == old.host.GetStarted() && heardAt < old.heardAt) {
 		return
 	}
-	p.entries[h.GetName()] = &entryRecord{h, heardAt}
+	e := &entryRecord{host: h, heardAt: heardAt}
+	p.entries[h.GetName()] = e
+	p.placeEntry(e, old)
 	if !direct {
 		return
 	}
@@ -89,7 +98,7 @@
 	var out []*syncpb.EntryHost
 	for name, e := range p.entries {
 		if now-e.heardAt > entryRetention {
-			delete(p.entries, name)
+			p.removeEntry(now, name)
 			continue
 		}
 		if now-e.heardAt <= within {
@@ -136,6 +145,32 @@
 	return p.take(now, p.changedEntries)
 }
 
+// entriesOf returns the entry hosts with these names.
+func (p *Presence) entriesOf(now time.Duration, names []string) []*syncpb.EntryHost {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []*syncpb.EntryHost
+	for _, name := range names {
+		if e := p.entries[name]; e != nil {
+			out = append(out, copyWithAge(e, now))
+		}
+	}
+	return out
+}
+
+// sameEntry reports whether two reports of an entry host differ in nothing but what changes
+// all the time.
+func sameEntry(a, b *syncpb.EntryHost) bool {
+	return a.GetName() == b.GetName() && a.GetDataCentre() == b.GetDataCentre() && a.GetRegion() == b.GetRegion() && a.GetFront() == b.GetFront() &&
+		a.GetForward() == b.GetForward() && a.GetPeer() == b.GetPeer() && a.GetStarted() == b.GetStarted() && a.GetServing() == b.GetServing() &&
+		a.GetDetached() == b.GetDetached() && a.GetUsageRelay() == b.GetUsageRelay() && a.GetPaceLease() == b.GetPaceLease()
+}
+
+// sameServices reports whether two reports have loads of the same services in the same order.
+func sameServices(a, b *syncpb.EntryHost) bool {
+	return slices.EqualFunc(a.GetLoads(), b.GetLoads(), func(a, b *syncpb.Load) bool { return a.GetService() == b.GetService() })
+}
+
 // take returns the entry hosts with these names and clears the names. p.mu must be held.
 func (p *Presence) take(now time.Duration, names map[string]bool) []*syncpb.EntryHost {
 	var out []*syncpb.EntryHost
--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -11,7 +11,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
 	"storj.io/drpc"
 
 	"geraniumturn.example/geraniumturn/internal/clock"
@@ -100,15 +99,11 @@
 	// originCursors are by the address of the control host.
 	originCursors map[string]relayCursor
 	ledger        *departures.Ledger
+	refs          relayState
 	// departureWake receives when departures may have to be stored or told.
 	departureWake chan struct{}
 }
 
-type hostDemands struct {
-	*syncpb.HostDemands
-	heardAt time.Duration
-}
-
 type hostGrants struct {
 	*syncpb.HostGrants
 	// asOf is when the host sent the demands for which the grants were made.
@@ -118,6 +113,7 @@
 // Init prepares the server. It must run before the server is registered for calls.
 func (s *Server) Init() {
 	s.startedAt, s.origins, s.originCursors = clock.SinceBoot(), origins.NewStore(), map[string]relayCursor{}
+	s.refs = newRelayState()
 	s.ledger = departures.NewLedger(s.Targets, departures.Control{Address: s.Self.GetPeer(), Region: s.Self.GetRegion()}, s.LostDisks)
 	s.departureWake = make(chan struct{}, 1)
 	s.demands, s.grants, s.newestReport = map[string]*hostDemands{}, map[string]*hostGrants{}, map[string]time.Duration{}
@@ -125,10 +121,14 @@
 
 // Exchange implements the drpc service.
 func (s *Server) Exchange(_ context.Context, in *syncpb.ExchangeRequest) (*syncpb.ExchangeResponse, error) {
-	now := clock.SinceBoot()
+	return s.exchange(clock.SinceBoot(), in), nil
+}
+
+func (s *Server) exchange(now time.Duration, in *syncpb.ExchangeRequest) *syncpb.ExchangeResponse {
 	s.Presence.RecordEntry(now, in.GetHost(), true)
 	addOrigins(now, in.GetOrigins(), s.origins.Record)
-	out := &syncpb.ExchangeResponse{Controls: s.Presence.Controls(now)}
+	out := &syncpb.ExchangeResponse{}
+	s.addControls(now, in, out)
 	// The age is read before the state, so that it is an upper bound on the age of the
 	// state.
 	age, known := s.Leadership.StateAge()
@@ -138,13 +138,11 @@
 		out.Content = state.Content
 	}
 	out.Evacuated, out.Restored = encodeEvacuations(state.Evacuated), encodeEvacuations(state.Restored)
-	cursor := in.GetCursor()
-	if in.GetTable() != s.Incarnation {
-		cursor = 0
-	}
-	records, next := s.Targets.ChangedSince(cursor)
-	out.Table, out.Cursor, out.Targets = s.Incarnation, next, encodeRecords(now, records)
-	if in.GetWantHosts() {
+	s.addTargets(now, in, out)
+	switch {
+	case in.GetWantHosts() && in.GetDelta():
+		s.addHosts(now, in, out)
+	case in.GetWantHosts():
 		// A silent host may still send requests to targets, so the other hosts of its
 		// region go on reserving its part of the shared limits.
 		all := s.Presence.entriesHeardWithin(now, entryRetention)
@@ -154,12 +152,12 @@
 		}
 	}
 	if in.GetHost().GetName() == "" {
-		return out, nil
+		return out
 	}
 	if g := s.grantsFor(now, demandsOf(in)); g != nil {
 		out.Granted, out.Grants, out.Partitions, out.GrantsAgeMs = true, g.GetGrants(), g.GetPartitions(), g.GetAgeMs()
 	}
-	return out, nil
+	return out
 }
 
 // demandsOf returns what an entry host reports of its part of shared limits.
@@ -226,7 +224,7 @@
 	if term, leads := s.Leadership.Lease(); leads {
 		return s.allocate(now, term, d)
 	}
-	s.demands[d.GetHost()] = &hostDemands{d, now}
+	s.recordDemands(now, d)
 	g := s.grants[d.GetHost()]
 	if g == nil || now-g.asOf > maxGrantAge {
 		return nil
@@ -266,30 +264,22 @@
 
 // Relay implements the drpc service.
 func (s *Server) Relay(ctx context.Context, in *syncpb.RelayRequest) (*syncpb.RelayResponse, error) {
-	now := clock.SinceBoot()
+	return s.receiveRelay(ctx, clock.SinceBoot(), in)
+}
+
+func (s *Server) receiveRelay(ctx context.Context, now time.Duration, in *syncpb.RelayRequest) (*syncpb.RelayResponse, error) {
 	s.Presence.RecordControl(now, in.GetFrom(), true)
 	for _, c := range in.GetControls() {
 		s.Presence.RecordControl(now, c, false)
 	}
-	records, err := decodeRecords(now, in.GetTargets())
-	if err != nil {
-		s.InvalidRecords(in.GetFrom().GetPeer(), err)
-	}
-	for _, r := range records {
-		if s.Targets.Merge(now, r) && r.State != registry.Ready {
-			s.OnDeparture(r, in.GetFrom().GetPeer())
-		}
-	}
-	for _, h := range in.GetHosts() {
-		s.Presence.RecordEntry(now-time.Duration(h.GetHeardMs())*time.Millisecond, h, false)
-	}
+	unknownBeats, unknownReports := s.mergeBeats(now, in), s.mergeReports(now, in)
 	addOrigins(now, in.GetOrigins(), s.origins.Merge)
 	if in.GetStore() {
 		if err := s.awaitStored(ctx); err != nil {
 			return nil, err
 		}
 	}
-	out := &syncpb.RelayResponse{Controls: s.Presence.Controls(now), Process: s.Incarnation}
+	out := &syncpb.RelayResponse{Controls: s.Presence.Controls(now), Process: s.Incarnation, TakesRefs: true, UnknownBeats: unknownBeats, UnknownReports: unknownReports}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	term, leads := s.Leadership.Lease()
@@ -352,77 +342,25 @@
 	}
 }
 
-// relay sends the other control hosts what this one received since the last round.
-// Demands of entry hosts go to the leader only.
-func (s *Server) relay(ctx context.Context, now time.Duration, seeds []string, withPresence bool) {
-	controls := s.Presence.Controls(now)
-	request := &syncpb.RelayRequest{From: s.Self, Targets: encodeRecords(now, s.Targets.TakeHeartbeats())}
-	if withPresence {
-		request.Hosts, request.Controls = s.Presence.TakeDirectEntries(now), controls
-	}
-	leader := s.Leadership.LeaderHost()
-	withDemands := &syncpb.RelayRequest{From: s.Self, Targets: request.Targets, Hosts: request.Hosts, Controls: request.Controls, Demands: s.recentDemands(now)}
-	addresses := map[string]bool{}
-	for _, c := range controls {
-		addresses[c.GetPeer()] = true
-	}
-	for _, a := range seeds {
-		addresses[a] = true
-	}
-	delete(addresses, s.Self.GetPeer())
-	var g errgroup.Group
-	for a := range addresses {
-		in := request
-		if a == leader {
-			in = withDemands
-		}
-		in, next := s.withOrigins(now, a, in)
-		if a != leader && !withPresence && len(in.GetTargets()) == 0 && len(in.GetOrigins()) == 0 {
-			continue
-		}
-		g.Go(func() error {
-			process, err := s.relayTo(ctx, a, in)
-			if err != nil {
-				return nil // the next rounds relay later heartbeats, reports and demands
-			}
-			s.ledger.Observe(a, process)
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.recordRelayed(a, process, next)
-			return nil
-		})
-	}
-	// The calls have a timeout and are not waited for here: a slow host must not delay
-	// the next round.
-	go func() { _ = g.Wait() }()
-}
-
-func (s *Server) recentDemands(now time.Duration) []*syncpb.HostDemands {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []*syncpb.HostDemands
-	for host, d := range s.demands {
-		age := now - d.heardAt
-		if age > maxGrantAge {
-			delete(s.demands, host)
-			continue
-		}
-		out = append(out, &syncpb.HostDemands{Host: host, Demands: d.GetDemands(), UptimeMs: d.GetUptimeMs(), AgeMs: age.Milliseconds(),
-			Region: d.GetRegion(), Started: d.GetStarted(), Partitions: d.GetPartitions()})
-	}
-	return out
-}
-
 // relayTo returns the process of the other control host.
 func (s *Server) relayTo(ctx context.Context, address string, in *syncpb.RelayRequest) (process uint64, err error) {
 	sent := clock.SinceBoot()
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
-	defer cancel()
-	out, err := syncpb.NewDRPCSyncClient(s.Dial(address)).Relay(ctx, in)
+	out, err := s.callRelay(ctx, address, in)
 	if err != nil {
 		return 0, err
 	}
-	now := clock.SinceBoot()
+	s.recordRelayResponse(clock.SinceBoot(), sent, address, out)
+	return out.GetProcess(), nil
+}
+
+func (s *Server) callRelay(ctx context.Context, address string, in *syncpb.RelayRequest) (*syncpb.RelayResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	return syncpb.NewDRPCSyncClient(s.Dial(address)).Relay(ctx, in)
+}
+
+// recordRelayResponse records what each response of a control host has.
+func (s *Server) recordRelayResponse(now, sent time.Duration, address string, out *syncpb.RelayResponse) {
 	for _, c := range out.GetControls() {
 		s.Presence.RecordControl(now, c, c.GetPeer() == address)
 	}
@@ -434,7 +372,6 @@
 			s.grants[g.GetHost()] = &hostGrants{g, asOf}
 		}
 	}
-	return out.GetProcess(), nil
 }
 
 // encodeRecords leaves out records that protobuf would refuse together with the whole
