fleetsync: simulation of hosts and targets at three sizes

Cause found by it: a control host that was cut off told entry hosts after the cut that targets elsewhere are silent, and that they are back only a second later.

Change: a control host that is not the first of an entry host does not tell which targets are silent. An entry host that turns to another control host compares its whole table by digests.

--- a/internal/fleetsync/resync.go
+++ b/internal/fleetsync/resync.go
@@ -65,6 +65,8 @@
 	first          uint32
 	controlsDigest uint64
 	controls       []*syncpb.ControlHost
+	// secondary is that of the last request.
+	secondary bool
 	// incomplete, bucketsDone and lapRevision are those of the last response.
 	incomplete  bool
 	bucketsDone uint32
@@ -79,6 +81,10 @@
 // the digests of this host's table of targets. secondary means that another control host is
 // asked for all changes of targets.
 func (c *controlState) prepare(in *syncpb.ExchangeRequest, digests func() []uint64, secondary bool) {
+	if c.secondary && !secondary {
+		in.Cursor, c.bucketsDone = 0, 0 // it left out what another one told
+	}
+	c.secondary = secondary
 	in.Delta, in.Secondary, in.ControlsDigest = true, secondary, c.controlsDigest
 	in.HostTable, in.HostCursor = c.hosts.table, c.hosts.cursor
 	if c.incomplete || in.GetCursor() == 0 && !secondary {
--- a/internal/fleetsync/scale_test.go
+++ b/internal/fleetsync/scale_test.go
@@ -10,7 +10,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/registry"
@@ -66,6 +65,7 @@
 	registry.Record
 	region, control int
 	nextBeat        time.Duration
+	beatAt          time.Duration // the last one
 	dead            bool
 }
 
@@ -78,7 +78,7 @@
 func (l simLog) LeaderHost() string    { return l.leader }
 
 func newFleetSim(t *testing.T, entries, targets int) *fleetSim {
-	s := &fleetSim{t: t, now: clock.SinceBoot(), cut: func(int, int) bool { return false }}
+	s := &fleetSim{t: t, now: time.Hour, cut: func(int, int) bool { return false }}
 	for i := range simControls {
 		s.controls = append(s.controls, s.newControl(i, uint64(i+1)))
 	}
@@ -152,7 +152,7 @@
 			continue
 		}
 		x.Sequence++
-		x.nextBeat += simHeartbeat
+		x.nextBeat, x.beatAt = x.nextBeat+simHeartbeat, s.now
 		c.Targets.Heartbeat(s.now, x.Record)
 	}
 }
@@ -192,7 +192,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	if to.isLegacy {
+	if to.isLegacy || c.isLegacy {
 		out.TakesRefs = false
 	}
 	to.sent += proto.Size(out)
@@ -328,8 +328,8 @@
 	for _, entries := range []int{24, 294} {
 		s := newFleetSim(t, entries, 10*(entries+simControls))
 		s.awaitAll(simHeartbeat + 2*time.Second)
-		s.run(10*time.Second, nil)
-		large = s.bytesPerSecond(5 * time.Second)
+		s.run(releaseRetention+2*time.Second, nil) // until nothing of the start is told any more
+		large = s.bytesPerSecond(4 * time.Second)
 		t.Logf("%d hosts, %d targets: %.0f bytes/s", entries+simControls, len(s.targets), large)
 		s.checkNoneSilent()
 		if entries == 24 {
@@ -350,3 +350,138 @@
 		t.Errorf("the bytes of a control host grow with the power %.2f of the hosts", power)
 	}
 }
+
+// restartControls replaces control hosts by new processes that know nothing.
+func (s *fleetSim) restartControls(indices ...int) {
+	for _, i := range indices {
+		isLegacy := s.controls[i].isLegacy
+		s.controls[i] = s.newControl(i, s.controls[i].Incarnation+simControls)
+		s.controls[i].isLegacy = isLegacy
+	}
+}
+
+// toldRecords returns the number of records of targets that control hosts have told.
+func (s *fleetSim) toldRecords() (n int) {
+	for _, c := range s.controls {
+		n += c.told
+		c.told = 0
+	}
+	return n
+}
+
+// Answers targets that die, start and leave, the loss of a control host, a cut between
+// regions and the return of all at once, at 30, 300 and 3,000 targets, and beside hosts of an
+// earlier build: every host knows as soon as when each heartbeat was told to all.
+func TestEveryHostLearnsOfTargets(t *testing.T) {
+	for _, size := range []struct {
+		entries, targets int
+		mixed            bool
+	}{{24, 30, false}, {24, 30, true}, {94, 300, false}, {244, 3000, false}} {
+		t.Run(fmt.Sprintf("%d targets, mixed builds %v", size.targets, size.mixed), func(t *testing.T) {
+			s := newFleetSim(t, size.entries, size.targets)
+			if size.mixed {
+				s.controls[1].isLegacy, s.controls[5].isLegacy = true, true
+				for i := 0; i < size.entries; i += 3 {
+					s.entries[i].isLegacy = true
+				}
+			}
+			s.awaitAll(simHeartbeat + simTold)
+			s.run(4*time.Second, nil)
+			s.checkTargets()
+			s.checkLostControl()
+			s.checkCutRegion()
+			s.checkRestartOfAll(size.mixed)
+		})
+	}
+}
+
+func (s *fleetSim) checkTargets() {
+	s.t.Helper()
+	dead := s.targets[7]
+	dead.dead = true
+	s.await(simSilence+simTold, func() bool { return s.everywhere(dead.ID, isSilent) })
+	added := s.addTarget(len(s.targets))
+	added.nextBeat = s.now
+	s.await(simTold+simStep, func() bool { return s.everywhere(added.ID, isReady) })
+	left := s.targets[8]
+	left.dead = true
+	s.controls[left.control].Targets.Deregister(s.now, left.ID, left.StartMillis)
+	s.await(simTold, func() bool { return s.everywhere(left.ID, hasLeft) })
+	left.Sequence += 5
+	s.controls[(left.control+1)%simControls].Targets.Heartbeat(s.now, left.Record) // was delayed on its way
+	s.run(simTold, nil)
+	if !s.everywhere(left.ID, hasLeft) {
+		s.t.Error("a heartbeat outranks a departure")
+	}
+	s.checkNoneSilent()
+}
+
+// checkLostControl expects that no target falls silent but those whose last heartbeat a
+// control host had not relayed yet when it was lost: their next one is late.
+func (s *fleetSim) checkLostControl() {
+	s.t.Helper()
+	s.controls[1].down = true
+	unrelayed := map[string]bool{}
+	for _, x := range s.targets {
+		if x.control == 1 && s.now-x.beatAt < relayInterval {
+			unrelayed[x.ID] = true
+		}
+	}
+	for range 14 {
+		s.run(500*time.Millisecond, nil)
+		for i := 0; i < len(s.targets); i += len(s.targets)/300 + 1 {
+			x := s.targets[i]
+			if !x.dead && !unrelayed[x.ID] && !s.everywhere(x.ID, isReady) {
+				s.t.Fatalf("target %s fell silent as its control host was lost", x.ID)
+			}
+		}
+	}
+	s.checkNoneSilent()
+	s.restartControls(1)
+	s.awaitAll(simHeartbeat + simTold + retryInterval)
+}
+
+func (s *fleetSim) checkCutRegion() {
+	s.t.Helper()
+	s.cut = func(a, b int) bool { return (a == 0) != (b == 0) }
+	s.run(2*time.Second, nil)
+	left := s.targets[9] // of the region that is cut off
+	left.dead = true
+	s.controls[0].Targets.Deregister(s.now, left.ID, left.StartMillis)
+	s.run(6*time.Second, nil)
+	for _, x := range s.targets {
+		for _, e := range s.entries {
+			r, known := e.table.Get(x.ID)
+			if e.region == x.region && !x.dead && !isReady(r, known) {
+				s.t.Fatalf("%s lost target %s of its region", e.name, x.ID)
+			}
+		}
+	}
+	s.cut = func(int, int) bool { return false }
+	s.awaitAll(simHeartbeat + simTold + retryInterval)
+	s.await(simTold, func() bool { return s.everywhere(left.ID, hasLeft) })
+}
+
+// checkRestartOfAll bounds what all hosts are told by twice what they lack.
+func (s *fleetSim) checkRestartOfAll(mixed bool) {
+	s.t.Helper()
+	s.restartControls(0, 1, 2, 3, 4, 5)
+	s.toldRecords()
+	s.awaitAll(simHeartbeat + simTold + retryInterval)
+	s.run(3*time.Second, nil)
+	lacking := len(s.targets) * (len(s.entries) + simControls)
+	if told := s.toldRecords(); !mixed && told > 2*lacking {
+		s.t.Errorf("control hosts that returned told %d records, %d were unknown to them", told, lacking)
+	}
+	for _, e := range s.entries {
+		e.table, e.cursors = registry.NewTable(), make([][2]uint64, simControls)
+		for j := range e.states {
+			e.states[j] = newControlState(fmt.Sprint("region", e.region), controlName(j))
+		}
+	}
+	s.awaitAll(2 * time.Second)
+	s.run(3*time.Second, nil)
+	if told := s.toldRecords(); !mixed && told > 2*lacking {
+		s.t.Errorf("entry hosts that returned were told %d records, they lacked %d", told, lacking)
+	}
+}
--- a/internal/registry/buckets.go
+++ b/internal/registry/buckets.go
@@ -71,7 +71,8 @@
 	// Limit is the number of records from which the rest is left for the next query.
 	Limit int
 	// Secondary means that another table tells the host all changes. It is told departures
-	// and warm-ups at once and the rest only if it still lacks that after urgencyDelay.
+	// and warm-ups at once, the rest only if it still lacks that after urgencyDelay, and not
+	// which targets are silent here: they may have reported elsewhere.
 	Secondary bool
 }
 
@@ -110,6 +111,7 @@
 		case r.revision <= q.Cursor:
 		case r.State != Ready || r.ColdUntil > now:
 			urgent = append(urgent, r.Record)
+		case q.Secondary && r.Silent:
 		case hasDigests && q.Digests[bucketOf(r.ID)] == t.digests[bucketOf(r.ID)]:
 		default:
 			pending = append(pending, r)
