--- a/internal/fleetsync/resync.go
+++ b/internal/fleetsync/resync.go
@@ -13,9 +13,9 @@
 	// resyncRecords bounds the targets in one response to an entry host whose table differs,
 	// so that hundreds of hosts that start together neither fill the memory of a control host
 	// nor wait longer than the timeout of an exchange.
-	resyncRecords = 256
+	resyncRecords = 512
 	// resyncPause is the time until the next request for the rest of the table.
-	resyncPause = 50 * time.Millisecond
+	resyncPause = 20 * time.Millisecond
 )
 
 // addTargets adds the targets that changed after the caller's cursor. A caller that tells the
--- a/internal/registry/buckets.go
+++ b/internal/registry/buckets.go
@@ -81,7 +81,7 @@
 type Lap struct {
 	// First is the bucket with which it begins, Done the number of buckets compared.
 	First, Done int
-	// Revision is that of the table at the beginning.
+	// Revision is the position up to which the table was compared from the beginning on.
 	Revision uint64
 }
 
@@ -105,36 +105,37 @@
 	hasDigests := len(q.Digests) == Buckets
 	var urgent []Record
 	var pending []*row
-	isOld := false
+	settled := t.revision // no change up to there is left for later
 	for _, r := range t.rows {
 		switch {
 		case r.revision <= q.Cursor:
 		case r.State != Ready || r.ColdUntil > now:
 			urgent = append(urgent, r.Record)
 		case q.Secondary && r.Silent:
+		case q.Secondary && now-r.changedAt <= urgencyDelay:
+			settled = min(settled, r.revision-1)
 		case hasDigests && q.Digests[bucketOf(r.ID)] == t.digests[bucketOf(r.ID)]:
 		default:
 			pending = append(pending, r)
-			isOld = isOld || now-r.changedAt > urgencyDelay
 		}
 	}
 	switch {
 	case len(pending) == 0:
-		return Changes{Records: urgent, Cursor: t.revision}
+		return Changes{Records: urgent, Cursor: settled}
 	case !hasDigests && (q.Secondary || q.Cursor == 0 || len(pending) > q.Limit):
-		return Changes{Records: urgent, Cursor: q.Cursor, Incomplete: isOld || !q.Secondary}
+		return Changes{Records: urgent, Cursor: q.Cursor, Incomplete: true}
 	case !hasDigests:
 		return Changes{Records: append(urgent, recordsOf(pending)...), Cursor: t.revision}
 	}
-	return t.continueLap(q, urgent, pending)
+	return continueLap(q, urgent, pending, settled)
 }
 
-// continueLap adds the pending records of the next buckets, at least of one. t.mu must be
-// held.
-func (t *Table) continueLap(q Query, records []Record, pending []*row) Changes {
+// continueLap adds the pending records of the next buckets, at least of one. settled is where
+// a lap that begins now ends.
+func continueLap(q Query, records []Record, pending []*row, settled uint64) Changes {
 	lap := q.Lap
 	if lap.Done == 0 {
-		lap.Revision = t.revision
+		lap.Revision = settled
 	}
 	var byBucket [Buckets][]*row
 	for _, r := range pending {
@@ -147,7 +148,7 @@
 	if lap.Done < Buckets {
 		return Changes{records, q.Cursor, true, lap}
 	}
-	return Changes{Records: records, Cursor: min(lap.Revision, t.revision)}
+	return Changes{Records: records, Cursor: min(lap.Revision, settled)}
 }
 
 func recordsOf(rows []*row) []Record {
