--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -68,6 +68,10 @@
 	// Departures tells when the departure of a target may be acknowledged.
 	Departures Departures
 	Logger     *logrus.Logger
+	// Owners decides which control host gets the heartbeats of a target, RegionByDataCentre
+	// has the regions of the targets.
+	Owners             Owners
+	RegionByDataCentre map[string]string
 
 	mu      sync.Mutex
 	decoded decodedDocument
@@ -225,6 +229,16 @@
 	return s.awaitDeparture(ctx, r.ID)
 }
 
+// HeartbeatAddress returns the address to which a target that has sent a heartbeat should
+// send later ones, or "" for this host. A target that leaves stays here.
+func (s *Service) HeartbeatAddress(r registry.Record) string {
+	if r.State != registry.Ready {
+		return ""
+	}
+	now := clock.SinceBoot()
+	return s.Owners.Choose(now, r.ID, s.RegionByDataCentre[r.DataCentre], s.Presence.LiveControls(now))
+}
+
 // InvalidHeartbeat logs a heartbeat or deregistration that was refused.
 func (s *Service) InvalidHeartbeat(id string, err error) {
 	s.Logger.WithError(err).WithField("target", id[:min(len(id), maxLoggedID)]).Warn("heartbeat refused")
--- a/internal/daemon/deployment_control.go
+++ b/internal/daemon/deployment_control.go
@@ -55,11 +55,12 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &fleetsync.Server{Self: &syncpb.ControlHost{Peer: p.PeerAddress(), Region: s.Region}, Leadership: node, Document: machine,
+	server := &fleetsync.Server{Self: &syncpb.ControlHost{Peer: p.PeerAddress(), Region: s.Region, Control: p.Control}, Leadership: node, Document: machine,
 		Targets: table, Presence: presence, Dial: d.transport.Dial, InvalidRecords: d.logInvalidRecords, OnPanic: d.logPanic("relay"), RegionCount: p.CountRegions(), Incarnation: rand.Uint64(),
 		Departures: store, LostDisks: p.LostDisks, OnDeparture: d.logDeparture, OnDepartureError: func(err error) { d.log.WithError(err).Error("departures not stored") }}
 	server.Init()
-	plane := &controlplane.Service{Node: node, Document: machine, Decoder: platform.ConfigurationDecoder{}, Targets: table, Presence: presence, Departures: server, Logger: d.log}
+	plane := &controlplane.Service{Node: node, Document: machine, Decoder: platform.ConfigurationDecoder{}, Targets: table, Presence: presence, Departures: server, Logger: d.log,
+		Owners: controlplane.Owners{Self: p.Control}, RegionByDataCentre: p.Regions}
 	if err := d.transport.Register(node.Service(), controlpb.DRPCControlDescription{}); err != nil {
 		return nil, err
 	}
--- a/internal/fleetsync/presence.go
+++ b/internal/fleetsync/presence.go
@@ -18,6 +18,9 @@
 	// controlRetention is how long a control host stays listed after it was last heard
 	// from.
 	controlRetention = time.Minute
+	// liveControlTimeout is the time without a call or response after which a control host
+	// gets no targets. It tolerates one lost report.
+	liveControlTimeout = 2 * roundsPerPresenceReport * relayInterval
 )
 
 // Presence is a control host's table of the entry and control hosts that were heard from
@@ -212,6 +215,19 @@
 	return ""
 }
 
+// LiveControls returns the control hosts that were heard from within liveControlTimeout.
+func (p *Presence) LiveControls(now time.Duration) []*syncpb.ControlHost {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []*syncpb.ControlHost
+	for _, c := range p.controls {
+		if now-c.heardAt <= liveControlTimeout {
+			out = append(out, c.host)
+		}
+	}
+	return out
+}
+
 // Controls returns the control hosts that were heard from within controlRetention,
 // sorted by address.
 func (p *Presence) Controls(now time.Duration) []*syncpb.ControlHost {
