--- a/internal/daemon/deployment_control.go
+++ b/internal/daemon/deployment_control.go
@@ -4,8 +4,10 @@
 	"context"
 	"math/rand/v2"
 	"path/filepath"
+	runtimemetrics "runtime/metrics"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"geraniumturn.example/geraniumturn/internal/clock"
@@ -59,6 +61,7 @@
 		Targets: table, Presence: presence, Dial: d.transport.Dial, InvalidRecords: d.logInvalidRecords, OnPanic: d.logPanic("relay"), RegionCount: p.CountRegions(), Incarnation: rand.Uint64(),
 		Departures: store, LostDisks: p.LostDisks, OnDeparture: d.logDeparture, OnDepartureError: func(err error) { d.log.WithError(err).Error("departures not stored") }}
 	server.Init()
+	d.registerControlGauges(server)
 	plane := &controlplane.Service{Node: node, Document: machine, Decoder: platform.ConfigurationDecoder{}, Targets: table, Presence: presence, Departures: server, Logger: d.log,
 		Owners: controlplane.Owners{Self: p.Control}, RegionByDataCentre: p.Regions}
 	if err := d.transport.Register(node.Service(), controlpb.DRPCControlDescription{}); err != nil {
@@ -78,6 +81,23 @@
 	return func(ctx context.Context) { d.stopControl(ctx, node, front, directory) }, err
 }
 
+// registerControlGauges registers gauges of what a control host keeps, which bounds its memory.
+func (d *deploymentDaemon) registerControlGauges(s *fleetsync.Server) {
+	for name, value := range map[string]func() int64{
+		"control.targets":         func() int64 { return int64(s.Targets.Len()) },
+		"control.entry_hosts":     func() int64 { return int64(s.Presence.Len()) },
+		"control.kept_records":    func() int64 { return int64(s.KeptRecords()) },
+		"control.peer_bytes_sent": func() int64 { return d.transport.Traffic().BytesSent },
+		"control.heap_bytes": func() int64 {
+			sample := []runtimemetrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+			runtimemetrics.Read(sample)
+			return int64(sample[0].Value.Uint64())
+		},
+	} {
+		metrics.NewRegisteredFunctionalGauge(name, d.metrics, value)
+	}
+}
+
 // loadDepartures opens the store of departures and adds what it has to the table. Without
 // what cannot be read, this host learns of departures from the others, as after the loss of
 // its disk.
--- a/internal/fleetsync/presence.go
+++ b/internal/fleetsync/presence.go
@@ -131,6 +131,13 @@
 		Forward: h.GetForward(), Started: h.GetStarted(), Serving: h.GetServing(), Loads: h.GetLoads(), Peer: h.GetPeer(), Detached: h.GetDetached(), UsageRelay: h.GetUsageRelay(), PaceLease: h.GetPaceLease(), HeardMs: (now - e.heardAt).Milliseconds()}
 }
 
+// Len returns the number of entry hosts, with those that are silent.
+func (p *Presence) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.entries)
+}
+
 // TakeDirectEntries returns the entry hosts that reported to this host since the last
 // call of TakeDirectEntries.
 func (p *Presence) TakeDirectEntries(now time.Duration) []*syncpb.EntryHost {
--- a/internal/fleetsync/relay.go
+++ b/internal/fleetsync/relay.go
@@ -48,6 +48,10 @@
 	}
 }
 
+// KeptRecords returns the number of records that this host keeps by their refs for other
+// control hosts.
+func (s *Server) KeptRecords() int { return s.refs.toldBeats.Len() + s.refs.toldReports.Len() }
+
 // relayMessage is a request to another control host with what its response confirms.
 type relayMessage struct {
 	address string
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -398,6 +398,13 @@
 	return Record{}, false
 }
 
+// Len returns the number of records, with those of targets that have left.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.rows)
+}
+
 // Revision returns a number that increases with every change that ChangedSince returns.
 func (t *Table) Revision() uint64 {
 	t.mu.Lock()
