controlplane: a large region is spread over the control hosts of the directory

Cause: a response of the directory has 64 addresses and named the first ones by name, so that a third of a region of 98 hosts got no callers. Each directory question copied and sorted all entry hosts.

Change: each control host names those that are first by rendezvous with itself. Questions within 50 ms share one list unless a host starts or stops serving.

--- a/internal/controlplane/directory.go
+++ b/internal/controlplane/directory.go
@@ -1,11 +1,13 @@
 package controlplane
 
 import (
+	"cmp"
 	"slices"
 
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/rendezvous"
 )
 
 // maxAddresses bounds the addresses in a response of the directory.
@@ -18,7 +20,20 @@
 	if index := s.index(); index != nil {
 		routes = index.RoutesForHost(name)
 	}
-	return chooseEntries(s.Presence.Entries(clock.SinceBoot()), region, routes)
+	return limitAddresses(chooseEntries(s.Presence.Entries(clock.SinceBoot()), region, routes), s.Owners.Self)
+}
+
+// limitAddresses returns maxAddresses of the addresses. Callers leave hosts that a later
+// response lacks, so the choice of a control host is always the same; others choose
+// others, and no host of a large region is left without callers.
+func limitAddresses(addresses []string, control string) []string {
+	if len(addresses) <= maxAddresses {
+		return addresses
+	}
+	slices.SortFunc(addresses, func(a, b string) int {
+		return cmp.Compare(rendezvous.Weight(control, b), rendezvous.Weight(control, a))
+	})
+	return addresses[:maxAddresses]
 }
 
 // decodedDocument caches the decoded document of a version. index is nil if it cannot
@@ -73,7 +88,7 @@
 			preferred = fallback
 		}
 		if len(preferred) > 0 {
-			return preferred[:min(len(preferred), maxAddresses)]
+			return preferred
 		}
 	}
 	return nil
--- a/internal/controlplane/directory_test.go
+++ b/internal/controlplane/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"slices"
 	"testing"
@@ -110,3 +111,28 @@
 		})
 	}
 }
+
+// Answers a region of 100 hosts, of which a response has room for 64: callers do not change
+// hosts with each response, and the control hosts together name nearly all.
+func TestLargeRegionIsSpreadOverControlHosts(t *testing.T) {
+	named := map[string]bool{}
+	for _, control := range []string{"10.0.0.1:80", "10.0.0.2:80"} {
+		var all []string
+		for i := range 100 {
+			all = append(all, fmt.Sprintf("10.1.0.%d:80", i))
+		}
+		got := limitAddresses(slices.Clone(all), control)
+		slices.Reverse(all)
+		again := limitAddresses(all[1:], control) // without the last one
+		stays := slices.DeleteFunc(slices.Clone(got), func(a string) bool { return a == "10.1.0.99:80" })
+		if len(got) != maxAddresses || len(again) != maxAddresses || !slices.Equal(again[:len(stays)], stays) {
+			t.Errorf("the addresses change: %v, %v", got, again)
+		}
+		for _, a := range got {
+			named[a] = true
+		}
+	}
+	if len(named) < 80 {
+		t.Errorf("two control hosts name %d of 100 hosts", len(named))
+	}
+}
--- a/internal/fleetsync/presence.go
+++ b/internal/fleetsync/presence.go
@@ -34,6 +34,7 @@
 	// serving, or that lost or regained the path to their targets.
 	changedEntries map[string]bool
 	changed        chan struct{} // buffered; receives when changedEntries becomes non-empty
+	listed         listedEntries // the last result of Entries
 	hostTable
 }
 
@@ -88,9 +89,25 @@
 	}
 }
 
-// Entries returns the entry hosts that reported within entryTimeout, sorted by name.
+// Entries returns the entry hosts that reported within entryTimeout, sorted by name. Callers
+// share the list and must not change it.
 func (p *Presence) Entries(now time.Duration) []*syncpb.EntryHost {
-	return p.entriesHeardWithin(now, entryTimeout)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.listed; l.hosts == nil || l.revision != p.revision || now < l.at || now-l.at > listInterval {
+		hosts := p.heardWithin(now, entryTimeout)
+		p.listed = listedEntries{viewKey{now, p.revision}, hosts}
+	}
+	return p.listed.hosts
+}
+
+// listInterval is the time for which the responses of the directory share one list of entry
+// hosts. A host that starts or stops serving makes a new list at once.
+const listInterval = 50 * time.Millisecond
+
+type listedEntries struct {
+	viewKey
+	hosts []*syncpb.EntryHost
 }
 
 // entriesHeardWithin returns the entry hosts that reported within a time, sorted by
@@ -98,6 +115,11 @@
 func (p *Presence) entriesHeardWithin(now, within time.Duration) []*syncpb.EntryHost {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.heardWithin(now, within)
+}
+
+// heardWithin is entriesHeardWithin with p.mu held.
+func (p *Presence) heardWithin(now, within time.Duration) []*syncpb.EntryHost {
 	var out []*syncpb.EntryHost
 	for name, e := range p.entries {
 		if now-e.heardAt > entryRetention {
