fleetsync: rates that were released are told for six seconds

Each report of an entry host named each workspace whose rate it does not hold, nine times a second and host; nothing is reserved for it after a lease.

--- a/internal/fleetsync/client.go
+++ b/internal/fleetsync/client.go
@@ -79,6 +79,7 @@
 	polling           map[string]bool   // by peer address
 	responds          map[string]bool   // whether the last exchange succeeded, by peer address
 	applyMu           sync.Mutex        // serialises Apply
+	released          releasedRates
 }
 
 // Run exchanges with the seeds and every control host that they announce until ctx
@@ -122,6 +123,7 @@
 		in := c.NewRequest(sentAt, c.needsFullReport(address, sentAt), originCursor)
 		in.Table, in.Cursor = table, cursor
 		if c.TargetDigests != nil {
+			c.released.trim(sentAt, in)
 			state.prepare(in, c.TargetDigests, c.primary() != address)
 		}
 		timeout := exchangeTimeout
