fleetsync, registry: faults found in review

- Loads go whole in reports by reference: the fields of later builds were dropped (TestLoadsAreToldWhole).
- A target whose first control host lacks it and that dies stayed ready at its entry hosts.
The control host that had the last heartbeat relays the silence in full and tells entry hosts of it, also as a second one (TestSilenceIsToldByTheTableOfTheLastHeartbeat, TestEveryHostLearnsOfTargets).
- A lost request after a change of the first control host skipped what the new one had left out (TestLostRequestDoesNotCountAsAsked).
- Hosts that had been silent for 25.4 s were no longer told, though they count for limits for 30 s (TestAgesAreToldAsLongAsHostsAreListed).
- The early end of a warm-up was lost in comparisons by digest (TestEarlyEndOfWarmupIsTold).
- Urgent records were repeated in each part of a comparison.

TestSecondTableTellsWhatIsUrgentOrLacking expected that a second table tells no silence; it now expects that of the targets that reported there, and only that.

--- a/internal/controlplane/directory.go
+++ b/internal/controlplane/directory.go
@@ -25,7 +25,7 @@
 
 // limitAddresses returns maxAddresses of the addresses. Callers leave hosts that a later
 // response lacks, so the choice of a control host is always the same; others choose
-// others, and no host of a large region is left without callers.
+// others, so that few hosts of a large region are left without callers.
 func limitAddresses(addresses []string, control string) []string {
 	if len(addresses) <= maxAddresses {
 		return addresses
--- a/internal/fleetsync/hostlist.go
+++ b/internal/fleetsync/hostlist.go
@@ -38,26 +38,23 @@
 	for name, h := range l.own {
 		digest += entryDigest(name, h.GetRevision())
 		place := int(h.GetRef()) - 1
-		if place < 0 || place >= len(out.GetAges()) || out.GetAges()[place] == unknownAge {
+		if place < 0 || place >= len(out.GetAges()) || out.GetAges()[place] == emptyPlace {
 			continue
 		}
 		current := copyEntry(h)
-		current.Loads, current.HeardMs = nil, viewAge+int64(out.GetAges()[place])*ageStep.Milliseconds()
+		current.Loads, current.HeardMs = nil, viewAge+decodeAge(out.GetAges()[place]).Milliseconds()
 		out.Hosts = append(out.Hosts, current)
 	}
 	told := map[string]bool{}
 	for _, a := range out.GetOthers() {
 		h := l.others[a.GetName()]
 		told[a.GetName()] = true
-		if h == nil || len(h.GetLoads()) != len(a.GetWaitMs()) || len(h.GetLoads()) != len(a.GetTokenUs()) {
-			l.cursor = 0 // the loads are those of other services now
+		if h == nil {
+			l.cursor = 0
 			continue
 		}
 		current := copyEntry(h)
-		current.HeardMs = viewAge + a.GetHeardMs()
-		for i, load := range current.GetLoads() {
-			load.WaitMs, load.TokenUs = a.GetWaitMs()[i], a.GetTokenUs()[i]
-		}
+		current.HeardMs, current.Loads = viewAge+a.GetHeardMs(), a.GetLoads()
 		out.Hosts = append(out.Hosts, current)
 	}
 	for name := range l.others {
--- a/internal/fleetsync/hostlist_test.go
+++ b/internal/fleetsync/hostlist_test.go
@@ -118,3 +118,62 @@
 	slices.Sort(names)
 	return names
 }
+
+// Guards against a host that is left out of the division of limits while it may still send:
+// its age is told as long as it is listed, never younger than it is.
+func TestAgesAreToldAsLongAsHostsAreListed(t *testing.T) {
+	for age := time.Duration(0); age <= entryRetention; age += 90 * time.Millisecond {
+		b := encodeAge(age)
+		if told := decodeAge(b); b == emptyPlace || told < age || told > age+ageStep && told > age+age/15 {
+			t.Fatalf("an age of %v is told as %v", age, told)
+		}
+	}
+	x := newHostListTest(t, 2)
+	x.now += 26 * time.Second
+	x.report("r0", "a1", 1, 5)
+	if got := x.update(); got["a0"].GetHeardMs() < 26_000 || got["a0"].GetHeardMs() > 27_000 {
+		t.Errorf("hosts %v", got)
+	}
+}
+
+// Guards against loads that are told with the values, or without the fields, of the first
+// report: also with fields of a later build.
+func TestLoadsAreToldWhole(t *testing.T) {
+	x := newHostListTest(t, 0)
+	from := &syncpb.ControlHost{Peer: "c"}
+	x.s.refs = newRelayState()
+	for _, later := range []byte{7, 9} {
+		load := &syncpb.Load{Service: "s", WaitMs: 1}
+		load.ProtoReflect().SetUnknown([]byte{0x90, 0x05, later}) // field 82
+		h := &syncpb.EntryHost{Name: "b", Region: "r1", Started: 1, Serving: true, Ref: 1, Loads: []*syncpb.Load{load}}
+		request := &syncpb.RelayRequest{From: from, Process: 1, Hosts: []*syncpb.EntryHost{h}}
+		if later == 9 {
+			request = &syncpb.RelayRequest{From: from, Process: 1, Reports: []*syncpb.HostAge{{Ref: 1, Loads: h.GetLoads()}}}
+		}
+		x.now += 2 * choiceInterval
+		x.s.mergeReports(x.now, request)
+		if got := x.update()["b"].GetLoads()[0].ProtoReflect().GetUnknown(); len(got) != 3 || got[2] != later {
+			t.Errorf("told %v, want %d", got, later)
+		}
+	}
+}
+
+// Guards against a control host that becomes the first one, whose first request in that place
+// is lost: it must tell then what it had left out.
+func TestLostRequestDoesNotCountAsAsked(t *testing.T) {
+	c, in := newControlState("r", "c"), &syncpb.ExchangeRequest{}
+	digests := func() []uint64 { return nil }
+	c.prepare(in, digests, true)
+	c.apply(&syncpb.ExchangeResponse{})
+	for range 2 { // the first one is lost
+		in = &syncpb.ExchangeRequest{Cursor: 5}
+		if c.prepare(in, digests, false); in.GetCursor() != 0 {
+			t.Errorf("asks after position %d", in.GetCursor())
+		}
+	}
+	c.apply(&syncpb.ExchangeResponse{})
+	in = &syncpb.ExchangeRequest{Cursor: 5}
+	if c.prepare(in, digests, false); in.GetCursor() != 5 {
+		t.Error("asks for everything again")
+	}
+}
--- a/internal/fleetsync/hosttable.go
+++ b/internal/fleetsync/hosttable.go
@@ -19,9 +19,12 @@
 	viewInterval = 100 * time.Millisecond
 	// choiceInterval is the time between choices of the hosts that other regions are told.
 	choiceInterval = time.Second
-	// ageStep is the unit of ExchangeResponse.ages, unknownAge the largest value.
-	ageStep    = 100 * time.Millisecond
-	unknownAge = 255
+	// ExchangeResponse.ages counts in steps of ageStep up to fineAges and then of coarseAgeStep,
+	// so that the age of a host is told as long as the host is listed.
+	ageStep       = 100 * time.Millisecond
+	fineAges      = 200
+	coarseAgeStep = time.Second
+	emptyPlace    = 255
 )
 
 // hostTable is the part of Presence that tells entry hosts what has changed. An entry host
@@ -77,7 +80,7 @@
 	region := e.host.GetRegion()
 	if old != nil && old.host.GetRegion() == region {
 		e.place, e.revision, e.chosenAt = old.place, old.revision, old.chosenAt
-		if sameEntry(e.host, old.host) && sameServices(e.host, old.host) {
+		if sameEntry(e.host, old.host) {
 			return
 		}
 	} else {
@@ -134,7 +137,7 @@
 	for r, hosts := range byRegion {
 		v := &hostView{viewKey: p.viewed, own: make([]entryRecord, len(hosts)), gone: maps.Clone(p.gone), ages: make([]byte, len(p.places[r])), total: len(p.entries)}
 		for i := range v.ages {
-			v.ages[i] = unknownAge
+			v.ages[i] = emptyPlace
 		}
 		for i, e := range hosts {
 			v.own[i] = *e
@@ -153,10 +156,7 @@
 				if e == nil || now-e.heardAt > entryTimeout {
 					continue
 				}
-				a := &syncpb.HostAge{Name: name, HeardMs: (now - e.heardAt).Milliseconds()}
-				for _, l := range e.host.GetLoads() {
-					a.WaitMs, a.TokenUs = append(a.WaitMs, l.GetWaitMs()), append(a.TokenUs, l.GetTokenUs())
-				}
+				a := &syncpb.HostAge{Name: name, HeardMs: (now - e.heardAt).Milliseconds(), Loads: e.host.GetLoads()}
 				v.others, v.chosen = append(v.others, a), append(v.chosen, *e)
 			}
 		}
@@ -199,8 +199,15 @@
 
 // encodeAge rounds up, so that nobody takes a host for heard later than it was.
 func encodeAge(age time.Duration) byte {
-	steps := (max(0, age) + ageStep - 1) / ageStep
-	return byte(min(steps, unknownAge))
+	age = max(0, age)
+	if age <= fineAges*ageStep {
+		return byte((age + ageStep - 1) / ageStep)
+	}
+	return byte(min(fineAges+(age-fineAges*ageStep+coarseAgeStep-1)/coarseAgeStep, emptyPlace-1))
+}
+
+func decodeAge(b byte) time.Duration {
+	return time.Duration(min(b, fineAges))*ageStep + time.Duration(max(b, fineAges)-fineAges)*coarseAgeStep
 }
 
 func entryDigest(name string, revision uint64) uint64 {
--- a/internal/fleetsync/presence.go
+++ b/internal/fleetsync/presence.go
@@ -198,11 +198,6 @@
 		a.GetDetached() == b.GetDetached() && a.GetUsageRelay() == b.GetUsageRelay() && a.GetPaceLease() == b.GetPaceLease()
 }
 
-// sameServices reports whether two reports have loads of the same services in the same order.
-func sameServices(a, b *syncpb.EntryHost) bool {
-	return slices.EqualFunc(a.GetLoads(), b.GetLoads(), func(a, b *syncpb.Load) bool { return a.GetService() == b.GetService() })
-}
-
 // take returns the entry hosts with these names and clears the names. p.mu must be held.
 func (p *Presence) take(now time.Duration, names map[string]bool) []*syncpb.EntryHost {
 	var out []*syncpb.EntryHost
--- a/internal/fleetsync/relay.go
+++ b/internal/fleetsync/relay.go
@@ -41,7 +41,7 @@
 	return relayState{
 		beats: references.NewSender(func(r, earlier registry.Record, now time.Duration) bool { return r.Repeats(earlier, now) }),
 		reports: references.NewSender(func(h, earlier *syncpb.EntryHost, _ time.Duration) bool {
-			return sameEntry(h, earlier) && sameServices(h, earlier)
+			return sameEntry(h, earlier)
 		}),
 		toldBeats: references.NewReceiver[registry.Record](), toldReports: references.NewReceiver[*syncpb.EntryHost](),
 		again: map[string]*toldAgain{},
@@ -166,11 +166,7 @@
 			m.reportRefs = append(m.reportRefs, ref)
 			continue
 		}
-		report := &syncpb.HostAge{Ref: ref, HeardMs: h.GetHeardMs()}
-		for _, l := range h.GetLoads() {
-			report.WaitMs, report.TokenUs = append(report.WaitMs, l.GetWaitMs()), append(report.TokenUs, l.GetTokenUs())
-		}
-		m.request.Reports = append(m.request.Reports, report)
+		m.request.Reports = append(m.request.Reports, &syncpb.HostAge{Ref: ref, HeardMs: h.GetHeardMs(), Loads: h.GetLoads()})
 	}
 }
 
@@ -224,16 +220,12 @@
 	}
 	for _, report := range in.GetReports() {
 		told, ok := s.refs.toldReports.Get(now, peer, process, report.GetRef())
-		loads := told.GetLoads()
-		if !ok || len(report.GetWaitMs()) != len(loads) || len(report.GetTokenUs()) != len(loads) {
+		if !ok {
 			unknown = append(unknown, report.GetRef())
 			continue
 		}
 		h := copyEntry(told)
-		h.Loads = make([]*syncpb.Load, len(loads))
-		for i, l := range loads {
-			h.Loads[i] = &syncpb.Load{Service: l.GetService(), WaitMs: report.GetWaitMs()[i], TokenUs: report.GetTokenUs()[i]}
-		}
+		h.Loads = report.GetLoads()
 		s.Presence.RecordEntry(now-clock.Millis(float64(report.GetHeardMs())), h, false)
 	}
 	return unknown
--- a/internal/fleetsync/resync.go
+++ b/internal/fleetsync/resync.go
@@ -27,16 +27,16 @@
 	}
 	changes := registry.Changes{}
 	if in.GetDelta() {
-		q := registry.Query{Cursor: cursor, Digests: in.GetBucketDigests(), Lap: registry.Lap{First: int(in.GetFirstBucket() % registry.Buckets)},
+		q := registry.Query{Cursor: cursor, Digests: in.GetBucketDigests(), Pass: registry.Pass{First: int(in.GetFirstBucket() % registry.Buckets)},
 			Limit: resyncRecords, Secondary: in.GetSecondary()}
 		if in.GetTable() == s.Incarnation {
-			q.Lap.Done, q.Lap.Revision = int(min(in.GetBucketsDone(), registry.Buckets)), in.GetLapRevision()
+			q.Pass.Done, q.Pass.Revision = int(min(in.GetBucketsDone(), registry.Buckets)), in.GetPassRevision()
 		}
 		changes = s.Targets.Changes(now, q)
 	} else {
 		changes.Records, changes.Cursor = s.Targets.ChangedSince(cursor)
 	}
-	out.BucketsDone, out.LapRevision = uint32(changes.Lap.Done), changes.Lap.Revision
+	out.BucketsDone, out.PassRevision = uint32(changes.Pass.Done), changes.Pass.Revision
 	out.Table, out.Cursor, out.Incomplete, out.Targets = s.Incarnation, changes.Cursor, changes.Incomplete, encodeRecords(now, changes.Records)
 }
 
@@ -65,12 +65,12 @@
 	first          uint32
 	controlsDigest uint64
 	controls       []*syncpb.ControlHost
-	// secondary is that of the last request.
-	secondary bool
-	// incomplete, bucketsDone and lapRevision are those of the last response.
-	incomplete  bool
-	bucketsDone uint32
-	lapRevision uint64
+	// asksSecondary is that of the last request, secondary of the last one that was answered.
+	asksSecondary, secondary bool
+	// incomplete, bucketsDone and passRevision are those of the last response.
+	incomplete   bool
+	bucketsDone  uint32
+	passRevision uint64
 }
 
 func newControlState(region, address string) *controlState {
@@ -84,12 +84,12 @@
 	if c.secondary && !secondary {
 		in.Cursor, c.bucketsDone = 0, 0 // it left out what another one told
 	}
-	c.secondary = secondary
+	c.asksSecondary = secondary
 	in.Delta, in.Secondary, in.ControlsDigest = true, secondary, c.controlsDigest
 	in.HostTable, in.HostCursor = c.hosts.table, c.hosts.cursor
 	if c.incomplete || in.GetCursor() == 0 && !secondary {
 		in.BucketDigests, in.FirstBucket = digests(), c.first
-		in.BucketsDone, in.LapRevision = c.bucketsDone, c.lapRevision
+		in.BucketsDone, in.PassRevision = c.bucketsDone, c.passRevision
 	}
 }
 
@@ -98,7 +98,8 @@
 	if digest := out.GetControlsDigest(); digest == 0 || digest != c.controlsDigest {
 		c.controlsDigest, c.controls = digest, out.GetControls()
 	}
+	c.secondary = c.asksSecondary
 	out.Controls, c.incomplete = c.controls, out.GetIncomplete()
-	c.bucketsDone, c.lapRevision = out.GetBucketsDone(), out.GetLapRevision()
+	c.bucketsDone, c.passRevision = out.GetBucketsDone(), out.GetPassRevision()
 	c.hosts.apply(out)
 }
--- a/internal/fleetsync/scale_test.go
+++ b/internal/fleetsync/scale_test.go
@@ -37,6 +37,8 @@
 	targets  []*simTarget
 	// cut reports whether two regions cannot reach each other.
 	cut func(a, b int) bool
+	// isPairCut means that the two control hosts of region 0 cannot reach each other.
+	isPairCut bool
 }
 
 type simControl struct {
@@ -184,7 +186,7 @@
 func (s *fleetSim) call(c *simControl, m relayMessage, done func(*syncpb.RelayResponse, error)) {
 	to := s.controls[slices.IndexFunc(s.controls, func(o *simControl) bool { return o.Self.GetPeer() == m.address })]
 	c.sent, c.told = c.sent+proto.Size(m.request), c.told+len(m.request.GetTargets())
-	if to.down || s.cut(c.region, to.region) {
+	if to.down || s.cut(c.region, to.region) || s.isPairCut && c.region == 0 && to.region == 0 {
 		done(nil, context.DeadlineExceeded)
 		return
 	}
@@ -388,6 +390,7 @@
 			s.awaitAll(simHeartbeat + simTold)
 			s.run(4*time.Second, nil)
 			s.checkTargets()
+			s.checkTargetThatOneControlLacks()
 			s.checkLostControl()
 			s.checkCutRegion()
 			s.checkRestartOfAll(size.mixed)
@@ -416,6 +419,31 @@
 	s.checkNoneSilent()
 }
 
+// checkTargetThatOneControlLacks has a target start and die at a control host that does not
+// reach the other one of its region.
+func (s *fleetSim) checkTargetThatOneControlLacks() {
+	s.t.Helper()
+	const limit = simTold + time.Second + 2*sameRegionInterval
+	s.isPairCut = true
+	x := s.addTarget(len(s.targets) + simControls - len(s.targets)%simControls)
+	x.nextBeat = s.now
+	atEntries := func(ok func(registry.Record, bool) bool) func() bool {
+		return func() bool {
+			for _, e := range s.entries {
+				if r, known := e.table.Get(x.ID); !ok(r, known) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	s.await(limit, atEntries(isReady))
+	x.dead = true
+	s.await(simSilence+limit, atEntries(isSilent))
+	s.isPairCut = false
+	s.awaitAll(simHeartbeat + simTold)
+}
+
 // checkLostControl expects that no target falls silent but those whose last heartbeat a
 // control host had not relayed yet when it was lost: their next one is late.
 func (s *fleetSim) checkLostControl() {
--- a/internal/references/references_test.go
+++ b/internal/references/references_test.go
@@ -40,6 +40,7 @@
 	}
 }
 
+// Answers receivers that start anew or go back to an earlier build while they are told by refs.
 func TestReceiverThatStartsAnewIsToldAgain(t *testing.T) {
 	s := NewSender(equal)
 	ref, _ := s.Ref(0, "a", "1")
--- a/internal/registry/buckets.go
+++ b/internal/registry/buckets.go
@@ -65,20 +65,21 @@
 	Cursor uint64
 	// Digests are those of the host's table; nil if it has not told them.
 	Digests []uint64
-	// Lap is where a comparison by digests is, from the answer before; the zero value begins
+	// Pass is where a comparison by digests is, from the answer before; the zero value begins
 	// one.
-	Lap Lap
+	Pass Pass
 	// Limit is the number of records from which the rest is left for the next query.
 	Limit int
 	// Secondary means that another table tells the host all changes. It is told departures
-	// and warm-ups at once, the rest only if it still lacks that after urgencyDelay, and not
-	// which targets are silent here: they may have reported elsewhere.
+	// and warm-ups at once and the rest only if it still lacks that after urgencyDelay. Of
+	// targets that are silent here it is told those whose last heartbeat came here: the others
+	// may have reported elsewhere.
 	Secondary bool
 }
 
-// Lap is a comparison of all buckets over several queries. Each bucket is compared once, so
+// Pass is a comparison of all buckets over several queries. Each bucket is compared once, so
 // it ends also if the tables go on to differ.
-type Lap struct {
+type Pass struct {
 	// First is the bucket with which it begins, Done the number of buckets compared.
 	First, Done int
 	// Revision is the position up to which the table was compared from the beginning on.
@@ -92,7 +93,7 @@
 	Cursor uint64
 	// Incomplete means that more is to be told, and that the next query needs digests.
 	Incomplete bool
-	Lap        Lap
+	Pass       Pass
 }
 
 // Changes returns what a host has to be told.
@@ -109,12 +110,17 @@
 	for _, r := range t.rows {
 		switch {
 		case r.revision <= q.Cursor:
-		case r.State != Ready || r.ColdUntil > now:
+		case r.isUrgent(now) && q.Cursor > 0:
+			if q.Pass.Done == 0 || r.revision > q.Pass.Revision {
+				urgent = append(urgent, r.Record)
+			}
+		case q.Secondary && r.Silent && !r.isDirect:
+		case q.Secondary && r.State != Ready && now-r.changedAt <= urgencyDelay:
 			urgent = append(urgent, r.Record)
-		case q.Secondary && r.Silent:
+			settled = min(settled, r.revision-1)
 		case q.Secondary && now-r.changedAt <= urgencyDelay:
 			settled = min(settled, r.revision-1)
-		case hasDigests && q.Digests[bucketOf(r.ID)] == t.digests[bucketOf(r.ID)]:
+		case hasDigests && q.Digests[bucketOf(r.ID)] == t.digests[bucketOf(r.ID)] && r.latestCold <= now:
 		default:
 			pending = append(pending, r)
 		}
@@ -127,30 +133,34 @@
 	case !hasDigests:
 		return Changes{Records: append(urgent, recordsOf(pending)...), Cursor: t.revision}
 	}
-	return continueLap(q, urgent, pending, settled)
+	return continuePass(q, urgent, pending, settled)
 }
 
-// continueLap adds the pending records of the next buckets, at least of one. settled is where
-// a lap that begins now ends.
-func continueLap(q Query, records []Record, pending []*row, settled uint64) Changes {
-	lap := q.Lap
-	if lap.Done == 0 {
-		lap.Revision = settled
+// continuePass adds the pending records of the next buckets, at least of one. settled is where
+// a pass that begins now ends.
+func continuePass(q Query, records []Record, pending []*row, settled uint64) Changes {
+	pass := q.Pass
+	if pass.Done == 0 {
+		pass.Revision = settled
 	}
 	var byBucket [Buckets][]*row
 	for _, r := range pending {
 		byBucket[bucketOf(r.ID)] = append(byBucket[bucketOf(r.ID)], r)
 	}
-	for told := 0; lap.Done < Buckets && told <= q.Limit; lap.Done++ {
-		rows := byBucket[(lap.First+lap.Done)%Buckets]
+	for told := 0; pass.Done < Buckets && told <= q.Limit; pass.Done++ {
+		rows := byBucket[(pass.First+pass.Done)%Buckets]
 		records, told = append(records, recordsOf(rows)...), told+len(rows)
 	}
-	if lap.Done < Buckets {
-		return Changes{records, q.Cursor, true, lap}
+	if pass.Done < Buckets {
+		return Changes{records, q.Cursor, true, pass}
 	}
-	return Changes{Records: records, Cursor: min(lap.Revision, settled)}
+	return Changes{Records: records, Cursor: min(pass.Revision, settled)}
 }
 
+// isUrgent reports whether a host must be told a change by each table: a departure, or a
+// warm-up that has begun or ended early.
+func (r *row) isUrgent(now time.Duration) bool { return r.State != Ready || r.latestCold > now }
+
 func recordsOf(rows []*row) []Record {
 	out := make([]Record, len(rows))
 	for i, r := range rows {
--- a/internal/registry/buckets_test.go
+++ b/internal/registry/buckets_test.go
@@ -27,7 +27,7 @@
 		if q.Cursor = c.Cursor; !c.Incomplete {
 			return records, answers, c.Cursor
 		}
-		q.Digests, q.Lap.Done, q.Lap.Revision = to.Digests(), c.Lap.Done, c.Lap.Revision
+		q.Digests, q.Pass.Done, q.Pass.Revision = to.Digests(), c.Pass.Done, c.Pass.Revision
 	}
 	t.Fatal("the changes do not end")
 	return 0, 0, 0
@@ -65,10 +65,14 @@
 }
 
 // Guards against a second table that repeats what the first one tells, and against one that
-// holds back a departure, a warm-up, or what the first one does not know.
+// holds back a departure, a warm-up, what the first one does not know, or the silence of a
+// target that reported there.
 func TestSecondTableTellsWhatIsUrgentOrLacking(t *testing.T) {
 	now := time.Minute
-	first, second, to := filledTable(now, 100), filledTable(now, 100), filledTable(now, 100)
+	first, second, to := filledTable(now, 100), NewTable(), filledTable(now, 100)
+	for _, r := range first.Registered() {
+		second.Merge(now, r)
+	}
 	_, _, cursor := fetch(t, second, to, 2*now, Query{Limit: 500, Secondary: true})
 	now = 2 * now
 	for _, table := range []*Table{first, second, to} {
@@ -99,7 +103,52 @@
 	}
 	second.Expire(now + silenceTimeout)
 	now += 2 * silenceTimeout
+	if got := told(); got != "map[cold:1 known:1 lacking:1]" {
+		t.Errorf("told of silent targets, of which these reported here: %s", got)
+	}
 	if got := told(); got != "map[]" {
 		t.Errorf("told again: %s", got)
 	}
 }
+
+// Guards against a host that takes a target for cold after its warm-up has ended early, if the
+// end is told by a comparison of digests, which leave warm-ups out.
+func TestEarlyEndOfWarmupIsTold(t *testing.T) {
+	for _, cursor := range []uint64{0, 1} {
+		from, to := NewTable(), NewTable()
+		r := Record{ID: "i", Service: "s", Address: "10.0.0.1:80", State: Ready, Sequence: 1, ColdUntil: time.Minute}
+		from.Heartbeat(time.Second, r)
+		to.Merge(time.Second, r)
+		r.Sequence, r.ColdUntil = 2, 0
+		from.Heartbeat(2*time.Second, r)
+		fetch(t, from, to, 5*time.Second, Query{Cursor: cursor, Digests: to.Digests(), Secondary: true, Limit: 512})
+		if got, _ := to.Get("i"); got.ColdUntil > 5*time.Second {
+			t.Errorf("from position %d: cold until %v", cursor, got.ColdUntil)
+		}
+	}
+}
+
+// Guards against a target that stays ready for good at hosts whose first table lacks it: the
+// table that had its last heartbeat tells them that it fell silent, and the others too.
+func TestSilenceIsToldByTheTableOfTheLastHeartbeat(t *testing.T) {
+	second, to := NewTable(), NewTable()
+	r := Record{ID: "i", Service: "s", Address: "10.0.0.1:80", State: Ready, Sequence: 1}
+	second.Heartbeat(time.Second, r)
+	fetch(t, second, to, 3*time.Second, Query{Limit: 512, Secondary: true})
+	cursor := second.Revision()
+	second.TakeHeartbeats()
+	second.Expire(10 * time.Second)
+	fetch(t, second, to, 12*time.Second, Query{Cursor: cursor, Limit: 512, Secondary: true})
+	if got, _ := to.Get("i"); !got.Silent {
+		t.Errorf("the host has %+v", got)
+	}
+	if relayed := second.TakeHeartbeats(); len(relayed) != 1 || !relayed[0].Silent {
+		t.Errorf("other tables are told %+v", relayed)
+	}
+	r.Sequence = 2
+	second.Merge(13*time.Second, r) // the target reports elsewhere now
+	second.Expire(20 * time.Second)
+	if relayed := second.TakeHeartbeats(); len(relayed) != 0 {
+		t.Errorf("other tables are told of the silence of a target that reports there: %+v", relayed)
+	}
+}
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -103,6 +103,10 @@
 	toldColdUntil time.Duration
 	// changedAt is the time of the last change.
 	changedAt time.Duration
+	// latestCold is the latest end of a warm-up that others may have been told.
+	latestCold time.Duration
+	// isDirect means that the target itself sent the record to this host.
+	isDirect bool
 	// digest is that of the record as counted in Table.digests.
 	digest uint64
 }
@@ -117,8 +121,8 @@
 	revision  uint64
 	// digests has the sum of the digests of the rows of each bucket.
 	digests [Buckets]uint64
-	// heartbeatIDs are the targets that sent a heartbeat to this host since the last call of
-	// TakeHeartbeats.
+	// heartbeatIDs are the targets that sent a heartbeat to this host, or stopped doing so,
+	// since the last call of TakeHeartbeats.
 	heartbeatIDs map[string]bool
 	// pastSoftware has when a target of a service was last registered with a version of the
 	// software that it no longer has.
@@ -138,6 +142,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	changed = t.merge(now, r)
+	t.rows[r.ID].isDirect = t.rows[r.ID].Sequence == r.Sequence && t.rows[r.ID].StartMillis == r.StartMillis
 	t.heartbeatIDs[r.ID] = true
 	return changed
 }
@@ -163,9 +168,9 @@
 	changed := !r.sameContent(current.Record) || coldDiffers(r.ColdUntil, current.toldColdUntil, now)
 	t.recordPastSoftware(now, current.Record)
 	t.setAddress(current, r)
-	current.Record, current.lastHeard = r, now
+	current.Record, current.lastHeard, current.isDirect = r, now, false
 	if changed {
-		current.toldColdUntil = r.ColdUntil
+		current.toldColdUntil, current.latestCold = r.ColdUntil, max(current.latestCold, r.ColdUntil)
 		t.markChanged(now, current)
 		t.deregisterOlder(now, r)
 	}
@@ -314,6 +319,9 @@
 	for _, r := range t.rows {
 		if r.State != Left && !r.Silent && now-r.lastHeard > silenceTimeout {
 			r.Silent = true
+			if r.isDirect {
+				t.heartbeatIDs[r.ID] = true // others may lack the record, and then its silence too
+			}
 			t.markChanged(now, r)
 		}
 	}
@@ -342,8 +350,8 @@
 	}
 }
 
-// TakeHeartbeats returns the records of the targets that sent a heartbeat to this host since
-// the last call, sorted by ID.
+// TakeHeartbeats returns the records of the targets that sent a heartbeat to this host, or
+// fell silent after their last one here, since the last call, sorted by ID.
 func (t *Table) TakeHeartbeats() []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
