fleetsync: large responses that are not written yet are bounded

Change: with 64 large responses unwritten, further hosts are asked to come back with their next exchange; the number is a gauge.

--- a/internal/daemon/deployment_control.go
+++ b/internal/daemon/deployment_control.go
@@ -87,6 +87,7 @@
 		"control.targets":         func() int64 { return int64(s.Targets.Len()) },
 		"control.entry_hosts":     func() int64 { return int64(s.Presence.Len()) },
 		"control.kept_records":    func() int64 { return int64(s.KeptRecords()) },
+		"control.large_responses": s.LargeResponses,
 		"control.peer_bytes_sent": func() int64 { return d.transport.Traffic().BytesSent },
 		"control.heap_bytes": func() int64 {
 			sample := []runtimemetrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
--- a/internal/fleetsync/client.go
+++ b/internal/fleetsync/client.go
@@ -156,7 +156,7 @@
 			}
 			table, cursor, respondedAt = out.GetTable(), out.GetCursor(), now
 			wait = c.pollInterval(address)
-			if out.GetIncomplete() {
+			if wantsMoreNow(in, out) {
 				wait = resyncPause
 			}
 			if !wasFresh && c.ConfigurationFresh() {
--- a/internal/fleetsync/client_test.go
+++ b/internal/fleetsync/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"net"
 	"strings"
@@ -414,3 +415,41 @@
 		t.Errorf("the other control host still has %v", two.Targets.Registered())
 	}
 }
+
+// Answers the return of hundreds of hosts at once: a control host with many large responses
+// that are not written yet asks further hosts to come back, and serves them afterwards.
+func TestCrowdOfStartingHostsIsSlowedDown(t *testing.T) {
+	s, address := startControlHost(t)
+	for i := range 200 {
+		s.Targets.Heartbeat(clock.SinceBoot(), registry.Record{ID: fmt.Sprint("i-", i), Service: "s", DataCentre: "d", Address: fmt.Sprintf("10.0.0.%d:80", i+1), State: registry.Ready})
+	}
+	ask := &syncpb.ExchangeRequest{Delta: true, BucketDigests: make([]uint64, registry.Buckets)}
+	unwritten, written := context.WithCancel(t.Context())
+	for range 64 {
+		if out, err := s.Exchange(unwritten, ask); err != nil || len(out.GetTargets()) != 200 {
+			t.Fatalf("%d targets, %v", len(out.GetTargets()), err)
+		}
+	}
+	if out, err := s.Exchange(unwritten, ask); err != nil || len(out.GetTargets()) != 0 || !out.GetIncomplete() || out.GetCursor() != 0 {
+		t.Errorf("a further host gets %d targets, %v", len(out.GetTargets()), err)
+	}
+	written()
+	transport := peer.New("entry", &clock.HLC{}, nil)
+	defer func() { _ = transport.Close() }()
+	await := func(what string, done func() bool) {
+		t.Helper()
+		for end := time.Now().Add(5 * time.Second); !done(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s: %d large responses", what, s.LargeResponses())
+			}
+		}
+	}
+	await("after all were written", func() bool { return s.LargeResponses() == 0 })
+	for range 100 {
+		out, err := syncpb.NewDRPCSyncClient(transport.Dial(address)).Exchange(t.Context(), ask)
+		if err != nil || len(out.GetTargets()) != 200 {
+			t.Fatalf("%d targets, %v", len(out.GetTargets()), err)
+		}
+	}
+	await("after calls from another host", func() bool { return s.LargeResponses() == 0 })
+}
--- a/internal/fleetsync/relay.go
+++ b/internal/fleetsync/relay.go
@@ -52,6 +52,9 @@
 // control hosts.
 func (s *Server) KeptRecords() int { return s.refs.toldBeats.Len() + s.refs.toldReports.Len() }
 
+// LargeResponses returns the number of responses with many targets that are not written yet.
+func (s *Server) LargeResponses() int64 { return s.largeResponses.Load() }
+
 // relayMessage is a request to another control host with what its response confirms.
 type relayMessage struct {
 	address string
--- a/internal/fleetsync/resync.go
+++ b/internal/fleetsync/resync.go
@@ -14,6 +14,11 @@
 	// so that hundreds of hosts that start together neither fill the memory of a control host
 	// nor wait longer than the timeout of an exchange.
 	resyncRecords = 512
+	// largeResponse is the number of targets from which a response counts as large, and
+	// maxLargeResponses the number of them that may wait to be written: about 15 MB. Further
+	// hosts are asked to come back, so that a crowd that returns fills no memory.
+	largeResponse     = 128
+	maxLargeResponses = 64
 	// resyncPause is the time until the next request for the rest of the table.
 	resyncPause = 20 * time.Millisecond
 )
@@ -32,7 +37,11 @@
 		if in.GetTable() == s.Incarnation {
 			q.Pass.Done, q.Pass.Revision = int(min(in.GetBucketsDone(), registry.Buckets)), in.GetPassRevision()
 		}
-		changes = s.Targets.Changes(now, q)
+		if len(q.Digests) > 0 && s.largeResponses.Load() >= maxLargeResponses {
+			changes = registry.Changes{Cursor: cursor, Incomplete: true, Pass: q.Pass}
+		} else {
+			changes = s.Targets.Changes(now, q)
+		}
 	} else {
 		changes.Records, changes.Cursor = s.Targets.ChangedSince(cursor)
 	}
@@ -40,6 +49,13 @@
 	out.Table, out.Cursor, out.Incomplete, out.Targets = s.Incarnation, changes.Cursor, changes.Incomplete, encodeRecords(now, changes.Records)
 }
 
+// wantsMoreNow reports whether an incomplete response is to be followed by a request at once:
+// it told something, or it asked for digests. One that told nothing in spite of digests comes
+// from a control host that has too much to send.
+func wantsMoreNow(in *syncpb.ExchangeRequest, out *syncpb.ExchangeResponse) bool {
+	return out.GetIncomplete() && (len(out.GetTargets()) > 0 || len(in.GetBucketDigests()) == 0)
+}
+
 // addControls adds the list of control hosts, unless the caller has it.
 func (s *Server) addControls(now time.Duration, in *syncpb.ExchangeRequest, out *syncpb.ExchangeResponse) {
 	controls := s.Presence.Controls(now)
--- a/internal/fleetsync/scale_test.go
+++ b/internal/fleetsync/scale_test.go
@@ -251,7 +251,7 @@
 		if own {
 			e.nextPoll[j] = s.now + 2*sameRegionInterval
 		}
-		if out.GetIncomplete() {
+		if wantsMoreNow(in, out) {
 			e.nextPoll[j] = s.now + resyncPause
 		}
 	}
--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -9,6 +9,7 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"storj.io/drpc"
@@ -100,6 +101,8 @@
 	originCursors map[string]relayCursor
 	ledger        *departures.Ledger
 	refs          relayState
+	// largeResponses is the number of responses with many targets that are not written yet.
+	largeResponses atomic.Int64
 	// departureWake receives when departures may have to be stored or told.
 	departureWake chan struct{}
 }
@@ -120,8 +123,13 @@
 }
 
 // Exchange implements the drpc service.
-func (s *Server) Exchange(_ context.Context, in *syncpb.ExchangeRequest) (*syncpb.ExchangeResponse, error) {
-	return s.exchange(clock.SinceBoot(), in), nil
+func (s *Server) Exchange(ctx context.Context, in *syncpb.ExchangeRequest) (*syncpb.ExchangeResponse, error) {
+	out := s.exchange(clock.SinceBoot(), in)
+	if len(out.GetTargets()) >= largeResponse {
+		s.largeResponses.Add(1)
+		context.AfterFunc(ctx, func() { s.largeResponses.Add(-1) }) // the RPC ends when the response is written
+	}
+	return out, nil
 }
 
 func (s *Server) exchange(now time.Duration, in *syncpb.ExchangeRequest) *syncpb.ExchangeResponse {
