--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -58,8 +58,8 @@
 	g.Init(p.PrefillTokensPerMS * float64(time.Second/time.Millisecond))
 	g.SetPolicy(placement.Policy(s.Policy.Target))
 	g.LocalOnly = s.Policy.DataCentre == alwaysLocal
-	client := &fleetsync.Client{Region: s.Region, Dial: d.transport.Dial, NewRequest: g.ExchangeRequest, Apply: g.Apply, ConfigurationFresh: g.ConfigurationFresh,
-		InvalidRecords: d.logInvalidRecords,
+	client := &fleetsync.Client{Name: s.Name, Region: s.Region, Dial: d.transport.Dial, NewRequest: g.ExchangeRequest, Apply: g.Apply, ConfigurationFresh: g.ConfigurationFresh,
+		InvalidRecords: d.logInvalidRecords, TargetDigests: g.Table.Digests,
 		ReachabilityChanged: func(control string, reachable bool, err error) {
 			entry := d.log.WithFields(logrus.Fields{"control": control, "reachable": reachable})
 			if err != nil {
@@ -67,6 +67,7 @@
 			}
 			entry.Info("control host")
 		}}
+	client.Documents = d.newDocuments(g)
 	g.OriginClient = client
 	front, err := d.addServer(p.Front, intake.Callers, g)
 	if err != nil {
@@ -79,6 +80,9 @@
 		return nil, err
 	}
 	addLoop(&d.group, func(ctx context.Context) error { return client.Run(ctx, d.seedPeers) })
+	if err := d.transport.Register(client.Documents, syncpb.DRPCDocumentsDescription{}); err != nil {
+		return nil, err
+	}
 	if err := d.servePeers(g, syncpb.DRPCUsageDescription{}); err != nil {
 		return nil, err
 	}
--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -41,15 +41,17 @@
 type Account struct {
 	limits Limits
 
-	mu      sync.Mutex
-	used    int64
-	bodies  int64 // the part of used for bodies
-	open    [classes]int
-	holders map[*Holder]struct{}
-	places  map[place]int
-	groups  map[group]int64
-	refused [classes]int64
-	closed  [classes]int64
+	mu     sync.Mutex
+	used   int64
+	bodies int64 // the part of used for bodies
+	// requests is the number of requests in progress.
+	requests int
+	open     [classes]int
+	holders  map[*Holder]struct{}
+	places   map[place]int
+	groups   map[group]int64
+	refused  [classes]int64
+	closed   [classes]int64
 }
 
 // place has the connections of an address.
@@ -181,6 +183,9 @@
 	h.gone, h.heldAtEnd = true, h.held
 	a.add(h, -h.held)
 	a.bodies -= h.body
+	if h.request > 0 {
+		a.requests--
+	}
 	delete(a.holders, h)
 	a.open[h.group.class]--
 	if a.places[h.group.place]--; a.places[h.group.place] == 0 {
@@ -243,8 +248,11 @@
 	return float64(h.received.Load()-h.bodyFrom.Load()) / age.Seconds()
 }
 
-// need is what a new charge takes: bytes in all, of which body is for bodies.
-type need struct{ bytes, body int64 }
+// need is what a new charge takes: bytes in all, of which body is for bodies, and requests.
+type need struct {
+	bytes, body int64
+	requests    int
+}
 
 // makeRoom makes sure that a charge fits, and returns who has to be closed for it. a.mu must be
 // held.
@@ -254,7 +262,11 @@
 	if n.body > 0 {
 		bodies = a.bodies + n.body - int64(largeFraction*float64(a.limits.Account))
 	}
-	if total <= 0 && bodies <= 0 {
+	requests := 0
+	if n.requests > 0 {
+		requests = a.requests + n.requests - a.limits.Requests
+	}
+	if total <= 0 && bodies <= 0 && requests <= 0 {
 		return nil, true
 	}
 	var candidates []*Holder
@@ -273,12 +285,16 @@
 				return false
 			}
 			closed, total, bodies = append(closed, v), total-v.held, bodies-v.body
+			if v.request > 0 {
+				requests--
+			}
 			return true
 		})
 	}
 	chosen(func(v *Holder) bool { return bodies > 0 && v.body > 0 })
+	chosen(func(v *Holder) bool { return requests > 0 && v.request > 0 })
 	chosen(func(*Holder) bool { return total > 0 })
-	if total > 0 || bodies > 0 {
+	if total > 0 || bodies > 0 || requests > 0 {
 		return nil, false
 	}
 	for _, v := range closed {
@@ -296,8 +312,11 @@
 		return nil, false
 	}
 	added := need{bytes: size - *charge}
-	if charge == &h.body {
+	switch {
+	case charge == &h.body:
 		added.body = added.bytes
+	case charge == &h.request && h.request == 0:
+		added.requests = 1
 	}
 	if added.bytes > 0 {
 		if closed, ok = a.makeRoom(now, h, added); !ok {
@@ -307,6 +326,7 @@
 	}
 	a.add(h, added.bytes)
 	a.bodies += added.body
+	a.requests += added.requests
 	*charge = size
 	return closed, true
 }
@@ -338,6 +358,9 @@
 	}
 	a.add(h, -(h.request + h.head + h.body))
 	a.bodies -= h.body
+	if h.request > 0 {
+		a.requests--
+	}
 	h.request, h.head, h.body = 0, 0, 0
 }
 
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -53,16 +53,19 @@
 )
 
 // Shares are the parts of the descriptors, without those of the process itself, that the
-// connections of each class may use.
-type Shares [classes]float64
+// connections of each class, and the requests in progress, may use. A request may need a
+// second descriptor, for the connection to its target.
+type Shares struct {
+	Connections [classes]float64
+	Requests    float64
+}
 
 var (
-	// EntryShares leave a second descriptor for each request of a caller or another host, for
-	// the connection to its target.
-	EntryShares = Shares{Callers: 0.3, Hosts: 0.17, Operators: 0.06}
-	// ControlShares are those of a host that sends no requests to targets. Each host of the
-	// deployment has several connections to it.
-	ControlShares = Shares{Callers: 0.15, Hosts: 0.55, Operators: 0.25}
+	// EntryShares are those of a host that sends requests to targets.
+	EntryShares = Shares{Connections: [classes]float64{Callers: 0.5, Hosts: 0.2, Operators: 0.06}, Requests: 0.24}
+	// ControlShares are those of a host that does not. Each host of the deployment has several
+	// connections to it.
+	ControlShares = Shares{Connections: [classes]float64{Callers: 0.15, Hosts: 0.55, Operators: 0.25}, Requests: 1}
 )
 
 // Limits are the limits of a process.
@@ -73,8 +76,10 @@
 	Account int64
 	// Responses is the memory for parts of responses.
 	Responses int64
-	// Connections is the number of connections of each class.
+	// Connections is the number of connections of each class, Requests that of the requests in
+	// progress.
 	Connections [classes]int
+	Requests    int
 }
 
 // LimitsFor returns the limits for a memory in bytes and a number of descriptors.
@@ -84,9 +89,10 @@
 	l := Limits{Memory: memory, Account: part(accountFraction), Responses: min(max(part(responseFraction), minResponseBytes), maxResponseBytes)}
 	free := float64(descriptors - min(ownDescriptors, descriptors/2))
 	if connections == 0 {
-		connections = int(min(shares[Callers]*free, callerConnectionMemory*float64(l.Account)/connectionBytes))
+		connections = int(min(shares.Connections[Callers]*free, callerConnectionMemory*float64(l.Account)/connectionBytes))
 	}
-	l.Connections = [classes]int{max(1, connections), max(1, int(shares[Hosts]*free)), max(1, int(shares[Operators]*free))}
+	l.Connections = [classes]int{max(1, connections), max(1, int(shares.Connections[Hosts]*free)), max(1, int(shares.Connections[Operators]*free))}
+	l.Requests = max(1, int(shares.Requests*free))
 	return l
 }
 
