--- a/internal/fleetsync/relay.go
+++ b/internal/fleetsync/relay.go
@@ -269,8 +269,9 @@
 	}
 }
 
-// dueDemands returns the demands of entry hosts that the leader has to be told now: each
-// report once, those that say nothing new less often.
+// dueDemands returns the demands of entry hosts that the leader has to be told now: of hosts
+// that demand a rate with each round, of others each report once, or less often if it says
+// nothing new.
 func (s *Server) dueDemands(now time.Duration, leader string) []*syncpb.HostDemands {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -331,7 +332,7 @@
 
 func (d *hostDemands) due(now time.Duration, leader string) bool {
 	switch {
-	case d.relayedTo != leader:
+	case d.relayedTo != leader || d.demandsRate():
 		return true
 	case d.relayedReport == d.HostDemands:
 		return false
@@ -339,6 +340,13 @@
 	return now-d.relayedAt >= idleDemandInterval || d.GetPartitions() != d.relayedReport.GetPartitions() || len(d.unreleased(now)) > 0
 }
 
+// demandsRate reports whether the host demands or holds a rate. Its report is relayed with each
+// round, because what the leader can grant changes with the reports of others: a holder that
+// waits for its next report would get its fraction seconds after the one before it has left.
+func (d *hostDemands) demandsRate() bool {
+	return slices.ContainsFunc(d.GetDemands(), func(w *syncpb.Demand) bool { return !w.GetReleased() })
+}
+
 // unreleased returns the demands without those that were released before releaseRetention: an
 // allocator has no reservation left for them.
 func (d *hostDemands) unreleased(now time.Duration) []*syncpb.Demand {
--- a/internal/fleetsync/released_test.go
+++ b/internal/fleetsync/released_test.go
@@ -27,8 +27,8 @@
 	}
 }
 
-// Guards against demands that are relayed to the leader with each round, and against a leader
-// that is told late of a demand, of a host, or after it was elected.
+// Guards against reports without a demand that are relayed to the leader with each round, and
+// against a leader that is told late of a demand, of a host, or after it was elected.
 func TestDemandsAreRelayedOnce(t *testing.T) {
 	s, _ := newPartitionServer(0)
 	report := func(at time.Duration, perSecond float64) {
@@ -61,4 +61,7 @@
 	if !due(now+idleDemandInterval+relayInterval, "b") {
 		t.Error("a demand waits")
 	}
+	if !due(now+idleDemandInterval+2*relayInterval, "b") {
+		t.Error("a demand is relayed once, though the leader may be able to grant more by now")
+	}
 }
