gateway, room: the decision where a request is served is a slice without I/O

Cause: Gateway.chooseDestination gathered estimates, decided and carried out in one function under the lock, so that further grounds to send or refuse a request could not be added or tested by themselves.

Change: internal/room.Decide(Inputs) says here, forwarded or refused, with the reason; the gateway gathers the inputs under its lock and carries the decision out.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/registry"
 	"geraniumturn.example/geraniumturn/internal/requestbody"
+	"geraniumturn.example/geraniumturn/internal/room"
 	"geraniumturn.example/geraniumturn/internal/shares"
 	"geraniumturn.example/geraniumturn/internal/suspects"
 	"geraniumturn.example/geraniumturn/internal/upstream"
@@ -243,15 +244,27 @@
 // target has got anything, so late that it may not end: after RefuseNew, or if it is expected
 // to take longer than the host has left.
 func (g *Gateway) refuseLate(now time.Duration, x *requestState, total time.Duration) error {
-	if x.ran != refusal.NotRun || x.responseStarted || !g.Draining() {
-		return nil
-	}
-	if stopsAt := time.Duration(g.stopsAt.Load()); g.refuseNew.Load() || stopsAt > 0 && now+total > stopsAt {
+	if total > g.endsIn(now, x) {
 		return errStopping()
 	}
 	return nil
 }
 
+// endsIn returns how long this host may still take for a request: until it stops, nothing
+// after RefuseNew, and room.NoEnd if it is not stopping or a target may have got the request.
+func (g *Gateway) endsIn(now time.Duration, x *requestState) time.Duration {
+	if x.ran != refusal.NotRun || x.responseStarted || !g.Draining() {
+		return room.NoEnd
+	}
+	if g.refuseNew.Load() {
+		return -1
+	}
+	if stopsAt := time.Duration(g.stopsAt.Load()); stopsAt > 0 {
+		return stopsAt - now
+	}
+	return room.NoEnd
+}
+
 func errStopping() error {
 	return refusal.New(refusal.Draining, refusal.NotRun, "this host is shutting down").WithRetry(time.Millisecond)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -14,6 +14,7 @@
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/registry"
 	"geraniumturn.example/geraniumturn/internal/rendezvous"
+	"geraniumturn.example/geraniumturn/internal/room"
 	"geraniumturn.example/geraniumturn/internal/upstream"
 )
 
@@ -37,9 +38,6 @@
 	// misdirectedEjection is how long a target is ejected after its address turned out
 	// to belong to another target.
 	misdirectedEjection = 1500 * time.Millisecond
-	// minForwardGain is how much lower the expected cost in another region must be for
-	// a request to be forwarded, as a fraction of the credit of the request.
-	minForwardGain = 0.12
 	// targetRestartTime is how long a crashed target usually takes to serve again.
 	targetRestartTime = 3 * time.Second
 	// hostTimeout is how long another host may be silent before it gets no requests.
@@ -222,57 +220,85 @@
 	if err := g.refuseSuspect(now, x); err != nil {
 		return nil, err
 	}
-	var choice placement.Choice
-	usable := false
-	inStep := g.checkInStep(now, x)
-	if inStep == nil && document.AllowsRegion(x.route, x.workspace, g.Region) && !g.path.Detached() {
-		choice, usable = g.placer.Choose(now, &x.placementRequest, func(id string) bool { return x.triedTargets[id] })
-	}
-	limit := g.firstByteBudget(now, x, choice.IdleTTFB)
-	var hostLimit time.Duration // that the other host applies
-	peers := g.path.Detached() || choice.Unreachable || !usable && x.sends == 0
-	remote, estimate := g.bestRemoteHost(now, x, peers)
-	if remote != nil {
-		remoteLimit, accepted := g.remoteLimits(now, remote.GetRegion(), g.firstByteBudget(now, x, estimate.IdleTTFB), x.route.FirstByteObjective)
-		forward := !usable || choice.Unreachable || estimate.cost+minForwardGain < choice.Cost
-		// A destination with a lower cost must not hide one that can meet its limit.
-		if local := usable && choice.TTFB <= limit; local != (estimate.TTFB <= accepted) {
-			forward = !local
-		}
-		if forward {
-			choice, limit, hostLimit = placement.Choice{Estimate: estimate.Estimate}, accepted, remoteLimit
-		} else {
-			remote = nil
-		}
+	places := g.findPlaces(now, x)
+	d := room.Decide(&places.Inputs)
+	x.choice = places.choice(d)
+	if d.Action == room.Refuse {
+		return nil, g.refuse(now, x, places, d)
 	}
-	x.choice = choice
-	if err := g.refuseLate(now, x, choice.Total); err != nil {
-		return nil, err
-	}
-	switch {
-	case remote == nil && inStep != nil:
-		return nil, refusal.New(refusal.UnknownOrigin, refusal.NotRun, "%v", inStep).WithRetry(stateRetryAfter)
-	case remote == nil && !usable:
-		return nil, g.noTarget(now, x)
-	case choice.TTFB > limit && !usable && g.localWait(now, x) > 0:
-		return nil, g.noTarget(now, x)
-	case choice.TTFB > limit:
-		return nil, refusal.New(refusal.Overloaded, refusal.NotRun, "expected time to first byte of %s exceeds the limit of %s", choice.TTFB, limit).
-			WithRetry(max(minRetryAfter, choice.TTFB-limit))
-	}
-	if remote != nil {
+	if d.Action == room.Forward {
+		remote := places.remote
 		x.triedRegions[remote.GetRegion()] = remote.GetRegion() != g.Region // the host may have targets left
 		x.forwardHost, x.target = remote.GetName(), remote.GetName()
 		g.remoteRegion(remote.GetRegion()).RecordSent(now)
 		g.requestMetrics.forwarded.Inc(1)
+		hostLimit := places.hostLimit
 		if remote.GetRegion() != g.Region {
 			hostLimit = placement.RemoteFirstByteLimit(hostLimit)
 		}
 		return &sendAttempt{target: remote.GetName(), address: remote.GetForward(), forwarded: true, region: remote.GetRegion(), firstByteLimit: hostLimit}, nil
 	}
-	x.triedTargets[choice.Target.ID] = true
-	x.target = choice.Target.ID
-	return g.startAttempt(now, x, choice), nil
+	x.triedTargets[places.here.Target.ID] = true
+	x.target = places.here.Target.ID
+	return g.startAttempt(now, x, places.here), nil
+}
+
+// places is what room.Decide decides on, and what carrying the decision out takes.
+type places struct {
+	room.Inputs
+	outOfStep error
+	here      placement.Choice
+	remote    *peerHost
+	there     remoteEstimate
+	hostLimit time.Duration // that the other host applies
+}
+
+// choice returns the estimate that the decision is based on.
+func (p *places) choice(d room.Decision) placement.Choice {
+	switch {
+	case d.Place == nil:
+		return placement.Choice{}
+	case d.Place == p.There:
+		return placement.Choice{Estimate: p.there.Estimate}
+	}
+	return p.here
+}
+
+// findPlaces gathers what is known of the places for a request. g.mu must be held.
+func (g *Gateway) findPlaces(now time.Duration, x *requestState) *places {
+	p := &places{outOfStep: g.checkInStep(now, x)}
+	usable := false
+	if p.outOfStep == nil && document.AllowsRegion(x.route, x.workspace, g.Region) && !g.path.Detached() {
+		p.here, usable = g.placer.Choose(now, &x.placementRequest, func(id string) bool { return x.triedTargets[id] })
+	}
+	p.OutOfStep, p.EndsIn = p.outOfStep != nil, g.endsIn(now, x)
+	p.HereLimit, p.LastResort = g.firstByteBudget(now, x, p.here.IdleTTFB), p.here.Unreachable
+	if usable {
+		p.Here = &room.Place{TTFB: p.here.TTFB, Total: p.here.Total, Cost: p.here.Cost, Limit: p.HereLimit}
+	} else {
+		p.HereIn = g.localWait(now, x)
+	}
+	peers := g.path.Detached() || p.LastResort || !usable && x.sends == 0
+	if p.remote, p.there = g.bestRemoteHost(now, x, peers); p.remote != nil {
+		var accepted time.Duration
+		p.hostLimit, accepted = g.remoteLimits(now, p.remote.GetRegion(), g.firstByteBudget(now, x, p.there.IdleTTFB), x.route.FirstByteObjective)
+		p.There = &room.Place{TTFB: p.there.TTFB, Total: p.there.Total, Cost: p.there.cost, Limit: accepted}
+	}
+	return p
+}
+
+// refuse returns the refusal of a request. g.mu must be held.
+func (g *Gateway) refuse(now time.Duration, x *requestState, p *places, d room.Decision) error {
+	switch d.Reason {
+	case room.ReasonStopping:
+		return errStopping()
+	case room.ReasonOutOfStep:
+		return refusal.New(refusal.UnknownOrigin, refusal.NotRun, "%v", p.outOfStep).WithRetry(stateRetryAfter)
+	case room.ReasonNoTarget:
+		return g.noTarget(now, x)
+	}
+	return refusal.New(refusal.Overloaded, refusal.NotRun, "expected time to first byte of %s exceeds the limit of %s", d.Place.TTFB, d.Limit).
+		WithRetry(max(minRetryAfter, d.RetryIn))
 }
 
 // noTarget returns the refusal of a request for which there is no target. A stream cannot
