--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -16,6 +16,7 @@
 	"geraniumturn.example/geraniumturn/internal/placement"
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/requestbody"
+	"geraniumturn.example/geraniumturn/internal/room"
 )
 
 // Headers of forwarded requests between entry hosts and of their responses.
@@ -47,6 +48,8 @@
 	LastEvent   string `json:"last_event,omitempty"`
 	// RegionBound requests have home regions: their prompts may not leave the region.
 	RegionBound bool `json:"bound"`
+	// Priority is that of the route; nil from a host of an earlier release.
+	Priority *int `json:"priority,omitempty"`
 	// AtMostOnce requests must not be executed twice.
 	AtMostOnce bool `json:"careful"`
 	// Software is the version of the software that the target must have, because it began
@@ -109,6 +112,9 @@
 			Objective: time.Duration(f.ObjectiveMS) * time.Millisecond, TimeLeft: time.Duration(f.RemainingMS) * time.Millisecond},
 		header: g.TargetProtocol.RequestHeader(r.Header)}
 	x.header.Del(headerForward)
+	if x.shortageKnown = f.Priority == nil; f.Priority != nil {
+		x.level = room.LevelOf(*f.Priority, f.RegionBound)
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(x.deadline-started))
 	defer cancel()
 	defer context.AfterFunc(g.requestsCtx, cancel)()
@@ -196,8 +202,14 @@
 	if !ok {
 		return nil, fmt.Errorf("no target of service %s is available", x.service)
 	}
-	if firstByteLimit = max(firstByteLimit, placement.QueueLimit(x.placementRequest.Objective, choice.IdleTTFB)); choice.TTFB > firstByteLimit {
-		return nil, fmt.Errorf("expected time to first byte of %s exceeds the forwarded limit of %s", choice.TTFB, firstByteLimit)
+	firstByteLimit = max(firstByteLimit, placement.QueueLimit(x.placementRequest.Objective, choice.IdleTTFB))
+	g.recordShortage(now, x, choice.Estimate, firstByteLimit)
+	if x.placementRequest.Software == nil { // a stream that has begun does not give way
+		x.pressure = g.shortages.Pressure(now, x.service, x.level)
+		firstByteLimit = x.pressure.LimitAt(firstByteLimit, choice.IdleTTFB, drawOf(x.call.ID))
+	}
+	if choice.TTFB > firstByteLimit {
+		return nil, fmt.Errorf("expected time to first byte of %s exceeds the forwarded limit of %s (pressure %.2f)", choice.TTFB, firstByteLimit, x.pressure.Yield)
 	}
 	if err := g.refuseLate(now, x, choice.Total); err != nil {
 		return nil, err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,6 +149,8 @@
 	bodies       bytebudget.Budget     // of the bodies of requests
 	origins      *origins.Store        // of the streams that began at this host
 	quarantine   *suspects.Quarantine
+	shortages    *room.Shortages // of the services in this region
+	offers       *room.Offers    // of other regions
 	usagePlanner *usagerelay.Planner
 	usagePlan    usagerelay.Plan // the latest one
 	usageHub     *usagerelay.Hub
@@ -170,9 +172,9 @@
 }
 
 type requestMetrics struct {
-	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed, keptSilent, detached, coldSends, coldWithheld metrics.Counter
-	firstByte, total                                                                                                                     metrics.Timer
-	leftOut                                                                                                                              map[placement.Cause]metrics.Counter
+	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed, keptSilent, detached, displaced, yielded, coldSends, coldWithheld metrics.Counter
+	firstByte, total                                                                                                                                         metrics.Timer
+	leftOut                                                                                                                                                  map[placement.Cause]metrics.Counter
 }
 
 // Init prepares the gateway after its fields are set. prefillSpeed is the prefill speed
@@ -193,6 +195,7 @@
 	g.regionLastHeard = map[string]time.Duration{}
 	g.origins = origins.NewStore()
 	g.quarantine, g.crashChecks = suspects.NewQuarantine(), map[string]*crashCheck{}
+	g.shortages, g.offers = room.NewShortages(), room.NewOffers()
 	g.usagePlanner, g.usageHub, g.usageAt = usagerelay.NewPlanner(g.Name), usagerelay.NewHub(rand.Uint64()), map[string]time.Duration{}
 	g.peerSet = shares.NewPeerSet(g.Name, g.startedAt)
 	g.placer.PaceShare = func(now time.Duration, target string, limit int) int {
@@ -203,7 +206,7 @@
 		return metrics.GetOrRegisterCounter("gateway."+name, g.Metrics)
 	}
 	g.requestMetrics = requestMetrics{requests: counter("requests"), served: counter("served"), refused: counter("refused"),
-		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"), keptSilent: counter("silent_targets_kept"), detached: counter("detached"), coldSends: counter("cold_sends"), coldWithheld: counter("cold_withheld"),
+		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"), keptSilent: counter("silent_targets_kept"), detached: counter("detached"), displaced: counter("displaced"), yielded: counter("yielded"), coldSends: counter("cold_sends"), coldWithheld: counter("cold_withheld"),
 		leftOut: map[placement.Cause]metrics.Counter{placement.CauseLeaving: counter("targets_leaving"), placement.CausePause: counter("targets_paused"),
 			placement.CauseRejection: counter("brittle_rejections")},
 		firstByte: metrics.GetOrRegisterTimer("gateway.first_byte", g.Metrics),
@@ -294,12 +297,18 @@
 	bodyLate         bool // the deadline was reached before the end of the body
 	request          *http.Request
 	placementRequest placement.Request
-	suspectKeys      []uint64
-	started          time.Duration
-	hostWait         time.Duration // spent waiting for the body or the start of this host, or for connections that failed
-	silentWait       time.Duration // spent waiting for a target that does not acknowledge the request
-	deadline         time.Duration
-	reservation      *reservation
+	level            room.Level
+	// decision and pressure are those of the latest choice. shortageKnown is set when the request
+	// was counted among those that may be short of room.
+	decision      room.Decision
+	pressure      room.Pressure
+	shortageKnown bool
+	suspectKeys   []uint64
+	started       time.Duration
+	hostWait      time.Duration // spent waiting for the body or the start of this host, or for connections that failed
+	silentWait    time.Duration // spent waiting for a target that does not acknowledge the request
+	deadline      time.Duration
+	reservation   *reservation
 
 	sends           int // attempts that were sent to a target
 	triedTargets    map[string]bool
@@ -423,6 +432,7 @@
 		limit = timeout - callerDeadlineMargin
 	}
 	x.deadline = x.started + max(0, limit)
+	x.level = room.LevelOf(x.route.Priority, len(x.route.HomeRegions) > 0 || x.workspace != nil && len(x.workspace.HomeRegions) > 0)
 	x.placementRequest = placement.Request{Service: x.service, Model: x.call.Model, Segments: x.call.Segments, PromptTokens: x.call.PromptTokens, OutputTokens: x.call.MaxOutputTokens,
 		Objective: x.route.FirstByteObjective, RegionBound: len(x.route.HomeRegions) > 0 || x.workspace != nil && len(x.workspace.HomeRegions) > 0}
 	return nil
@@ -575,6 +585,7 @@
 		fields["first_ms"], fields["status"] = x.ttfb.Milliseconds(), x.status
 	}
 	addChoiceFields(fields, x.choice)
+	addRoomFields(fields, x)
 	if x.call.PromptTokens > 0 {
 		fields["prompt"], fields["output"], fields["likely"] = x.call.PromptTokens, x.call.MaxOutputTokens, x.call.ExpectedOutput
 	}
--- /dev/null
+++ b/internal/gateway/room.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"math"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"geraniumturn.example/geraniumturn/internal/document"
+	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/placement"
+	"geraniumturn.example/geraniumturn/internal/rendezvous"
+	"geraniumturn.example/geraniumturn/internal/room"
+)
+
+// addPressure adds the pressure on a request in this region, and counts a request that has just
+// come from its caller. A stream that has begun, or that was sent already, does not give way.
+// g.mu must be held.
+func (g *Gateway) addPressure(now time.Duration, x *requestState, p *places) {
+	if x.sends > 0 || x.responseStarted || x.placementRequest.Software != nil || g.path.Detached() ||
+		!document.AllowsRegion(x.route, x.workspace, g.Region) {
+		return
+	}
+	if p.Here != nil {
+		g.recordShortage(now, x, p.here.Estimate, p.HereLimit)
+	}
+	p.Draw = drawOf(x.call.ID)
+	p.Pressure = g.shortages.Pressure(now, x.service, x.level)
+}
+
+// drawOf returns a random number from 0 to 1 that follows from the id of a request. It differs
+// from those by which its hosts are chosen.
+func drawOf(id string) float64 {
+	return float64(rendezvous.Weight("draw", id)) / math.MaxUint64
+}
+
+// recordShortage counts a request at its first choice. g.mu must be held.
+func (g *Gateway) recordShortage(now time.Duration, x *requestState, e placement.Estimate, limit time.Duration) {
+	if x.shortageKnown {
+		return
+	}
+	x.shortageKnown = true
+	g.shortages.Record(now, x.service, x.level, room.Shortness(e.TTFB, e.IdleTTFB, limit), limit-e.IdleTTFB)
+}
+
+// granted reports whether this host may send a request to another region to make room here.
+// g.mu must be held.
+func (g *Gateway) granted(now time.Duration, x *requestState, region string) bool {
+	hosts := 1
+	for _, h := range g.hosts {
+		if h.GetRegion() == g.Region && now-h.lastHeard < hostTimeout {
+			hosts++
+		}
+	}
+	return region != g.Region && g.offers.Granted(now, region, x.service, hosts)
+}
+
+// recordDecision counts a request that gives way. g.mu must be held.
+func (g *Gateway) recordDecision(x *requestState, p *places, d room.Decision) {
+	switch d.Reason {
+	case room.ReasonDisplaced:
+		g.requestMetrics.displaced.Inc(1)
+		g.offers.Take(p.spare.GetRegion(), x.service, x.placementRequest.Work())
+	case room.ReasonYields:
+		g.requestMetrics.yielded.Inc(1)
+	}
+}
+
+// addRoomFields adds the latest decision on a request, and the pressure that it was under.
+func addRoomFields(fields logrus.Fields, x *requestState) {
+	if x.decision.Reason != "" && x.decision.Reason != room.ReasonFits {
+		fields["decision"] = string(x.decision.Reason)
+	}
+	if x.pressure.Move > 0 {
+		fields["yield"], fields["move"] = x.pressure.Yield, x.pressure.Move
+	}
+}
+
+// encodeLoad returns the load of a service for the hosts of other regions. What more urgent
+// requests need here is not offered. g.mu must be held.
+func (g *Gateway) encodeLoad(now time.Duration, service string, l placement.Load) *syncpb.Load {
+	pressure := g.shortages.Pressure(now, service, room.LevelCount)
+	return &syncpb.Load{Service: service, WaitMs: l.TTFB.Milliseconds(), TokenUs: l.TimePerToken.Microseconds(), ShortWaitMs: l.Short.Milliseconds(), LongWaitMs: l.Long.Milliseconds(),
+		Room: g.placer.Room(now, service) * (1 - pressure.Move), Shortages: encodeShortages(g.shortages.Total(now, service))}
+}
+
+func encodeShortages(counts []room.Count) []*syncpb.Shortage {
+	var out []*syncpb.Shortage
+	for _, c := range counts {
+		out = append(out, &syncpb.Shortage{Service: c.Service, Level: int32(c.Level), Asked: float32(c.Asked), Short: float32(c.Short), WaitMs: c.AllowedWait.Milliseconds()})
+	}
+	return out
+}
+
+func decodeShortages(in []*syncpb.Shortage) []room.Count {
+	var out []room.Count
+	for _, c := range in {
+		out = append(out, room.Count{Service: c.GetService(), Level: room.Level(c.GetLevel()), Asked: float64(c.GetAsked()), Short: float64(c.GetShort()), AllowedWait: time.Duration(c.GetWaitMs()) * time.Millisecond})
+	}
+	return out
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -222,17 +222,21 @@
 	}
 	places := g.findPlaces(now, x)
 	d := room.Decide(&places.Inputs)
-	x.choice = places.choice(d)
+	x.choice, x.decision, x.pressure = places.choice(d), d, places.Pressure
+	g.recordDecision(x, places, d)
 	if d.Action == room.Refuse {
 		return nil, g.refuse(now, x, places, d)
 	}
 	if d.Action == room.Forward {
 		remote := places.remote
+		if d.Place == places.Spare {
+			remote = places.spare
+		}
 		x.triedRegions[remote.GetRegion()] = remote.GetRegion() != g.Region // the host may have targets left
 		x.forwardHost, x.target = remote.GetName(), remote.GetName()
 		g.remoteRegion(remote.GetRegion()).RecordSent(now)
 		g.requestMetrics.forwarded.Inc(1)
-		hostLimit := places.hostLimit
+		hostLimit := remote.limit
 		if remote.GetRegion() != g.Region {
 			hostLimit = placement.RemoteFirstByteLimit(hostLimit)
 		}
@@ -248,9 +252,15 @@
 	room.Inputs
 	outOfStep error
 	here      placement.Choice
-	remote    *peerHost
-	there     remoteEstimate
-	hostLimit time.Duration // that the other host applies
+	remote    remotePlace // of There
+	spare     remotePlace // of Spare
+}
+
+// remotePlace is another host that may get the request.
+type remotePlace struct {
+	*peerHost
+	estimate remoteEstimate
+	limit    time.Duration // that the host applies
 }
 
 // choice returns the estimate that the decision is based on.
@@ -259,7 +269,9 @@
 	case d.Place == nil:
 		return placement.Choice{}
 	case d.Place == p.There:
-		return placement.Choice{Estimate: p.there.Estimate}
+		return placement.Choice{Estimate: p.remote.estimate.Estimate}
+	case d.Place == p.Spare:
+		return placement.Choice{Estimate: p.spare.estimate.Estimate}
 	}
 	return p.here
 }
@@ -274,19 +286,30 @@
 	p.OutOfStep, p.EndsIn = p.outOfStep != nil, g.endsIn(now, x)
 	p.HereLimit, p.LastResort = g.firstByteBudget(now, x, p.here.IdleTTFB), p.here.Unreachable
 	if usable {
-		p.Here = &room.Place{TTFB: p.here.TTFB, Total: p.here.Total, Cost: p.here.Cost, Limit: p.HereLimit}
+		p.Here = &room.Place{TTFB: p.here.TTFB, Total: p.here.Total, Idle: p.here.IdleTTFB, Cost: p.here.Cost, Limit: p.HereLimit}
 	} else {
 		p.HereIn = g.localWait(now, x)
 	}
+	g.addPressure(now, x, p)
 	peers := g.path.Detached() || p.LastResort || !usable && x.sends == 0
-	if p.remote, p.there = g.bestRemoteHost(now, x, peers); p.remote != nil {
-		var accepted time.Duration
-		p.hostLimit, accepted = g.remoteLimits(now, p.remote.GetRegion(), g.firstByteBudget(now, x, p.there.IdleTTFB), x.route.FirstByteObjective)
-		p.There = &room.Place{TTFB: p.there.TTFB, Total: p.there.Total, Cost: p.there.cost, Limit: accepted}
+	p.remote, p.There = g.findRemotePlace(now, x, func(region string) bool { return peers || region != g.Region })
+	if p.Pressure.Move > 0 {
+		p.spare, p.Spare = g.findRemotePlace(now, x, func(region string) bool { return g.granted(now, x, region) })
 	}
 	return p
 }
 
+// findRemotePlace returns the best place at another host of the regions that are allowed; nil
+// if there is none. g.mu must be held.
+func (g *Gateway) findRemotePlace(now time.Duration, x *requestState, allowed func(region string) bool) (remotePlace, *room.Place) {
+	h, e := g.bestRemoteHost(now, x, allowed)
+	if h == nil {
+		return remotePlace{}, nil
+	}
+	limit, accepted := g.remoteLimits(now, h.GetRegion(), g.firstByteBudget(now, x, e.IdleTTFB), x.route.FirstByteObjective)
+	return remotePlace{h, e, limit}, &room.Place{TTFB: e.TTFB, Total: e.Total, Idle: e.IdleTTFB, Cost: e.cost, Limit: accepted}
+}
+
 // refuse returns the refusal of a request. g.mu must be held.
 func (g *Gateway) refuse(now time.Duration, x *requestState, p *places, d room.Decision) error {
 	switch d.Reason {
@@ -296,6 +319,9 @@
 		return refusal.New(refusal.UnknownOrigin, refusal.NotRun, "%v", p.outOfStep).WithRetry(stateRetryAfter)
 	case room.ReasonNoTarget:
 		return g.noTarget(now, x)
+	case room.ReasonYields:
+		return refusal.New(refusal.Overloaded, refusal.NotRun, "expected time to first byte of %s exceeds the limit of %s, which more urgent requests leave", d.Place.TTFB, d.Limit).
+			WithRetry(max(minRetryAfter, d.RetryIn))
 	}
 	return refusal.New(refusal.Overloaded, refusal.NotRun, "expected time to first byte of %s exceeds the limit of %s", d.Place.TTFB, d.Limit).
 		WithRetry(max(minRetryAfter, d.RetryIn))
@@ -362,20 +388,22 @@
 }
 
 // bestRemoteHost returns a host of the region with the lowest expected cost among the
-// other regions, or nil. With peers, the other hosts of this region are considered too.
+// regions that are allowed, or nil. The region of this host has its other hosts.
 // Hosts that do not serve callers are a last resort: a host that is shutting down still
 // accepts forwarded requests for a while. g.mu must be held.
-func (g *Gateway) bestRemoteHost(now time.Duration, x *requestState, peers bool) (*peerHost, remoteEstimate) {
+func (g *Gateway) bestRemoteHost(now time.Duration, x *requestState, allowed func(region string) bool) (*peerHost, remoteEstimate) {
 	var best *peerHost
 	var bestEstimate remoteEstimate
 	estimates := map[string]*remoteEstimate{} // by region; nil for regions that are excluded
 	for _, h := range g.hosts {
-		if g.LocalOnly || h.GetRegion() == g.Region && !peers || h.GetForward() == "" || now-h.lastHeard > hostTimeout || h.detachment.detached || x.unreachablePeers[h.GetName()] {
+		if g.LocalOnly || h.GetForward() == "" || now-h.lastHeard > hostTimeout || h.detachment.detached || x.unreachablePeers[h.GetName()] {
 			continue
 		}
 		e, known := estimates[h.GetRegion()]
 		if !known {
-			e = g.estimateRemote(now, x, h.GetRegion())
+			if allowed(h.GetRegion()) {
+				e = g.estimateRemote(now, x, h.GetRegion())
+			}
 			estimates[h.GetRegion()] = e
 		}
 		if e != nil && (best == nil || e.cost < bestEstimate.cost || e.cost == bestEstimate.cost && h.preferredOver(best, x.call.ID)) {
@@ -577,7 +605,7 @@
 		pool, dialTimeout = g.remotePool, 0
 		if err := setForwardHeader(header, forwardedRequest{Service: x.service, Workspace: x.workspaceName(), RemainingMS: remaining.Milliseconds(),
 			WaitMS: s.firstByteLimit.Milliseconds(), ConnectMS: s.connectTimeout.Milliseconds(), ObjectiveMS: x.route.FirstByteObjective.Milliseconds(), Urgency: x.urgency, LastEvent: x.lastEvent, AtMostOnce: !x.route.Repeatable(),
-			RegionBound: x.placementRequest.RegionBound, Software: x.placementRequest.Software, Streaming: x.route.Kind == document.Streaming}); err != nil {
+			RegionBound: x.placementRequest.RegionBound, Priority: &x.route.Priority, Software: x.placementRequest.Software, Streaming: x.route.Kind == document.Streaming}); err != nil {
 			return nil, err
 		}
 	} else {
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -50,8 +50,8 @@
 		if g.path.Detached() {
 			break // the load of targets that this host does not reach is unknown
 		}
-		if e, ok := g.placer.TypicalEstimate(now, name); ok {
-			out.Host.Loads = append(out.Host.Loads, &syncpb.Load{Service: name, WaitMs: e.TTFB.Milliseconds(), TokenUs: e.TimePerToken().Microseconds()})
+		if l, ok := g.placer.RegionLoad(now, name); ok {
+			out.Host.Loads = append(out.Host.Loads, g.encodeLoad(now, name, l))
 		}
 	}
 	return out
@@ -150,7 +150,10 @@
 	}
 	for _, l := range h.GetLoads() {
 		g.remoteRegion(h.GetRegion()).UpdateLoad(l.GetService(), placement.Load{TTFB: clock.Millis(float64(l.GetWaitMs())),
-			TimePerToken: time.Duration(l.GetTokenUs()) * time.Microsecond, MeasuredAt: heard})
+			TimePerToken: time.Duration(l.GetTokenUs()) * time.Microsecond, Short: clock.Millis(float64(l.GetShortWaitMs())), Long: clock.Millis(float64(l.GetLongWaitMs())), MeasuredAt: heard})
+		if h.GetRegion() != g.Region {
+			g.offers.Tell(h.GetRegion(), l.GetService(), heard, l.GetRoom(), decodeShortages(l.GetShortages()))
+		}
 	}
 	old := g.hosts[h.GetName()]
 	switch {
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -73,6 +73,7 @@
 	g.addSuspects(sinceBoot(), out)
 	if scope == placement.SameRegion {
 		g.addAvailability(sinceBoot(), out)
+		out.Shortages = encodeShortages(g.shortages.Own(sinceBoot()))
 		for id, u := range g.placer.OwnUsage() {
 			out.Targets = append(out.Targets, &syncpb.TargetUsage{Target: id, Running: int32(u.Running), Memory: u.MemoryTokens, Unread: int64(u.PrefillTokens)})
 		}
@@ -180,6 +181,7 @@
 	g.placer.SetHostUsage(at, in.GetHost(), usage)
 	g.mergeSuspects(at, in)
 	g.mergeAvailability(at, in)
+	g.shortages.Merge(in.GetHost(), at, decodeShortages(in.GetShortages()))
 	if h := g.hosts[in.GetHost()]; h != nil {
 		g.recordDetached(h, at, in.GetDetached())
 	}
--- a/internal/placement/region.go
+++ b/internal/placement/region.go
@@ -21,10 +21,85 @@
 	// TTFB is the expected time to the first byte of a typical request, TimePerToken the
 	// expected time per output token.
 	TTFB, TimePerToken time.Duration
+	// Short and Long are the expected times to the first byte of requests with a short and a
+	// long prompt; 0 if unknown.
+	Short, Long time.Duration
 	// MeasuredAt is when the load was measured.
 	MeasuredAt time.Duration
 }
 
+const (
+	// shortPromptTokens and longPromptTokens are the prompts of the requests for which Short
+	// and Long are estimated.
+	shortPromptTokens = 300
+	longPromptTokens  = 6000
+	// roomBacklog is the time that a target needs for the prompts that it has not read at which
+	// it offers no room.
+	roomBacklog = 300 * time.Millisecond
+)
+
+// ttfbFor returns the expected time to the first byte of a request with so many prompt
+// tokens that are not cached.
+func (l Load) ttfbFor(e Engine, tokens float64) time.Duration {
+	between := func(from, to float64, atFrom, atTo time.Duration) time.Duration {
+		return atFrom + time.Duration((tokens-from)/(to-from)*float64(atTo-atFrom))
+	}
+	switch {
+	case l.Short <= 0 || l.Long <= 0:
+		return l.TTFB + time.Duration(e.prefillTime(tokens-typicalPromptTokens))
+	case tokens <= shortPromptTokens:
+		return l.Short
+	case tokens <= typicalPromptTokens:
+		return between(shortPromptTokens, typicalPromptTokens, l.Short, l.TTFB)
+	case tokens <= longPromptTokens:
+		return between(typicalPromptTokens, longPromptTokens, l.TTFB, l.Long)
+	}
+	return l.Long + time.Duration(e.prefillTime(tokens-longPromptTokens))
+}
+
+// RegionLoad returns the load of a service in this region, and false if no target can take a
+// request.
+func (p *Placer) RegionLoad(now time.Duration, service string) (Load, bool) {
+	e, ok := p.TypicalEstimate(now, service)
+	if !ok {
+		return Load{}, false
+	}
+	l := Load{TTFB: e.TTFB, TimePerToken: e.TimePerToken(), MeasuredAt: now}
+	short, ok := p.Choose(now, &Request{Service: service, PromptTokens: shortPromptTokens, OutputTokens: typicalOutputTokens, Objective: typicalObjective}, nil)
+	if ok && short.Target.cache != nil {
+		if long, ok := p.Choose(now, &Request{Service: service, PromptTokens: longPromptTokens, OutputTokens: typicalOutputTokens, Objective: typicalObjective}, nil); ok {
+			l.Short, l.Long = short.TTFB, long.TTFB
+		}
+	}
+	return l, true
+}
+
+// Room returns the work that the targets of a service in this region could take in addition
+// without a noticeable wait, per second, in the unit of Work.
+func (p *Placer) Room(now time.Duration, service string) float64 {
+	view, room := p.viewOf(now, service), 0.0
+	for _, t := range p.byService[service] {
+		if !t.usable(now, false) || t.paced(now) || t.unreachable(now) {
+			continue
+		}
+		u, _ := p.estimatedUsage(now, t, view)
+		free := 1 - float64(u.Running)/float64(t.Slots)
+		rate := float64(t.Slots) * float64(time.Second) / p.expectedDuration(now, t, u)
+		if t.cache != nil {
+			rate = p.engine.PrefillRate
+			free = min(free, 1-u.PrefillTokens/(rate*roomBacklog.Seconds()), 1-float64(u.MemoryTokens)/(memoryFraction*float64(t.CacheTokens)))
+		}
+		room += rate * max(0, free)
+	}
+	return room
+}
+
+// Work returns the work of a request in another region: the prompt tokens that are read, or 1
+// at a service without engines.
+func (r *Request) Work() float64 {
+	return max(1, float64(r.PromptTokens)-(1-remoteMissFraction)*float64(sharedTokens(r.Segments)))
+}
+
 // RemoteRegion holds the known loads of another region, whose targets this host
 // reaches through the hosts there. Their reports are up to a second old; each response
 // to a forwarded request carries a newer load.
@@ -38,9 +113,15 @@
 
 // UpdateLoad sets the load of a service, unless a newer one is known.
 func (r *RemoteRegion) UpdateLoad(service string, l Load) {
-	if old, known := r.loads[service]; !known || l.MeasuredAt > old.MeasuredAt {
-		r.loads[service] = l
+	old, known := r.loads[service]
+	if known && l.MeasuredAt <= old.MeasuredAt {
+		return
+	}
+	if l.Short <= 0 && old.Short > 0 {
+		// A response has only the typical time: that of the other prompts changed with it.
+		l.Short, l.Long = max(1, old.Short+l.TTFB-old.TTFB), max(1, old.Long+l.TTFB-old.TTFB)
 	}
+	r.loads[service] = l
 }
 
 // RecordSent records that a request was sent to the region.
@@ -63,14 +144,15 @@
 	if !known || now-load.MeasuredAt > maxLoadAge {
 		return Estimate{}, false
 	}
-	ttfb := load.TTFB + regionRTT + time.Duration(region.sentSince(now, load.MeasuredAt))*sentRequestDelay
+	ttfb := load.TTFB
 	idleTTFB := min(load.TTFB, time.Duration(p.engine.MinFirstToken)) + regionRTT
 	if request.PromptTokens > 0 {
 		// The load is the estimate for a typical request; adjust it to this prompt.
 		uncached := float64(request.PromptTokens) - (1-remoteMissFraction)*float64(sharedTokens(request.Segments))
-		ttfb += time.Duration(p.engine.prefillTime(uncached - typicalPromptTokens))
+		ttfb = load.ttfbFor(p.engine, uncached)
 		idleTTFB += time.Duration(p.engine.prefillTime(uncached))
 	}
+	ttfb += regionRTT + time.Duration(region.sentSince(now, load.MeasuredAt))*sentRequestDelay
 	return Estimate{TTFB: ttfb, Total: ttfb + time.Duration(request.OutputTokens)*load.TimePerToken, IdleTTFB: idleTTFB}, true
 }
 
--- a/internal/room/decide.go
+++ b/internal/room/decide.go
@@ -16,9 +16,10 @@
 // Place is what is known of one place that may serve the request.
 type Place struct {
 	// TTFB and Total are the expected times to the first byte and to the end of the
-	// response, Cost the expected cost as a fraction of the credit of the request.
-	TTFB, Total time.Duration
-	Cost        float64
+	// response, Idle that to the first byte without other work there, Cost the expected cost as
+	// a fraction of the credit of the request.
+	TTFB, Total, Idle time.Duration
+	Cost              float64
 	// Limit is the longest expected TTFB at which the request is sent there.
 	Limit time.Duration
 }
@@ -44,6 +45,13 @@
 	// There is the best host of another region, or another host of this region that
 	// may stand in for this one; nil if there is none.
 	There *Place
+	// Pressure is how much the request should give way to others in this region. Draw, from 0 to
+	// 1, is random for each request; see Pressure.LimitAt.
+	Pressure Pressure
+	Draw     float64
+	// Spare is the best host of another region to which this host may send work to make room
+	// here; nil if there is none.
+	Spare *Place
 	// EndsIn is the time that this host has left before it stops; NoEnd if it does not stop or
 	// the request may not be moved any more.
 	EndsIn time.Duration
@@ -55,7 +63,7 @@
 // The actions.
 const (
 	Serve   Action = iota // at the target of Inputs.Here
-	Forward               // to the host of Inputs.There
+	Forward               // to the host of Decision.Place, which is Inputs.There or Inputs.Spare
 	Refuse
 )
 
@@ -71,6 +79,11 @@
 	ReasonCheaper Reason = "cheaper"
 	// ReasonOnly: the other place is the only one, or the only one within its limit.
 	ReasonOnly Reason = "only"
+	// ReasonDisplaced: the request leaves its place here to others that cannot go elsewhere or
+	// are more urgent.
+	ReasonDisplaced Reason = "displaced"
+	// ReasonYields: it is refused for more urgent ones, as no other region has room for it.
+	ReasonYields Reason = "yields"
 	// ReasonLate: the response is not expected to begin within the limit anywhere.
 	ReasonLate Reason = "late"
 	// ReasonStopping: this host stops before the response would end.
@@ -88,13 +101,36 @@
 	// Place is the place that was weighed last; nil if there was none. It is also set if the
 	// request is refused.
 	Place *Place
-	// Limit is the limit that applied, RetryIn how long after a refusal for ReasonLate the
-	// request may come back at the earliest.
+	// Limit is the limit that applied, RetryIn how long after a refusal for ReasonLate or
+	// ReasonYields the request may come back at the earliest.
 	Limit, RetryIn time.Duration
 }
 
-// Decide decides on a request.
+// displacementCost is the cost of a place here at full pressure, as a fraction of the credit
+// of the request that takes it.
+const displacementCost = 1.0
+
+// Decide decides on a request. Only a request that would be served here gives way to others.
 func Decide(in *Inputs) Decision {
+	d := decide(in)
+	if d.Action != Serve || in.Pressure.Move <= 0 {
+		return d
+	}
+	limit := in.Pressure.LimitAt(in.Here.Limit, in.Here.Idle, in.Draw)
+	yields := in.Here.TTFB > limit
+	cost := in.Here.Cost + displacementCost*in.Pressure.Move
+	if in.Spare != nil && in.Spare.fits() && (yields || in.Spare.Cost+MinForwardGain < cost) {
+		return Decision{Action: Forward, Reason: ReasonDisplaced, Place: in.Spare, Limit: in.Spare.Limit}
+	}
+	if yields {
+		d.Limit, d.RetryIn = limit, in.Here.TTFB-limit
+		return d.refuse(ReasonYields)
+	}
+	return d
+}
+
+// decide decides on a request that gives way to no others.
+func decide(in *Inputs) Decision {
 	d := Decision{Action: Serve, Reason: ReasonFits, Place: in.Here, Limit: in.HereLimit}
 	if in.Here != nil {
 		d.Limit = in.Here.Limit
--- /dev/null
+++ b/internal/room/offers.go
@@ -0,0 +1,81 @@
+package room
+
+import "time"
+
+const (
+	// MaxOfferAge is the age from which an offer is ignored.
+	MaxOfferAge = 2500 * time.Millisecond
+	// offerRamp is the time in which the offer of a region that was not heard from for
+	// MaxOfferAge, or never, rises from nothing to all of it.
+	offerRamp = 3 * time.Second
+	// offerBurst is the time for which this host's part of an offer accumulates.
+	offerBurst = 400 * time.Millisecond
+	// minAskPressure is the pressure from which on the hosts of a region count as asking.
+	minAskPressure = 0.05
+)
+
+// Offers holds what other regions offer of their room, and this host's part of it.
+type Offers struct{ grants map[offerKey]*grant }
+
+type offerKey struct{ region, service string }
+
+type grant struct {
+	rate      float64       // of the whole offer, in work per second
+	at, since time.Duration // of the offer, and of the first one without a gap
+	pressure  float64       // in that region, on its least urgent requests
+	left      float64       // of this host's part
+	filledAt  time.Duration
+}
+
+// NewOffers returns an empty Offers.
+func NewOffers() *Offers { return &Offers{grants: map[offerKey]*grant{}} }
+
+// Tell records what a region offered for a service at a time, in work per second, and how
+// short of room it was then.
+func (o *Offers) Tell(region, service string, at time.Duration, rate float64, counts []Count) {
+	k := offerKey{region, service}
+	g := o.grants[k]
+	if g == nil {
+		g = &grant{since: at, filledAt: at}
+		o.grants[k] = g
+	} else if at <= g.at {
+		return
+	}
+	if at-g.at > MaxOfferAge {
+		g.since, g.filledAt, g.left = at, at, min(0, g.left)
+	}
+	g.rate, g.at, g.pressure = rate, at, 0
+	for _, c := range counts {
+		g.pressure = max(g.pressure, min(1, pressureGain*c.Short/(c.Asked+minAsked)))
+	}
+}
+
+// Granted reports whether this host may send work beyond its own regions' needs to a region. ownHosts is the
+// number of hosts of this region: each of them, and as many of every other region that is short
+// of room, may use an equal part of the offer.
+func (o *Offers) Granted(now time.Duration, region, service string, ownHosts int) bool {
+	g := o.grants[offerKey{region, service}]
+	if g == nil || now-g.at > MaxOfferAge {
+		return false
+	}
+	asking := 1
+	for k, other := range o.grants {
+		if k.service == service && k.region != region && now-other.at <= MaxOfferAge && other.pressure >= minAskPressure {
+			asking++
+		}
+	}
+	part := g.rate / float64(max(1, ownHosts)*asking) * min(1, (now-g.since).Seconds()/offerRamp.Seconds())
+	if elapsed := now - g.filledAt; elapsed > 0 {
+		g.left = min(g.left+part*elapsed.Seconds(), part*offerBurst.Seconds())
+		g.filledAt = now
+	}
+	return g.left > 0
+}
+
+// Take records that this host has used its part of an offer. The last request may exceed the
+// part; the next ones wait for it.
+func (o *Offers) Take(region, service string, work float64) {
+	if g := o.grants[offerKey{region, service}]; g != nil {
+		g.left -= work
+	}
+}
