--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -151,6 +151,7 @@
 	quarantine   *suspects.Quarantine
 	shortages    *room.Shortages // of the services in this region
 	offers       *room.Offers    // of other regions
+	schedule     *room.Schedule  // of the callers that come back
 	usagePlanner *usagerelay.Planner
 	usagePlan    usagerelay.Plan // the latest one
 	usageHub     *usagerelay.Hub
@@ -172,9 +173,9 @@
 }
 
 type requestMetrics struct {
-	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed, keptSilent, detached, displaced, yielded, coldSends, coldWithheld metrics.Counter
-	firstByte, total                                                                                                                                         metrics.Timer
-	leftOut                                                                                                                                                  map[placement.Cause]metrics.Counter
+	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed, keptSilent, detached, displaced, yielded, hopeless, coldSends, coldWithheld metrics.Counter
+	firstByte, total                                                                                                                                                   metrics.Timer
+	leftOut                                                                                                                                                            map[placement.Cause]metrics.Counter
 }
 
 // Init prepares the gateway after its fields are set. prefillSpeed is the prefill speed
@@ -196,6 +197,7 @@
 	g.origins = origins.NewStore()
 	g.quarantine, g.crashChecks = suspects.NewQuarantine(), map[string]*crashCheck{}
 	g.shortages, g.offers = room.NewShortages(), room.NewOffers()
+	g.schedule = room.NewSchedule()
 	g.usagePlanner, g.usageHub, g.usageAt = usagerelay.NewPlanner(g.Name), usagerelay.NewHub(rand.Uint64()), map[string]time.Duration{}
 	g.peerSet = shares.NewPeerSet(g.Name, g.startedAt)
 	g.placer.PaceShare = func(now time.Duration, target string, limit int) int {
@@ -206,7 +208,7 @@
 		return metrics.GetOrRegisterCounter("gateway."+name, g.Metrics)
 	}
 	g.requestMetrics = requestMetrics{requests: counter("requests"), served: counter("served"), refused: counter("refused"),
-		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"), keptSilent: counter("silent_targets_kept"), detached: counter("detached"), displaced: counter("displaced"), yielded: counter("yielded"), coldSends: counter("cold_sends"), coldWithheld: counter("cold_withheld"),
+		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"), keptSilent: counter("silent_targets_kept"), detached: counter("detached"), displaced: counter("displaced"), yielded: counter("yielded"), hopeless: counter("refused_without_room"), coldSends: counter("cold_sends"), coldWithheld: counter("cold_withheld"),
 		leftOut: map[placement.Cause]metrics.Counter{placement.CauseLeaving: counter("targets_leaving"), placement.CausePause: counter("targets_paused"),
 			placement.CauseRejection: counter("brittle_rejections")},
 		firstByte: metrics.GetOrRegisterTimer("gateway.first_byte", g.Metrics),
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -57,6 +57,11 @@
 
 // recordDecision counts a request that gives way. g.mu must be held.
 func (g *Gateway) recordDecision(x *requestState, p *places, d room.Decision) {
+	if d.Action != room.Refuse && x.sends == 0 {
+		now := sinceBoot()
+		g.schedule.Arrived(now, x.service, x.level)
+		g.schedule.Accepted(now, x.service, x.level)
+	}
 	switch d.Reason {
 	case room.ReasonDisplaced:
 		g.requestMetrics.displaced.Inc(1)
@@ -66,6 +71,21 @@
 	}
 }
 
+// nameReturn returns the time after which a refused request should come back, and what to tell
+// its caller if no room is expected until its deadline. g.mu must be held.
+func (g *Gateway) nameReturn(now time.Duration, x *requestState, d room.Decision) (time.Duration, string) {
+	soonest := max(minRetryAfter, d.RetryIn)
+	if g.schedule.Arrived(now, x.service, x.level) {
+		wait, fits := g.schedule.Name(now, x.service, x.level, soonest, d.Place.Idle, x.deadline-now)
+		if !fits {
+			g.requestMetrics.hopeless.Inc(1)
+			return wait, "; no room is expected within its time"
+		}
+		return wait, ""
+	}
+	return soonest, ""
+}
+
 // addRoomFields adds the latest decision on a request, and the pressure that it was under.
 func addRoomFields(fields logrus.Fields, x *requestState) {
 	if x.decision.Reason != "" && x.decision.Reason != room.ReasonFits {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -137,6 +137,8 @@
 			rejected++
 		default:
 			x.ran = refusal.Unknown
+			// The time lost to a target that failed is no overload of the next one.
+			x.hostWait += sinceBoot() - began
 		}
 		if ctx.Err() != nil || x.responseStarted && !x.continuable() {
 			return finalError(x, last, err)
@@ -319,12 +321,12 @@
 		return refusal.New(refusal.UnknownOrigin, refusal.NotRun, "%v", p.outOfStep).WithRetry(stateRetryAfter)
 	case room.ReasonNoTarget:
 		return g.noTarget(now, x)
-	case room.ReasonYields:
-		return refusal.New(refusal.Overloaded, refusal.NotRun, "expected time to first byte of %s exceeds the limit of %s, which more urgent requests leave", d.Place.TTFB, d.Limit).
-			WithRetry(max(minRetryAfter, d.RetryIn))
 	}
-	return refusal.New(refusal.Overloaded, refusal.NotRun, "expected time to first byte of %s exceeds the limit of %s", d.Place.TTFB, d.Limit).
-		WithRetry(max(minRetryAfter, d.RetryIn))
+	wait, outlook := g.nameReturn(now, x, d)
+	if d.Reason == room.ReasonYields {
+		outlook = ", which more urgent requests leave" + outlook
+	}
+	return refusal.New(refusal.Overloaded, refusal.NotRun, "expected time to first byte of %s exceeds the limit of %s%s", d.Place.TTFB, d.Limit, outlook).WithRetry(wait)
 }
 
 // noTarget returns the refusal of a request for which there is no target. A stream cannot
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -6,6 +6,7 @@
 
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/refusal"
+	"geraniumturn.example/geraniumturn/internal/room"
 )
 
 const (
@@ -63,7 +64,7 @@
 // awaitTarget delays a request that found no target while the host has just started and
 // may not know all targets. It reports whether to choose a target again.
 func (g *Gateway) awaitTarget(ctx context.Context, x *requestState, refused *refusal.Error) bool {
-	if x.sends > 0 || refused.Code != refusal.NoTarget && refused.Code != refusal.Overloaded || g.startWaitLeft(x, targetDiscoveryTime) <= 0 {
+	if x.sends > 0 || x.decision.Reason == room.ReasonYields || refused.Code != refusal.NoTarget && refused.Code != refusal.Overloaded || g.startWaitLeft(x, targetDiscoveryTime) <= 0 {
 		return false
 	}
 	began := sinceBoot()
--- /dev/null
+++ b/internal/room/schedule_test.go
@@ -0,0 +1,59 @@
+package room
+
+import (
+	"testing"
+	"time"
+)
+
+// Pattern: a peak that lasts; many callers are refused at once and come back.
+func TestNamedTimesFitTheRoom(t *testing.T) {
+	t.Parallel()
+	s := NewSchedule()
+	now := 20 * time.Second
+	if s.Arrived(now, "s", boundUrgent) || s.Arrived(now, "other", freeLate) || !s.Arrived(now, "s", freeLate) {
+		t.Error("requests compete with those of other levels of their service only")
+	}
+	if s.Arrived(now+competingTime, "s", boundUrgent) {
+		t.Error("a request competes with others that came long ago")
+	}
+	for at := time.Duration(0); at < now; at += 50 * time.Millisecond { // 20 per second
+		s.Accepted(at, "s", boundUrgent)
+	}
+	perSecond, none := map[time.Duration]int{}, 0
+	for range 200 {
+		wait, fits := s.Name(now, "s", boundUrgent, 250*time.Millisecond, 100*time.Millisecond, 5*time.Second)
+		if !fits {
+			if none++; wait != 5*time.Second {
+				t.Fatalf("a request without room was told to come back after %s", wait)
+			}
+			continue
+		}
+		if wait < 250*time.Millisecond || wait > 4900*time.Millisecond {
+			t.Fatalf("a request with 5 s left was told to come back after %s", wait)
+		}
+		perSecond[wait.Truncate(time.Second)]++
+	}
+	for second, n := range perSecond {
+		if n > 13 {
+			t.Errorf("%d requests come back in the second from %s, where 10 find room", n, second)
+		}
+	}
+	if none < 145 || none > 160 {
+		t.Errorf("%d of 200 requests were told that there is no room, want about 150", none)
+	}
+	// Those without room have left the positions to callers with more time.
+	if wait, fits := s.Name(now, "s", boundUrgent, 0, 0, 15*time.Second); !fits || wait > 6*time.Second {
+		t.Errorf("a request with 15 s left: %s, %v", wait, fits)
+	}
+	if _, fits := s.Name(now, "s", freeLate, 0, 0, 15*time.Second); fits {
+		t.Error("a level of which no request is accepted has room")
+	}
+	// The shortage ends: the old positions delay nobody.
+	later := now + 20*time.Second
+	for range 60 {
+		s.Accepted(later, "s", boundUrgent)
+	}
+	if wait, fits := s.Name(later, "s", boundUrgent, 250*time.Millisecond, 0, 5*time.Second); !fits || wait != 250*time.Millisecond {
+		t.Errorf("after the shortage: %s, %v", wait, fits)
+	}
+}
--- a/internal/room/shortage.go
+++ b/internal/room/shortage.go
@@ -227,7 +227,8 @@
 
 // LimitAt returns the longest expected TTFB at which a request is accepted under the
 // pressure, where limit applies without it. Its wait falls to that of the pressing requests
-// while the pressure is low, so that it takes no place that they are refused, and then to 0.
+// while the pressure is low, so that it takes no place that they are refused, and then to
+// idleWait of that: targets that are all but idle serve all the same.
 // draw, from 0 to 1, is that of the request: it spreads the limits about their mean, so that
 // many hosts with the same old view do not accept all requests at one moment and none at the next.
 func (p Pressure) LimitAt(limit, idle time.Duration, draw float64) time.Duration {
@@ -236,9 +237,13 @@
 	}
 	wait, equal := float64(limit-idle), min(1, equalAt*p.Yield)
 	wait += (min(wait, float64(p.Wait)) - wait) * equal
-	return min(limit, idle+time.Duration(wait*(1-p.Yield)*(1+equal*(2*draw-1))))
+	return min(limit, idle+time.Duration(wait*(1-(1-idleWait)*p.Yield)*(1+equal*(2*draw-1))))
 }
 
 // equalAt is the inverse of the pressure at which less urgent requests may wait no longer
 // than the pressing ones.
 const equalAt = 4
+
+// idleWait is the part of the wait of the pressing requests that others may have at full
+// pressure.
+const idleWait = 0.1
