--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -34,6 +34,8 @@
 	flushTime = 150 * time.Millisecond
 	// alwaysLocal is the data centre policy that keeps requests in their region.
 	alwaysLocal = "always_local"
+	// equalRoom is the room policy under which no request gives way to others.
+	equalRoom = "equal"
 	// clockDriftMargin is subtracted from the lifetimes of keys and of the configuration
 	// to allow for clock drift.
 	clockDriftMargin = 100 * time.Millisecond
@@ -57,6 +59,7 @@
 	g.Init(p.PrefillTokensPerMS * float64(time.Second/time.Millisecond))
 	g.SetPolicy(placement.Policy(s.Policy.Target))
 	g.LocalOnly = s.Policy.DataCentre == alwaysLocal
+	g.EqualUrgency = s.Policy.Room == equalRoom
 	client := &fleetsync.Client{Region: s.Region, Dial: d.transport.Dial, NewRequest: g.ExchangeRequest, Apply: g.Apply, ConfigurationFresh: g.ConfigurationFresh,
 		InvalidRecords: d.logInvalidRecords,
 		ReachabilityChanged: func(control string, reachable bool, err error) {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -205,7 +205,7 @@
 	firstByteLimit = max(firstByteLimit, placement.QueueLimit(x.placementRequest.Objective, choice.IdleTTFB))
 	g.recordShortage(now, x, choice.Estimate, firstByteLimit)
 	if x.placementRequest.Software == nil { // a stream that has begun does not give way
-		x.pressure = g.shortages.Pressure(now, x.service, x.level)
+		x.pressure = g.pressureOn(now, x)
 		firstByteLimit = x.pressure.LimitAt(firstByteLimit, choice.IdleTTFB, drawOf(x.call.ID))
 	}
 	if choice.TTFB > firstByteLimit {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -94,6 +94,8 @@
 	Metrics            metrics.Registry
 	// LocalOnly disables forwarding to other regions. It is a baseline for measurements.
 	LocalOnly bool
+	// EqualUrgency means that no request gives way to a more urgent one.
+	EqualUrgency bool
 	// RateClient takes tokens from the rate holders on other hosts.
 	RateClient RateClient
 	// OriginClient asks the control hosts which software began a stream.
@@ -152,6 +154,7 @@
 	shortages    *room.Shortages // of the services in this region
 	offers       *room.Offers    // of other regions
 	schedule     *room.Schedule  // of the callers that come back
+	loggedRoom   map[string]int  // the step of the pressure that was last logged, by service
 	usagePlanner *usagerelay.Planner
 	usagePlan    usagerelay.Plan // the latest one
 	usageHub     *usagerelay.Hub
@@ -197,7 +200,7 @@
 	g.origins = origins.NewStore()
 	g.quarantine, g.crashChecks = suspects.NewQuarantine(), map[string]*crashCheck{}
 	g.shortages, g.offers = room.NewShortages(), room.NewOffers()
-	g.schedule = room.NewSchedule()
+	g.schedule, g.loggedRoom = room.NewSchedule(), map[string]int{}
 	g.usagePlanner, g.usageHub, g.usageAt = usagerelay.NewPlanner(g.Name), usagerelay.NewHub(rand.Uint64()), map[string]time.Duration{}
 	g.peerSet = shares.NewPeerSet(g.Name, g.startedAt)
 	g.placer.PaceShare = func(now time.Duration, target string, limit int) int {
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -25,7 +26,15 @@
 		g.recordShortage(now, x, p.here.Estimate, p.HereLimit)
 	}
 	p.Draw = drawOf(x.call.ID)
-	p.Pressure = g.shortages.Pressure(now, x.service, x.level)
+	p.Pressure = g.pressureOn(now, x)
+}
+
+// pressureOn returns the pressure on a request in this region. g.mu must be held.
+func (g *Gateway) pressureOn(now time.Duration, x *requestState) room.Pressure {
+	if g.EqualUrgency {
+		return room.Pressure{}
+	}
+	return g.shortages.Pressure(now, x.service, x.level)
 }
 
 // drawOf returns a random number from 0 to 1 that follows from the id of a request. It differs
@@ -75,7 +84,7 @@
 // its caller if no room is expected until its deadline. g.mu must be held.
 func (g *Gateway) nameReturn(now time.Duration, x *requestState, d room.Decision) (time.Duration, string) {
 	soonest := max(minRetryAfter, d.RetryIn)
-	if g.schedule.Arrived(now, x.service, x.level) {
+	if g.schedule.Arrived(now, x.service, x.level) && !g.EqualUrgency {
 		wait, fits := g.schedule.Name(now, x.service, x.level, soonest, d.Place.Idle, x.deadline-now)
 		if !fits {
 			g.requestMetrics.hopeless.Inc(1)
@@ -100,10 +109,29 @@
 // requests need here is not offered. g.mu must be held.
 func (g *Gateway) encodeLoad(now time.Duration, service string, l placement.Load) *syncpb.Load {
 	pressure := g.shortages.Pressure(now, service, room.LevelCount)
+	g.logRoom(now, service, pressure.Move)
 	return &syncpb.Load{Service: service, WaitMs: l.TTFB.Milliseconds(), TokenUs: l.TimePerToken.Microseconds(), ShortWaitMs: l.Short.Milliseconds(), LongWaitMs: l.Long.Milliseconds(),
 		Room: g.placer.Room(now, service) * (1 - pressure.Move), Shortages: encodeShortages(g.shortages.Total(now, service))}
 }
 
+// pressureSteps is the number of steps of the pressure that are logged.
+const pressureSteps = 4
+
+// logRoom logs that the pressure in this region has reached another step. It is called once in
+// an exchange with the control hosts. g.mu must be held.
+func (g *Gateway) logRoom(now time.Duration, service string, pressure float64) {
+	step := int(pressure * pressureSteps)
+	if step == g.loggedRoom[service] {
+		return
+	}
+	g.loggedRoom[service] = step
+	fields := logrus.Fields{"service": service, "pressure": pressure, "room": g.placer.Room(now, service)}
+	for _, c := range g.shortages.Total(now, service) {
+		fields[fmt.Sprintf("level_%d", c.Level)] = fmt.Sprintf("%.1f of %.1f short", c.Short, c.Asked)
+	}
+	g.Log.WithFields(fields).Info("room")
+}
+
 func encodeShortages(counts []room.Count) []*syncpb.Shortage {
 	var out []*syncpb.Shortage
 	for _, c := range counts {
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -53,21 +53,24 @@
 	return f
 }
 
+// offerFrom tells a host the offer of another region, whose host takes forwarded requests at an
+// address.
+func offerFrom(f *fixture, address string) {
+	for range 2 {
+		now := clock.SinceBoot()
+		f.Apply(now, fleetsync.Update{SentAt: now, ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, Hosts: []*syncpb.EntryHost{
+			{Name: "there", Region: "elsewhere", Forward: address, Serving: true, Loads: []*syncpb.Load{{Service: "s", WaitMs: 10, Room: 1000}}}}}})
+		time.Sleep(20 * time.Millisecond) // the offer of a region that returns starts at nothing
+	}
+}
+
 // Pattern: urgent work is short of room here, and another region has some. Guards against less
 // urgent requests that keep their place, and against urgent ones that lose it.
 func TestLessUrgentRequestsGoElsewhere(t *testing.T) {
 	here, there := newTarget(t, success), newTarget(t, success)
 	f := newCompeting(t, true, here)
 	remote := newCompeting(t, false, there)
-	address := forwardAddress(t, remote)
-	offer := func() {
-		now := clock.SinceBoot()
-		f.Apply(now, fleetsync.Update{SentAt: now, ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, Hosts: []*syncpb.EntryHost{
-			{Name: "there", Region: "elsewhere", Forward: address, Serving: true, Loads: []*syncpb.Load{{Service: "s", WaitMs: 10, Room: 1000}}}}}})
-	}
-	offer()
-	time.Sleep(20 * time.Millisecond) // the offer of a region that returns starts at nothing
-	offer()
+	offerFrom(f, forwardAddress(t, remote))
 	for _, path := range []string{"/late/", "/safe/"} {
 		if got := f.call(t, path); got.status != 200 {
 			t.Errorf("%s: response %+v", path, got)
@@ -110,6 +113,17 @@
 	}
 }
 
+// Guards against a setting without effect.
+func TestEqualUrgency(t *testing.T) {
+	here, there := newTarget(t, slowly(50*time.Millisecond, success)), newTarget(t, success)
+	f := newCompeting(t, true, here)
+	f.EqualUrgency = true
+	offerFrom(f, forwardAddress(t, newCompeting(t, false, there)))
+	if got := f.call(t, "/late/"); got.status != 200 || here.count() != 1 {
+		t.Errorf("response %+v, %d requests here", got, here.count())
+	}
+}
+
 // Guards against counts that the hosts of the region do not learn.
 func TestShortagesAreReported(t *testing.T) {
 	f := newCompeting(t, true, newTarget(t, success))
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -131,6 +131,9 @@
 	if p := s.Policy.Target; p != "" && !slices.Contains(documentPolicies, p) {
 		fail("policy.target = %q must be one of %v", p, documentPolicies)
 	}
+	if p := s.Policy.Room; p != "" && p != "by_urgency" && p != "equal" {
+		fail("policy.room = %q must be by_urgency or equal", p)
+	}
 	if p := s.Policy.DataCentre; p != "" && p != "expected_time" && p != "always_local" {
 		fail("policy.data_centre = %q must be expected_time or always_local", p)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -77,6 +77,9 @@
 	Target string `toml:"target"`
 	// DataCentre is expected_time (default), always_local or least_loaded.
 	DataCentre string `toml:"data_centre"`
+	// Room is by_urgency (default) or equal: whether less urgent requests give way to more
+	// urgent ones. It has an effect in deployments with a configuration document.
+	Room string `toml:"room"`
 }
 
 // Security names files with credentials.
