room: counts are told every 250 ms and in less bytes (CROSS-REGION and zone bytes)

Change: a host tells its counts every 250 ms, in tenths, and only for services with several levels; loads tell the pressure instead of the counts.

--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -111,7 +111,7 @@
 	pressure := g.shortages.Pressure(now, service, room.LevelCount)
 	g.logRoom(now, service, pressure.Move)
 	return &syncpb.Load{Service: service, WaitMs: l.TTFB.Milliseconds(), TokenUs: l.TimePerToken.Microseconds(), ShortWaitMs: l.Short.Milliseconds(), LongWaitMs: l.Long.Milliseconds(),
-		Room: g.placer.Room(now, service) * (1 - pressure.Move), Shortages: encodeShortages(g.shortages.Total(now, service))}
+		Room: float32(g.placer.Room(now, service) * (1 - pressure.Move)), Pressure: float32(pressure.Move)}
 }
 
 // pressureSteps is the number of steps of the pressure that are logged.
@@ -135,15 +135,17 @@
 func encodeShortages(counts []room.Count) []*syncpb.Shortage {
 	var out []*syncpb.Shortage
 	for _, c := range counts {
-		out = append(out, &syncpb.Shortage{Service: c.Service, Level: int32(c.Level), Asked: float32(c.Asked), Short: float32(c.Short), WaitMs: c.AllowedWait.Milliseconds()})
+		out = append(out, &syncpb.Shortage{Service: c.Service, Level: int32(c.Level), AskedTenths: tenths(c.Asked), ShortTenths: tenths(c.Short), WaitMs: c.AllowedWait.Milliseconds()})
 	}
 	return out
 }
 
+func tenths(n float64) uint32 { return uint32(math.Round(10 * n)) }
+
 func decodeShortages(in []*syncpb.Shortage) []room.Count {
 	var out []room.Count
 	for _, c := range in {
-		out = append(out, room.Count{Service: c.GetService(), Level: room.Level(c.GetLevel()), Asked: float64(c.GetAsked()), Short: float64(c.GetShort()), AllowedWait: time.Duration(c.GetWaitMs()) * time.Millisecond})
+		out = append(out, room.Count{Service: c.GetService(), Level: room.Level(c.GetLevel()), Asked: float64(c.GetAskedTenths()) / 10, Short: float64(c.GetShortTenths()) / 10, AllowedWait: time.Duration(c.GetWaitMs()) * time.Millisecond})
 	}
 	return out
 }
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -48,7 +48,7 @@
 	f.update(0, targets...)
 	if short {
 		f.ApplyUsage(&syncpb.UsageBatch{Reports: []*syncpb.RelayedReport{{Report: &syncpb.UsageReport{Host: "peer",
-			Shortages: []*syncpb.Shortage{{Service: "s", Level: 1, Asked: 90, Short: 90, WaitMs: 50}}}}}})
+			Shortages: []*syncpb.Shortage{{Service: "s", Level: 1, AskedTenths: 900, ShortTenths: 900, WaitMs: 50}}}}}})
 	}
 	return f
 }
@@ -132,8 +132,11 @@
 	if got := f.RegionReport().GetShortages(); len(got) != 2 {
 		t.Errorf("reported %v, want those of two levels", got)
 	}
+	if got := f.RegionReport().GetShortages(); len(got) != 0 {
+		t.Errorf("reported %v again at once", got)
+	}
 	loads := f.ExchangeRequest(clock.SinceBoot(), true, 0).GetHost().GetLoads()
-	if len(loads) != 1 || loads[0].GetRoom() != 0 || len(loads[0].GetShortages()) != 2 {
+	if len(loads) != 1 || loads[0].GetRoom() != 0 || loads[0].GetPressure() != 1 {
 		t.Errorf("loads %v, want no room beside urgent requests that are refused", loads)
 	}
 	if got := f.Metrics.Get("gateway.yielded"); got == nil {
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -152,7 +152,7 @@
 		g.remoteRegion(h.GetRegion()).UpdateLoad(l.GetService(), placement.Load{TTFB: clock.Millis(float64(l.GetWaitMs())),
 			TimePerToken: time.Duration(l.GetTokenUs()) * time.Microsecond, Short: clock.Millis(float64(l.GetShortWaitMs())), Long: clock.Millis(float64(l.GetLongWaitMs())), MeasuredAt: heard})
 		if h.GetRegion() != g.Region {
-			g.offers.Tell(h.GetRegion(), l.GetService(), heard, l.GetRoom(), decodeShortages(l.GetShortages()))
+			g.offers.Tell(h.GetRegion(), l.GetService(), heard, float64(l.GetRoom()), float64(l.GetPressure()))
 		}
 	}
 	old := g.hosts[h.GetName()]
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -73,7 +73,7 @@
 	g.addSuspects(sinceBoot(), out)
 	if scope == placement.SameRegion {
 		g.addAvailability(sinceBoot(), out)
-		out.Shortages = encodeShortages(g.shortages.Own(sinceBoot()))
+		out.Shortages = encodeShortages(g.shortages.Report(sinceBoot()))
 		for id, u := range g.placer.OwnUsage() {
 			out.Targets = append(out.Targets, &syncpb.TargetUsage{Target: id, Running: int32(u.Running), Memory: u.MemoryTokens, Unread: int64(u.PrefillTokens)})
 		}
--- a/internal/room/offers.go
+++ b/internal/room/offers.go
@@ -30,9 +30,9 @@
 // NewOffers returns an empty Offers.
 func NewOffers() *Offers { return &Offers{grants: map[offerKey]*grant{}} }
 
-// Tell records what a region offered for a service at a time, in work per second, and how
-// short of room it was then.
-func (o *Offers) Tell(region, service string, at time.Duration, rate float64, counts []Count) {
+// Tell records what a region offered for a service at a time, in work per second, and the
+// pressure there.
+func (o *Offers) Tell(region, service string, at time.Duration, rate, pressure float64) {
 	k := offerKey{region, service}
 	g := o.grants[k]
 	if g == nil {
@@ -44,10 +44,7 @@
 	if at-g.at > MaxOfferAge {
 		g.since, g.filledAt, g.left = at, at, min(0, g.left)
 	}
-	g.rate, g.at, g.pressure = rate, at, 0
-	for _, c := range counts {
-		g.pressure = max(g.pressure, min(1, pressureGain*c.Short/(c.Asked+minAsked)))
-	}
+	g.rate, g.at, g.pressure = rate, at, pressure
 }
 
 // Granted reports whether this host may send work beyond its own regions' needs to a region. ownHosts is the
--- a/internal/room/offers_test.go
+++ b/internal/room/offers_test.go
@@ -36,7 +36,7 @@
 func TestManyHostsKeepToAnOffer(t *testing.T) {
 	t.Parallel()
 	hosts := offersOf(100)
-	tell := func(now time.Duration, o *Offers) { o.Tell("there", "s", now-400*time.Millisecond, 600_000, nil) }
+	tell := func(now time.Duration, o *Offers) { o.Tell("there", "s", now-400*time.Millisecond, 600_000, 0) }
 	take(hosts, time.Second, 5*time.Second, 100, tell) // the ramp
 	if got := take(hosts, 5*time.Second, 15*time.Second, 100, tell); got < 5_400_000 || got > 6_600_000 {
 		t.Errorf("%.0f units of work in 10 s at an offer of 600,000 per second", got)
@@ -46,17 +46,16 @@
 // Pattern: two regions are short of room at once.
 func TestAskingRegionsShareAnOffer(t *testing.T) {
 	t.Parallel()
-	short := []Count{{"s", boundUrgent, 50, 50, 0}}
-	tell := func(counts []Count) func(now time.Duration, o *Offers) {
+	tell := func(pressure float64) func(now time.Duration, o *Offers) {
 		return func(now time.Duration, o *Offers) {
-			o.Tell("there", "s", now, 10_000, nil)
-			o.Tell("third", "s", now, 0, counts)
+			o.Tell("there", "s", now, 10_000, 0)
+			o.Tell("third", "s", now, 0, pressure)
 		}
 	}
 	alone, both := offersOf(1), offersOf(1)
-	take(alone, time.Second, 5*time.Second, 1, tell(nil))
-	take(both, time.Second, 5*time.Second, 1, tell(short))
-	a, b := take(alone, 5*time.Second, 15*time.Second, 1, tell(nil)), take(both, 5*time.Second, 15*time.Second, 1, tell(short))
+	take(alone, time.Second, 5*time.Second, 1, tell(0))
+	take(both, time.Second, 5*time.Second, 1, tell(0.5))
+	a, b := take(alone, 5*time.Second, 15*time.Second, 1, tell(0)), take(both, 5*time.Second, 15*time.Second, 1, tell(0.5))
 	if a < 99_000 || a > 102_000 || b < 49_000 || b > 52_000 {
 		t.Errorf("work of %.0f alone and of %.0f beside another region", a, b)
 	}
@@ -66,7 +65,7 @@
 func TestCutRegionReturns(t *testing.T) {
 	t.Parallel()
 	hosts := offersOf(1)
-	tell := func(now time.Duration, o *Offers) { o.Tell("there", "s", now, 10_000, nil) }
+	tell := func(now time.Duration, o *Offers) { o.Tell("there", "s", now, 10_000, 0) }
 	take(hosts, time.Second, 6*time.Second, 1, tell)
 	if got := take(hosts, 6*time.Second+MaxOfferAge, 20*time.Second, 1, nil); got > 0 {
 		t.Errorf("work of %.0f for a region that is not heard any more", got)
@@ -94,13 +93,13 @@
 	}
 	for i, rate := range []float64{0, -1} {
 		region := fmt.Sprint(i)
-		o.Tell(region, "s", time.Second, rate, nil)
+		o.Tell(region, "s", time.Second, rate, 0)
 		if o.Granted(5*time.Second, region, "s", 1) || o.Granted(3*time.Second, region, "s", 1) {
 			t.Errorf("granted at an offer of %.0f", rate)
 		}
 	}
-	o.Tell("there", "s", 2*time.Second, 0, nil)
-	o.Tell("there", "s", time.Second, 1000, nil)
+	o.Tell("there", "s", 2*time.Second, 0, 0)
+	o.Tell("there", "s", time.Second, 1000, 0)
 	if o.Granted(3*time.Second, "there", "s", 1) {
 		t.Error("granted by an older offer")
 	}
--- a/internal/room/shortage.go
+++ b/internal/room/shortage.go
@@ -92,6 +92,9 @@
 	own   map[string]*levels
 	hosts map[string]report
 	sums  map[string]*sum
+	// reportedAt is the time of the last report of counts, if there was one.
+	reportedAt time.Duration
+	reported   bool
 }
 
 type sum struct {
@@ -116,11 +119,21 @@
 	c.add(counter{asked: 1, short: short, wait: float64(max(0, allowedWait))})
 }
 
-// Own returns the counts of this host, for its reports.
-func (s *Shortages) Own(now time.Duration) []Count {
+// reportInterval is the time between reports of counts. It is short against sampleTime.
+const reportInterval = 250 * time.Millisecond
+
+// Report returns the counts of this host for a report to the others; nil if the last one is
+// still new. Services with one level have nothing to tell, unless other hosts know more.
+func (s *Shortages) Report(now time.Duration) []Count {
+	if s.reported && now-s.reportedAt < reportInterval {
+		return nil
+	}
+	s.reported, s.reportedAt = true, now
 	var out []Count
 	for service, l := range s.own {
-		out = append(out, l.counts(now, service)...)
+		if len(s.Total(now, service)) > 1 {
+			out = append(out, l.counts(now, service)...)
+		}
 	}
 	return out
 }
@@ -145,9 +158,9 @@
 }
 
 // Merge replaces the counts that another host of the region reported at a time. Reports may
-// arrive in any order.
+// arrive in any order, and those without counts change nothing.
 func (s *Shortages) Merge(host string, at time.Duration, counts []Count) {
-	if at < s.hosts[host].at {
+	if len(counts) == 0 || at < s.hosts[host].at {
 		return
 	}
 	r := report{at: at}
--- a/internal/room/shortage_test.go
+++ b/internal/room/shortage_test.go
@@ -118,7 +118,7 @@
 	s.past = append(s.past, s.queue)
 	var told [][]Count
 	for _, h := range s.hosts {
-		told = append(told, h.Own(s.now))
+		told = append(told, h.Report(s.now))
 	}
 	s.told = append(s.told, told)
 	for i, h := range s.hosts {
