--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -60,8 +60,8 @@
 	g.SetPolicy(placement.Policy(s.Policy.Target))
 	g.LocalOnly = s.Policy.DataCentre == alwaysLocal
 	g.EqualUrgency = s.Policy.Room == equalRoom
-	client := &fleetsync.Client{Region: s.Region, Dial: d.transport.Dial, NewRequest: g.ExchangeRequest, Apply: g.Apply, ConfigurationFresh: g.ConfigurationFresh,
-		InvalidRecords: d.logInvalidRecords,
+	client := &fleetsync.Client{Name: s.Name, Region: s.Region, Dial: d.transport.Dial, NewRequest: g.ExchangeRequest, Apply: g.Apply, ConfigurationFresh: g.ConfigurationFresh,
+		InvalidRecords: d.logInvalidRecords, TargetDigests: g.Table.Digests,
 		ReachabilityChanged: func(control string, reachable bool, err error) {
 			entry := d.log.WithFields(logrus.Fields{"control": control, "reachable": reachable})
 			if err != nil {
@@ -69,6 +69,7 @@
 			}
 			entry.Info("control host")
 		}}
+	client.Documents = d.newDocuments(g)
 	g.OriginClient = client
 	front, err := d.addServer(p.Front, g)
 	if err != nil {
@@ -81,6 +82,9 @@
 		return nil, err
 	}
 	addLoop(&d.group, func(ctx context.Context) error { return client.Run(ctx, d.seedPeers) })
+	if err := d.transport.Register(client.Documents, syncpb.DRPCDocumentsDescription{}); err != nil {
+		return nil, err
+	}
 	if err := d.servePeers(g, syncpb.DRPCUsageDescription{}); err != nil {
 		return nil, err
 	}
--- a/internal/fleetsync/client.go
+++ b/internal/fleetsync/client.go
@@ -11,6 +11,7 @@
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/recovery"
 	"geraniumturn.example/geraniumturn/internal/registry"
+	"geraniumturn.example/geraniumturn/internal/rendezvous"
 )
 
 const (
@@ -52,13 +53,16 @@
 
 // Client exchanges reports with control hosts on behalf of an entry host.
 type Client struct {
-	Region string
-	Dial   func(address string) drpc.Conn
+	Name, Region string
+	Dial         func(address string) drpc.Conn
 	// NewRequest returns the report of this host, with the origins of streams after a
 	// cursor; the client adds its position in the target table. Control hosts of the same region get full reports and relay them.
 	// Those of other regions get full reports only while none of the same region
 	// responds.
 	NewRequest func(now time.Duration, full bool, originCursor uint64) *syncpb.ExchangeRequest
+	// TargetDigests returns the digests of this host's table of targets. If it is nil, control
+	// hosts tell everything in full, as to earlier builds.
+	TargetDigests func() []uint64
 	// ConfigurationFresh reports whether the configuration is recent enough to serve.
 	ConfigurationFresh func() bool
 	// Apply processes an update. Calls are serialised.
@@ -68,6 +72,9 @@
 	// InvalidRecords is called with the address of a control host that sent records that
 	// were skipped.
 	InvalidRecords func(control string, err error)
+	// Documents fetches the content of configurations. Without it the control hosts send
+	// it with their responses.
+	Documents *Documents
 
 	mu                sync.Mutex
 	regionByControl   map[string]string // region by peer address
@@ -75,6 +82,7 @@
 	polling           map[string]bool   // by peer address
 	responds          map[string]bool   // whether the last exchange succeeded, by peer address
 	applyMu           sync.Mutex        // serialises Apply
+	released          releasedRates
 }
 
 // Run exchanges with the seeds and every control host that they announce until ctx
@@ -83,6 +91,9 @@
 	c.regionByControl, c.polling, c.responds = map[string]string{}, map[string]bool{}, map[string]bool{}
 	var pollers sync.WaitGroup
 	defer pollers.Wait()
+	if c.Documents != nil {
+		pollers.Go(func() { c.fetchDocuments(ctx) })
+	}
 	for {
 		c.mu.Lock()
 		for _, a := range seeds() {
@@ -110,12 +121,18 @@
 // poll exchanges with one control host until ctx ends or the host is removed.
 func (c *Client) poll(ctx context.Context, address string, seeds func() []string) {
 	var table, cursor, originCursor uint64
+	state := newControlState(c.Region, address)
 	reachable := true
 	respondedAt := clock.SinceBoot()
 	for ctx.Err() == nil {
 		sentAt := clock.SinceBoot()
 		in := c.NewRequest(sentAt, c.needsFullReport(address, sentAt), originCursor)
 		in.Table, in.Cursor = table, cursor
+		c.requestDocument(in, address, sentAt)
+		if c.TargetDigests != nil {
+			c.released.trim(sentAt, in)
+			state.prepare(in, c.TargetDigests, c.primary() != address)
+		}
 		timeout := exchangeTimeout
 		if !c.ConfigurationFresh() {
 			timeout = startupTimeout
@@ -127,7 +144,11 @@
 		wasFresh := c.ConfigurationFresh()
 		if err == nil {
 			// A response that cannot be applied fails like one that did not arrive.
-			err = recovery.Do(func() error { c.applyResponse(now, sentAt, address, out); return nil })
+			err = recovery.Do(func() error {
+				state.apply(out)
+				c.applyResponse(now, sentAt, address, in.GetVersion(), out)
+				return nil
+			})
 		}
 		c.recordOutcome(address, err == nil)
 		if ok := err == nil; ok != reachable && ctx.Err() == nil {
@@ -142,6 +163,9 @@
 			}
 			table, cursor, respondedAt = out.GetTable(), out.GetCursor(), now
 			wait = c.pollInterval(address)
+			if wantsMoreNow(in, out) {
+				wait = resyncPause
+			}
 			if !wasFresh && c.ConfigurationFresh() {
 				wait = 0 // report at once that this host serves
 			}
@@ -150,13 +174,16 @@
 		} else if now-respondedAt > controlRetention && c.removeControl(address, seeds()) {
 			return
 		}
-		clock.Sleep(ctx, wait)
+		c.pause(ctx, wait)
 	}
 }
 
-func (c *Client) applyResponse(now, sentAt time.Duration, address string, out *syncpb.ExchangeResponse) {
+// applyResponse applies the response to a request of a host that had a version of the
+// configuration.
+func (c *Client) applyResponse(now, sentAt time.Duration, address string, version uint64, out *syncpb.ExchangeResponse) {
 	c.addControls(out.GetControls())
 	c.recordResponse(address, now)
+	fetch := c.receiveDocument(sentAt, address, version, out)
 	records, invalid := decodeRecords(now, out.GetTargets())
 	if invalid != nil {
 		c.InvalidRecords(address, invalid)
@@ -164,6 +191,7 @@
 	c.applyMu.Lock()
 	defer c.applyMu.Unlock()
 	c.Apply(now, Update{SentAt: sentAt, ControlAddress: address, Region: c.regionOf(address), ExchangeResponse: out, Records: records})
+	fetch()
 }
 
 func (c *Client) addControls(controls []*syncpb.ControlHost) {
@@ -195,6 +223,27 @@
 	return interval * time.Duration(inRegion)
 }
 
+// primary returns the control host that tells this host all changes of targets: one of its
+// region that responds, or else another one. Hosts are spread over them by rendezvous.
+func (c *Client) primary() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	best, bestWeight, bestRank := "", uint64(0), -1
+	for a, region := range c.regionByControl {
+		rank := 0
+		if c.responds[a] {
+			rank = 1
+			if region == c.Region {
+				rank = 2
+			}
+		}
+		if weight := rendezvous.Weight(c.Name, a); rank > bestRank || rank == bestRank && weight > bestWeight {
+			best, bestWeight, bestRank = a, weight, rank
+		}
+	}
+	return best
+}
+
 func (c *Client) regionOf(address string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
