--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -14,6 +14,7 @@
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/registry"
 	"geraniumturn.example/geraniumturn/internal/rendezvous"
+	"geraniumturn.example/geraniumturn/internal/room"
 	"geraniumturn.example/geraniumturn/internal/upstream"
 )
 
@@ -37,9 +38,6 @@
 	// misdirectedEjection is how long a target is ejected after its address turned out
 	// to belong to another target.
 	misdirectedEjection = 1500 * time.Millisecond
-	// minForwardGain is how much lower the expected cost in another region must be for
-	// a request to be forwarded, as a fraction of the credit of the request.
-	minForwardGain = 0.12
 	// targetRestartTime is how long a crashed target usually takes to serve again.
 	targetRestartTime = 3 * time.Second
 	// hostTimeout is how long another host may be silent before it gets no requests.
@@ -139,6 +137,8 @@
 			rejected++
 		default:
 			x.ran = refusal.Unknown
+			// The time lost to a target that failed is no overload of the next one.
+			x.hostWait += sinceBoot() - began
 		}
 		if ctx.Err() != nil || x.responseStarted && !x.continuable() {
 			return finalError(x, last, err)
@@ -222,57 +222,111 @@
 	if err := g.refuseSuspect(now, x); err != nil {
 		return nil, err
 	}
-	var choice placement.Choice
-	usable := false
-	inStep := g.checkInStep(now, x)
-	if inStep == nil && document.AllowsRegion(x.route, x.workspace, g.Region) && !g.path.Detached() {
-		choice, usable = g.placer.Choose(now, &x.placementRequest, func(id string) bool { return x.triedTargets[id] })
-	}
-	limit := g.firstByteBudget(now, x, choice.IdleTTFB)
-	var hostLimit time.Duration // that the other host applies
-	peers := g.path.Detached() || choice.Unreachable || !usable && x.sends == 0
-	remote, estimate := g.bestRemoteHost(now, x, peers)
-	if remote != nil {
-		remoteLimit, accepted := g.remoteLimits(now, remote.GetRegion(), g.firstByteBudget(now, x, estimate.IdleTTFB), x.route.FirstByteObjective)
-		forward := !usable || choice.Unreachable || estimate.cost+minForwardGain < choice.Cost
-		// A destination with a lower cost must not hide one that can meet its limit.
-		if local := usable && choice.TTFB <= limit; local != (estimate.TTFB <= accepted) {
-			forward = !local
+	places := g.findPlaces(now, x)
+	d := room.Decide(&places.Inputs)
+	x.choice, x.decision, x.pressure = places.choice(d), d, places.Pressure
+	g.recordDecision(x, places, d)
+	if d.Action == room.Refuse {
+		return nil, g.refuse(now, x, places, d)
+	}
+	if d.Action == room.Forward {
+		remote := places.remote
+		if d.Place == places.Spare {
+			remote = places.spare
 		}
-		if forward {
-			choice, limit, hostLimit = placement.Choice{Estimate: estimate.Estimate}, accepted, remoteLimit
-		} else {
-			remote = nil
-		}
-	}
-	x.choice = choice
-	if err := g.refuseLate(now, x, choice.Total); err != nil {
-		return nil, err
-	}
-	switch {
-	case remote == nil && inStep != nil:
-		return nil, refusal.New(refusal.UnknownOrigin, refusal.NotRun, "%v", inStep).WithRetry(stateRetryAfter)
-	case remote == nil && !usable:
-		return nil, g.noTarget(now, x)
-	case choice.TTFB > limit && !usable && g.localWait(now, x) > 0:
-		return nil, g.noTarget(now, x)
-	case choice.TTFB > limit:
-		return nil, refusal.New(refusal.Overloaded, refusal.NotRun, "expected time to first byte of %s exceeds the limit of %s", choice.TTFB, limit).
-			WithRetry(max(minRetryAfter, choice.TTFB-limit))
-	}
-	if remote != nil {
 		x.triedRegions[remote.GetRegion()] = remote.GetRegion() != g.Region // the host may have targets left
 		x.forwardHost, x.target = remote.GetName(), remote.GetName()
 		g.remoteRegion(remote.GetRegion()).RecordSent(now)
 		g.requestMetrics.forwarded.Inc(1)
+		hostLimit := remote.limit
 		if remote.GetRegion() != g.Region {
 			hostLimit = placement.RemoteFirstByteLimit(hostLimit)
 		}
 		return &sendAttempt{target: remote.GetName(), address: remote.GetForward(), forwarded: true, region: remote.GetRegion(), firstByteLimit: hostLimit}, nil
 	}
-	x.triedTargets[choice.Target.ID] = true
-	x.target = choice.Target.ID
-	return g.startAttempt(now, x, choice), nil
+	x.triedTargets[places.here.Target.ID] = true
+	x.target = places.here.Target.ID
+	return g.startAttempt(now, x, places.here), nil
+}
+
+// places is what room.Decide decides on, and what carrying the decision out takes.
+type places struct {
+	room.Inputs
+	outOfStep error
+	here      placement.Choice
+	remote    remotePlace // of There
+	spare     remotePlace // of Spare
+}
+
+// remotePlace is another host that may get the request.
+type remotePlace struct {
+	*peerHost
+	estimate remoteEstimate
+	limit    time.Duration // that the host applies
+}
+
+// choice returns the estimate that the decision is based on.
+func (p *places) choice(d room.Decision) placement.Choice {
+	switch {
+	case d.Place == nil:
+		return placement.Choice{}
+	case d.Place == p.There:
+		return placement.Choice{Estimate: p.remote.estimate.Estimate}
+	case d.Place == p.Spare:
+		return placement.Choice{Estimate: p.spare.estimate.Estimate}
+	}
+	return p.here
+}
+
+// findPlaces gathers what is known of the places for a request. g.mu must be held.
+func (g *Gateway) findPlaces(now time.Duration, x *requestState) *places {
+	p := &places{outOfStep: g.checkInStep(now, x)}
+	usable := false
+	if p.outOfStep == nil && document.AllowsRegion(x.route, x.workspace, g.Region) && !g.path.Detached() {
+		p.here, usable = g.placer.Choose(now, &x.placementRequest, func(id string) bool { return x.triedTargets[id] })
+	}
+	p.OutOfStep, p.EndsIn = p.outOfStep != nil, g.endsIn(now, x)
+	p.HereLimit, p.LastResort = g.firstByteBudget(now, x, p.here.IdleTTFB), p.here.Unreachable
+	if usable {
+		p.Here = &room.Place{TTFB: p.here.TTFB, Total: p.here.Total, Idle: p.here.IdleTTFB, Cost: p.here.Cost, Limit: p.HereLimit}
+	} else {
+		p.HereIn = g.localWait(now, x)
+	}
+	g.addPressure(now, x, p)
+	peers := g.path.Detached() || p.LastResort || !usable && x.sends == 0
+	p.remote, p.There = g.findRemotePlace(now, x, func(region string) bool { return peers || region != g.Region })
+	if p.Pressure.Move > 0 {
+		p.spare, p.Spare = g.findRemotePlace(now, x, func(region string) bool { return g.granted(now, x, region) })
+	}
+	return p
+}
+
+// findRemotePlace returns the best place at another host of the regions that are allowed; nil
+// if there is none. g.mu must be held.
+func (g *Gateway) findRemotePlace(now time.Duration, x *requestState, allowed func(region string) bool) (remotePlace, *room.Place) {
+	h, e := g.bestRemoteHost(now, x, allowed)
+	if h == nil {
+		return remotePlace{}, nil
+	}
+	limit, accepted := g.remoteLimits(now, h.GetRegion(), g.firstByteBudget(now, x, e.IdleTTFB), x.route.FirstByteObjective)
+	return remotePlace{h, e, limit}, &room.Place{TTFB: e.TTFB, Total: e.Total, Idle: e.IdleTTFB, Cost: e.cost, Limit: accepted}
+}
+
+// refuse returns the refusal of a request. g.mu must be held.
+func (g *Gateway) refuse(now time.Duration, x *requestState, p *places, d room.Decision) error {
+	switch d.Reason {
+	case room.ReasonStopping:
+		return errStopping()
+	case room.ReasonOutOfStep:
+		return refusal.New(refusal.UnknownOrigin, refusal.NotRun, "%v", p.outOfStep).WithRetry(stateRetryAfter)
+	case room.ReasonNoTarget:
+		return g.noTarget(now, x)
+	}
+	wait, outlook := g.nameReturn(now, x, d)
+	if d.Reason == room.ReasonYields {
+		outlook = ", which more urgent requests leave" + outlook
+	}
+	return refusal.New(refusal.Overloaded, refusal.NotRun, "expected time to first byte of %s exceeds the limit of %s%s", d.Place.TTFB, d.Limit, outlook).WithRetry(wait)
 }
 
 // noTarget returns the refusal of a request for which there is no target. A stream cannot
@@ -336,20 +390,22 @@
 }
 
 // bestRemoteHost returns a host of the region with the lowest expected cost among the
-// other regions, or nil. With peers, the other hosts of this region are considered too.
+// regions that are allowed, or nil. The region of this host has its other hosts.
 // Hosts that do not serve callers are a last resort: a host that is shutting down still
 // accepts forwarded requests for a while. g.mu must be held.
-func (g *Gateway) bestRemoteHost(now time.Duration, x *requestState, peers bool) (*peerHost, remoteEstimate) {
+func (g *Gateway) bestRemoteHost(now time.Duration, x *requestState, allowed func(region string) bool) (*peerHost, remoteEstimate) {
 	var best *peerHost
 	var bestEstimate remoteEstimate
 	estimates := map[string]*remoteEstimate{} // by region; nil for regions that are excluded
 	for _, h := range g.hosts {
-		if g.LocalOnly || h.GetRegion() == g.Region && !peers || h.GetForward() == "" || now-h.lastHeard > hostTimeout || h.detachment.detached || x.unreachablePeers[h.GetName()] {
+		if g.LocalOnly || h.GetForward() == "" || now-h.lastHeard > hostTimeout || h.detachment.detached || x.unreachablePeers[h.GetName()] {
 			continue
 		}
 		e, known := estimates[h.GetRegion()]
 		if !known {
-			e = g.estimateRemote(now, x, h.GetRegion())
+			if allowed(h.GetRegion()) {
+				e = g.estimateRemote(now, x, h.GetRegion())
+			}
 			estimates[h.GetRegion()] = e
 		}
 		if e != nil && (best == nil || e.cost < bestEstimate.cost || e.cost == bestEstimate.cost && h.preferredOver(best, x.call.ID)) {
@@ -551,7 +607,7 @@
 		pool, dialTimeout = g.remotePool, 0
 		if err := setForwardHeader(header, forwardedRequest{Service: x.service, Workspace: x.workspaceName(), RemainingMS: remaining.Milliseconds(),
 			WaitMS: s.firstByteLimit.Milliseconds(), ConnectMS: s.connectTimeout.Milliseconds(), ObjectiveMS: x.route.FirstByteObjective.Milliseconds(), Urgency: x.urgency, LastEvent: x.lastEvent, AtMostOnce: !x.route.Repeatable(),
-			RegionBound: x.placementRequest.RegionBound, Software: x.placementRequest.Software, Streaming: x.route.Kind == document.Streaming}); err != nil {
+			RegionBound: x.placementRequest.RegionBound, Priority: &x.route.Priority, Software: x.placementRequest.Software, Streaming: x.route.Kind == document.Streaming}); err != nil {
 			return nil, err
 		}
 	} else {
