engine: rates of engines are learnt from what hosts observe

Cause: the setting read_speed and fixed step times were used for every deployment. On the two new ones engines read prompts 2.4 to 2.6 times slower, and the length of a response was taken as nine tenths of its maximum.

Change: internal/engine models an engine and learns its rates for each service: time to the first event, per prompt token, per event by running requests and memory, events for each token that the caller expects. Each host keeps sums over its own observations; hosts of a region exchange them with the usage reports (fields 60 and 61) and add them up. Each target has a pace, dropped with its process. Usage reports tell the prompt tokens that a host sends to a target in a second. The cost of a delay takes the mean error of the forecasts into account.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -105,7 +105,7 @@
 	x := &requestState{call: call, request: r, body: body, service: f.Service, started: started, ran: refusal.NotRun, lastEvent: f.LastEvent,
 		deadline: started + time.Duration(f.RemainingMS)*time.Millisecond, triedTargets: map[string]bool{}, triedRegions: map[string]bool{},
 		route: &document.Route{Kind: document.Streaming, Resumable: !f.AtMostOnce},
-		placementRequest: placement.Request{Service: f.Service, BodyBytes: len(body), Model: call.Model, Segments: call.Segments, PromptTokens: call.PromptTokens, OutputTokens: call.MaxOutputTokens, RegionBound: f.RegionBound, Software: f.Software,
+		placementRequest: placement.Request{Service: f.Service, BodyBytes: len(body), Model: call.Model, Segments: call.Segments, PromptTokens: call.PromptTokens, OutputTokens: call.MaxOutputTokens, ExpectedOutput: call.ExpectedOutput, RegionBound: f.RegionBound, Software: f.Software,
 			Objective: time.Duration(f.ObjectiveMS) * time.Millisecond, TimeLeft: time.Duration(f.RemainingMS) * time.Millisecond},
 		header: g.TargetProtocol.RequestHeader(r.Header)}
 	x.header.Del(headerForward)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,6 +115,8 @@
 	endRequests    context.CancelFunc
 	stopsAt        atomic.Int64 // see StopsAt
 	startedAt      time.Duration
+	engineGaugesAt time.Duration
+	engineRates    map[string]loggedRates // by service
 	draining       atomic.Bool
 	refuseNew      atomic.Bool
 	inFlight       atomic.Int64
@@ -177,7 +179,7 @@
 // Init prepares the gateway after its fields are set. prefillSpeed is the prefill speed
 // of an engine in prompt tokens per second.
 func (g *Gateway) Init(prefillSpeed float64) {
-	g.startedAt = sinceBoot()
+	g.startedAt, g.engineRates = sinceBoot(), map[string]loggedRates{}
 	g.bodies.Limit = cmp.Or(g.MaxBodyMemory, defaultBodyMemory)
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.requestsCtx, g.endRequests = context.WithCancel(context.Background())
@@ -410,7 +412,7 @@
 		limit = timeout - callerDeadlineMargin
 	}
 	x.deadline = x.started + max(0, limit)
-	x.placementRequest = placement.Request{Service: x.service, Model: x.call.Model, Segments: x.call.Segments, PromptTokens: x.call.PromptTokens, OutputTokens: x.call.MaxOutputTokens,
+	x.placementRequest = placement.Request{Service: x.service, Model: x.call.Model, Segments: x.call.Segments, PromptTokens: x.call.PromptTokens, OutputTokens: x.call.MaxOutputTokens, ExpectedOutput: x.call.ExpectedOutput,
 		Objective: x.route.FirstByteObjective, RegionBound: len(x.route.HomeRegions) > 0 || x.workspace != nil && len(x.workspace.HomeRegions) > 0}
 	return nil
 }
@@ -591,9 +593,10 @@
 	if c.TTFB == 0 {
 		return
 	}
-	fields["expected_ms"] = c.TTFB.Milliseconds()
+	fields["expected_ms"], fields["expected_end_ms"] = c.TTFB.Milliseconds(), c.Total.Milliseconds()
 	if c.Target != nil {
 		fields["running"], fields["unread"], fields["memory"] = c.Usage.Running, int64(c.Usage.PrefillTokens), c.Usage.MemoryTokens
+		fields["arriving"] = int64(c.Usage.Arriving)
 		fields["usage_age_ms"], fields["cached"] = c.UsageAge.Milliseconds(), c.CachedTokens
 	}
 }
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -74,8 +74,11 @@
 	if scope == placement.SameRegion {
 		g.addAvailability(sinceBoot(), out)
 		for id, u := range g.placer.OwnUsage() {
-			out.Targets = append(out.Targets, &syncpb.TargetUsage{Target: id, Running: int32(u.Running), Memory: u.MemoryTokens, Unread: int64(u.PrefillTokens)})
+			arriving, pace := g.placer.EngineUsage(sinceBoot(), id)
+			out.Targets = append(out.Targets, &syncpb.TargetUsage{Target: id, Running: int32(u.Running), Memory: u.MemoryTokens, Unread: int64(u.PrefillTokens),
+				Arriving: int64(arriving), PacePercent: uint32(100 * pace)})
 		}
+		g.addEngineReports(sinceBoot(), out)
 	}
 	prompts := g.placer.TakePlacedPrompts(scope)
 	if scope == placement.OtherRegions && g.usagePlan.Relay != "" {
@@ -175,9 +178,11 @@
 	g.usageAt[in.GetHost()] = at
 	usage := make(map[string]placement.Usage, len(in.GetTargets()))
 	for _, t := range in.GetTargets() {
-		usage[t.GetTarget()] = placement.Usage{Running: int(t.GetRunning()), MemoryTokens: t.GetMemory(), PrefillTokens: float64(t.GetUnread())}
+		usage[t.GetTarget()] = placement.Usage{Running: int(t.GetRunning()), MemoryTokens: t.GetMemory(), PrefillTokens: float64(t.GetUnread()),
+			Arriving: float64(t.GetArriving()), Pace: float64(t.GetPacePercent()) / 100}
 	}
 	g.placer.SetHostUsage(at, in.GetHost(), usage)
+	g.mergeEngines(at, in)
 	g.mergeSuspects(at, in)
 	g.mergeAvailability(at, in)
 	if h := g.hosts[in.GetHost()]; h != nil {
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -40,6 +40,15 @@
 	IdleTTFB time.Duration
 }
 
+// expectedDelayCost returns the expected cost of a TTFB whose mean error is known: the cost
+// of what hosts do not know of each other's requests.
+func expectedDelayCost(e Estimate, deviation, objective time.Duration) float64 {
+	if deviation <= 0 {
+		return delayCost(e.TTFB, objective)
+	}
+	return delayCost(max(e.IdleTTFB, e.TTFB-deviation), objective)/2 + delayCost(e.TTFB, objective)/4 + delayCost(e.TTFB+2*deviation, objective)/4
+}
+
 // evaluate estimates the latency and the cost of a request at a target. sources are
 // the targets from which it may fetch cached segments of the prompt, by software.
 func (p *Placer) evaluate(now time.Duration, t *Target, r *Request, sources map[string]*fetchSources, view sharedView) Choice {
@@ -57,9 +66,9 @@
 			}
 		}
 		c.CachedTokens = cached
-		c.Estimate = p.estimateEngine(t, c.Usage, r, float64(r.PromptTokens-cached))
+		c.Estimate, c.waits = p.estimateEngine(now, t, c.Usage, r, float64(r.PromptTokens-cached))
 	}
-	c.Cost += delayCost(c.TTFB, r.Objective) + t.failureRate(now)
+	c.Cost += expectedDelayCost(c.Estimate, p.deviation(now, t), r.Objective) + t.failureRate(now)
 	if p.DataCentre != "" && t.DataCentre != p.DataCentre {
 		c.Cost += crossDataCentreByteCost * float64(r.transferBytes())
 	}
@@ -108,32 +117,22 @@
 	return lateCost + overdueCost*(ratio-1)
 }
 
-// estimateEngine models an engine with chunked prefill: a request waits for a slot and
-// for memory, then its prompt is prefilled after those ahead of it, in chunks between
-// the decode steps of running requests. uncached is the number of prompt tokens that
-// the engine has to prefill.
-func (p *Placer) estimateEngine(t *Target, u Usage, r *Request, uncached float64) Estimate {
-	step := float64(p.engine.Step) + float64(p.engine.StepPerRequest)*float64(min(u.Running, t.Slots))
-	chunkTime := p.engine.ChunkTokens / p.engine.PrefillRate * float64(time.Second)
-	prefill := (u.PrefillTokens + max(0, uncached)) / p.engine.PrefillRate * float64(time.Second) * (1 + step/chunkTime)
-	ttfb := float64(p.engine.MinFirstToken) + prefill
-	idleTTFB := float64(p.engine.MinFirstToken) + p.engine.prefillTime(uncached)
+// estimateEngine returns the estimate of a request at an engine: it waits for a slot and
+// for memory, then its prompt is read after those ahead of it, and its response goes on
+// between the steps in which prompts that go on arriving are read. uncached is the number of
+// prompt tokens that the engine has to read. waits means that a slot or memory is missing.
+func (p *Placer) estimateEngine(now time.Duration, t *Target, u Usage, r *Request, uncached float64) (e Estimate, waits bool) {
+	f := p.calibration(t.Service).Rates(now).Forecast(t.engineLoad(now, u), max(0, uncached), r.expectedOutput())
+	ttfb := float64(f.First())
 	if excess := u.Running + 1 - t.Slots; excess > 0 {
 		ttfb += t.averageDuration * float64(excess) / float64(t.Slots)
+		waits = true
 	}
 	if excess := float64(u.MemoryTokens+r.PromptTokens+r.OutputTokens) - memoryFraction*float64(t.CacheTokens); excess > 0 {
 		ttfb += t.averageDuration * excess / float64(t.CacheTokens)
+		waits = true
 	}
-	// During prefill, each decode step is delayed by the time of one chunk.
-	prefillDelay := min(1, u.PrefillTokens/p.engine.ChunkTokens) * chunkTime / 2
-	total := ttfb + outputFraction*float64(r.OutputTokens)*(step+prefillDelay)
-	return Estimate{time.Duration(ttfb), time.Duration(total), time.Duration(idleTTFB)}
-}
-
-// prefillTime returns the time in nanoseconds that an idle engine needs to prefill a
-// prompt.
-func (e Engine) prefillTime(tokens float64) float64 {
-	return max(0, tokens) / e.PrefillRate * float64(time.Second) * (1 + float64(e.Step)*e.PrefillRate/e.ChunkTokens/float64(time.Second))
+	return Estimate{time.Duration(ttfb), time.Duration(ttfb) + f.Stream, f.Idle}, waits
 }
 
 // estimateService models a plain service: requests beyond its slots wait for a free
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"geraniumturn.example/geraniumturn/internal/engine"
 	"geraniumturn.example/geraniumturn/internal/shares"
 )
 
@@ -70,6 +71,9 @@
 	Segments []PromptSegment
 	// PromptTokens and OutputTokens are the token counts of a request to an engine.
 	PromptTokens, OutputTokens int64
+	// ExpectedOutput is the caller's estimate of the output tokens; 0 if unknown.
+	// OutputTokens is their maximum.
+	ExpectedOutput int64
 	// BodyBytes is the size of the request.
 	BodyBytes int
 	// RegionBound means that the prompt may not leave the region.
@@ -80,6 +84,7 @@
 	// until the caller's timeout.
 	Objective, TimeLeft time.Duration
 	keys                []uint64
+	chosen              Choice // by the last call of Choose
 }
 
 // Allows reports whether the software of the target may serve the request.
@@ -117,10 +122,16 @@
 	// are not prefilled yet.
 	MemoryTokens  int64
 	PrefillTokens float64
+	// Arriving is the number of such tokens that are sent to the target in a second.
+	Arriving float64
+	// Pace is the time that the target took lately as a multiple of the usual time, in the
+	// usage by one host; 0 if unknown.
+	Pace float64
 }
 
 func (u Usage) add(v Usage) Usage {
-	return Usage{u.Running + v.Running, u.MemoryTokens + v.MemoryTokens, u.PrefillTokens + v.PrefillTokens}
+	return Usage{Running: u.Running + v.Running, MemoryTokens: u.MemoryTokens + v.MemoryTokens, PrefillTokens: u.PrefillTokens + v.PrefillTokens,
+		Arriving: u.Arriving + v.Arriving}
 }
 
 // Target is the model of one target.
@@ -147,6 +158,8 @@
 	availability *availability
 	usagePeaks   map[string]usagePeak // by host, while the service is brittle
 	shares       map[int]int          // this host's shares, by limit
+	arriving     arrivalRate          // unread prompt tokens from this host
+	pace         engine.Pace          // of the target's process
 }
 
 // Placer chooses among the targets that this host may use. It is not safe for concurrent
@@ -170,7 +183,8 @@
 	PaceShare func(now time.Duration, target string, limit int) int
 
 	engine          Engine
-	lastUsed        map[uint64]time.Duration // last use of each shared segment at any target
+	calibrations    map[string]*engine.Calibration // by service
+	lastUsed        map[uint64]time.Duration       // last use of each shared segment at any target
 	targets         map[string]*Target
 	byService       map[string][]*Target
 	remoteByService map[string][]*Target
@@ -265,8 +279,8 @@
 const maxPlacedPrompts = 512
 
 // New returns a placer without targets.
-func New(engine Engine, r *rand.Rand) *Placer {
-	return &Placer{ReuseWindow: defaultReuseWindow, lastUsed: map[uint64]time.Duration{}, engine: engine, targets: map[string]*Target{}, byService: map[string][]*Target{}, rand: r,
+func New(figures Engine, r *rand.Rand) *Placer {
+	return &Placer{ReuseWindow: defaultReuseWindow, lastUsed: map[uint64]time.Duration{}, engine: figures, calibrations: map[string]*engine.Calibration{}, targets: map[string]*Target{}, byService: map[string][]*Target{}, rand: r,
 		availability: map[string]*availability{}, pacers: map[string]*shares.Pacer{}, brittle: map[string]*brittleService{},
 		durations: map[string]serviceDuration{}, arrivals: map[string]*arrivalRate{}, hostPositions: map[string]int{}, recordsPeaks: map[string]bool{}}
 }
@@ -281,6 +295,9 @@
 		if t == nil || t.Address != s.Address || t.Service != s.Service {
 			t = &Target{averageDuration: initialServiceDuration}
 		}
+		if t.StartMillis != s.StartMillis {
+			t.pace, t.arriving = engine.Pace{}, arrivalRate{}
+		}
 		t.setCacheCapacity(s.CacheTokens)
 		t.Spec, t.availability = s, p.registerProcess(s)
 		if t.Slots <= 0 {
@@ -326,6 +343,8 @@
 	Usage        Usage
 	UsageAge     time.Duration
 	CachedTokens int64
+	// waits means that the request is expected to wait for a slot or for memory.
+	waits bool
 	// Unreachable means that Target is a last resort: this host could not connect to it.
 	Unreachable bool
 }
@@ -367,6 +386,7 @@
 	p.evaluated = evaluated
 	if found {
 		best = p.spread(now, r, best, evaluated)
+		r.chosen = best
 	}
 	return best, found
 }
@@ -393,6 +413,9 @@
 // RecordBytes records that bytes have arrived from the target of an attempt.
 func (p *Placer) RecordBytes(now time.Duration, a *Attempt) {
 	a.target.lastByteAt = max(a.target.lastByteAt, now)
+	if a.target.cache != nil {
+		p.recordEvent(now, a)
+	}
 }
 
 func (t *Target) failureRate(now time.Duration) float64 {
@@ -414,6 +437,7 @@
 	pace         paceState
 	started      time.Duration
 	usage        Usage
+	observed     observation
 }
 
 // Start records that a request is sent to the target.
@@ -429,6 +453,8 @@
 	if t.cache != nil {
 		a.usage.MemoryTokens = r.PromptTokens + r.OutputTokens
 		a.usage.PrefillTokens = max(0, float64(r.PromptTokens-t.cache.cachedTokens(r.keys, r.Segments)))
+		a.observed.expected = p.expectation(now, t, r)
+		t.arriving.record(now, a.usage.PrefillTokens)
 		t.cache.insert(r.keys, segmentTokens(r.Segments), t.ownUsage.MemoryTokens+a.usage.MemoryTokens)
 		p.queuePlacedPrompt(t, r)
 		p.touchSegments(now, r.keys)
@@ -485,6 +511,9 @@
 // Done records the end of a request.
 func (p *Placer) Done(now time.Duration, a *Attempt, o Outcome) {
 	t := a.target
+	if t.cache != nil {
+		p.recordStream(now, a, o)
+	}
 	p.FirstByte(a)
 	p.endBrittle(now, a)
 	p.releasePace(a)
--- a/internal/placement/region.go
+++ b/internal/placement/region.go
@@ -64,12 +64,13 @@
 		return Estimate{}, false
 	}
 	ttfb := load.TTFB + regionRTT + time.Duration(region.sentSince(now, load.MeasuredAt))*sentRequestDelay
-	idleTTFB := min(load.TTFB, time.Duration(p.engine.MinFirstToken)) + regionRTT
+	rates := p.calibration(request.Service).Rates(now)
+	idleTTFB := min(load.TTFB, rates.First) + regionRTT
 	if request.PromptTokens > 0 {
 		// The load is the estimate for a typical request; adjust it to this prompt.
 		uncached := float64(request.PromptTokens) - (1-remoteMissFraction)*float64(sharedTokens(request.Segments))
-		ttfb += time.Duration(p.engine.prefillTime(uncached - typicalPromptTokens))
-		idleTTFB += time.Duration(p.engine.prefillTime(uncached))
+		ttfb += rates.ReadTime(uncached-typicalPromptTokens, 0)
+		idleTTFB += rates.ReadTime(uncached, 0)
 	}
 	return Estimate{TTFB: ttfb, Total: ttfb + time.Duration(request.OutputTokens)*load.TimePerToken, IdleTTFB: idleTTFB}, true
 }
--- a/internal/placement/reports.go
+++ b/internal/placement/reports.go
@@ -32,6 +32,7 @@
 	for id, u := range usage {
 		if t := p.targets[id]; t != nil {
 			t.setHostUsage(position, u)
+			t.pace.Merge(now, u.Pace)
 			r.used = append(r.used, t)
 		}
 	}
@@ -93,6 +94,8 @@
 	// replaced is the mean number of requests at a target that other hosts have sent since
 	// their reports, in place of reported ones that have ended.
 	replaced float64
+	// arriving is the mean number of prompt tokens that are sent to a target in a second.
+	arriving float64
 }
 
 func (p *Placer) viewOf(now time.Duration, service string) sharedView {
@@ -101,23 +104,31 @@
 		return sharedView{}
 	}
 	v := sharedView{parts: p.remainingParts(now, p.serviceDuration(now, targets[0]))}
+	engines := targets[0].cache != nil
 	for _, t := range targets {
+		if engines {
+			v.arriving += t.arriving.current(now)
+		}
 		for i, u := range t.hostUsage {
 			if part := v.parts[i]; u.Running > 0 && part >= 0 {
 				v.replaced += (1 - part) * float64(u.Running)
+				v.arriving += u.Arriving
 			}
 		}
 	}
-	v.replaced /= float64(len(targets))
+	n := float64(len(targets))
+	v.replaced, v.arriving = v.replaced/n, v.arriving/n
 	return v
 }
 
 // estimatedUsage returns the expected usage of a target by all hosts, and the age of the
 // oldest report in it. Of the requests that other hosts have reported some have ended
 // since, and were replaced by others that are assumed to be spread evenly. Of the prompts
-// some have been prefilled.
+// some have been read, and others were sent since.
 func (p *Placer) estimatedUsage(now time.Duration, t *Target, v sharedView) (total Usage, oldest time.Duration) {
-	reported, left, prefillAge := Usage{}, 0.0, 0.0
+	reported, left, prefillAge, arrived := Usage{}, 0.0, 0.0, 0.0
+	own := t.ownUsage
+	own.Arriving = t.arriving.current(now)
 	for i, u := range t.hostUsage {
 		part := v.parts[i]
 		if u.Running == 0 || part < 0 {
@@ -128,14 +139,20 @@
 		reported = reported.add(u)
 		left += part * float64(u.Running)
 		prefillAge += u.PrefillTokens * age.Seconds()
+		arrived += u.Arriving * age.Seconds()
 	}
 	running := left + v.replaced
 	if reported.Running > 0 {
 		reported.MemoryTokens = int64(float64(reported.MemoryTokens) * running / float64(reported.Running))
 	}
 	reported.Running = int(math.Round(running))
-	if reported.PrefillTokens > 0 {
-		reported.PrefillTokens = max(0, reported.PrefillTokens-p.engine.PrefillRate*prefillAge/reported.PrefillTokens)
+	if t.cache != nil && reported.PrefillTokens > 0 {
+		read := prefillAge / reported.PrefillTokens * float64(time.Second) / p.calibration(t.Service).Rates(now).Read
+		reported.PrefillTokens = max(0, reported.PrefillTokens+arrived-read)
+	}
+	if t.cache != nil {
+		// Where others send their next prompts follows the load, which levels the rates.
+		own.Arriving, reported.Arriving = (own.Arriving+reported.Arriving+v.arriving)/2, 0
 	}
-	return t.ownUsage.add(reported), oldest
+	return own.add(reported), oldest
 }
--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -139,9 +139,10 @@
 	if c.Target.cache == nil {
 		e = p.estimateService(now, c.Target, u)
 	} else {
-		e = p.estimateEngine(c.Target, u, r, uncached)
+		e, _ = p.estimateEngine(now, c.Target, u, r, uncached)
 	}
-	return max(minCostIncrease, delayCost(e.TTFB, r.Objective)-delayCost(c.TTFB, r.Objective))
+	deviation := p.deviation(now, c.Target)
+	return max(minCostIncrease, expectedDelayCost(e, deviation, r.Objective)-expectedDelayCost(c.Estimate, deviation, r.Objective))
 }
 
 // drawLevelled assigns a number of requests to targets so that the highest cost among
--- a/internal/usagerelay/hub.go
+++ b/internal/usagerelay/hub.go
@@ -153,6 +153,8 @@
 		out.Running = append(out.Running, uint32(max(0, t.GetRunning())))
 		out.Memory = append(out.Memory, uint64(max(0, t.GetMemory())))
 		out.Unread = append(out.Unread, uint64(max(0, t.GetUnread())))
+		out.Arriving = append(out.Arriving, uint64(max(0, t.GetArriving())))
+		out.PacePercent = append(out.PacePercent, t.GetPacePercent())
 	}
 	return out
 }
@@ -179,10 +181,14 @@
 		}
 		in := r.GetReport()
 		report := &syncpb.UsageReport{Host: in.GetHost(), Relay: in.GetRelay(), Crashes: in.GetCrashes(), Served: in.GetServed(), Quarantined: in.GetQuarantined(),
-			Availability: in.GetAvailability(), Detached: in.GetDetached(), Targets: make([]*syncpb.TargetUsage, 0, n)}
+			Availability: in.GetAvailability(), Detached: in.GetDetached(), Engines: in.GetEngines(), Targets: make([]*syncpb.TargetUsage, 0, n)}
 		for i, target := range r.GetTargets() {
-			report.Targets = append(report.Targets, &syncpb.TargetUsage{Target: batch.GetTargets()[target], Running: int32(r.GetRunning()[i]),
-				Memory: int64(r.GetMemory()[i]), Unread: int64(r.GetUnread()[i])})
+			usage := &syncpb.TargetUsage{Target: batch.GetTargets()[target], Running: int32(r.GetRunning()[i]),
+				Memory: int64(r.GetMemory()[i]), Unread: int64(r.GetUnread()[i])}
+			if len(r.GetArriving()) == n && len(r.GetPacePercent()) == n { // earlier builds send neither
+				usage.Arriving, usage.PacePercent = int64(r.GetArriving()[i]), r.GetPacePercent()[i]
+			}
+			report.Targets = append(report.Targets, usage)
 		}
 		reports = append(reports, Report{report, now - time.Duration(min(r.GetAgeMs(), reportTTL.Milliseconds()))*time.Millisecond})
 	}
