placement: the chance of a cut response is a cost that grows with its end

Cause: an end after the caller's time added a fixed cost to every candidate, and was computed from the maximum of the output tokens, so it told nothing apart.

Change: the chance grows smoothly with the expected end, at the spread of what callers say about lengths; also for other regions.

--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -24,9 +24,12 @@
 	// overdueCost is added for each multiple of the objective by which the TTFB exceeds
 	// it.
 	overdueCost = 0.25
-	// timeoutCost is added if the response is not expected to end before the caller's
-	// timeout.
+	// timeoutCost is the cost of a response that does not end before the caller's timeout.
 	timeoutCost = 0.8
+	// lengthExponent tells how well the end of a response is known: the chance that it comes
+	// after k times the expected time is 1 / (1 + k^lengthExponent). Callers estimate their
+	// responses to within a factor of two in most cases.
+	lengthExponent = 2.5
 	// outputFraction of the stated output is the expected length of a response; the
 	// request states a maximum.
 	outputFraction = 0.9
@@ -72,9 +75,7 @@
 	if p.DataCentre != "" && t.DataCentre != p.DataCentre {
 		c.Cost += crossDataCentreByteCost * float64(r.transferBytes())
 	}
-	if r.TimeLeft > 0 && c.Total > r.TimeLeft {
-		c.Cost += timeoutCost
-	}
+	c.Cost += cutCost(c.Estimate, r)
 	return c
 }
 
@@ -102,6 +103,20 @@
 	return total
 }
 
+// cutCost returns the cost of the chance that a response does not end in time. A response
+// whose length nobody estimates is assumed to end as expected.
+func cutCost(e Estimate, r *Request) float64 {
+	switch {
+	case r.TimeLeft <= 0 || e.Total <= 0:
+		return 0
+	case r.ExpectedOutput > 0:
+		return timeoutCost / (1 + math.Pow(float64(r.TimeLeft)/float64(e.Total), lengthExponent))
+	case e.Total > r.TimeLeft:
+		return timeoutCost
+	}
+	return 0
+}
+
 // delayCost returns the cost of a TTFB, as a fraction of the credit of a request.
 func delayCost(ttfb, objective time.Duration) float64 {
 	if objective <= 0 {
@@ -233,8 +248,5 @@
 func RemoteCost(e Estimate, r *Request) float64 {
 	cost := delayCost(e.TTFB, r.Objective) + missCostPerToken*remoteMissFraction*float64(sharedTokens(r.Segments)) +
 		crossRegionByteCost*float64(r.transferBytes())
-	if r.TimeLeft > 0 && e.Total > r.TimeLeft {
-		cost += timeoutCost
-	}
-	return cost
+	return cost + cutCost(e, r)
 }
--- a/internal/placement/region.go
+++ b/internal/placement/region.go
@@ -72,7 +72,7 @@
 		ttfb += rates.ReadTime(uncached-typicalPromptTokens, 0)
 		idleTTFB += rates.ReadTime(uncached, 0)
 	}
-	return Estimate{TTFB: ttfb, Total: ttfb + time.Duration(request.OutputTokens)*load.TimePerToken, IdleTTFB: idleTTFB}, true
+	return Estimate{TTFB: ttfb, Total: ttfb + time.Duration(request.expectedOutput())*load.TimePerToken, IdleTTFB: idleTTFB}, true
 }
 
 // ServedIn reports whether a target in another region may serve the request.
