--- a/internal/usagerelay/usagerelay_test.go
+++ b/internal/usagerelay/usagerelay_test.go
@@ -392,3 +392,23 @@
 		}
 	})
 }
+
+// A relay passes on what hosts learn of engines; batches of earlier builds lack it.
+func TestEngineObservationsAreRelayed(t *testing.T) {
+	h := NewHub(1)
+	h.Record(time.Second, time.Second, &syncpb.UsageReport{Host: "a", Engines: []*syncpb.EngineObservations{{Service: "s", Sums: []float32{1, 2}}},
+		Targets: []*syncpb.TargetUsage{{Target: "t", Running: 2, Arriving: 5000, PacePercent: 130}}}, true)
+	batch := h.For(time.Second, "b", 0, 0)
+	reports, _, err := Decode(time.Second, batch)
+	if err != nil || len(reports) != 1 {
+		t.Fatalf("%v reports, %v", reports, err)
+	}
+	if u, e := reports[0].GetTargets()[0], reports[0].GetEngines(); u.GetArriving() != 5000 || u.GetPacePercent() != 130 || len(e) != 1 || len(e[0].GetSums()) != 2 {
+		t.Errorf("decoded %v, %v", u, e)
+	}
+	batch.Reports[0].Arriving, batch.Reports[0].PacePercent = nil, nil
+	reports, _, err = Decode(time.Second, batch)
+	if err != nil || len(reports) != 1 || reports[0].GetTargets()[0].GetRunning() != 2 || reports[0].GetTargets()[0].GetPacePercent() != 0 {
+		t.Errorf("from an earlier build: %v, %v", reports, err)
+	}
+}
