--- a/internal/fleetsync/presence.go
+++ b/internal/fleetsync/presence.go
@@ -18,6 +18,9 @@
 	// controlRetention is how long a control host stays listed after it was last heard
 	// from.
 	controlRetention = time.Minute
+	// liveControlTimeout is the time without a call or response after which a control host
+	// gets no targets. It tolerates one lost report.
+	liveControlTimeout = 2 * roundsPerPresenceReport * relayInterval
 )
 
 // Presence is a control host's table of the entry and control hosts that were heard from
@@ -31,11 +34,19 @@
 	// serving, or that lost or regained the path to their targets.
 	changedEntries map[string]bool
 	changed        chan struct{} // buffered; receives when changedEntries becomes non-empty
+	listed         listedEntries // the last result of Entries
+	hostTable
 }
 
 type entryRecord struct {
 	host    *syncpb.EntryHost
 	heardAt time.Duration
+	// revision is the position in the table of the last change that sameEntry shows, place
+	// that of the host among those of its region.
+	revision uint64
+	place    int
+	// chosenAt is the position at which it was last chosen for hosts of other regions.
+	chosenAt uint64
 }
 
 type controlRecord struct {
@@ -46,7 +57,7 @@
 // NewPresence returns an empty table.
 func NewPresence() *Presence {
 	return &Presence{entries: map[string]*entryRecord{}, controls: map[string]*controlRecord{}, directEntries: map[string]bool{},
-		changedEntries: map[string]bool{}, changed: make(chan struct{}, 1)}
+		changedEntries: map[string]bool{}, changed: make(chan struct{}, 1), hostTable: newHostTable()}
 }
 
 // RecordEntry adds or updates an entry host that reported at heardAt. direct means that
@@ -62,7 +73,9 @@
 	if old != nil && (h.GetStarted() < old.host.GetStarted() || h.GetStarted() == old.host.GetStarted() && heardAt < old.heardAt) {
 		return
 	}
-	p.entries[h.GetName()] = &entryRecord{h, heardAt}
+	e := &entryRecord{host: h, heardAt: heardAt}
+	p.entries[h.GetName()] = e
+	p.placeEntry(e, old)
 	if !direct {
 		return
 	}
@@ -76,9 +89,25 @@
 	}
 }
 
-// Entries returns the entry hosts that reported within entryTimeout, sorted by name.
+// Entries returns the entry hosts that reported within entryTimeout, sorted by name. Callers
+// share the list and must not change it.
 func (p *Presence) Entries(now time.Duration) []*syncpb.EntryHost {
-	return p.entriesHeardWithin(now, entryTimeout)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.listed; l.hosts == nil || l.revision != p.revision || now < l.at || now-l.at > listInterval {
+		hosts := p.heardWithin(now, entryTimeout)
+		p.listed = listedEntries{viewKey{now, p.revision}, hosts}
+	}
+	return p.listed.hosts
+}
+
+// listInterval is the time for which the responses of the directory share one list of entry
+// hosts. A host that starts or stops serving makes a new list at once.
+const listInterval = 50 * time.Millisecond
+
+type listedEntries struct {
+	viewKey
+	hosts []*syncpb.EntryHost
 }
 
 // entriesHeardWithin returns the entry hosts that reported within a time, sorted by
@@ -86,10 +115,15 @@
 func (p *Presence) entriesHeardWithin(now, within time.Duration) []*syncpb.EntryHost {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.heardWithin(now, within)
+}
+
+// heardWithin is entriesHeardWithin with p.mu held.
+func (p *Presence) heardWithin(now, within time.Duration) []*syncpb.EntryHost {
 	var out []*syncpb.EntryHost
 	for name, e := range p.entries {
 		if now-e.heardAt > entryRetention {
-			delete(p.entries, name)
+			p.removeEntry(now, name)
 			continue
 		}
 		if now-e.heardAt <= within {
@@ -116,7 +150,14 @@
 func copyWithAge(e *entryRecord, now time.Duration) *syncpb.EntryHost {
 	h := e.host
 	return &syncpb.EntryHost{Name: h.GetName(), DataCentre: h.GetDataCentre(), Region: h.GetRegion(), Front: h.GetFront(),
-		Forward: h.GetForward(), Started: h.GetStarted(), Serving: h.GetServing(), Loads: h.GetLoads(), Peer: h.GetPeer(), Detached: h.GetDetached(), UsageRelay: h.GetUsageRelay(), PaceLease: h.GetPaceLease(), HeardMs: (now - e.heardAt).Milliseconds()}
+		Forward: h.GetForward(), Started: h.GetStarted(), Serving: h.GetServing(), Loads: h.GetLoads(), Peer: h.GetPeer(), Detached: h.GetDetached(), UsageRelay: h.GetUsageRelay(), PaceLease: h.GetPaceLease(), Documents: h.GetDocuments(), HeardMs: (now - e.heardAt).Milliseconds()}
+}
+
+// Len returns the number of entry hosts, with those that are silent.
+func (p *Presence) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.entries)
 }
 
 // TakeDirectEntries returns the entry hosts that reported to this host since the last
@@ -136,6 +177,27 @@
 	return p.take(now, p.changedEntries)
 }
 
+// entriesOf returns the entry hosts with these names.
+func (p *Presence) entriesOf(now time.Duration, names []string) []*syncpb.EntryHost {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []*syncpb.EntryHost
+	for _, name := range names {
+		if e := p.entries[name]; e != nil {
+			out = append(out, copyWithAge(e, now))
+		}
+	}
+	return out
+}
+
+// sameEntry reports whether two reports of an entry host differ in nothing but what changes
+// all the time.
+func sameEntry(a, b *syncpb.EntryHost) bool {
+	return a.GetName() == b.GetName() && a.GetDataCentre() == b.GetDataCentre() && a.GetRegion() == b.GetRegion() && a.GetFront() == b.GetFront() &&
+		a.GetForward() == b.GetForward() && a.GetPeer() == b.GetPeer() && a.GetStarted() == b.GetStarted() && a.GetServing() == b.GetServing() &&
+		a.GetDetached() == b.GetDetached() && a.GetUsageRelay() == b.GetUsageRelay() && a.GetPaceLease() == b.GetPaceLease()
+}
+
 // take returns the entry hosts with these names and clears the names. p.mu must be held.
 func (p *Presence) take(now time.Duration, names map[string]bool) []*syncpb.EntryHost {
 	var out []*syncpb.EntryHost
@@ -177,6 +239,19 @@
 	return ""
 }
 
+// LiveControls returns the control hosts that were heard from within liveControlTimeout.
+func (p *Presence) LiveControls(now time.Duration) []*syncpb.ControlHost {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []*syncpb.ControlHost
+	for _, c := range p.controls {
+		if now-c.heardAt <= liveControlTimeout {
+			out = append(out, c.host)
+		}
+	}
+	return out
+}
+
 // Controls returns the control hosts that were heard from within controlRetention,
 // sorted by address.
 func (p *Presence) Controls(now time.Duration) []*syncpb.ControlHost {
