placement: a choice looks up the rates of a service once per target set

Cause: the learnt rates made a choice about three times slower. Change: targets keep the calibration of their service; no exponentials for what is 0.

--- a/internal/engine/pace.go
+++ b/internal/engine/pace.go
@@ -55,7 +55,12 @@
 }
 
 // Factor returns the pace at a time.
-func (p *Pace) Factor(now time.Duration) float64 { return math.Exp(p.current(now)) }
+func (p *Pace) Factor(now time.Duration) float64 {
+	if p.log == 0 {
+		return 1
+	}
+	return math.Exp(p.current(now))
+}
 
 // Report returns the newest observation of this host, or 0 if there is no recent one.
 func (p *Pace) Report(now time.Duration) float64 {
--- a/internal/placement/engines.go
+++ b/internal/placement/engines.go
@@ -115,7 +115,7 @@
 		return
 	}
 	if o.events == 0 { // what comes at once is not a stream, or was buffered on the way
-		p.calibration(a.target.Service).ObserveFirst(now, o.expected, o.firstAt-a.started)
+		a.target.calibration.ObserveFirst(now, o.expected, o.firstAt-a.started)
 	}
 	o.gaps[o.unrecorded] = gap
 	o.events++
@@ -144,13 +144,13 @@
 	usage, _ := p.totalUsage(now, t)
 	end := t.engineLoad(now, usage)
 	e.Running, e.Memory = (e.Running+end.Running+1)/2, (e.Memory+end.Memory)/2
-	t.pace.Observe(now, p.calibration(t.Service).ObserveGaps(now, e.Load, s))
+	t.pace.Observe(now, t.calibration.ObserveGaps(now, e.Load, s))
 }
 
 // recordStream records the end of an attempt at an engine.
 func (p *Placer) recordStream(now time.Duration, a *Attempt, outcome Outcome) {
 	t, o := a.target, &a.observed
-	c := p.calibration(t.Service)
+	c := t.calibration
 	if o.firstAt == 0 {
 		if outcome == Cancelled && now-a.started > c.Rates(now).Forecast(o.expected.Load, o.expected.Prompt, 0).First() {
 			c.ObserveFirst(now, o.expected, now-a.started) // it would have taken longer still
@@ -164,9 +164,9 @@
 }
 
 // deviation returns the mean error of the expected TTFB at an engine; 0 for other targets.
-func (p *Placer) deviation(now time.Duration, t *Target) time.Duration {
+func (t *Target) deviation(now time.Duration) time.Duration {
 	if t.cache == nil {
 		return 0
 	}
-	return p.calibration(t.Service).Rates(now).Deviation
+	return t.calibration.Rates(now).Deviation
 }
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -71,7 +71,7 @@
 		c.CachedTokens = cached
 		c.Estimate, c.waits = p.estimateEngine(now, t, c.Usage, r, float64(r.PromptTokens-cached))
 	}
-	c.Cost += expectedDelayCost(c.Estimate, p.deviation(now, t), r.Objective) + t.failureRate(now)
+	c.Cost += expectedDelayCost(c.Estimate, t.deviation(now), r.Objective) + t.failureRate(now)
 	if p.DataCentre != "" && t.DataCentre != p.DataCentre {
 		c.Cost += crossDataCentreByteCost * float64(r.transferBytes())
 	}
@@ -137,7 +137,7 @@
 // between the steps in which prompts that go on arriving are read. uncached is the number of
 // prompt tokens that the engine has to read. waits means that a slot or memory is missing.
 func (p *Placer) estimateEngine(now time.Duration, t *Target, u Usage, r *Request, uncached float64) (e Estimate, waits bool) {
-	f := p.calibration(t.Service).Rates(now).Forecast(t.engineLoad(now, u), max(0, uncached), r.expectedOutput())
+	f := t.calibration.Rates(now).Forecast(t.engineLoad(now, u), max(0, uncached), r.expectedOutput())
 	ttfb := float64(f.First())
 	if excess := u.Running + 1 - t.Slots; excess > 0 {
 		ttfb += t.averageDuration * float64(excess) / float64(t.Slots)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -160,6 +160,7 @@
 	shares       map[int]int          // this host's shares, by limit
 	arriving     arrivalRate          // unread prompt tokens from this host
 	pace         engine.Pace          // of the target's process
+	calibration  *engine.Calibration  // of the target's service
 }
 
 // Placer chooses among the targets that this host may use. It is not safe for concurrent
@@ -299,7 +300,7 @@
 			t.pace, t.arriving = engine.Pace{}, arrivalRate{}
 		}
 		t.setCacheCapacity(s.CacheTokens)
-		t.Spec, t.availability = s, p.registerProcess(s)
+		t.Spec, t.availability, t.calibration = s, p.registerProcess(s), p.calibration(s.Service)
 		if t.Slots <= 0 {
 			t.Slots = defaultSlots
 		}
--- a/internal/placement/reports.go
+++ b/internal/placement/reports.go
@@ -147,7 +147,7 @@
 	}
 	reported.Running = int(math.Round(running))
 	if t.cache != nil && reported.PrefillTokens > 0 {
-		read := prefillAge / reported.PrefillTokens * float64(time.Second) / p.calibration(t.Service).Rates(now).Read
+		read := prefillAge / reported.PrefillTokens * float64(time.Second) / t.calibration.Rates(now).Read
 		reported.PrefillTokens = max(0, reported.PrefillTokens+arrived-read)
 	}
 	if t.cache != nil {
--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -44,6 +44,9 @@
 }
 
 func (r *arrivalRate) current(now time.Duration) float64 {
+	if r.perSecond == 0 {
+		return 0
+	}
 	return r.perSecond * math.Exp(-(now-r.at).Seconds()/arrivalWindow.Seconds())
 }
 
@@ -141,7 +144,7 @@
 	} else {
 		e, _ = p.estimateEngine(now, c.Target, u, r, uncached)
 	}
-	deviation := p.deviation(now, c.Target)
+	deviation := c.Target.deviation(now)
 	return max(minCostIncrease, expectedDelayCost(e, deviation, r.Objective)-expectedDelayCost(c.Estimate, deviation, r.Objective))
 }
 
