--- a/internal/placement/region.go
+++ b/internal/placement/region.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"geraniumturn.example/geraniumturn/internal/engine"
+)
 
 const (
 	// regionRTT is the assumed round-trip time to a host of another region.
@@ -40,13 +44,13 @@
 
 // ttfbFor returns the expected time to the first byte of a request with so many prompt
 // tokens that are not cached.
-func (l Load) ttfbFor(e Engine, tokens float64) time.Duration {
+func (l Load) ttfbFor(rates engine.Rates, tokens float64) time.Duration {
 	between := func(from, to float64, atFrom, atTo time.Duration) time.Duration {
 		return atFrom + time.Duration((tokens-from)/(to-from)*float64(atTo-atFrom))
 	}
 	switch {
 	case l.Short <= 0 || l.Long <= 0:
-		return l.TTFB + time.Duration(e.prefillTime(tokens-typicalPromptTokens))
+		return l.TTFB + rates.ReadTime(tokens-typicalPromptTokens, 0)
 	case tokens <= shortPromptTokens:
 		return l.Short
 	case tokens <= typicalPromptTokens:
@@ -54,7 +58,7 @@
 	case tokens <= longPromptTokens:
 		return between(typicalPromptTokens, longPromptTokens, l.TTFB, l.Long)
 	}
-	return l.Long + time.Duration(e.prefillTime(tokens-longPromptTokens))
+	return l.Long + rates.ReadTime(tokens-longPromptTokens, 0)
 }
 
 // RegionLoad returns the load of a service in this region, and false if no target can take a
@@ -86,7 +90,7 @@
 		free := 1 - float64(u.Running)/float64(t.Slots)
 		rate := float64(t.Slots) * float64(time.Second) / p.expectedDuration(now, t, u)
 		if t.cache != nil {
-			rate = p.engine.PrefillRate
+			rate = t.readRate(now, u)
 			free = min(free, 1-u.PrefillTokens/(rate*roomBacklog.Seconds()), 1-float64(u.MemoryTokens)/(memoryFraction*float64(t.CacheTokens)))
 		}
 		room += rate * max(0, free)
@@ -145,15 +149,16 @@
 		return Estimate{}, false
 	}
 	ttfb := load.TTFB
-	idleTTFB := min(load.TTFB, time.Duration(p.engine.MinFirstToken)) + regionRTT
+	rates := p.calibration(request.Service).Rates(now)
+	idleTTFB := min(load.TTFB, rates.First) + regionRTT
 	if request.PromptTokens > 0 {
 		// The load is the estimate for a typical request; adjust it to this prompt.
 		uncached := float64(request.PromptTokens) - (1-remoteMissFraction)*float64(sharedTokens(request.Segments))
-		ttfb = load.ttfbFor(p.engine, uncached)
-		idleTTFB += time.Duration(p.engine.prefillTime(uncached))
+		ttfb = load.ttfbFor(rates, uncached)
+		idleTTFB += rates.ReadTime(uncached, 0)
 	}
 	ttfb += regionRTT + time.Duration(region.sentSince(now, load.MeasuredAt))*sentRequestDelay
-	return Estimate{TTFB: ttfb, Total: ttfb + time.Duration(request.OutputTokens)*load.TimePerToken, IdleTTFB: idleTTFB}, true
+	return Estimate{TTFB: ttfb, Total: ttfb + time.Duration(request.expectedOutput())*load.TimePerToken, IdleTTFB: idleTTFB}, true
 }
 
 // ServedIn reports whether a target in another region may serve the request.
--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -44,6 +44,9 @@
 }
 
 func (r *arrivalRate) current(now time.Duration) float64 {
+	if r.perSecond == 0 {
+		return 0
+	}
 	return r.perSecond * math.Exp(-(now-r.at).Seconds()/arrivalWindow.Seconds())
 }
 
@@ -139,9 +142,10 @@
 	if c.Target.cache == nil {
 		e = p.estimateService(now, c.Target, u)
 	} else {
-		e = p.estimateEngine(c.Target, u, r, uncached)
+		e, _ = p.estimateEngine(now, c.Target, u, r, uncached)
 	}
-	return max(minCostIncrease, delayCost(e.TTFB, r.Objective)-delayCost(c.TTFB, r.Objective))
+	deviation := c.Target.deviation(now)
+	return max(minCostIncrease, expectedDelayCost(e, deviation, r.Objective)-expectedDelayCost(c.Estimate, deviation, r.Objective))
 }
 
 // drawLevelled assigns a number of requests to targets so that the highest cost among
