--- a/internal/fleetsync/resync.go
+++ b/internal/fleetsync/resync.go
@@ -1,6 +1,7 @@
 package fleetsync
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,7 +66,7 @@
 	}
 	d := xxhash.New()
 	for _, c := range controls {
-		_, _ = d.WriteString(c.GetPeer() + "\x00" + c.GetRegion() + "\x00") // never fails
+		_, _ = fmt.Fprintf(d, "%q %q %q %q %t\n", c.GetPeer(), c.GetRegion(), c.GetDataCentre(), c.GetControl(), c.GetDocuments()) // never fails
 	}
 	out.ControlsDigest = d.Sum64() | 1 // 0 means that there is none
 	if out.ControlsDigest != in.GetControlsDigest() {
--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -16,6 +16,7 @@
 
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/departures"
+	"geraniumturn.example/geraniumturn/internal/doctransfer"
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 	"geraniumturn.example/geraniumturn/internal/origins"
@@ -87,6 +88,7 @@
 	Incarnation uint64
 	startedAt   time.Duration
 	origins     *origins.Store // of the streams that entry hosts have reported
+	documents   *doctransfer.Source
 	mu          sync.Mutex
 	// allocator and partitions are those of the term in which this host last led.
 	allocator  *shares.Allocator
@@ -116,6 +118,7 @@
 // Init prepares the server. It must run before the server is registered for calls.
 func (s *Server) Init() {
 	s.startedAt, s.origins, s.originCursors = clock.SinceBoot(), origins.NewStore(), map[string]relayCursor{}
+	s.documents = doctransfer.NewSource(controlTransfers, controlContentBytes)
 	s.refs = newRelayState()
 	s.ledger = departures.NewLedger(s.Targets, departures.Control{Address: s.Self.GetPeer(), Region: s.Self.GetRegion()}, s.LostDisks)
 	s.departureWake = make(chan struct{}, 1)
@@ -142,9 +145,7 @@
 	age, known := s.Leadership.StateAge()
 	state, _ := s.Document.State()
 	out.Known, out.AgeMs, out.Index, out.Version = known, age.Milliseconds()+1, state.Index, state.Version
-	if in.GetVersion() != state.Version {
-		out.Content = state.Content
-	}
+	s.addContent(in, state, out)
 	out.Evacuated, out.Restored = encodeEvacuations(state.Evacuated), encodeEvacuations(state.Restored)
 	s.addTargets(now, in, out)
 	switch {
