--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"geraniumturn.example/geraniumturn/internal/refusal"
 	"geraniumturn.example/geraniumturn/internal/registry"
 	"geraniumturn.example/geraniumturn/internal/requestbody"
+	"geraniumturn.example/geraniumturn/internal/room"
 	"geraniumturn.example/geraniumturn/internal/shares"
 	"geraniumturn.example/geraniumturn/internal/suspects"
 	"geraniumturn.example/geraniumturn/internal/upstream"
@@ -94,6 +95,8 @@
 	Metrics            metrics.Registry
 	// LocalOnly disables forwarding to other regions. It is a baseline for measurements.
 	LocalOnly bool
+	// EqualUrgency means that no request gives way to a more urgent one.
+	EqualUrgency bool
 	// RateClient takes tokens from the rate holders on other hosts.
 	RateClient RateClient
 	// OriginClient asks the control hosts which software began a stream.
@@ -117,6 +120,8 @@
 	endRequests    context.CancelFunc
 	stopsAt        atomic.Int64 // see StopsAt
 	startedAt      time.Duration
+	engineGaugesAt time.Duration
+	engineRates    map[string]loggedRates // by service
 	draining       atomic.Bool
 	refuseNew      atomic.Bool
 	inFlight       atomic.Int64
@@ -150,6 +155,10 @@
 	bodies       bytebudget.Budget     // of the bodies of requests
 	origins      *origins.Store        // of the streams that began at this host
 	quarantine   *suspects.Quarantine
+	shortages    *room.Shortages // of the services in this region
+	offers       *room.Offers    // of other regions
+	schedule     *room.Schedule  // of the callers that come back
+	loggedRoom   map[string]int  // the step of the pressure that was last logged, by service
 	usagePlanner *usagerelay.Planner
 	usagePlan    usagerelay.Plan // the latest one
 	usageHub     *usagerelay.Hub
@@ -171,15 +180,15 @@
 }
 
 type requestMetrics struct {
-	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed, keptSilent, detached, coldSends, coldWithheld metrics.Counter
-	firstByte, total                                                                                                                     metrics.Timer
-	leftOut                                                                                                                              map[placement.Cause]metrics.Counter
+	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed, keptSilent, detached, displaced, yielded, hopeless, coldSends, coldWithheld metrics.Counter
+	firstByte, total                                                                                                                                                   metrics.Timer
+	leftOut                                                                                                                                                            map[placement.Cause]metrics.Counter
 }
 
 // Init prepares the gateway after its fields are set. prefillSpeed is the prefill speed
 // of an engine in prompt tokens per second.
 func (g *Gateway) Init(prefillSpeed float64) {
-	g.startedAt = sinceBoot()
+	g.startedAt, g.engineRates = sinceBoot(), map[string]loggedRates{}
 	g.bodies.Limit, g.buffers.Limit = cmp.Or(g.MaxBodyMemory, defaultBodyMemory), g.MaxResponseMemory
 	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.requestsCtx, g.endRequests = context.WithCancel(context.Background())
@@ -194,6 +203,8 @@
 	g.regionLastHeard = map[string]time.Duration{}
 	g.origins = origins.NewStore()
 	g.quarantine, g.crashChecks = suspects.NewQuarantine(), map[string]*crashCheck{}
+	g.shortages, g.offers = room.NewShortages(), room.NewOffers()
+	g.schedule, g.loggedRoom = room.NewSchedule(), map[string]int{}
 	g.usagePlanner, g.usageHub, g.usageAt = usagerelay.NewPlanner(g.Name), usagerelay.NewHub(rand.Uint64()), map[string]time.Duration{}
 	g.peerSet = shares.NewPeerSet(g.Name, g.startedAt)
 	g.placer.PaceShare = func(now time.Duration, target string, limit int) int {
@@ -204,7 +215,7 @@
 		return metrics.GetOrRegisterCounter("gateway."+name, g.Metrics)
 	}
 	g.requestMetrics = requestMetrics{requests: counter("requests"), served: counter("served"), refused: counter("refused"),
-		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"), keptSilent: counter("silent_targets_kept"), detached: counter("detached"), coldSends: counter("cold_sends"), coldWithheld: counter("cold_withheld"),
+		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"), keptSilent: counter("silent_targets_kept"), detached: counter("detached"), displaced: counter("displaced"), yielded: counter("yielded"), hopeless: counter("refused_without_room"), coldSends: counter("cold_sends"), coldWithheld: counter("cold_withheld"),
 		leftOut: map[placement.Cause]metrics.Counter{placement.CauseLeaving: counter("targets_leaving"), placement.CausePause: counter("targets_paused"),
 			placement.CauseRejection: counter("brittle_rejections")},
 		firstByte: metrics.GetOrRegisterTimer("gateway.first_byte", g.Metrics),
@@ -245,15 +256,27 @@
 // target has got anything, so late that it may not end: after RefuseNew, or if it is expected
 // to take longer than the host has left.
 func (g *Gateway) refuseLate(now time.Duration, x *requestState, total time.Duration) error {
-	if x.ran != refusal.NotRun || x.responseStarted || !g.Draining() {
-		return nil
-	}
-	if stopsAt := time.Duration(g.stopsAt.Load()); g.refuseNew.Load() || stopsAt > 0 && now+total > stopsAt {
+	if total > g.endsIn(now, x) {
 		return errStopping()
 	}
 	return nil
 }
 
+// endsIn returns how long this host may still take for a request: until it stops, nothing
+// after RefuseNew, and room.NoEnd if it is not stopping or a target may have got the request.
+func (g *Gateway) endsIn(now time.Duration, x *requestState) time.Duration {
+	if x.ran != refusal.NotRun || x.responseStarted || !g.Draining() {
+		return room.NoEnd
+	}
+	if g.refuseNew.Load() {
+		return -1
+	}
+	if stopsAt := time.Duration(g.stopsAt.Load()); stopsAt > 0 {
+		return stopsAt - now
+	}
+	return room.NoEnd
+}
+
 func errStopping() error {
 	return refusal.New(refusal.Draining, refusal.NotRun, "this host is shutting down").WithRetry(time.Millisecond)
 }
@@ -283,12 +306,18 @@
 	bodyLate         bool // the deadline was reached before the end of the body
 	request          *http.Request
 	placementRequest placement.Request
-	suspectKeys      []uint64
-	started          time.Duration
-	hostWait         time.Duration // spent waiting for the body or the start of this host, or for connections that failed
-	silentWait       time.Duration // spent waiting for a target that does not acknowledge the request
-	deadline         time.Duration
-	reservation      *reservation
+	level            room.Level
+	// decision and pressure are those of the latest choice. shortageKnown is set when the request
+	// was counted among those that may be short of room.
+	decision      room.Decision
+	pressure      room.Pressure
+	shortageKnown bool
+	suspectKeys   []uint64
+	started       time.Duration
+	hostWait      time.Duration // spent waiting for the body or the start of this host, or for connections that failed
+	silentWait    time.Duration // spent waiting for a target that does not acknowledge the request
+	deadline      time.Duration
+	reservation   *reservation
 
 	sends           int // attempts that were sent to a target
 	triedTargets    map[string]bool
@@ -416,7 +445,8 @@
 		limit = timeout - callerDeadlineMargin
 	}
 	x.deadline = x.started + max(0, limit)
-	x.placementRequest = placement.Request{Service: x.service, Model: x.call.Model, Segments: x.call.Segments, PromptTokens: x.call.PromptTokens, OutputTokens: x.call.MaxOutputTokens,
+	x.level = room.LevelOf(x.route.Priority, len(x.route.HomeRegions) > 0 || x.workspace != nil && len(x.workspace.HomeRegions) > 0)
+	x.placementRequest = placement.Request{Service: x.service, Model: x.call.Model, Segments: x.call.Segments, PromptTokens: x.call.PromptTokens, OutputTokens: x.call.MaxOutputTokens, ExpectedOutput: x.call.ExpectedOutput,
 		Objective: x.route.FirstByteObjective, RegionBound: len(x.route.HomeRegions) > 0 || x.workspace != nil && len(x.workspace.HomeRegions) > 0}
 	return nil
 }
@@ -573,6 +603,7 @@
 		fields["first_ms"], fields["status"] = x.ttfb.Milliseconds(), x.status
 	}
 	addChoiceFields(fields, x.choice)
+	addRoomFields(fields, x)
 	if x.call.PromptTokens > 0 {
 		fields["prompt"], fields["output"], fields["likely"] = x.call.PromptTokens, x.call.MaxOutputTokens, x.call.ExpectedOutput
 	}
@@ -602,9 +633,10 @@
 	if c.TTFB == 0 {
 		return
 	}
-	fields["expected_ms"] = c.TTFB.Milliseconds()
+	fields["expected_ms"], fields["expected_end_ms"] = c.TTFB.Milliseconds(), c.Total.Milliseconds()
 	if c.Target != nil {
 		fields["running"], fields["unread"], fields["memory"] = c.Usage.Running, int64(c.Usage.PrefillTokens), c.Usage.MemoryTokens
+		fields["arriving"] = int64(c.Usage.Arriving)
 		fields["usage_age_ms"], fields["cached"] = c.UsageAge.Milliseconds(), c.CachedTokens
 	}
 }
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -24,9 +24,12 @@
 	// overdueCost is added for each multiple of the objective by which the TTFB exceeds
 	// it.
 	overdueCost = 0.25
-	// timeoutCost is added if the response is not expected to end before the caller's
-	// timeout.
+	// timeoutCost is the cost of a response that does not end before the caller's timeout.
 	timeoutCost = 0.8
+	// lengthExponent tells how well the end of a response is known: the chance that it comes
+	// after k times the expected time is 1 / (1 + k^lengthExponent). Callers estimate their
+	// responses to within a factor of two in most cases.
+	lengthExponent = 2.5
 	// outputFraction of the stated output is the expected length of a response; the
 	// request states a maximum.
 	outputFraction = 0.9
@@ -40,6 +43,15 @@
 	IdleTTFB time.Duration
 }
 
+// expectedDelayCost returns the expected cost of a TTFB whose mean error is known: the cost
+// of what hosts do not know of each other's requests.
+func expectedDelayCost(e Estimate, deviation, objective time.Duration) float64 {
+	if deviation <= 0 {
+		return delayCost(e.TTFB, objective)
+	}
+	return delayCost(max(e.IdleTTFB, e.TTFB-deviation), objective)/2 + delayCost(e.TTFB, objective)/4 + delayCost(e.TTFB+2*deviation, objective)/4
+}
+
 // evaluate estimates the latency and the cost of a request at a target. sources are
 // the targets from which it may fetch cached segments of the prompt, by software.
 func (p *Placer) evaluate(now time.Duration, t *Target, r *Request, sources map[string]*fetchSources, view sharedView) Choice {
@@ -57,15 +69,13 @@
 			}
 		}
 		c.CachedTokens = cached
-		c.Estimate = p.estimateEngine(t, c.Usage, r, float64(r.PromptTokens-cached))
+		c.Estimate, c.waits = p.estimateEngine(now, t, c.Usage, r, float64(r.PromptTokens-cached))
 	}
-	c.Cost += delayCost(c.TTFB, r.Objective) + t.failureRate(now)
+	c.Cost += expectedDelayCost(c.Estimate, t.deviation(now), r.Objective) + t.failureRate(now)
 	if p.DataCentre != "" && t.DataCentre != p.DataCentre {
 		c.Cost += crossDataCentreByteCost * float64(r.transferBytes())
 	}
-	if r.TimeLeft > 0 && c.Total > r.TimeLeft {
-		c.Cost += timeoutCost
-	}
+	c.Cost += cutCost(c.Estimate, r)
 	return c
 }
 
@@ -93,6 +103,20 @@
 	return total
 }
 
+// cutCost returns the cost of the chance that a response does not end in time. A response
+// whose length nobody estimates is assumed to end as expected.
+func cutCost(e Estimate, r *Request) float64 {
+	switch {
+	case r.TimeLeft <= 0 || e.Total <= 0:
+		return 0
+	case r.ExpectedOutput > 0:
+		return timeoutCost / (1 + math.Pow(float64(r.TimeLeft)/float64(e.Total), lengthExponent))
+	case e.Total > r.TimeLeft:
+		return timeoutCost
+	}
+	return 0
+}
+
 // delayCost returns the cost of a TTFB, as a fraction of the credit of a request.
 func delayCost(ttfb, objective time.Duration) float64 {
 	if objective <= 0 {
@@ -108,32 +132,22 @@
 	return lateCost + overdueCost*(ratio-1)
 }
 
-// estimateEngine models an engine with chunked prefill: a request waits for a slot and
-// for memory, then its prompt is prefilled after those ahead of it, in chunks between
-// the decode steps of running requests. uncached is the number of prompt tokens that
-// the engine has to prefill.
-func (p *Placer) estimateEngine(t *Target, u Usage, r *Request, uncached float64) Estimate {
-	step := float64(p.engine.Step) + float64(p.engine.StepPerRequest)*float64(min(u.Running, t.Slots))
-	chunkTime := p.engine.ChunkTokens / p.engine.PrefillRate * float64(time.Second)
-	prefill := (u.PrefillTokens + max(0, uncached)) / p.engine.PrefillRate * float64(time.Second) * (1 + step/chunkTime)
-	ttfb := float64(p.engine.MinFirstToken) + prefill
-	idleTTFB := float64(p.engine.MinFirstToken) + p.engine.prefillTime(uncached)
+// estimateEngine returns the estimate of a request at an engine: it waits for a slot and
+// for memory, then its prompt is read after those ahead of it, and its response goes on
+// between the steps in which prompts that go on arriving are read. uncached is the number of
+// prompt tokens that the engine has to read. waits means that a slot or memory is missing.
+func (p *Placer) estimateEngine(now time.Duration, t *Target, u Usage, r *Request, uncached float64) (e Estimate, waits bool) {
+	f := t.calibration.Rates(now).Forecast(t.engineLoad(now, u), max(0, uncached), r.expectedOutput())
+	ttfb := float64(f.First())
 	if excess := u.Running + 1 - t.Slots; excess > 0 {
 		ttfb += t.averageDuration * float64(excess) / float64(t.Slots)
+		waits = true
 	}
 	if excess := float64(u.MemoryTokens+r.PromptTokens+r.OutputTokens) - memoryFraction*float64(t.CacheTokens); excess > 0 {
 		ttfb += t.averageDuration * excess / float64(t.CacheTokens)
+		waits = true
 	}
-	// During prefill, each decode step is delayed by the time of one chunk.
-	prefillDelay := min(1, u.PrefillTokens/p.engine.ChunkTokens) * chunkTime / 2
-	total := ttfb + outputFraction*float64(r.OutputTokens)*(step+prefillDelay)
-	return Estimate{time.Duration(ttfb), time.Duration(total), time.Duration(idleTTFB)}
-}
-
-// prefillTime returns the time in nanoseconds that an idle engine needs to prefill a
-// prompt.
-func (e Engine) prefillTime(tokens float64) float64 {
-	return max(0, tokens) / e.PrefillRate * float64(time.Second) * (1 + float64(e.Step)*e.PrefillRate/e.ChunkTokens/float64(time.Second))
+	return Estimate{time.Duration(ttfb), time.Duration(ttfb) + f.Stream, f.Idle}, waits
 }
 
 // estimateService models a plain service: requests beyond its slots wait for a free
@@ -234,8 +248,5 @@
 func RemoteCost(e Estimate, r *Request) float64 {
 	cost := delayCost(e.TTFB, r.Objective) + missCostPerToken*remoteMissFraction*float64(sharedTokens(r.Segments)) +
 		crossRegionByteCost*float64(r.transferBytes())
-	if r.TimeLeft > 0 && e.Total > r.TimeLeft {
-		cost += timeoutCost
-	}
-	return cost
+	return cost + cutCost(e, r)
 }
