room: move no request to a region where it ends after this host stops

Cause: the place in another region that makes room here was taken without the time that a stopping host has left, so a response could be cut off by the stop. Change: its expected end must lie before the stop. Result: two new cases of TestDecide fail without the change and pass with it; go test ./internal/room and go vet pass.

--- a/internal/room/decide.go
+++ b/internal/room/decide.go
@@ -119,7 +119,7 @@
 	limit := in.Pressure.LimitAt(in.Here.Limit, in.Here.Idle, in.Draw)
 	yields := in.Here.TTFB > limit
 	cost := in.Here.Cost + displacementCost*in.Pressure.Move
-	if in.Spare != nil && in.Spare.fits() && (yields || in.Spare.Cost+MinForwardGain < cost) {
+	if in.Spare != nil && in.Spare.fits() && in.Spare.Total <= in.EndsIn && (yields || in.Spare.Cost+MinForwardGain < cost) {
 		return Decision{Action: Forward, Reason: ReasonDisplaced, Place: in.Spare, Limit: in.Spare.Limit}
 	}
 	if yields {
--- a/internal/room/decide_test.go
+++ b/internal/room/decide_test.go
@@ -40,15 +40,18 @@
 		"stops at the end":                     {Inputs{Here: good, EndsIn: ms(600)}, Serve, ReasonFits, 0},
 		"takes nothing new":                    {Inputs{EndsIn: -1}, Refuse, ReasonStopping, 0},
 
-		"gives way, room elsewhere":       {Inputs{Here: good, Spare: place(200, 400, 0.5), Pressure: Pressure{Move: 1}}, Forward, ReasonDisplaced, 0},
-		"gives way a little":              {Inputs{Here: good, Spare: place(200, 400, 0.5), Pressure: Pressure{Move: 0.3}}, Serve, ReasonFits, 0},
-		"gives way, late elsewhere":       {Inputs{Here: good, Spare: place(500, 400, 0), Pressure: Pressure{Move: 1}}, Serve, ReasonFits, 0},
-		"gives way, no room elsewhere":    {Inputs{Here: good, There: place(200, 400, 0.5), Pressure: Pressure{Move: 1}}, Serve, ReasonFits, 0},
-		"yields to urgent ones":           {Inputs{Here: place(300, 400, 0.3), Pressure: Pressure{Move: 1, Yield: 0.5, Wait: ms(300)}}, Refuse, ReasonYields, ms(147)},
-		"yields, room elsewhere":          {Inputs{Here: place(300, 400, 0.3), Spare: place(390, 400, 2), Pressure: Pressure{Move: 0.5, Yield: 0.5, Wait: ms(300)}}, Forward, ReasonDisplaced, 0},
-		"yields, ordinary place there":    {Inputs{Here: place(300, 400, 0.3), There: place(100, 400, 0), Pressure: Pressure{Move: 1, Yield: 1}}, Forward, ReasonCheaper, 0},
-		"idle target at full pressure":    {Inputs{Here: place(0, 400, 0.1), Pressure: Pressure{Move: 1, Yield: 1}}, Serve, ReasonFits, 0},
-		"gives way, but late here anyway": {Inputs{Here: late, Pressure: Pressure{Move: 1, Yield: 1}}, Refuse, ReasonLate, ms(300)},
+		"gives way, room elsewhere":                 {Inputs{Here: good, Spare: place(200, 400, 0.5), Pressure: Pressure{Move: 1}}, Forward, ReasonDisplaced, 0},
+		"gives way a little":                        {Inputs{Here: good, Spare: place(200, 400, 0.5), Pressure: Pressure{Move: 0.3}}, Serve, ReasonFits, 0},
+		"gives way, late elsewhere":                 {Inputs{Here: good, Spare: place(500, 400, 0), Pressure: Pressure{Move: 1}}, Serve, ReasonFits, 0},
+		"gives way, ends elsewhere after the stop":  {Inputs{Here: good, Spare: place(200, 400, 0.3), Pressure: Pressure{Move: 1}, EndsIn: ms(699)}, Serve, ReasonFits, 0},
+		"gives way, ends elsewhere before the stop": {Inputs{Here: good, Spare: place(200, 400, 0.3), Pressure: Pressure{Move: 1}, EndsIn: ms(700)}, Forward, ReasonDisplaced, 0},
+		"yields, ends elsewhere after the stop":     {Inputs{Here: good, Spare: place(200, 400, 0.3), Pressure: Pressure{Move: 1, Yield: 1}, EndsIn: ms(699)}, Refuse, ReasonYields, ms(100)},
+		"gives way, no room elsewhere":              {Inputs{Here: good, There: place(200, 400, 0.5), Pressure: Pressure{Move: 1}}, Serve, ReasonFits, 0},
+		"yields to urgent ones":                     {Inputs{Here: place(300, 400, 0.3), Pressure: Pressure{Move: 1, Yield: 0.5, Wait: ms(300)}}, Refuse, ReasonYields, ms(147)},
+		"yields, room elsewhere":                    {Inputs{Here: place(300, 400, 0.3), Spare: place(390, 400, 2), Pressure: Pressure{Move: 0.5, Yield: 0.5, Wait: ms(300)}}, Forward, ReasonDisplaced, 0},
+		"yields, ordinary place there":              {Inputs{Here: place(300, 400, 0.3), There: place(100, 400, 0), Pressure: Pressure{Move: 1, Yield: 1}}, Forward, ReasonCheaper, 0},
+		"idle target at full pressure":              {Inputs{Here: place(0, 400, 0.1), Pressure: Pressure{Move: 1, Yield: 1}}, Serve, ReasonFits, 0},
+		"gives way, but late here anyway":           {Inputs{Here: late, Pressure: Pressure{Move: 1, Yield: 1}}, Refuse, ReasonLate, ms(300)},
 	} {
 		if c.in.EndsIn == 0 {
 			c.in.EndsIn = NoEnd
