room: count no request as short that would be late at an idle target

Cause: callers that leave less time than an idle target needs counted as short of room, so the pressure never ended while such came, and their allowed wait of zero closed targets that were all but idle to less urgent requests. Change: they are not counted, and the wait of pressing requests has a floor. Result: TestUnattainableRequestsAreNoShortage fails in its three cases without the change and passes with it; go test ./internal/room and go vet pass.

--- a/internal/room/shortage.go
+++ b/internal/room/shortage.go
@@ -18,6 +18,9 @@
 	pressureGain = 2
 	// shortFrom is the part of its wait from which on a request begins to count as short.
 	shortFrom = 0.5
+	// minPressingWait is the least wait that pressing requests are taken to have, so that a few
+	// with hardly any do not close targets that are all but idle.
+	minPressingWait = 50 * time.Millisecond
 	// aggregateTime is how long a sum over hosts is used again.
 	aggregateTime = 20 * time.Millisecond
 	// maxPriority is the largest priority that is told apart.
@@ -107,8 +110,12 @@
 	return &Shortages{own: map[string]*levels{}, hosts: map[string]report{}, sums: map[string]*sum{}}
 }
 
-// Record counts a request of this host's callers.
+// Record counts a request that came to this host. One that would be late without other work as
+// well is not counted, as nothing that others leave to it helps.
 func (s *Shortages) Record(now time.Duration, service string, level Level, short float64, allowedWait time.Duration) {
+	if allowedWait <= 0 {
+		return
+	}
 	l := s.own[service]
 	if l == nil {
 		l = &levels{}
@@ -116,7 +123,7 @@
 	}
 	c := &l[level]
 	c.decayTo(now)
-	c.add(counter{asked: 1, short: short, wait: float64(max(0, allowedWait))})
+	c.add(counter{asked: 1, short: short, wait: float64(allowedWait)})
 }
 
 // reportInterval is the time between reports of counts. It is short against sampleTime.
@@ -232,7 +239,7 @@
 		pressure := min(1, pressureGain*c.short/(c.asked+minAsked))
 		p.Move = max(p.Move, pressure)
 		if Level(i).priority() < level.priority() && pressure > p.Yield {
-			p.Yield, p.Wait = pressure, time.Duration(c.wait/c.asked)
+			p.Yield, p.Wait = pressure, max(minPressingWait, time.Duration(c.wait/c.asked))
 		}
 	}
 	return p
--- a/internal/room/shortage_test.go
+++ b/internal/room/shortage_test.go
@@ -60,6 +60,24 @@
 	}
 }
 
+// Pattern: callers leave urgent requests less time than an idle target needs, or hardly more.
+func TestUnattainableRequestsAreNoShortage(t *testing.T) {
+	t.Parallel()
+	idle := 200 * time.Millisecond
+	for _, c := range []struct {
+		limit time.Duration
+		want  Pressure
+	}{{180 * time.Millisecond, Pressure{}}, {idle, Pressure{}}, {205 * time.Millisecond, Pressure{Move: 1, Yield: 1, Wait: minPressingWait}}} {
+		s := NewShortages()
+		for range 30 {
+			s.Record(0, "s", boundUrgent, Shortness(210*time.Millisecond, idle, c.limit), c.limit-idle)
+		}
+		if got := s.Pressure(0, "s", freeLate); got != c.want {
+			t.Errorf("limit %s: %+v, want %+v", c.limit, got, c.want)
+		}
+	}
+}
+
 // Pattern: a host is cut off, and reports arrive out of order.
 func TestReportsAge(t *testing.T) {
 	t.Parallel()
