room: tell a refused caller that there is no room only after enough decisions

Cause: a level with few requests has a low rate of accepted ones, so a caller refused there was told that there is no room until its deadline without any shortage before it. Change: refusals are counted beside accepted requests; below four recent decisions the caller may come back at the earliest time. The case of TestNamedTimesFitTheRoom in which the first refusal of a level must tell that there is no room stated the fault; it now requires room until the third refusal and none from the fourth on. Result: TestFewDecisionsAreNoLackOfRoom and that case fail without the change and pass with it; go vet passes.

--- a/internal/room/schedule.go
+++ b/internal/room/schedule.go
@@ -12,6 +12,8 @@
 	// minReturnRate is the rate of returning requests per second below which no room is
 	// expected.
 	minReturnRate = 0.05
+	// minDecisions is the number of recent decisions below which nothing is known of the room.
+	minDecisions = 4
 	// competingTime is how long after its latest request a level counts as competing.
 	competingTime = 10 * time.Second
 )
@@ -30,6 +32,7 @@
 
 type returnQueue struct {
 	accepted counter       // asked counts the accepted requests
+	refused  counter       // asked counts the refused ones
 	next     time.Duration // position of the next time
 	seenAt   time.Duration // when a request last arrived
 }
@@ -69,10 +72,15 @@
 // Name returns how long after now a refused request should come back. It needs service for
 // its response and has left until its deadline. At the earliest it comes back after soonest.
 // Without room within its time it returns false, and all of that time; such a request takes no
-// position from others.
+// position from others. After few decisions the room is unknown, and it may come at once.
 func (s *Schedule) Name(now time.Duration, service string, level Level, soonest, needs, left time.Duration) (time.Duration, bool) {
 	q := s.queue(service, level)
 	q.accepted.decayTo(now)
+	q.refused.decayTo(now)
+	q.refused.asked++
+	if q.accepted.asked+q.refused.asked < minDecisions {
+		return soonest, true
+	}
 	rate := q.accepted.asked / sampleTime.Seconds() * returnShare
 	at := max(q.next, now+soonest)
 	if rate < minReturnRate || at-now+needs > left {
