room: name no time to come back that callers do not keep to

Cause: callers cut a named time to a third of what they have left, so all that were told a later position, or that there is no room, came back at that time together with those whose position it was. Change: the part of the time left that callers keep to comes from platform/. Requests whose position lies past it take none; their times are spread at random over its later half. Name takes its times as a struct.

--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -53,7 +53,7 @@
 			RetryRatio: p.Bounds.RetryRatio, RetryWindow: clock.Seconds(p.Bounds.RetryWindowS), RetrySlack: p.Bounds.RetrySlack,
 			RateSlack: p.Bounds.RateSlack, ColdOverrun: p.Bounds.ColdOverrun, ColdSlack: p.Bounds.ColdSlack,
 		},
-		CallerProtocol: platform.CallerProtocol{}, TargetProtocol: platform.TargetProtocol{}, Views: gateway.NewViewStore(platform.ConfigurationDecoder{}),
+		CallerProtocol: platform.CallerProtocol{}, HonouredShare: platform.HonouredShare, TargetProtocol: platform.TargetProtocol{}, Views: gateway.NewViewStore(platform.ConfigurationDecoder{}),
 		Table: registry.NewTable(), Log: d.log, Metrics: d.metrics, Front: p.Front, Forward: p.ForwardAddress(), Peer: p.PeerAddress(), RateClient: rateClient{d.transport.Dial},
 		Started: time.Now().UnixMilli(), MaxBodyMemory: d.gate.Account.Limits().Account, MaxResponseMemory: d.gate.Account.Limits().Responses,
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -215,7 +215,7 @@
 	g.recordShortage(now, x, choice.Estimate, firstByteLimit)
 	if x.placementRequest.Software == nil { // a stream that has begun does not give way
 		x.pressure = g.pressureOn(now, x)
-		firstByteLimit = x.pressure.LimitAt(firstByteLimit, choice.IdleTTFB, drawOf(x.call.ID))
+		firstByteLimit = x.pressure.LimitAt(firstByteLimit, choice.IdleTTFB, drawOf("draw", x.call.ID))
 	}
 	if choice.TTFB > firstByteLimit {
 		return nil, fmt.Errorf("expected time to first byte of %s exceeds the forwarded limit of %s (pressure %.2f)", choice.TTFB, firstByteLimit, x.pressure.Yield)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,11 +88,14 @@
 	RegionByDataCentre map[string]string
 	Bounds             Bounds
 	CallerProtocol     CallerProtocol
-	TargetProtocol     TargetProtocol
-	Views              *ViewStore
-	Table              *registry.Table
-	Log                *logrus.Logger
-	Metrics            metrics.Registry
+	// HonouredShare is the part of its time left for which a caller waits if it is told to come
+	// back later; 0 means all of it.
+	HonouredShare  float64
+	TargetProtocol TargetProtocol
+	Views          *ViewStore
+	Table          *registry.Table
+	Log            *logrus.Logger
+	Metrics        metrics.Registry
 	// LocalOnly disables forwarding to other regions. It is a baseline for measurements.
 	LocalOnly bool
 	// EqualUrgency means that no request gives way to a more urgent one.
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -25,7 +25,7 @@
 	if p.Here != nil {
 		g.recordShortage(now, x, p.here.Estimate, p.HereLimit)
 	}
-	p.Draw = drawOf(x.call.ID)
+	p.Draw = drawOf("draw", x.call.ID)
 	p.Pressure = g.pressureOn(now, x)
 }
 
@@ -37,10 +37,10 @@
 	return g.shortages.Pressure(now, x.service, x.level)
 }
 
-// drawOf returns a random number from 0 to 1 that follows from the id of a request. It differs
-// from those by which its hosts are chosen.
-func drawOf(id string) float64 {
-	return float64(rendezvous.Weight("draw", id)) / math.MaxUint64
+// drawOf returns a random number from 0 to 1 that follows from the id of a request and a
+// purpose. It differs from those by which its hosts are chosen.
+func drawOf(purpose, id string) float64 {
+	return float64(rendezvous.Weight(purpose, id)) / math.MaxUint64
 }
 
 // recordShortage counts a request at its first choice. g.mu must be held.
@@ -85,7 +85,12 @@
 func (g *Gateway) nameReturn(now time.Duration, x *requestState, d room.Decision) (time.Duration, string) {
 	soonest := max(minRetryAfter, d.RetryIn)
 	if g.schedule.Arrived(now, x.service, x.level) && !g.EqualUrgency {
-		wait, fits := g.schedule.Name(now, x.service, x.level, soonest, d.Place.Idle, x.deadline-now)
+		left := max(0, x.deadline-now)
+		honoured := left
+		if g.HonouredShare > 0 {
+			honoured = time.Duration(g.HonouredShare * float64(left))
+		}
+		wait, fits := g.schedule.Name(now, x.service, x.level, room.Return{Soonest: soonest, Needs: d.Place.Idle, Left: left, Honoured: honoured, Draw: drawOf("return", x.call.ID)})
 		if !fits {
 			g.requestMetrics.hopeless.Inc(1)
 			return wait, "; no room is expected within its time"
--- a/internal/room/schedule.go
+++ b/internal/room/schedule.go
@@ -69,23 +69,48 @@
 	q.accepted.asked++
 }
 
-// Name returns how long after now a refused request should come back. It needs service for
-// its response and has left until its deadline. At the earliest it comes back after soonest.
-// Without room within its time it returns false, and all of that time; such a request takes no
-// position from others. After few decisions the room is unknown, and it may come at once.
-func (s *Schedule) Name(now time.Duration, service string, level Level, soonest, needs, left time.Duration) (time.Duration, bool) {
+// Return is what is known of the return of a refused request.
+type Return struct {
+	// Soonest is when it may come back at the earliest, Needs how long its response takes, and
+	// Left its time until its deadline.
+	Soonest, Needs, Left time.Duration
+	// Honoured is the longest time that its caller keeps to; it comes back then if told more.
+	Honoured time.Duration
+	// Draw, from 0 to 1, is random for each request.
+	Draw float64
+}
+
+// spreadFrom is the part of the honoured time from which on requests are spread that have no
+// position within it.
+const spreadFrom = 0.5
+
+// spread returns a time up to the honoured one, so that those without a position do not return at once.
+func (r *Return) spread() time.Duration {
+	longest := max(r.Soonest, r.Honoured)
+	from := max(r.Soonest, time.Duration(spreadFrom*float64(longest)))
+	return from + time.Duration(r.Draw*float64(longest-from))
+}
+
+// Name returns how long after now a refused request should come back, at most the time that its
+// caller keeps to, unless Soonest is longer. Without room within its time it returns false. A request
+// whose position lies past the named time takes none from others. After few decisions the room is
+// unknown, and it may come at once.
+func (s *Schedule) Name(now time.Duration, service string, level Level, r Return) (time.Duration, bool) {
 	q := s.queue(service, level)
 	q.accepted.decayTo(now)
 	q.refused.decayTo(now)
 	q.refused.asked++
 	if q.accepted.asked+q.refused.asked < minDecisions {
-		return soonest, true
+		return r.Soonest, true
 	}
 	rate := q.accepted.asked / sampleTime.Seconds() * returnShare
-	at := max(q.next, now+soonest)
-	if rate < minReturnRate || at-now+needs > left {
-		return max(soonest, left), false
+	wait := max(q.next-now, r.Soonest)
+	if rate < minReturnRate || wait+r.Needs > r.Left {
+		return r.spread(), false
+	}
+	if wait > max(r.Soonest, r.Honoured) {
+		return r.spread(), true
 	}
 	q.next = max(q.next, now) + time.Duration(math.Round(float64(time.Second)/rate))
-	return at - now, true
+	return wait, true
 }
