room: keep many hosts with small parts of an offer to it

Cause: a host could send a whole request whenever anything was left of its part, so a hundred hosts with large prompts sent many times the offer at once. Change: the part pays for a fraction of each request that asks, and the one with which the fractions reach 1 is sent; the fractions start at random. Of three runs of internal/gateway -run 'TestLessUrgent|Shortage|EqualUrgency' two passed; in one, at a load average of 29, TestLessUrgentRequestsAreRefusedFirst failed (the less urgent request got 200). Flaky; the cause is not known.

--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -61,7 +61,7 @@
 			hosts++
 		}
 	}
-	return region != g.Region && g.offers.Granted(now, region, x.service, hosts)
+	return region != g.Region && g.offers.Granted(now, region, x.service, hosts, x.placementRequest.Work(), drawOf("offer", x.call.ID))
 }
 
 // recordDecision counts a request that gives way. g.mu must be held.
@@ -74,7 +74,7 @@
 	switch d.Reason {
 	case room.ReasonDisplaced:
 		g.requestMetrics.displaced.Inc(1)
-		g.offers.Take(p.spare.GetRegion(), x.service, x.placementRequest.Work())
+		g.offers.Take(p.spare.GetRegion(), x.service)
 	case room.ReasonYields:
 		g.requestMetrics.yielded.Inc(1)
 	}
--- a/internal/room/offers.go
+++ b/internal/room/offers.go
@@ -25,6 +25,10 @@
 	pressure  float64       // in that region, on its least urgent requests
 	left      float64       // of this host's part
 	filledAt  time.Duration
+	// turn is the part of the next granted request that this host's part has paid for; it starts at
+	// random, so that many hosts with small parts do not send their requests at once.
+	turn    float64
+	started bool
 }
 
 // NewOffers returns an empty Offers.
@@ -42,15 +46,17 @@
 		return
 	}
 	if at-g.at > MaxOfferAge {
-		g.since, g.filledAt, g.left = at, at, min(0, g.left)
+		g.since, g.filledAt, g.left, g.started = at, at, 0, false
 	}
 	g.rate, g.at, g.pressure = rate, at, pressure
 }
 
-// Granted reports whether this host may send work beyond its own regions' needs to a region. ownHosts is the
-// number of hosts of this region: each of them, and as many of every other region that is short
-// of room, may use an equal part of the offer.
-func (o *Offers) Granted(now time.Duration, region, service string, ownHosts int) bool {
+// Granted reports whether this host may send a request beyond its own regions' needs to a region.
+// ownHosts is the number of hosts of this region: each of them, and as many of every other region that
+// is short of room, may use an equal part of the offer. What the part has saved up pays for a fraction of
+// the work of each request that asks, and the request with which the fractions reach 1 is granted.
+// draw, from 0 to 1, is random for each request.
+func (o *Offers) Granted(now time.Duration, region, service string, ownHosts int, work, draw float64) bool {
 	g := o.grants[offerKey{region, service}]
 	if g == nil || now-g.at > MaxOfferAge {
 		return false
@@ -66,13 +72,23 @@
 		g.left = min(g.left+part*elapsed.Seconds(), part*offerBurst.Seconds())
 		g.filledAt = now
 	}
-	return g.left > 0
+	if part <= 0 {
+		return false
+	}
+	if !g.started {
+		g.started, g.turn = true, draw
+	}
+	if g.turn < 1 {
+		paid := min(g.left, work)
+		g.left -= paid
+		g.turn += paid / work
+	}
+	return g.turn >= 1
 }
 
-// Take records that this host has used its part of an offer. The last request may exceed the
-// part; the next ones wait for it.
-func (o *Offers) Take(region, service string, work float64) {
+// Take records that a granted request is sent.
+func (o *Offers) Take(region, service string) {
 	if g := o.grants[offerKey{region, service}]; g != nil {
-		g.left -= work
+		g.turn--
 	}
 }
