room: keep an offer when a host of an earlier release tells a load

Cause: loads of hosts of an earlier release have no room or pressure, and the zeros replaced what other hosts of their region had told. Change: a load with neither is not taken as an offer; a region without room and without pressure tells a trace of room, so that it differs from those. Two tests get the comment line on their pattern that was missing. Result: TestLoadOfAnEarlierReleaseKeepsTheOffer fails without the change in update.go and passes with it; internal/gateway -run 'TestLessUrgent|Shortage| EqualUrgency|EarlierRelease' and go vet pass.

--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -115,10 +115,22 @@
 func (g *Gateway) encodeLoad(now time.Duration, service string, l placement.Load) *syncpb.Load {
 	pressure := g.shortages.Pressure(now, service, room.LevelCount)
 	g.logRoom(now, service, pressure.Move)
+	spare := g.placer.Room(now, service) * (1 - pressure.Move)
+	if pressure.Move <= 0 {
+		spare = max(spare, leastRoom)
+	}
 	return &syncpb.Load{Service: service, WaitMs: l.TTFB.Milliseconds(), TokenUs: l.TimePerToken.Microseconds(), ShortWaitMs: l.Short.Milliseconds(), LongWaitMs: l.Long.Milliseconds(),
-		Room: float32(g.placer.Room(now, service) * (1 - pressure.Move)), Pressure: float32(pressure.Move)}
+		Room: float32(spare), Pressure: float32(pressure.Move)}
 }
 
+// leastRoom is told instead of no room by a region without pressure. It is too little for any
+// request, but differs from a load of an earlier release, which tells neither.
+const leastRoom = 1e-6
+
+// tellsRoom reports whether a load is from a host that tells room and pressure. Those of others
+// must not replace what hosts of the same region told.
+func tellsRoom(l *syncpb.Load) bool { return l.GetRoom() != 0 || l.GetPressure() != 0 }
+
 // pressureSteps is the number of steps of the pressure that are logged.
 const pressureSteps = 4
 
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -113,7 +113,29 @@
 	}
 }
 
-// Guards against a setting without effect.
+// Pattern: an upgrade under load: hosts of both releases report the load of another region in turn.
+// Guards against an offer that those of the old release end.
+func TestLoadOfAnEarlierReleaseKeepsTheOffer(t *testing.T) {
+	here, there := newTarget(t, success), newTarget(t, success)
+	f := newCompeting(t, true, here)
+	address := forwardAddress(t, newCompeting(t, false, there))
+	offerFrom(f, address)
+	now := clock.SinceBoot()
+	f.Apply(now, fleetsync.Update{SentAt: now, ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, Hosts: []*syncpb.EntryHost{
+		{Name: "old", Region: "elsewhere", Forward: address, Serving: true, Loads: []*syncpb.Load{{Service: "s", WaitMs: 10}}}}}})
+	if got := f.call(t, "/late/"); got.status != 200 || there.count() != 1 {
+		t.Errorf("response %+v, %d requests elsewhere", got, there.count())
+	}
+	idle := newCompeting(t, false)
+	for _, l := range idle.ExchangeRequest(clock.SinceBoot(), true, 0).GetHost().GetLoads() {
+		if l.GetRoom() == 0 {
+			t.Errorf("load %v looks like one of an earlier release", l)
+		}
+	}
+}
+
+// Pattern: an operator turns ranking by urgency off during a peak. Guards against a setting without
+// effect.
 func TestEqualUrgency(t *testing.T) {
 	here, there := newTarget(t, slowly(50*time.Millisecond, success)), newTarget(t, success)
 	f := newCompeting(t, true, here)
@@ -124,7 +146,7 @@
 	}
 }
 
-// Guards against counts that the hosts of the region do not learn.
+// Pattern: urgent work is short of room at some hosts of a region only. Guards against counts that the hosts of the region do not learn.
 func TestShortagesAreReported(t *testing.T) {
 	f := newCompeting(t, true, newTarget(t, success))
 	f.call(t, "/late/")
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -165,7 +165,7 @@
 	for _, l := range h.GetLoads() {
 		g.remoteRegion(h.GetRegion()).UpdateLoad(l.GetService(), placement.Load{TTFB: clock.Millis(float64(l.GetWaitMs())),
 			TimePerToken: time.Duration(l.GetTokenUs()) * time.Microsecond, Short: clock.Millis(float64(l.GetShortWaitMs())), Long: clock.Millis(float64(l.GetLongWaitMs())), MeasuredAt: heard})
-		if h.GetRegion() != g.Region {
+		if h.GetRegion() != g.Region && tellsRoom(l) {
 			g.offers.Tell(h.GetRegion(), l.GetService(), heard, float64(l.GetRoom()), float64(l.GetPressure()))
 		}
 	}
