--- a/internal/room/shortage_test.go
+++ b/internal/room/shortage_test.go
@@ -93,6 +93,7 @@
 	}
 }
 
+// Pattern: the load of urgent work rises from little to more than the targets can take.
 func TestLimitUnderPressure(t *testing.T) {
 	t.Parallel()
 	idle, limit := 100*time.Millisecond, 1700*time.Millisecond
