gateway: count a request as accepted once, and name times only for final refusals

Cause: each choice of a place for a request counted as one that found room, also when it was rejected or not sent, and each poll of a host that waits for targets after its start took a position from callers that come back. Change: a request counts when a target or another host has taken it; polls that are decided on again take no position. Result: TestRequestIsAcceptedOnceInTime fails with a count per choice and passes with the change; go vet passes; polls have no test of their own.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -313,6 +313,7 @@
 	// decision and pressure are those of the latest choice. shortageKnown is set when the request
 	// was counted among those that may be short of room.
 	decision      room.Decision
+	foundRoom     bool // and is not counted as accepted yet
 	pressure      room.Pressure
 	shortageKnown bool
 	suspectKeys   []uint64
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -64,12 +64,11 @@
 	return region != g.Region && g.offers.Granted(now, region, x.service, hosts, x.placementRequest.Work(), drawOf("offer", x.call.ID))
 }
 
-// recordDecision counts a request that gives way. g.mu must be held.
+// recordDecision counts a request that gives way, and notes one that has found room. g.mu must be held.
 func (g *Gateway) recordDecision(x *requestState, p *places, d room.Decision) {
 	if d.Action != room.Refuse && x.sends == 0 {
-		now := sinceBoot()
-		g.schedule.Arrived(now, x.service, x.level)
-		g.schedule.Accepted(now, x.service, x.level)
+		g.schedule.Arrived(sinceBoot(), x.service, x.level)
+		x.foundRoom = true
 	}
 	switch d.Reason {
 	case room.ReasonDisplaced:
@@ -80,6 +79,17 @@
 	}
 }
 
+// recordAccepted counts a request once that a target or another host has taken.
+func (g *Gateway) recordAccepted(x *requestState) {
+	if !x.foundRoom {
+		return
+	}
+	x.foundRoom = false
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.schedule.Accepted(sinceBoot(), x.service, x.level)
+}
+
 // nameReturn returns the time after which a refused request should come back, and what to tell
 // its caller if no room is expected until its deadline. g.mu must be held.
 func (g *Gateway) nameReturn(now time.Duration, x *requestState, d room.Decision) (time.Duration, string) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -322,7 +322,10 @@
 	case room.ReasonNoTarget:
 		return g.noTarget(now, x)
 	}
-	wait, outlook := g.nameReturn(now, x, d)
+	wait, outlook := max(minRetryAfter, d.RetryIn), ""
+	if !g.mayAwaitTarget(x, refusal.Overloaded) { // otherwise it is decided on again
+		wait, outlook = g.nameReturn(now, x, d)
+	}
 	if d.Reason == room.ReasonYields {
 		outlook = ", which more urgent requests leave" + outlook
 	}
@@ -500,6 +503,7 @@
 		}
 		return &attemptError{ran: refusal.NotRun, retryAfter: g.availableIn(x), err: fmt.Errorf("target %s rejected the request with status %d", s.target, res.Status)}
 	}
+	g.recordAccepted(x)
 	if err := x.checkContinuation(s, res, class); err != nil {
 		outcome = placement.Failed
 		return err
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -64,7 +64,7 @@
 // awaitTarget delays a request that found no target while the host has just started and
 // may not know all targets. It reports whether to choose a target again.
 func (g *Gateway) awaitTarget(ctx context.Context, x *requestState, refused *refusal.Error) bool {
-	if x.sends > 0 || x.decision.Reason == room.ReasonYields || refused.Code != refusal.NoTarget && refused.Code != refusal.Overloaded || g.startWaitLeft(x, targetDiscoveryTime) <= 0 {
+	if !g.mayAwaitTarget(x, refused.Code) {
 		return false
 	}
 	began := sinceBoot()
@@ -72,6 +72,11 @@
 	return clock.Sleep(ctx, targetPollInterval)
 }
 
+// mayAwaitTarget reports whether a request that was refused waits for targets to become known.
+func (g *Gateway) mayAwaitTarget(x *requestState, code refusal.Code) bool {
+	return x.sends == 0 && x.decision.Reason != room.ReasonYields && (code == refusal.NoTarget || code == refusal.Overloaded) && g.startWaitLeft(x, targetDiscoveryTime) > 0
+}
+
 // startRetryAfter returns the Retry-After of a host that has no configuration yet: a
 // short one at first, in case the control hosts are running, and then the time until
 // control hosts that started at the same time have probably elected a leader.
