room: tell no pressure with room = "equal"

Cause: with ranking by urgency turned off a region still offered less room and logged and told its pressure; the note said that only callers' requests count. Result: the new part of TestEqualUrgency fails without the change and passes with it; TestShortagesAreReported and go vet pass.

--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -31,10 +31,15 @@
 
 // pressureOn returns the pressure on a request in this region. g.mu must be held.
 func (g *Gateway) pressureOn(now time.Duration, x *requestState) room.Pressure {
+	return g.pressureAt(now, x.service, x.level)
+}
+
+// pressureAt returns the pressure on the requests of a level. g.mu must be held.
+func (g *Gateway) pressureAt(now time.Duration, service string, level room.Level) room.Pressure {
 	if g.EqualUrgency {
 		return room.Pressure{}
 	}
-	return g.shortages.Pressure(now, x.service, x.level)
+	return g.shortages.Pressure(now, service, level)
 }
 
 // drawOf returns a random number from 0 to 1 that follows from the id of a request and a
@@ -123,7 +128,7 @@
 // encodeLoad returns the load of a service for the hosts of other regions. What more urgent
 // requests need here is not offered. g.mu must be held.
 func (g *Gateway) encodeLoad(now time.Duration, service string, l placement.Load) *syncpb.Load {
-	pressure := g.shortages.Pressure(now, service, room.LevelCount)
+	pressure := g.pressureAt(now, service, room.LevelCount)
 	g.logRoom(now, service, pressure.Move)
 	spare := g.placer.Room(now, service) * (1 - pressure.Move)
 	if pressure.Move <= 0 {
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -144,6 +144,10 @@
 	if got := f.call(t, "/late/"); got.status != 200 || here.count() != 1 {
 		t.Errorf("response %+v, %d requests here", got, here.count())
 	}
+	loads := f.ExchangeRequest(clock.SinceBoot(), true, 0).GetHost().GetLoads()
+	if len(loads) != 1 || loads[0].GetRoom() == 0 || loads[0].GetPressure() != 0 {
+		t.Errorf("loads %v, want all room and no pressure", loads)
+	}
 }
 
 // Pattern: urgent work is short of room at some hosts of a region only. Guards against counts that the hosts of the region do not learn.
