gateway: a test of refusals under pressure holds its running requests

Cause: TestLessUrgentRequestsAreRefusedFirst let its running requests end after 700 ms and used a report that may be too old by then; it failed in 1 of 15 runs beside load. Change: the running requests are held until the checks are done, and the report is renewed before each; what is required is unchanged.

--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -47,12 +47,17 @@
 	f.RegionByDataCentre["far"] = "elsewhere"
 	f.update(0, targets...)
 	if short {
-		f.ApplyUsage(&syncpb.UsageBatch{Reports: []*syncpb.RelayedReport{{Report: &syncpb.UsageReport{Host: "peer",
-			Shortages: []*syncpb.Shortage{{Service: "s", Level: 1, AskedTenths: 900, ShortTenths: 900, WaitMs: 50}}}}}})
+		f.reportShortage()
 	}
 	return f
 }
 
+// reportShortage tells the host what another one of its region has counted.
+func (f *fixture) reportShortage() {
+	f.ApplyUsage(&syncpb.UsageBatch{Reports: []*syncpb.RelayedReport{{Report: &syncpb.UsageReport{Host: "peer",
+		Shortages: []*syncpb.Shortage{{Service: "s", Level: 1, AskedTenths: 900, ShortTenths: 900, WaitMs: 50}}}}}})
+}
+
 // offerFrom tells a host the offer of another region, whose host takes forwarded requests at an
 // address.
 func offerFrom(f *fixture, address string) {
@@ -86,14 +91,13 @@
 // refusal that says that the request may have run.
 func TestLessUrgentRequestsAreRefusedFirst(t *testing.T) {
 	const running = 5
-	script := []http.HandlerFunc{}
+	script, release := []http.HandlerFunc{}, make(chan struct{})
 	for range running {
-		script = append(script, slowly(700*time.Millisecond, success))
+		script = append(script, func(w http.ResponseWriter, r *http.Request) { <-release; success(w, r) })
 	}
 	s := newTarget(t, append(script, success)...)
 	f := newCompeting(t, true, s)
 	var urgent sync.WaitGroup
-	defer urgent.Wait()
 	for range running {
 		urgent.Go(func() { f.call(t, "/safe/") })
 	}
@@ -104,10 +108,13 @@
 	local.Views = gateway.NewViewStore(competing{protocol{}.codec()})
 	local.update(0)
 	for name, host := range map[string]*fixture{"here": f, "forwarded": local} {
+		f.reportShortage() // the one before may be too old: a call may have waited for the start
 		if got := host.call(t, "/late/"); got.header.Get("Ran") != "not_run" || got.header.Get("Retry") == "" {
 			t.Errorf("%s: response %+v", name, got)
 		}
 	}
+	close(release)
+	urgent.Wait()
 	if got := f.call(t, "/safe/"); got.status != 200 {
 		t.Errorf("urgent request: response %+v", got)
 	}
