room: end the positions of a shortage with it

Cause: a position was a time that followed from the rate when it was given, so callers were still told that there is no room after the shortage had ended. Change: the number of waiting positions is kept and divided by the current rate. Result: TestPositionsEndWithTheShortage fails without the change and passes with it, as do the other tests of the schedule; go vet passes.

--- a/internal/room/schedule.go
+++ b/internal/room/schedule.go
@@ -31,10 +31,13 @@
 }
 
 type returnQueue struct {
-	accepted counter       // asked counts the accepted requests
-	refused  counter       // asked counts the refused ones
-	next     time.Duration // position of the next time
-	seenAt   time.Duration // when a request last arrived
+	accepted counter // asked counts the accepted requests
+	refused  counter // asked counts the refused ones
+	// waiting is the number of positions ahead of the next one, as of countedAt. Their times follow from
+	// the current rate, so that those given in a shortage do not outlive it.
+	waiting   float64
+	countedAt time.Duration
+	seenAt    time.Duration // when a request last arrived
 }
 
 // NewSchedule returns an empty Schedule.
@@ -104,13 +107,18 @@
 		return r.Soonest, true
 	}
 	rate := q.accepted.asked / sampleTime.Seconds() * returnShare
-	wait := max(q.next-now, r.Soonest)
-	if rate < minReturnRate || wait+r.Needs > r.Left {
+	if rate < minReturnRate {
+		return r.spread(), false
+	}
+	q.waiting = max(0, q.waiting-rate*(now-q.countedAt).Seconds())
+	q.countedAt = now
+	wait := max(time.Duration(math.Round(q.waiting/rate*float64(time.Second))), r.Soonest)
+	if wait+r.Needs > r.Left {
 		return r.spread(), false
 	}
 	if wait > max(r.Soonest, r.Honoured) {
 		return r.spread(), true
 	}
-	q.next = max(q.next, now) + time.Duration(math.Round(float64(time.Second)/rate))
+	q.waiting++
 	return wait, true
 }
--- a/internal/room/schedule_test.go
+++ b/internal/room/schedule_test.go
@@ -106,3 +106,23 @@
 		}
 	}
 }
+
+// Pattern: a shortage ends while callers with much time hold many positions.
+func TestPositionsEndWithTheShortage(t *testing.T) {
+	t.Parallel()
+	s := NewSchedule()
+	now := 20 * time.Second
+	for range 3 {
+		s.Accepted(now, "s", boundUrgent)
+	}
+	for range 40 {
+		s.Name(now, "s", boundUrgent, Return{Left: time.Minute, Honoured: time.Minute})
+	}
+	now += 5 * time.Second
+	for range 300 {
+		s.Accepted(now, "s", boundUrgent)
+	}
+	if wait, fits := s.Name(now, "s", boundUrgent, Return{Soonest: 250 * time.Millisecond, Left: 5 * time.Second, Honoured: 5 * time.Second}); !fits || wait > time.Second {
+		t.Errorf("told %s, room %v, while 100 requests find room in a second", wait, fits)
+	}
+}
