gateway: add the silence of a target to the limit of a request once

Cause: after a failed attempt its whole duration was added to the time that the limit allows for, though the silence of its target was counted in it already. Change: only the rest is added. Result: TestSilenceIsLostTimeOnce (of the new function) passes, as does internal/gateway -run 'LostTime|TimeLost|Silent|Silence|AcceptedOnce'; go vet passes.

--- a/internal/gateway/accepted_test.go
+++ b/internal/gateway/accepted_test.go
@@ -28,3 +28,15 @@
 		t.Errorf("told %s, room %v; want 2 s after the first position", wait, fits)
 	}
 }
+
+// Pattern: targets that freeze under load are given up. Guards against a wait that extends the limit
+// of a request twice.
+func TestSilenceIsLostTimeOnce(t *testing.T) {
+	x := &requestState{silentWait: 300 * time.Millisecond}
+	before := x.silentWait
+	x.silentWait += 400 * time.Millisecond
+	x.addLostTime(500*time.Millisecond, before)
+	if x.hostWait != 100*time.Millisecond {
+		t.Errorf("added %s, want what the target was not silent for", x.hostWait)
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -117,7 +117,7 @@
 		if err != nil {
 			return finalError(x, last, err)
 		}
-		began := sinceBoot()
+		began, silent := sinceBoot(), x.silentWait
 		err = g.attempt(ctx, w, x, s)
 		if err == nil || errors.Is(err, errCallerGone) {
 			return err
@@ -132,13 +132,13 @@
 		switch {
 		case failed.unsent:
 			unsent++
-			x.hostWait += sinceBoot() - began
+			x.addLostTime(sinceBoot()-began, silent)
 		case failed.ran == refusal.NotRun:
 			rejected++
 		default:
 			x.ran = refusal.Unknown
 			// The time lost to a target that failed is no overload of the next one.
-			x.hostWait += sinceBoot() - began
+			x.addLostTime(sinceBoot()-began, silent)
 		}
 		if ctx.Err() != nil || x.responseStarted && !x.continuable() {
 			return finalError(x, last, err)
@@ -150,6 +150,12 @@
 	}
 }
 
+// addLostTime adds the time that a failed attempt took, without the silence of its target, which
+// counts already: silentBefore is what was counted before the attempt.
+func (x *requestState) addLostTime(took, silentBefore time.Duration) {
+	x.hostWait += max(0, took-(x.silentWait-silentBefore))
+}
+
 // finalError returns the error of the request, given the error of its last failed
 // attempt, or nil, and the error that ended the attempts.
 func finalError(x *requestState, last, err error) error {
