engine: faulty reports do not spoil the rates of a region

Cause: a report of another host was only checked value by value, so that impossible sums gave NaN rates and heavy ones outweighed all hosts. A setting without a read speed gave an infinite read time and negative TTFB estimates.

Change: mixed products that no observations can have are refused; times and weight of one host are bounded by those of the others; a fit without a finite solution gives the setting; reports have a format (field 3 of EngineObservations, absent means the first); a missing read speed counts as 50,000 tokens a second.

Measured: TestFaultyReportsDoNotSpoilTheRates and TestEnginesWithoutAReadSpeed fail on (636 ms instead of 35 ms an event, idle TTFB below 0).

--- a/internal/engine/calibration.go
+++ b/internal/engine/calibration.go
@@ -79,6 +79,13 @@
 	sums *sums
 }
 
+// ReportFormat is the format of the reports of this build. Reports without one are in the
+// first format.
+const ReportFormat = 1
+
+// KnownFormat reports whether this build reads reports of a format.
+func KnownFormat(format uint32) bool { return format == 0 || format == ReportFormat }
+
 // NewCalibration returns a calibration that begins with the rates of the settings.
 func NewCalibration(start Rates) *Calibration {
 	start.EventsPerToken = max(start.EventsPerToken, 1e-3)
@@ -216,17 +223,26 @@
 
 func (c *Calibration) solve(now time.Duration) {
 	c.solved, c.solvedAt = true, now
+	start := c.start
+	firstPrior, eventPrior := start.firstCoefficients(), start.eventCoefficients(c.rates.EventsPerToken)
 	total := sums{}
 	total.add(&c.own, now-c.ownAt)
+	others := make([]sums, 0, len(c.hosts))
 	for host, h := range c.hosts {
 		if now-h.at > reportTTL {
 			delete(c.hosts, host)
 			continue
 		}
-		total.add(h.sums, now-h.at)
+		aged := *h.sums
+		aged.age(now - h.at)
+		aged.first.bound(firstPrior, maxFactor)
+		aged.event.bound(eventPrior, maxFactor)
+		others = append(others, aged)
 	}
-	start := c.start
-	first := total.first.solve([features]float64{start.First.Seconds() * 1e3, start.Read * promptUnit / 1e6, start.ReadPerRunning * promptUnit * runningUnit / 1e6}, firstPrecision)
+	total.addLimited(others)
+	total.first = total.first.withoutOutliers(others, firstOf, firstPrior, firstPrecision)
+	total.event = total.event.withoutOutliers(others, eventOf, eventPrior, eventPrecision)
+	first := total.first.solve(firstPrior, firstPrecision)
 	r := Rates{
 		First:          time.Duration(within(first[0]*1e6, float64(start.First))),
 		Read:           within(first[1]*1e6/promptUnit, start.Read),
@@ -240,13 +256,25 @@
 	if c.eventsKnown = total.lengths >= minStreams && total.event.products[0] >= minStreams; c.eventsKnown {
 		r.EventsPerToken = within(math.Exp(total.logLengths/total.lengths), start.EventsPerToken)
 		perToken := 1 / r.EventsPerToken * start.EventsPerToken
-		event := total.event.solve([features]float64{start.Event * perToken / 1e6, start.EventPerRunning * perToken * runningUnit / 1e6, start.EventPerMemory * perToken * memoryUnit / 1e6}, eventPrecision)
+		event := total.event.solve(start.eventCoefficients(r.EventsPerToken), eventPrecision)
 		r.Event = within(event[0]*1e6, start.Event*perToken)
 		r.EventPerRunning, r.EventPerMemory = max(0, event[1]*1e6/runningUnit), max(0, event[2]*1e6/memoryUnit)
 	}
 	c.rates = r
 }
 
+// firstCoefficients are the rates in the units of the fit of first events.
+func (r Rates) firstCoefficients() [features]float64 {
+	return [features]float64{r.First.Seconds() * 1e3, r.Read * promptUnit / 1e6, r.ReadPerRunning * promptUnit * runningUnit / 1e6}
+}
+
+// eventCoefficients are the rates in the units of the fit of events, if engines send so many
+// events for each token.
+func (r Rates) eventCoefficients(eventsPerToken float64) [features]float64 {
+	perToken := 1 / eventsPerToken * r.EventsPerToken
+	return [features]float64{r.Event * perToken / 1e6, r.EventPerRunning * perToken * runningUnit / 1e6, r.EventPerMemory * perToken * memoryUnit / 1e6}
+}
+
 // within bounds a value to multiples of one at the start.
 func within(v, start float64) float64 { return min(max(v, start/maxFactor), start*maxFactor) }
 
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -274,3 +274,68 @@
 		t.Errorf("the pace is %f", f)
 	}
 }
+
+// Pattern: a host whose reports are faulty, beside sound hosts.
+func TestFaultyReportsDoNotSpoilTheRates(t *testing.T) {
+	c := NewCalibration(usual)
+	faulty := make([]float32, sumCount)
+	faulty[0], faulty[1] = 0.5, 1 // no observations have a mixed product above both others
+	if c.Merge(0, "x", faulty) {
+		t.Error("accepted products that no observations can have")
+	}
+	f := fit{products: [6]float64{0.5, 1, 0, 0, 0, 0}, values: [features]float64{1, 1, 1}}
+	prior := [features]float64{1, 2, 3}
+	if got := f.solve(prior, [features]float64{0, 0, 0}); got != prior {
+		t.Errorf("a singular fit gives %v", got)
+	}
+	g := newRegion(20, 3)
+	g.run(0, 2*time.Second, 2.5, slow, 0)
+	sound := g.hosts[0].Rates(2 * time.Second)
+	for i, weight := range []float32{1e12, 1} {
+		heavy := make([]float32, sumCount)
+		heavy[0], heavy[6], heavy[9], heavy[15] = weight, 1e12, weight, 1e12
+		now := 2*time.Second + time.Duration(i+1)*solveInterval
+		if !g.hosts[0].Merge(now, "x", heavy) {
+			t.Fatal("the report was not accepted")
+		}
+		got := g.hosts[0].Rates(now)
+		near(t, "the time of 5,000 tokens", float64(got.First+got.ReadTime(5000, 10)), float64(sound.First+sound.ReadTime(5000, 10)), 0.5)
+		near(t, "the time of an event", float64(got.EventTime(10, 0)), float64(sound.EventTime(10, 0)), 0.5)
+	}
+}
+
+// Pattern: hosts of a region with ten times as many callers at some as at others.
+func TestSoundReportsCountInFull(t *testing.T) {
+	g := newRegion(20, 5)
+	for i, c := range g.hosts {
+		single := &region{hosts: []*Calibration{c}, r: g.r}
+		single.run(0, 4*time.Second, 0.5+float64(i%4)*1.5, slow, 20*time.Millisecond)
+	}
+	var others []sums
+	limited, plain := g.hosts[0].own, g.hosts[0].own
+	for _, c := range g.hosts[1:] {
+		others = append(others, c.own)
+		plain.add(&c.own, 0)
+	}
+	limited.addLimited(others)
+	if limited != plain {
+		t.Errorf("the sums are %v, want %v", limited, plain)
+	}
+	if plain.first != plain.first.withoutOutliers(others, firstOf, usual.firstCoefficients(), firstPrecision) || plain.event != plain.event.withoutOutliers(others, eventOf, usual.eventCoefficients(1.0/7), eventPrecision) {
+		t.Error("times of sound hosts are bounded")
+	}
+	for age := range 1000 { // faded ones too
+		faded := plain
+		faded.age(time.Duration(age) * time.Second)
+		if _, ok := decodeSums(faded.encode()); !ok {
+			t.Fatalf("a report is refused after %d s", age)
+		}
+	}
+}
+
+// Pattern: a build with another format of reports beside this one.
+func TestFormatsOfReports(t *testing.T) {
+	if !KnownFormat(0) || !KnownFormat(ReportFormat) || KnownFormat(ReportFormat+1) {
+		t.Error("a wrong set of formats is read")
+	}
+}
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -37,13 +37,17 @@
 		return
 	}
 	for service, sums := range g.placer.EngineReports(now) {
-		out.Engines = append(out.Engines, &syncpb.EngineObservations{Service: service, Sums: sums})
+		out.Engines = append(out.Engines, &syncpb.EngineObservations{Service: service, Sums: sums, Format: engine.ReportFormat})
 	}
 }
 
 // mergeEngines applies what another host has observed of engines. g.mu must be held.
 func (g *Gateway) mergeEngines(at time.Duration, in *syncpb.UsageReport) {
 	for _, e := range in.GetEngines() {
+		if !engine.KnownFormat(e.GetFormat()) {
+			g.Log.WithFields(logrus.Fields{"host": in.GetHost(), "format": e.GetFormat()}).Debug("observations of engines in an unknown format")
+			continue
+		}
 		if !g.placer.MergeEngineReport(at, in.GetHost(), e.GetService(), e.GetSums()) {
 			g.Log.WithFields(logrus.Fields{"host": in.GetHost(), "service": e.GetService(), "values": len(e.GetSums())}).Warn("invalid observations of engines")
 		}
--- a/internal/placement/engines.go
+++ b/internal/placement/engines.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -13,12 +14,19 @@
 	minEventGap = time.Millisecond
 	// gapSamples is the number of times between events that are kept of a response.
 	gapSamples = 16
+	// defaultPrefillRate is the number of prompt tokens that an engine is assumed to read in
+	// a second if the settings lack it.
+	defaultPrefillRate = 50_000
 )
 
 // startRates are the rates of engines before anything is learnt.
 func (e Engine) startRates() engine.Rates {
+	rate := e.PrefillRate
+	if !(rate > 0) || math.IsInf(rate, 0) {
+		rate = defaultPrefillRate
+	}
 	return engine.Rates{First: e.MinFirstToken,
-		Read: float64(time.Second)/e.PrefillRate + float64(e.Step)/e.ChunkTokens, ReadPerRunning: float64(e.StepPerRequest) / e.ChunkTokens,
+		Read: float64(time.Second)/rate + float64(e.Step)/e.ChunkTokens, ReadPerRunning: float64(e.StepPerRequest) / e.ChunkTokens,
 		Event: float64(e.Step), EventPerRunning: float64(e.StepPerRequest), EventsPerToken: 1}
 }
 
--- a/internal/placement/engines_test.go
+++ b/internal/placement/engines_test.go
@@ -226,3 +226,16 @@
 		t.Errorf("what was hidden a minute ago still counts: %+v", r)
 	}
 }
+
+// Pattern: a setting without the speed at which engines read prompts.
+func TestEnginesWithoutAReadSpeed(t *testing.T) {
+	p := New(DefaultEngine(0), rand.New(rand.NewPCG(1, 2)))
+	r := NewRemoteRegion()
+	r.UpdateLoad("app", Load{TTFB: 30 * time.Millisecond, MeasuredAt: time.Second})
+	for _, prompt := range []int64{0, 5000} {
+		e, ok := p.EstimateRemote(time.Second, r, &Request{Service: "app", PromptTokens: prompt, Objective: 400 * time.Millisecond})
+		if !ok || e.IdleTTFB <= 0 || e.TTFB <= 0 || e.TTFB > time.Second || e.IdleTTFB > time.Second {
+			t.Errorf("with %d tokens: %v, %+v", prompt, ok, e)
+		}
+	}
+}
