--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -25,22 +25,27 @@
 	if p.Here != nil {
 		g.recordShortage(now, x, p.here.Estimate, p.HereLimit)
 	}
-	p.Draw = drawOf(x.call.ID)
+	p.Draw = drawOf("draw", x.call.ID)
 	p.Pressure = g.pressureOn(now, x)
 }
 
 // pressureOn returns the pressure on a request in this region. g.mu must be held.
 func (g *Gateway) pressureOn(now time.Duration, x *requestState) room.Pressure {
+	return g.pressureAt(now, x.service, x.level)
+}
+
+// pressureAt returns the pressure on the requests of a level. g.mu must be held.
+func (g *Gateway) pressureAt(now time.Duration, service string, level room.Level) room.Pressure {
 	if g.EqualUrgency {
 		return room.Pressure{}
 	}
-	return g.shortages.Pressure(now, x.service, x.level)
+	return g.shortages.Pressure(now, service, level)
 }
 
-// drawOf returns a random number from 0 to 1 that follows from the id of a request. It differs
-// from those by which its hosts are chosen.
-func drawOf(id string) float64 {
-	return float64(rendezvous.Weight("draw", id)) / math.MaxUint64
+// drawOf returns a random number from 0 to 1 that follows from the id of a request and a
+// purpose. It differs from those by which its hosts are chosen.
+func drawOf(purpose, id string) float64 {
+	return float64(rendezvous.Weight(purpose, id)) / math.MaxUint64
 }
 
 // recordShortage counts a request at its first choice. g.mu must be held.
@@ -61,31 +66,46 @@
 			hosts++
 		}
 	}
-	return region != g.Region && g.offers.Granted(now, region, x.service, hosts)
+	return region != g.Region && g.offers.Granted(now, region, x.service, hosts, x.placementRequest.Work(), drawOf("offer", x.call.ID))
 }
 
-// recordDecision counts a request that gives way. g.mu must be held.
+// recordDecision counts a request that gives way, and notes one that has found room. g.mu must be held.
 func (g *Gateway) recordDecision(x *requestState, p *places, d room.Decision) {
 	if d.Action != room.Refuse && x.sends == 0 {
-		now := sinceBoot()
-		g.schedule.Arrived(now, x.service, x.level)
-		g.schedule.Accepted(now, x.service, x.level)
+		g.schedule.Arrived(sinceBoot(), x.service, x.level)
+		x.foundRoom = true
 	}
 	switch d.Reason {
 	case room.ReasonDisplaced:
 		g.requestMetrics.displaced.Inc(1)
-		g.offers.Take(p.spare.GetRegion(), x.service, x.placementRequest.Work())
+		g.offers.Take(p.spare.GetRegion(), x.service)
 	case room.ReasonYields:
 		g.requestMetrics.yielded.Inc(1)
 	}
 }
 
+// recordAccepted counts a request once that a target or another host has taken.
+func (g *Gateway) recordAccepted(x *requestState) {
+	if !x.foundRoom {
+		return
+	}
+	x.foundRoom = false
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.schedule.Accepted(sinceBoot(), x.service, x.level)
+}
+
 // nameReturn returns the time after which a refused request should come back, and what to tell
 // its caller if no room is expected until its deadline. g.mu must be held.
 func (g *Gateway) nameReturn(now time.Duration, x *requestState, d room.Decision) (time.Duration, string) {
 	soonest := max(minRetryAfter, d.RetryIn)
 	if g.schedule.Arrived(now, x.service, x.level) && !g.EqualUrgency {
-		wait, fits := g.schedule.Name(now, x.service, x.level, soonest, d.Place.Idle, x.deadline-now)
+		left := max(0, x.deadline-now)
+		honoured := left
+		if g.HonouredShare > 0 {
+			honoured = time.Duration(g.HonouredShare * float64(left))
+		}
+		wait, fits := g.schedule.Name(now, x.service, x.level, room.Return{Soonest: soonest, Needs: d.Place.Idle, Left: left, Honoured: honoured, Draw: drawOf("return", x.call.ID)})
 		if !fits {
 			g.requestMetrics.hopeless.Inc(1)
 			return wait, "; no room is expected within its time"
@@ -108,12 +128,24 @@
 // encodeLoad returns the load of a service for the hosts of other regions. What more urgent
 // requests need here is not offered. g.mu must be held.
 func (g *Gateway) encodeLoad(now time.Duration, service string, l placement.Load) *syncpb.Load {
-	pressure := g.shortages.Pressure(now, service, room.LevelCount)
+	pressure := g.pressureAt(now, service, room.LevelCount)
 	g.logRoom(now, service, pressure.Move)
+	spare := g.placer.Room(now, service) * (1 - pressure.Move)
+	if pressure.Move <= 0 {
+		spare = max(spare, leastRoom)
+	}
 	return &syncpb.Load{Service: service, WaitMs: l.TTFB.Milliseconds(), TokenUs: l.TimePerToken.Microseconds(), ShortWaitMs: l.Short.Milliseconds(), LongWaitMs: l.Long.Milliseconds(),
-		Room: float32(g.placer.Room(now, service) * (1 - pressure.Move)), Pressure: float32(pressure.Move)}
+		Room: float32(spare), Pressure: float32(pressure.Move)}
 }
 
+// leastRoom is told instead of no room by a region without pressure. It is too little for any
+// request, but differs from a load of an earlier release, which tells neither.
+const leastRoom = 1e-6
+
+// tellsRoom reports whether a load is from a host that tells room and pressure. Those of others
+// must not replace what hosts of the same region told.
+func tellsRoom(l *syncpb.Load) bool { return l.GetRoom() != 0 || l.GetPressure() != 0 }
+
 // pressureSteps is the number of steps of the pressure that are logged.
 const pressureSteps = 4
 
