Remove entry.MaxBodyMemory; separate a constant from the sections of a document

Cause: the account of internal/intake has replaced the budget that entry.MaxBodyMemory bounded, so nothing used the constant; maxReportedErrors stood in the list of values of document.Section and had no comment; a comment in fleetsync spoke of a crowd.

Change: constant removed, constant moved, comment in the field's terms. No behaviour.

Result: go build ./... and go vet of entry and document pass.

--- a/internal/document/validate.go
+++ b/internal/document/validate.go
@@ -14,14 +14,16 @@
 
 // The sections of a document. Whole stands for the document itself.
 const (
-	Whole             Section = ""
-	RouteSection      Section = "route"
-	ServiceSection    Section = "service"
-	WorkspaceSection  Section = "workspace"
-	LimitsSection     Section = "limits"
-	maxReportedErrors         = 10
+	Whole            Section = ""
+	RouteSection     Section = "route"
+	ServiceSection   Section = "service"
+	WorkspaceSection Section = "workspace"
+	LimitsSection    Section = "limits"
 )
 
+// maxReportedErrors is the number of problems that the text of Problems lists.
+const maxReportedErrors = 10
+
 // Place identifies a part of a document: an entry by its position in a section and, if
 // Field is set, one of its fields by the name in Go.
 type Place struct {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -28,9 +28,7 @@
 const (
 	// MaxBodyBytes bounds a caller's request body.
 	MaxBodyBytes = 8 << 20
-	// MaxBodyMemory is the usual bound of the memory of all bodies together, in bytes, and
-	// bodyRetryAfter is when a caller whose body finds none may come back.
-	MaxBodyMemory  = 256 << 20
+	// bodyRetryAfter is the time after which a caller whose body finds no memory may come back.
 	bodyRetryAfter = 500 * time.Millisecond
 	// MaxTimeout limits the timeout that a caller may request.
 	MaxTimeout = time.Hour
--- a/internal/fleetsync/resync.go
+++ b/internal/fleetsync/resync.go
@@ -17,7 +17,7 @@
 	resyncRecords = 512
 	// largeResponse is the number of targets from which a response counts as large, and
 	// maxLargeResponses the number of them that may wait to be written: about 15 MB. Further
-	// hosts are asked to come back, so that a crowd that returns fills no memory.
+	// hosts are asked to come back, so that hosts which reconnect together do not exhaust memory.
 	largeResponse     = 128
 	maxLargeResponses = 64
 	// resyncPause is the time until the next request for the rest of the table.
