--- a/internal/doctransfer/fetcher.go
+++ b/internal/doctransfer/fetcher.go
@@ -29,9 +29,9 @@
 	// stalledTime is the time without progress after which a transfer gives way to a newer
 	// version.
 	stalledTime = 600 * time.Millisecond
-	// patience is how long a source that responds is waited for before one that failed is
+	// usualSourceWait is how long a source that responds is waited for before one that failed is
 	// tried again.
-	patience = 300 * time.Millisecond
+	usualSourceWait = 300 * time.Millisecond
 	// failureDelay is the time for which a source that failed is not asked, times the
 	// failures in a row, up to maxFailureDelay.
 	failureDelay    = 500 * time.Millisecond
@@ -42,14 +42,14 @@
 	// doubles each time up to maxAbsentDelay.
 	absentDelay    = 100 * time.Millisecond
 	maxAbsentDelay = 2 * time.Second
-	// leads is the number of hosts of a data centre that may take a version from outside at
+	// firstFetchers is the number of hosts of a data centre that may take a version from outside at
 	// once. Of the others, as many at a time may after each further regionStep (from the
 	// region) or outsideStep (from another region), but not before a control host of the
 	// region has had followDelay to get it.
-	leads       = 2
-	regionStep  = 100 * time.Millisecond
-	outsideStep = 200 * time.Millisecond
-	followDelay = 200 * time.Millisecond
+	firstFetchers = 2
+	regionStep    = 100 * time.Millisecond
+	outsideStep   = 200 * time.Millisecond
+	followDelay   = 200 * time.Millisecond
 	// maxOutsideDelay is the time after which any source may be asked, and any host of the
 	// region whether it has the content.
 	maxOutsideDelay = 1200 * time.Millisecond
@@ -292,7 +292,7 @@
 		holds := c.Version >= t.Version || t.holders[c.Address]
 		rank, near := ranks[c.Address]
 		// A host that has not said that it has the content may be the one that fetches first.
-		if c.Address == f.self.Address || !c.Control && !holds && (!near || rank >= leads || rank > own) && (distance == otherRegion || !late) {
+		if c.Address == f.self.Address || !c.Control && !holds && (!near || rank >= firstFetchers || rank > own) && (distance == otherRegion || !late) {
 			continue
 		}
 		from := t.startedAt + f.delay(now, distance, own, controlNear)
@@ -329,7 +329,7 @@
 			best, bestKey = c, key
 		}
 	}
-	if best != nil && bestKey.tier == tierFailed && usualWait <= patience {
+	if best != nil && bestKey.tier == tierFailed && usualWait <= usualSourceWait {
 		return nil, max(usualWait, time.Millisecond)
 	}
 	return best, max(wait, time.Millisecond)
@@ -393,7 +393,7 @@
 // may be asked.
 func (f *Fetcher) delay(now time.Duration, distance, rank int, controlNear bool) time.Duration {
 	t := f.current
-	turn := time.Duration(rank / leads)
+	turn := time.Duration(rank / firstFetchers)
 	var out time.Duration
 	switch distance {
 	case sameDataCentre:
--- a/internal/engine/calibration.go
+++ b/internal/engine/calibration.go
@@ -24,8 +24,8 @@
 	// certainTokens are added to a prompt when its part in all unread tokens is taken as the
 	// weight of an observation.
 	certainTokens = 100
-	// outlier bounds an observed time to a multiple of the expected one, and to its inverse.
-	outlier = 3
+	// outlierFactor bounds an observed time to a multiple of the expected one, and to its inverse.
+	outlierFactor = 3
 	// maxFactor bounds the rates to multiples of those at the start, and to its inverse.
 	maxFactor = 20
 	// minScale and maxScale bound QueueScale and StreamScale.
@@ -37,7 +37,7 @@
 	maxDeviation = 2 * time.Second
 	// scalePrior is the expected time that is added to both sides of StreamScale.
 	scalePrior = 500 * time.Millisecond
-	// maxWaitError is the time by which an observed wait may exceed the outlier bound.
+	// maxWaitError is the time by which an observed wait may exceed the bound by outlierFactor.
 	maxWaitError = 500 * time.Millisecond
 	// slowWeight is the weight of an observation that is slower than expected in the rates of
 	// an engine: requests and prompts of others that a host does not know of delay responses
@@ -123,12 +123,12 @@
 	if took > expected.First() {
 		weight *= slowWeight
 	}
-	observed := bounded(took, expected.First(), outlier)
+	observed := bounded(took, expected.First(), outlierFactor)
 	tokens := (e.Prompt + e.Unread) / promptUnit
 	c.own.first.add([features]float64{1, tokens, tokens * float64(e.Running) / runningUnit}, observed.Seconds()*1e3/pace, weight)
 	if expected.Queue > 0 {
 		c.own.queue.expected += expected.Queue.Seconds()
-		c.own.queue.observed += min(max(0, took-expected.Idle), outlier*expected.Queue+maxWaitError).Seconds()
+		c.own.queue.observed += min(max(0, took-expected.Idle), outlierFactor*expected.Queue+maxWaitError).Seconds()
 	}
 }
 
@@ -162,10 +162,10 @@
 	observed := s.Gap
 	known := c.eventsKnown
 	if known {
-		observed = bounded(s.Gap, scaled(usual, pace), outlier)
+		observed = bounded(s.Gap, scaled(usual, pace), outlierFactor)
 		nominal := scaled(usual, float64(s.Events)*pace/(1-r.Reading(l)))
 		c.own.stream.expected += nominal.Seconds()
-		c.own.stream.observed += bounded(s.Took, nominal, 2*outlier).Seconds()
+		c.own.stream.observed += bounded(s.Took, nominal, 2*outlierFactor).Seconds()
 		c.errors.Stream.record(scaled(nominal, r.StreamScale), s.Took)
 	}
 	weight := 1.0
