intake, registry, settings: names and comments that say what is held, with units

Cause: largeFraction, ownDescriptors and urgencyDelay did not say what they hold; fields of intake.Account and Holder had no unit. The comments on memory_mb were untrue since the limits follow from it: deployment.memory_mb = 0 stands for limits.memory_mb, and that for what machine, control group and limit of data allow.

The tests follow the new names only. No behaviour.

--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -42,25 +42,25 @@
 	limits Limits
 
 	mu     sync.Mutex
-	used   int64
+	used   int64 // bytes charged to all holders
 	bodies int64 // the part of used for bodies
 	// requests is the number of requests in progress.
 	requests int
 	open     [classes]int
 	holders  map[*Holder]struct{}
-	places   map[place]int
-	groups   map[group]int64
+	places   map[place]int   // connections
+	groups   map[group]int64 // bytes
 	refused  [classes]int64
 	closed   [classes]int64
 }
 
-// place has the connections of an address.
+// place identifies the connections of an address.
 type place struct {
 	class   Class
 	address netip.Addr
 }
 
-// group has the bytes that an address holds for a workspace.
+// group identifies what an address holds for a workspace.
 type group struct {
 	place
 	workspace string
@@ -78,13 +78,14 @@
 	// raw connections have no phases.
 	raw bool
 
+	// phase is a Phase. received counts bytes; the times are nanoseconds on the caller's clock.
 	phase             atomic.Int32
 	phaseAt           atomic.Int64
 	received, movedAt atomic.Int64
 	bodyFrom          atomic.Int64 // received at the begin of the body
 	writeAt           atomic.Int64 // begin of the write in progress; 0 for none
 
-	// The account's mutex guards these.
+	// The account's mutex guards these. request, head, body and held are charges in bytes.
 	request, head, body int64
 	held, heldAtEnd     int64
 	gone                bool
@@ -260,7 +261,7 @@
 	total := a.used + n.bytes - a.limitOf(h.group.class)
 	bodies := int64(0)
 	if n.body > 0 {
-		bodies = a.bodies + n.body - int64(largeFraction*float64(a.limits.Account))
+		bodies = a.bodies + n.body - int64(bodyFraction*float64(a.limits.Account))
 	}
 	requests := 0
 	if n.requests > 0 {
--- a/internal/intake/account_test.go
+++ b/internal/intake/account_test.go
@@ -242,11 +242,11 @@
 		if l.Account+l.Responses >= int64(CollectorFraction*float64(l.Memory)) {
 			t.Errorf("%+v: the collector's limit leaves no memory for the state: %+v", c, l)
 		}
-		if sum := l.Connections[Callers] + l.Connections[Hosts] + l.Connections[Operators] + l.Requests; sum > c.descriptors-ownDescriptors {
+		if sum := l.Connections[Callers] + l.Connections[Hosts] + l.Connections[Operators] + l.Requests; sum > c.descriptors-reservedDescriptors {
 			t.Errorf("%+v: %d descriptors with one connection to a target for each request", c, sum)
 		}
 		control := LimitsFor(int64(c.memoryMB)<<20, c.descriptors, 0, ControlShares).Connections
-		if sum := control[0] + control[1] + control[2]; sum > c.descriptors-ownDescriptors {
+		if sum := control[0] + control[1] + control[2]; sum > c.descriptors-reservedDescriptors {
 			t.Errorf("%+v: %d descriptors of a control host", c, sum)
 		}
 		a := NewAccount(l)
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -38,12 +38,12 @@
 	// are kept beyond what each request may keep.
 	responseFraction                   = 0.04
 	minResponseBytes, maxResponseBytes = 1 << 20, 8 << 20
-	// largeFraction of the account is for bodies. The rest is kept for connections and small
+	// bodyFraction of the account is for bodies. The rest is kept for connections and small
 	// requests, and callerFraction leaves a part of that to other classes.
-	largeFraction, callerFraction = 0.75, 0.9
+	bodyFraction, callerFraction = 0.75, 0.9
 
-	// ownDescriptors are not for connections.
-	ownDescriptors = 200
+	// reservedDescriptors are not for connections.
+	reservedDescriptors = 200
 	// callerConnectionMemory is the part of the account that connections of callers may use.
 	callerConnectionMemory = 0.6
 
@@ -87,7 +87,7 @@
 func LimitsFor(memory int64, descriptors, connections int, shares Shares) Limits {
 	part := func(of float64) int64 { return int64(of * float64(memory)) }
 	l := Limits{Memory: memory, Account: part(accountFraction), Responses: min(max(part(responseFraction), minResponseBytes), maxResponseBytes)}
-	free := float64(descriptors - min(ownDescriptors, descriptors/2))
+	free := float64(descriptors - min(reservedDescriptors, descriptors/2))
 	if connections == 0 {
 		connections = int(min(shares.Connections[Callers]*free, callerConnectionMemory*float64(l.Account)/connectionBytes))
 	}
--- a/internal/registry/buckets.go
+++ b/internal/registry/buckets.go
@@ -55,9 +55,9 @@
 	return append([]uint64(nil), t.digests[:]...)
 }
 
-// urgencyDelay is how long a caller is expected to have a change from another source before
+// secondaryDelay is how long a caller is expected to have a change from another source before
 // it is told the change as well.
-const urgencyDelay = time.Second
+const secondaryDelay = time.Second
 
 // Query asks for changes on behalf of another host.
 type Query struct {
@@ -71,7 +71,7 @@
 	// Limit is the number of records from which the rest is left for the next query.
 	Limit int
 	// Secondary means that another table tells the host all changes. It is told departures
-	// and warm-ups at once and the rest only if it still lacks that after urgencyDelay. Of
+	// and warm-ups at once and the rest only if it still lacks that after secondaryDelay. Of
 	// targets that are silent here it is told those whose last heartbeat came here: the others
 	// may have reported elsewhere.
 	Secondary bool
@@ -115,10 +115,10 @@
 				urgent = append(urgent, r.Record)
 			}
 		case q.Secondary && r.Silent && !r.isDirect:
-		case q.Secondary && r.State != Ready && now-r.changedAt <= urgencyDelay:
+		case q.Secondary && r.State != Ready && now-r.changedAt <= secondaryDelay:
 			urgent = append(urgent, r.Record)
 			settled = min(settled, r.revision-1)
-		case q.Secondary && now-r.changedAt <= urgencyDelay:
+		case q.Secondary && now-r.changedAt <= secondaryDelay:
 			settled = min(settled, r.revision-1)
 		case hasDigests && q.Digests[bucketOf(r.ID)] == t.digests[bucketOf(r.ID)] && r.latestCold <= now:
 		default:
--- a/internal/registry/buckets_test.go
+++ b/internal/registry/buckets_test.go
@@ -97,7 +97,7 @@
 	if got := told(); got != "map[cold:1 i-1:1]" {
 		t.Errorf("told at once: %s", got)
 	}
-	now += urgencyDelay + time.Millisecond
+	now += secondaryDelay + time.Millisecond
 	if got := told(); got != "map[i-1:1 lacking:1]" {
 		t.Errorf("told after the delay: %s", got)
 	}
--- a/internal/settings/document.go
+++ b/internal/settings/document.go
@@ -44,7 +44,8 @@
 	// MetricsPort is the port that serves counters, gauges and timers as text; 0 disables
 	// it.
 	MetricsPort int `toml:"metrics_port"`
-	// MemoryMB is the memory limit above which the process is killed; 0 means no limit.
+	// MemoryMB is the memory limit above which the process is killed, in MiB; 0 means that
+	// Limits.MemoryMB has it.
 	MemoryMB int `toml:"memory_mb"`
 	// LostDisks is the number of control hosts that may lose their disks at the same time.
 	LostDisks int `toml:"lost_disks"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,8 +72,9 @@
 
 // Limits bound what others make the process hold.
 type Limits struct {
-	// MemoryMB is the memory that the process may use; 0 means that of the machine. When the
-	// configuration is a document, deployment.memory_mb has it.
+	// MemoryMB is the memory that the process may use, in MiB; 0 means what the machine, its
+	// control group and the limit of the process's data allow. Deployment.MemoryMB, if set,
+	// goes before it.
 	MemoryMB int `toml:"memory_mb"`
 	// Connections is the number of connections of callers; 0 means what memory and
 	// descriptors allow.
