--- a/internal/engine/calibration.go
+++ b/internal/engine/calibration.go
@@ -21,6 +21,8 @@
 	// minStreams is the weight of complete responses from which on the time and number of
 	// events are known.
 	minStreams = 3
+	// minReportWeight is the weight of observations below which a host reports none.
+	minReportWeight = 0.1
 	// certainTokens are added to a prompt when its part in all unread tokens is taken as the
 	// weight of an observation.
 	certainTokens = 100
@@ -53,6 +55,8 @@
 	eventPrecision = [features]float64{0.2, 1, 4}
 )
 
+// The units of the features: prompt tokens, running responses, and tokens of memory. Fits are
+// in milliseconds, Rates in nanoseconds.
 const (
 	promptUnit  = 1e3
 	runningUnit = 10
@@ -186,7 +190,7 @@
 // Report returns the own observations for other hosts, or nil if there are none.
 func (c *Calibration) Report(now time.Duration) []float32 {
 	c.fade(now)
-	if c.own.first.products[0] < 0.1 && c.own.event.products[0] < 0.1 {
+	if c.own.first.products[0] < minReportWeight && c.own.event.products[0] < minReportWeight {
 		return nil
 	}
 	return c.own.encode()
--- a/internal/fleetsync/hosttable.go
+++ b/internal/fleetsync/hosttable.go
@@ -21,6 +21,7 @@
 	choiceInterval = time.Second
 	// ExchangeResponse.ages counts in steps of ageStep up to fineAges and then of coarseAgeStep,
 	// so that the age of a host is told as long as the host is listed.
+	// emptyPlace stands for the age of a free place.
 	ageStep       = 100 * time.Millisecond
 	fineAges      = 200
 	coarseAgeStep = time.Second
@@ -29,7 +30,7 @@
 
 // hostTable is the part of Presence that tells entry hosts what has changed. An entry host
 // gets each record of its region once, by a cursor, and the ages of all in a byte each. Of
-// each other region it gets the hosts that the region was chosen, with their loads.
+// each other region it gets the chosen hosts, with their loads.
 type hostTable struct {
 	revision uint64
 	// places has the names of the hosts of each region; "" if a place is free.
