gateway: what is told of a forwarded request, and its state, in functions of their own

Change: requestState.forwardedRequest and Gateway.newForwardedState, moved as they were.

Result: go vet passes; go test -p 1 -run 'Forward|Detached|Region|Elsewhere|Remote|Room' ./internal/gateway passes (12 tests, 14.8 s).

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -114,16 +114,7 @@
 		writeForwardRefusal(w, ranNotAttempted, err)
 		return
 	}
-	x := &requestState{call: call, request: r, body: body, service: f.Service, started: started, ran: refusal.NotRun, lastEvent: f.LastEvent,
-		deadline: started + time.Duration(f.RemainingMS)*time.Millisecond, triedTargets: map[string]bool{}, triedRegions: map[string]bool{},
-		route: &document.Route{Kind: document.Streaming, Resumable: !f.AtMostOnce},
-		placementRequest: placement.Request{Service: f.Service, BodyBytes: len(body), Model: call.Model, Segments: call.Segments, PromptTokens: call.PromptTokens, OutputTokens: call.MaxOutputTokens, ExpectedOutput: call.ExpectedOutput, RegionBound: f.RegionBound, Software: f.Software,
-			Objective: time.Duration(f.ObjectiveMS) * time.Millisecond, TimeLeft: time.Duration(f.RemainingMS) * time.Millisecond},
-		header: g.TargetProtocol.RequestHeader(r.Header)}
-	x.header.Del(headerForward)
-	if x.shortageKnown = f.Priority == nil; f.Priority != nil {
-		x.level = room.LevelOf(*f.Priority, f.RegionBound)
-	}
+	x := g.newForwardedState(r, call, body, f, started)
 	ctx, cancel := context.WithDeadline(r.Context(), time.Now().Add(x.deadline-started))
 	defer cancel()
 	defer context.AfterFunc(g.requestsCtx, cancel)()
@@ -143,6 +134,21 @@
 	}
 }
 
+// newForwardedState returns the state of a request that another host has forwarded.
+func (g *Gateway) newForwardedState(r *http.Request, call Call, body []byte, f forwardedRequest, started time.Duration) *requestState {
+	x := &requestState{call: call, request: r, body: body, service: f.Service, started: started, ran: refusal.NotRun, lastEvent: f.LastEvent,
+		deadline: started + time.Duration(f.RemainingMS)*time.Millisecond, triedTargets: map[string]bool{}, triedRegions: map[string]bool{},
+		route: &document.Route{Kind: document.Streaming, Resumable: !f.AtMostOnce},
+		placementRequest: placement.Request{Service: f.Service, BodyBytes: len(body), Model: call.Model, Segments: call.Segments, PromptTokens: call.PromptTokens, OutputTokens: call.MaxOutputTokens, ExpectedOutput: call.ExpectedOutput, RegionBound: f.RegionBound, Software: f.Software,
+			Objective: time.Duration(f.ObjectiveMS) * time.Millisecond, TimeLeft: time.Duration(f.RemainingMS) * time.Millisecond},
+		header: g.TargetProtocol.RequestHeader(r.Header)}
+	x.header.Del(headerForward)
+	if x.shortageKnown = f.Priority == nil; f.Priority != nil {
+		x.level = room.LevelOf(*f.Priority, f.RegionBound)
+	}
+	return x
+}
+
 // sendForwarded sends the request to one target and streams the response as it arrives.
 func (g *Gateway) sendForwarded(ctx context.Context, w http.ResponseWriter, x *requestState, f forwardedRequest) error {
 	x.workspace, x.urgency = &document.Workspace{Name: f.Workspace}, f.Urgency
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -605,9 +605,7 @@
 	pool, dialTimeout := g.localPool, s.connectTimeout
 	if s.forwarded {
 		pool, dialTimeout = g.remotePool, 0
-		if err := setForwardHeader(header, forwardedRequest{Service: x.service, Workspace: x.workspaceName(), RemainingMS: remaining.Milliseconds(),
-			WaitMS: s.firstByteLimit.Milliseconds(), ConnectMS: s.connectTimeout.Milliseconds(), ObjectiveMS: x.route.FirstByteObjective.Milliseconds(), Urgency: x.urgency, LastEvent: x.lastEvent, AtMostOnce: !x.route.Repeatable(),
-			RegionBound: x.placementRequest.RegionBound, Priority: &x.route.Priority, Software: x.placementRequest.Software, Streaming: x.route.Kind == document.Streaming}); err != nil {
+		if err := setForwardHeader(header, x.forwardedRequest(s, remaining)); err != nil {
 			return nil, err
 		}
 	} else {
@@ -652,6 +650,13 @@
 	return res, nil
 }
 
+// forwardedRequest returns what the host to which a request is forwarded has to know of it.
+func (x *requestState) forwardedRequest(s *sendAttempt, remaining time.Duration) forwardedRequest {
+	return forwardedRequest{Service: x.service, Workspace: x.workspaceName(), RemainingMS: remaining.Milliseconds(),
+		WaitMS: s.firstByteLimit.Milliseconds(), ConnectMS: s.connectTimeout.Milliseconds(), ObjectiveMS: x.route.FirstByteObjective.Milliseconds(), Urgency: x.urgency, LastEvent: x.lastEvent, AtMostOnce: !x.route.Repeatable(),
+		RegionBound: x.placementRequest.RegionBound, Priority: &x.route.Priority, Software: x.placementRequest.Software, Streaming: x.route.Kind == document.Streaming}
+}
+
 // recordRequest adds a caller's request to the retry budget of its service. A forwarded
 // request counts at the host that its caller sent it to.
 func (g *Gateway) recordRequest(x *requestState) {
