engine: one name for the bound of an observation

Cause: a rename and a new use of the constant were merged apart. Change: the new use has the new name. Measured: the module builds; go vet is clean.

--- a/internal/engine/sums.go
+++ b/internal/engine/sums.go
@@ -190,8 +190,8 @@
 	// others.
 	hostExcess = 4
 	// hostOutlier bounds the times that one host reports to a multiple of what the others
-	// know. It is above outlier, which bounds each sound observation.
-	hostOutlier = 2 * outlier
+	// know. It is above outlierFactor, which bounds each sound observation.
+	hostOutlier = 2 * outlierFactor
 )
 
 // bound bounds the observed values to multiples of those that coefficients give.
