intake: memory of a closed body goes back to the budget

Cause: after its connection had lost its place, Resize(0) of the owner reported false, and the buffer returned before it gave back its part of the budget. After evictions that add up to the budget each body above 16 KiB got 503 until the next start. Change: shrinking always succeeds, and Release does not depend on the owner. Tests: TestReleaseAgainstOwner, TestClosedBodiesGiveBackTheirMemory (both fail without it).

--- a/internal/bytebudget/budget.go
+++ b/internal/bytebudget/budget.go
@@ -88,8 +88,16 @@
 	return ok
 }
 
-// Release gives back what the buffer holds.
-func (b *Buffer) Release() { b.Resize(0) }
+// Release gives back what the buffer holds, whatever its owner says.
+func (b *Buffer) Release() {
+	if b.owner != nil && (b.held > 0 || b.doubled) {
+		b.owner.Resize(0)
+	}
+	if b.budget != nil {
+		b.budget.used.Add(-b.held)
+	}
+	b.held, b.doubled = 0, false
+}
 
 // Used returns the number of bytes that buffers hold beyond Free.
 func (b *Budget) Used() int64 { return b.used.Load() }
--- a/internal/bytebudget/budget_test.go
+++ b/internal/bytebudget/budget_test.go
@@ -34,3 +34,23 @@
 		t.Errorf("%d bytes are still held", n)
 	}
 }
+
+type refusingOwner struct{ refuses bool }
+
+func (o *refusingOwner) Resize(int64) bool { return !o.refuses }
+
+// Load: bodies whose connections lose their place. Guards against a budget that never gets
+// their part back.
+func TestReleaseAgainstOwner(t *testing.T) {
+	b, o := &bytebudget.Budget{Limit: 1 << 20}, &refusingOwner{}
+	p := b.BufferOf(o)
+	if !p.Resize(1 << 20) {
+		t.Fatal("no part")
+	}
+	o.refuses = true
+	p.Release()
+	p.Release()
+	if b.Used() != 0 {
+		t.Errorf("%d bytes are left", b.Used())
+	}
+}
--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -309,7 +309,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if h.gone {
-		return nil, false
+		// All charges have ended; who gives memory back must not be told that it keeps it.
+		return nil, charge == &h.body && size <= *charge
 	}
 	added := need{bytes: size - *charge}
 	switch {
--- a/internal/requestbody/read_test.go
+++ b/internal/requestbody/read_test.go
@@ -14,7 +14,11 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
 	"geraniumturn.example/geraniumturn/internal/bytebudget"
+	"geraniumturn.example/geraniumturn/internal/intake"
 	"geraniumturn.example/geraniumturn/internal/requestbody"
 )
 
@@ -148,3 +152,42 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// Load: bodies that stop after their first bytes and give way one after another. Guards against
+// a budget that keeps the parts of those that were closed.
+func TestClosedBodiesGiveBackTheirMemory(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l := intake.LimitsFor(40<<20, 1000, 0, intake.EntryShares)
+	g := intake.NewGate(l, log, metrics.NewRegistry())
+	b := &bytebudget.Budget{Limit: l.Account}
+	s := httptest.NewUnstartedServer(intake.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		part := b.BufferOf(intake.FromContext(r.Context()))
+		defer func() { part.Release() }()
+		if _, err := requestbody.Read(w, r, 8<<20, time.Now().Add(10*time.Second), &part); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	})))
+	s.Listener = g.Listen(s.Listener, intake.Callers)
+	s.Config.ConnContext, s.Config.ConnState = intake.WithConn, intake.SetState
+	s.Start()
+	defer s.Close()
+	for range 4 {
+		c, err := net.Dial("tcp", s.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", 6<<20, strings.Repeat("x", 1000))
+		time.Sleep(450 * time.Millisecond)
+	}
+	if g.Account.Usage().Closed[intake.Callers] == 0 {
+		t.Fatal("nothing has given way")
+	}
+	s.CloseClientConnections()
+	for end := time.Now().Add(5 * time.Second); b.Used() > 0 || g.Account.Usage().Bytes > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("left: account %d, budget %d", g.Account.Usage().Bytes, b.Used())
+		}
+	}
+}
