intake: requests of callers leave room for forwarded ones and readiness

Cause: the limit of requests in progress, which keeps a descriptor for the connection to a target, counted requests of all classes: with as many long requests of callers as allowed, readiness, metrics and forwarded requests got 503. Change: only requests that are sent on count, and 15 % of the number is kept for other hosts. Test: TestRequestsOfCallersLeaveRoomForOthers; TestLimits also counts the reserve.

--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -44,7 +44,7 @@
 	mu     sync.Mutex
 	used   int64
 	bodies int64 // the part of used for bodies
-	// requests is the number of requests in progress.
+	// requests is the number of requests in progress that are sent on.
 	requests int
 	open     [classes]int
 	holders  map[*Holder]struct{}
@@ -86,6 +86,7 @@
 
 	// The account's mutex guards these.
 	request, head, body int64
+	counted             bool // the request counts in Account.requests
 	held, heldAtEnd     int64
 	gone                bool
 	closeConn           func()      // ends the connection
@@ -160,6 +161,24 @@
 	return a.limits.Account
 }
 
+// requestLimit is the number of requests in progress for a new one of a class.
+func (a *Account) requestLimit(c Class) int {
+	if c == Callers {
+		return a.limits.Requests
+	}
+	return a.limits.Requests + a.limits.HostRequests
+}
+
+// count sets whether the request of a holder is sent on. a.mu must be held.
+func (a *Account) count(h *Holder, counted bool) {
+	if h.counted != counted {
+		h.counted = counted
+		if a.requests--; counted {
+			a.requests += 2
+		}
+	}
+}
+
 // add charges a holder. a.mu must be held.
 func (a *Account) add(h *Holder, bytes int64) {
 	h.held += bytes
@@ -183,9 +202,7 @@
 	h.gone, h.heldAtEnd = true, h.held
 	a.add(h, -h.held)
 	a.bodies -= h.body
-	if h.request > 0 {
-		a.requests--
-	}
+	a.count(h, false)
 	delete(a.holders, h)
 	a.open[h.group.class]--
 	if a.places[h.group.place]--; a.places[h.group.place] == 0 {
@@ -264,7 +281,7 @@
 	}
 	requests := 0
 	if n.requests > 0 {
-		requests = a.requests + n.requests - a.limits.Requests
+		requests = a.requests + n.requests - a.requestLimit(h.group.class)
 	}
 	if total <= 0 && bodies <= 0 && requests <= 0 {
 		return nil, true
@@ -285,14 +302,14 @@
 				return false
 			}
 			closed, total, bodies = append(closed, v), total-v.held, bodies-v.body
-			if v.request > 0 {
+			if v.counted {
 				requests--
 			}
 			return true
 		})
 	}
 	chosen(func(v *Holder) bool { return bodies > 0 && v.body > 0 })
-	chosen(func(v *Holder) bool { return requests > 0 && v.request > 0 })
+	chosen(func(v *Holder) bool { return requests > 0 && v.counted })
 	chosen(func(*Holder) bool { return total > 0 })
 	if total > 0 || bodies > 0 || requests > 0 {
 		return nil, false
@@ -304,7 +321,8 @@
 }
 
 // grow sets one of the charges of a holder.
-func (h *Holder) grow(now time.Duration, charge *int64, size int64) (closed []*Holder, ok bool) {
+// counted means that the request is sent on.
+func (h *Holder) grow(now time.Duration, charge *int64, size int64, counted bool) (closed []*Holder, ok bool) {
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -313,13 +331,13 @@
 		return nil, charge == &h.body && size <= *charge
 	}
 	added := need{bytes: size - *charge}
-	switch {
-	case charge == &h.body:
+	if charge == &h.body {
 		added.body = added.bytes
-	case charge == &h.request && h.request == 0:
+	}
+	if counted && !h.counted {
 		added.requests = 1
 	}
-	if added.bytes > 0 {
+	if added.bytes > 0 || added.requests > 0 {
 		if closed, ok = a.makeRoom(now, h, added); !ok {
 			a.refused[h.group.class]++
 			return nil, false
@@ -327,25 +345,32 @@
 	}
 	a.add(h, added.bytes)
 	a.bodies += added.body
-	a.requests += added.requests
+	a.count(h, h.counted || counted)
 	*charge = size
 	return closed, true
 }
 
-// BeginRequest charges a request whose head has arrived.
+// BeginRequest charges a request whose head has arrived and which is sent on.
 func (h *Holder) BeginRequest(now time.Duration) (closed []*Holder, ok bool) {
 	h.setPhase(now, Exchange)
-	return h.grow(now, &h.request, requestBytes)
+	return h.grow(now, &h.request, requestBytes, h.group.class != Operators)
+}
+
+// BeginLocalRequest charges a request that this process answers itself: it needs memory, but no
+// connection to a target.
+func (h *Holder) BeginLocalRequest(now time.Duration) (closed []*Holder, ok bool) {
+	h.setPhase(now, Exchange)
+	return h.grow(now, &h.request, requestBytes, false)
 }
 
 // GrowHead sets the memory of a head that is larger than usual.
 func (h *Holder) GrowHead(now time.Duration, size int64) (closed []*Holder, ok bool) {
-	return h.grow(now, &h.head, size)
+	return h.grow(now, &h.head, size, false)
 }
 
 // GrowBody sets the memory of the body of the request, without its first buffer.
 func (h *Holder) GrowBody(now time.Duration, size int64) (closed []*Holder, ok bool) {
-	return h.grow(now, &h.body, size)
+	return h.grow(now, &h.body, size, false)
 }
 
 // EndRequest ends the charges of a request; its connection stays.
@@ -359,9 +384,7 @@
 	}
 	a.add(h, -(h.request + h.head + h.body))
 	a.bodies -= h.body
-	if h.request > 0 {
-		a.requests--
-	}
+	a.count(h, false)
 	h.request, h.head, h.body = 0, 0, 0
 }
 
--- a/internal/intake/account_test.go
+++ b/internal/intake/account_test.go
@@ -152,6 +152,34 @@
 	}
 }
 
+// Load: as many long requests of callers in progress as are allowed, beside forwarded requests,
+// readiness and metrics. Guards against refusing those while memory is free.
+func TestRequestsOfCallersLeaveRoomForOthers(t *testing.T) {
+	a := NewAccount(Limits{Account: 1 << 30, Connections: [classes]int{100, 10, 10}, Requests: 10, HostRequests: 2})
+	for range 10 {
+		h, _ := open(t, a, 0, here)
+		if _, ok := h.BeginRequest(0); !ok {
+			t.Fatal("refused")
+		}
+	}
+	caller, _ := open(t, a, time.Second, here)
+	if _, ok := caller.BeginRequest(time.Second); ok {
+		t.Error("a request of callers takes the reserve of hosts")
+	}
+	if _, ok := caller.BeginLocalRequest(time.Second); !ok {
+		t.Error("a request that is not sent on is refused")
+	}
+	for i, class := range []Class{Hosts, Hosts, Hosts, Operators} {
+		h, _ := a.Accept(time.Second, class, there)
+		if _, ok := h.BeginRequest(time.Second); ok != (i != 2) {
+			t.Errorf("request %d, of %s: %v", i, class, ok)
+		}
+	}
+	if caller.EndRequest(time.Second); a.requests != 12 {
+		t.Errorf("%d requests are counted", a.requests)
+	}
+}
+
 // Load: many bodies of one workspace beside few of another one at the same address.
 func TestWorkspaceKeepsToItself(t *testing.T) {
 	a := account(10<<20, 100)
@@ -242,7 +270,7 @@
 		if l.Account+l.Responses >= int64(CollectorFraction*float64(l.Memory)) {
 			t.Errorf("%+v: the collector's limit leaves no memory for the state: %+v", c, l)
 		}
-		if sum := l.Connections[Callers] + l.Connections[Hosts] + l.Connections[Operators] + l.Requests; sum > c.descriptors-ownDescriptors {
+		if sum := l.Connections[Callers] + l.Connections[Hosts] + l.Connections[Operators] + l.Requests + l.HostRequests; sum > c.descriptors-ownDescriptors {
 			t.Errorf("%+v: %d descriptors with one connection to a target for each request", c, sum)
 		}
 		control := LimitsFor(int64(c.memoryMB)<<20, c.descriptors, 0, ControlShares).Connections
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -228,14 +228,16 @@
 	return r
 }
 
-// Begin charges the request. It reports false if it must be refused, before anything of it is
-// sent on.
-func (r *Request) Begin() bool {
+// Begin charges a request that is sent on. It reports false if it must be refused, before
+// anything of it is sent.
+func (r *Request) Begin() bool { return r.begin((*Holder).BeginRequest) }
+
+func (r *Request) begin(charge func(*Holder, time.Duration) ([]*Holder, bool)) bool {
 	if r == nil {
 		return true
 	}
 	now := r.gate.now()
-	closed, ok := r.holder.BeginRequest(now)
+	closed, ok := charge(r.holder, now)
 	return r.done(now, closed, ok, requestBytes)
 }
 
@@ -274,10 +276,11 @@
 	return func() { r.holder.EndBody(r.gate.now()) }
 }
 
-// Handler refuses requests that find no memory with 503 before the handler gets them.
+// Handler refuses requests that find no memory with 503 before the handler gets them, which
+// answers them in this process.
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !FromContext(r.Context()).Begin() {
+		if !FromContext(r.Context()).begin((*Holder).BeginLocalRequest) {
 			w.Header().Set("Connection", "close")
 			w.Header().Set("Retry-After", "1")
 			http.Error(w, errNoMemory.Error(), http.StatusServiceUnavailable)
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -47,6 +47,9 @@
 	// callerConnectionMemory is the part of the account that connections of callers may use.
 	callerConnectionMemory = 0.6
 
+	// hostRequestFraction of the requests in progress is kept for forwarded ones.
+	hostRequestFraction = 0.15
+
 	// connectionBytes and requestBytes are what a connection and its request take at least:
 	// goroutines, buffers of the HTTP server, and the first buffers of body and response.
 	connectionBytes, requestBytes = 20 << 10, 44 << 10
@@ -77,9 +80,11 @@
 	// Responses is the memory for parts of responses.
 	Responses int64
 	// Connections is the number of connections of each class, Requests that of the requests in
-	// progress.
-	Connections [classes]int
-	Requests    int
+	// progress that callers may add to, and HostRequests the further ones that other hosts may
+	// forward.
+	Connections  [classes]int
+	Requests     int
+	HostRequests int
 }
 
 // LimitsFor returns the limits for a memory in bytes and a number of descriptors.
@@ -92,7 +97,9 @@
 		connections = int(min(shares.Connections[Callers]*free, callerConnectionMemory*float64(l.Account)/connectionBytes))
 	}
 	l.Connections = [classes]int{max(1, connections), max(1, int(shares.Connections[Hosts]*free)), max(1, int(shares.Connections[Operators]*free))}
-	l.Requests = max(1, int(shares.Requests*free))
+	requests := int(shares.Requests * free)
+	l.HostRequests = max(1, int(hostRequestFraction*float64(requests)))
+	l.Requests = max(1, requests-l.HostRequests)
 	return l
 }
 
