intake: refused requests whose bodies stop give way

Cause: after a refusal the HTTP server reads on to discard the body, without a deadline, and the connection counted as a request in progress: a head with Content-Length and one byte, then nothing, kept its place for good (401, 404, 429 and 503 before the body). Change: around every HTTP handler, a response to a request whose body was not read whole sets a deadline of one second for what is discarded, and puts the connection into the phase of a body. Test: TestRefusedBodiesGiveWay.

--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -83,6 +83,7 @@
 	received, movedAt atomic.Int64
 	bodyFrom          atomic.Int64 // received at the begin of the body
 	writeAt           atomic.Int64 // begin of the write in progress; 0 for none
+	bodyRead          atomic.Bool  // the body of the request has been read whole
 
 	// The account's mutex guards these.
 	request, head, body int64
@@ -173,8 +174,10 @@
 func (a *Account) count(h *Holder, counted bool) {
 	if h.counted != counted {
 		h.counted = counted
-		if a.requests--; counted {
-			a.requests += 2
+		if counted {
+			a.requests++
+		} else {
+			a.requests--
 		}
 	}
 }
@@ -376,6 +379,7 @@
 // EndRequest ends the charges of a request; its connection stays.
 func (h *Holder) EndRequest(now time.Duration) {
 	h.setPhase(now, Quiet)
+	h.bodyRead.Store(false)
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -24,6 +24,9 @@
 	usualHeadBytes = 8 << 10
 	headStepBytes  = 4 << 10
 	headCopies     = 3
+	// DiscardTime bounds the time in which the server reads on after a refusal, so that its
+	// response is not lost in a reset of the connection.
+	DiscardTime = time.Second
 )
 
 // errNoMemory ends a connection whose head finds no memory.
@@ -267,13 +270,33 @@
 	}
 }
 
-// Body tells that the body begins to arrive. The function it returns tells that it has ended.
-func (r *Request) Body() (end func()) {
-	if r == nil {
-		return func() {}
+// BeginBody tells that the body begins to arrive.
+func (r *Request) BeginBody() {
+	if r != nil {
+		r.holder.BeginBody(r.gate.now())
 	}
-	r.holder.BeginBody(r.gate.now())
-	return func() { r.holder.EndBody(r.gate.now()) }
+}
+
+// EndBody tells that the body has ended, and whether it was read whole.
+func (r *Request) EndBody(whole bool) {
+	if r != nil {
+		r.holder.EndBody(r.gate.now())
+		r.holder.bodyRead.Store(whole)
+	}
+}
+
+// DiscardBodies bounds the time for which the server reads on after a response to a request
+// whose body was not read, and lets its connection give way meanwhile.
+func DiscardBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(w, r)
+		a := FromContext(r.Context())
+		if r.ContentLength == 0 || a == nil || a.holder.bodyRead.Load() {
+			return
+		}
+		a.BeginBody()
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(DiscardTime)) // not supported by test recorders
+	})
 }
 
 // Handler refuses requests that find no memory with 503 before the handler gets them, which
--- a/internal/intake/gate_test.go
+++ b/internal/intake/gate_test.go
@@ -67,3 +67,41 @@
 		t.Errorf("%d lines", n)
 	}
 }
+
+// Load: requests that are refused before their body is read, and whose bodies then stop.
+// Guards against connections that keep their places for good.
+func TestRefusedBodiesGiveWay(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	gate := NewGate(Limits{Account: 10 << 20, Connections: [classes]int{5, 1, 1}, Requests: 100}, log, metrics.NewRegistry())
+	server := httptest.NewUnstartedServer(DiscardBodies(Handler(http.NotFoundHandler())))
+	server.Listener = gate.Listen(server.Listener, Callers)
+	server.Config.ConnContext, server.Config.ConnState = WithConn, SetState
+	server.Start()
+	defer server.Close()
+	for range 5 {
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\nx")
+	}
+	time.Sleep(2 * stallTime)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	_ = conn.SetReadDeadline(time.Now().Add(DiscardTime / 4))
+	b := make([]byte, len("HTTP/1.1 404"))
+	if _, err := io.ReadFull(conn, b); err != nil || string(b) != "HTTP/1.1 404" {
+		t.Errorf("%q, %v; %+v", b, err, gate.Account.Usage())
+	}
+	for end := time.Now().Add(5 * DiscardTime); gate.Account.Usage().Connections[Callers] > 1; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("left: %+v", gate.Account.Usage())
+		}
+	}
+}
--- a/internal/requestbody/read.go
+++ b/internal/requestbody/read.go
@@ -32,20 +32,19 @@
 	PaceGrace = 30 * time.Second
 	// firstBytes is the first size of the buffer of a body that states no length.
 	firstBytes = bytebudget.Free
-	// discardTime bounds the time in which the server reads on after a refusal, so that its
-	// response is not lost in a reset of the connection.
-	discardTime = time.Second
 )
 
 // Read reads the body of a request. A body that states its length needs all of its memory
 // before a byte of it is read, so that one that cannot be kept is refused at once. part is
 // held until the caller of Read releases it, also after an error.
 func Read(w http.ResponseWriter, r *http.Request, maxBytes int64, deadline time.Time, part *bytebudget.Buffer) ([]byte, error) {
-	defer intake.FromContext(r.Context()).Body()()
+	account := intake.FromContext(r.Context())
+	account.BeginBody()
 	controller := http.NewResponseController(w)
 	pace := &pacedReader{Reader: r.Body, began: time.Now(), deadline: deadline, set: controller.SetReadDeadline}
 	pace.extend()
 	body, err := read(r, pace, maxBytes, part)
+	account.EndBody(err == nil)
 	switch {
 	case err == nil:
 		_ = controller.SetReadDeadline(time.Time{})
@@ -54,7 +53,7 @@
 			err = ErrTooSlow
 		}
 	case errors.Is(err, ErrTooLarge) || errors.Is(err, ErrNoMemory):
-		_ = controller.SetReadDeadline(time.Now().Add(discardTime))
+		_ = controller.SetReadDeadline(time.Now().Add(intake.DiscardTime))
 	}
 	return body, err
 }
