intake: callers close nothing of hosts and targets

Cause: a charge of callers closed connections of hosts and targets; connections without phases counted as idle also in a call. Change: a charge of callers takes only from callers; a connection without phases gives way only after 30 s without bytes. Test: TestCallersTakeOnlyFromCallers.

--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -18,6 +18,9 @@
 	// second. Without need, requestbody.MinPace holds.
 	paceTime    = 2 * time.Second
 	pressedPace = 16 << 10
+	// A connection without phases is idle after rawIdleTime: between calls, and in long ones,
+	// its hosts are quiet for some seconds.
+	rawIdleTime = 30 * time.Second
 )
 
 // Phase is what a connection does.
@@ -217,7 +220,7 @@
 func (a *Account) placeFor(now time.Duration, h *Holder) *Holder {
 	var best *Holder
 	for v := range a.holders {
-		if v.group.class != h.group.class || !v.waits() && !v.stalled(now) {
+		if v.group.class != h.group.class || !v.waits(now) && !v.stalled(now) {
 			continue
 		}
 		if v.group.address != h.group.address && a.places[v.group.place] <= a.places[h.group.place]+1 {
@@ -243,8 +246,14 @@
 	return h.phaseAt.Load()
 }
 
-// waits reports whether the connection has no whole head.
-func (h *Holder) waits() bool { return Phase(h.phase.Load()) <= Head }
+// waits reports whether the connection has no whole head, or is idle if it has no phases. The
+// account's mutex must be held.
+func (h *Holder) waits(now time.Duration) bool {
+	if h.raw {
+		return now-time.Duration(h.movedAt.Load()) >= rawIdleTime
+	}
+	return Phase(h.phase.Load()) <= Head
+}
 
 // stalled reports whether a request keeps its place although it does not move. The account's
 // mutex must be held.
@@ -292,7 +301,11 @@
 	var candidates []*Holder
 	own := a.groups[h.group] + n.bytes
 	for v := range a.holders {
-		if v != h && (v.waits() || v.stalled(now)) && (v.group == h.group || a.groups[v.group] >= own) {
+		// Callers, whom nobody controls, take nothing from others.
+		if h.group.class == Callers && v.group.class != Callers {
+			continue
+		}
+		if v != h && (v.waits(now) || v.stalled(now)) && (v.group == h.group || a.groups[v.group] >= own) {
 			candidates = append(candidates, v)
 		}
 	}
--- a/internal/intake/account_test.go
+++ b/internal/intake/account_test.go
@@ -284,3 +284,36 @@
 		}
 	}
 }
+
+// Load: connections and requests of callers that use up the account, beside connections of hosts
+// with calls in progress and kept connections of targets.
+func TestCallersTakeOnlyFromCallers(t *testing.T) {
+	a := NewAccount(Limits{Account: 10 << 20, Connections: [classes]int{1000, 8, 300}, Requests: 1000})
+	for range 250 {
+		a.Accept(0, Operators, there)
+	}
+	var peers []*Holder
+	for range 8 {
+		h, _ := a.Accept(0, Hosts, there)
+		h.raw = true
+		peers = append(peers, h)
+	}
+	for i := range 300 {
+		now := time.Duration(i) * time.Second
+		h, closed := a.Accept(now, Callers, netip.AddrFrom4([4]byte{127, 1, 0, byte(i)}))
+		if h != nil {
+			more, _ := h.BeginRequest(now)
+			closed = append(closed, more...)
+		}
+		if slices.ContainsFunc(closed, func(v *Holder) bool { return v.group.class != Callers }) {
+			t.Fatalf("caller %d closes a connection of hosts or targets", i)
+		}
+	}
+	now := 300 * time.Second
+	for _, h := range peers[1:] {
+		h.Received(now-rawIdleTime/2, 1)
+	}
+	if h, closed := a.Accept(now, Hosts, there); h == nil || !slices.Equal(closed, peers[:1]) {
+		t.Errorf("closed %v for another host, want the idle one", closed)
+	}
+}
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -100,7 +100,9 @@
 		g.report(Decision{Class: class, Address: address, Needed: connectionBytes})
 		return nil
 	}
+	g.Account.mu.Lock()
 	h.raw = noPhases
+	g.Account.mu.Unlock()
 	h.attach(func() { abort(raw) }, func() bool {
 		c, ok := raw.(syscall.Conn)
 		return ok && sockets.Peek(c) == sockets.Data
