intake: a request whose connection was closed is not sent on

Cause: a body that was whole in the process while its handler did not run could lose its place, and its request was sent to a target for a caller who was cut off. Change: EndBody tells that the connection was closed; the handler ends as if its caller left. Test: TestWholeBodyOfClosedConnection.

--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -426,8 +426,14 @@
 	h.setPhase(now, Body)
 }
 
-// EndBody ends the arrival of a body.
-func (h *Holder) EndBody(now time.Duration) { h.setPhase(now, Exchange) }
+// EndBody ends the arrival of a body. It reports false if the connection has lost its place
+// meanwhile: then the request must not be sent on.
+func (h *Holder) EndBody(now time.Duration) bool {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.setPhase(now, Exchange)
+	return !h.gone
+}
 
 // Received counts bytes that have arrived. It reports whether a head begins with them.
 func (h *Holder) Received(now time.Duration, bytes int) {
--- a/internal/intake/account_test.go
+++ b/internal/intake/account_test.go
@@ -121,6 +121,23 @@
 	}
 }
 
+// Load: bodies that are whole while the process does not get to them. Guards against sending on
+// a request whose connection was closed for another one.
+func TestWholeBodyOfClosedConnection(t *testing.T) {
+	a := account(10<<20, 100)
+	kept, _ := open(t, a, 0, there)
+	body(t, kept, 0, "w", 1)
+	whole, _ := open(t, a, 0, here)
+	body(t, whole, 0, "w", 7<<20)
+	h, _ := open(t, a, time.Second, here)
+	if closed, _ := body(t, h, time.Second, "w", 1<<20); !slices.Equal(closed, []*Holder{whole}) {
+		t.Fatalf("closed %v", closed)
+	}
+	if whole.EndBody(time.Second) || !kept.EndBody(time.Second) {
+		t.Error("EndBody does not tell which connection was closed")
+	}
+}
+
 // Load: idle connections that take all memory of the account, and one request with a body.
 func TestIdleConnectionsGiveWayToBodies(t *testing.T) {
 	a := account(100*connectionBytes, 1000)
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -279,12 +279,14 @@
 	}
 }
 
-// EndBody tells that the body has ended, and whether it was read whole.
-func (r *Request) EndBody(whole bool) {
-	if r != nil {
-		r.holder.EndBody(r.gate.now())
-		r.holder.bodyRead.Store(whole)
+// EndBody tells that the body has ended, and whether it was read whole. It reports false if its
+// connection was closed meanwhile.
+func (r *Request) EndBody(whole bool) bool {
+	if r == nil {
+		return true
 	}
+	r.holder.bodyRead.Store(whole)
+	return r.holder.EndBody(r.gate.now())
 }
 
 // DiscardBodies bounds the time for which the server reads on after a response to a request
--- a/internal/requestbody/read.go
+++ b/internal/requestbody/read.go
@@ -21,6 +21,8 @@
 	ErrNoMemory = errors.New("requestbody: other bodies use the memory")
 	// ErrDeadline means that the caller has not sent the whole body in time.
 	ErrDeadline = errors.New("requestbody: deadline reached before the end of the body")
+	// ErrClosed means that the connection gave way to others before the body was complete here.
+	ErrClosed = errors.New("requestbody: connection closed for others")
 	// ErrTooSlow is the ErrDeadline of a body that arrives below MinPace.
 	ErrTooSlow = fmt.Errorf("%w: below %d bytes a second", ErrDeadline, MinPace)
 )
@@ -44,7 +46,9 @@
 	pace := &pacedReader{Reader: r.Body, began: time.Now(), deadline: deadline, set: controller.SetReadDeadline}
 	pace.extend()
 	body, err := read(r, pace, maxBytes, part)
-	account.EndBody(err == nil)
+	if !account.EndBody(err == nil) && err == nil {
+		body, err = nil, ErrClosed
+	}
 	switch {
 	case err == nil:
 		_ = controller.SetReadDeadline(time.Time{})
