--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -18,6 +18,9 @@
 	// second. Without need, requestbody.MinPace holds.
 	paceTime    = 2 * time.Second
 	pressedPace = 16 << 10
+	// A connection without phases is idle after rawIdleTime: between calls, and in long ones,
+	// its hosts are quiet for some seconds.
+	rawIdleTime = 30 * time.Second
 )
 
 // Phase is what a connection does.
@@ -44,7 +47,7 @@
 	mu     sync.Mutex
 	used   int64 // bytes charged to all holders
 	bodies int64 // the part of used for bodies
-	// requests is the number of requests in progress.
+	// requests is the number of requests in progress that are sent on.
 	requests int
 	open     [classes]int
 	holders  map[*Holder]struct{}
@@ -84,9 +87,11 @@
 	received, movedAt atomic.Int64
 	bodyFrom          atomic.Int64 // received at the begin of the body
 	writeAt           atomic.Int64 // begin of the write in progress; 0 for none
+	bodyRead          atomic.Bool  // the body of the request has been read whole
 
 	// The account's mutex guards these. request, head, body and held are charges in bytes.
 	request, head, body int64
+	counted             bool // the request counts in Account.requests
 	held, heldAtEnd     int64
 	gone                bool
 	closeConn           func()      // ends the connection
@@ -161,6 +166,26 @@
 	return a.limits.Account
 }
 
+// requestLimit is the number of requests in progress for a new one of a class.
+func (a *Account) requestLimit(c Class) int {
+	if c == Callers {
+		return a.limits.Requests
+	}
+	return a.limits.Requests + a.limits.HostRequests
+}
+
+// count sets whether the request of a holder is sent on. a.mu must be held.
+func (a *Account) count(h *Holder, counted bool) {
+	if h.counted != counted {
+		h.counted = counted
+		if counted {
+			a.requests++
+		} else {
+			a.requests--
+		}
+	}
+}
+
 // add charges a holder. a.mu must be held.
 func (a *Account) add(h *Holder, bytes int64) {
 	h.held += bytes
@@ -184,9 +209,7 @@
 	h.gone, h.heldAtEnd = true, h.held
 	a.add(h, -h.held)
 	a.bodies -= h.body
-	if h.request > 0 {
-		a.requests--
-	}
+	a.count(h, false)
 	delete(a.holders, h)
 	a.open[h.group.class]--
 	if a.places[h.group.place]--; a.places[h.group.place] == 0 {
@@ -198,7 +221,7 @@
 func (a *Account) placeFor(now time.Duration, h *Holder) *Holder {
 	var best *Holder
 	for v := range a.holders {
-		if v.group.class != h.group.class || !v.waits() && !v.stalled(now) {
+		if v.group.class != h.group.class || !v.waits(now) && !v.stalled(now) {
 			continue
 		}
 		if v.group.address != h.group.address && a.places[v.group.place] <= a.places[h.group.place]+1 {
@@ -224,8 +247,14 @@
 	return h.phaseAt.Load()
 }
 
-// waits reports whether the connection has no whole head.
-func (h *Holder) waits() bool { return Phase(h.phase.Load()) <= Head }
+// waits reports whether the connection has no whole head, or is idle if it has no phases. The
+// account's mutex must be held.
+func (h *Holder) waits(now time.Duration) bool {
+	if h.raw {
+		return now-time.Duration(h.movedAt.Load()) >= rawIdleTime
+	}
+	return Phase(h.phase.Load()) <= Head
+}
 
 // stalled reports whether a request keeps its place although it does not move. The account's
 // mutex must be held.
@@ -265,7 +294,7 @@
 	}
 	requests := 0
 	if n.requests > 0 {
-		requests = a.requests + n.requests - a.limits.Requests
+		requests = a.requests + n.requests - a.requestLimit(h.group.class)
 	}
 	if total <= 0 && bodies <= 0 && requests <= 0 {
 		return nil, true
@@ -273,7 +302,11 @@
 	var candidates []*Holder
 	own := a.groups[h.group] + n.bytes
 	for v := range a.holders {
-		if v != h && (v.waits() || v.stalled(now)) && (v.group == h.group || a.groups[v.group] >= own) {
+		// Callers, whom nobody controls, take nothing from others.
+		if h.group.class == Callers && v.group.class != Callers {
+			continue
+		}
+		if v != h && (v.waits(now) || v.stalled(now)) && (v.group == h.group || a.groups[v.group] >= own) {
 			candidates = append(candidates, v)
 		}
 	}
@@ -286,14 +319,14 @@
 				return false
 			}
 			closed, total, bodies = append(closed, v), total-v.held, bodies-v.body
-			if v.request > 0 {
+			if v.counted {
 				requests--
 			}
 			return true
 		})
 	}
 	chosen(func(v *Holder) bool { return bodies > 0 && v.body > 0 })
-	chosen(func(v *Holder) bool { return requests > 0 && v.request > 0 })
+	chosen(func(v *Holder) bool { return requests > 0 && v.counted })
 	chosen(func(*Holder) bool { return total > 0 })
 	if total > 0 || bodies > 0 || requests > 0 {
 		return nil, false
@@ -305,21 +338,23 @@
 }
 
 // grow sets one of the charges of a holder.
-func (h *Holder) grow(now time.Duration, charge *int64, size int64) (closed []*Holder, ok bool) {
+// counted means that the request is sent on.
+func (h *Holder) grow(now time.Duration, charge *int64, size int64, counted bool) (closed []*Holder, ok bool) {
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if h.gone {
-		return nil, false
+		// All charges have ended; who gives memory back must not be told that it keeps it.
+		return nil, charge == &h.body && size <= *charge
 	}
 	added := need{bytes: size - *charge}
-	switch {
-	case charge == &h.body:
+	if charge == &h.body {
 		added.body = added.bytes
-	case charge == &h.request && h.request == 0:
+	}
+	if counted && !h.counted {
 		added.requests = 1
 	}
-	if added.bytes > 0 {
+	if added.bytes > 0 || added.requests > 0 {
 		if closed, ok = a.makeRoom(now, h, added); !ok {
 			a.refused[h.group.class]++
 			return nil, false
@@ -327,30 +362,38 @@
 	}
 	a.add(h, added.bytes)
 	a.bodies += added.body
-	a.requests += added.requests
+	a.count(h, h.counted || counted)
 	*charge = size
 	return closed, true
 }
 
-// BeginRequest charges a request whose head has arrived.
+// BeginRequest charges a request whose head has arrived and which is sent on.
 func (h *Holder) BeginRequest(now time.Duration) (closed []*Holder, ok bool) {
 	h.setPhase(now, Exchange)
-	return h.grow(now, &h.request, requestBytes)
+	return h.grow(now, &h.request, requestBytes, h.group.class != Operators)
+}
+
+// BeginLocalRequest charges a request that this process answers itself: it needs memory, but no
+// connection to a target.
+func (h *Holder) BeginLocalRequest(now time.Duration) (closed []*Holder, ok bool) {
+	h.setPhase(now, Exchange)
+	return h.grow(now, &h.request, requestBytes, false)
 }
 
 // GrowHead sets the memory of a head that is larger than usual.
 func (h *Holder) GrowHead(now time.Duration, size int64) (closed []*Holder, ok bool) {
-	return h.grow(now, &h.head, size)
+	return h.grow(now, &h.head, size, false)
 }
 
 // GrowBody sets the memory of the body of the request, without its first buffer.
 func (h *Holder) GrowBody(now time.Duration, size int64) (closed []*Holder, ok bool) {
-	return h.grow(now, &h.body, size)
+	return h.grow(now, &h.body, size, false)
 }
 
 // EndRequest ends the charges of a request; its connection stays.
 func (h *Holder) EndRequest(now time.Duration) {
 	h.setPhase(now, Quiet)
+	h.bodyRead.Store(false)
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -359,9 +402,7 @@
 	}
 	a.add(h, -(h.request + h.head + h.body))
 	a.bodies -= h.body
-	if h.request > 0 {
-		a.requests--
-	}
+	a.count(h, false)
 	h.request, h.head, h.body = 0, 0, 0
 }
 
@@ -386,8 +427,14 @@
 	h.setPhase(now, Body)
 }
 
-// EndBody ends the arrival of a body.
-func (h *Holder) EndBody(now time.Duration) { h.setPhase(now, Exchange) }
+// EndBody ends the arrival of a body. It reports false if the connection has lost its place
+// meanwhile: then the request must not be sent on.
+func (h *Holder) EndBody(now time.Duration) bool {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.setPhase(now, Exchange)
+	return !h.gone
+}
 
 // Received counts bytes that have arrived. It reports whether a head begins with them.
 func (h *Holder) Received(now time.Duration, bytes int) {
--- a/internal/intake/account_test.go
+++ b/internal/intake/account_test.go
@@ -121,6 +121,23 @@
 	}
 }
 
+// Load: bodies that are whole while the process does not get to them. Guards against sending on
+// a request whose connection was closed for another one.
+func TestWholeBodyOfClosedConnection(t *testing.T) {
+	a := account(10<<20, 100)
+	kept, _ := open(t, a, 0, there)
+	body(t, kept, 0, "w", 1)
+	whole, _ := open(t, a, 0, here)
+	body(t, whole, 0, "w", 7<<20)
+	h, _ := open(t, a, time.Second, here)
+	if closed, _ := body(t, h, time.Second, "w", 1<<20); !slices.Equal(closed, []*Holder{whole}) {
+		t.Fatalf("closed %v", closed)
+	}
+	if whole.EndBody(time.Second) || !kept.EndBody(time.Second) {
+		t.Error("EndBody does not tell which connection was closed")
+	}
+}
+
 // Load: idle connections that take all memory of the account, and one request with a body.
 func TestIdleConnectionsGiveWayToBodies(t *testing.T) {
 	a := account(100*connectionBytes, 1000)
@@ -152,6 +169,34 @@
 	}
 }
 
+// Load: as many long requests of callers in progress as are allowed, beside forwarded requests,
+// readiness and metrics. Guards against refusing those while memory is free.
+func TestRequestsOfCallersLeaveRoomForOthers(t *testing.T) {
+	a := NewAccount(Limits{Account: 1 << 30, Connections: [classes]int{100, 10, 10}, Requests: 10, HostRequests: 2})
+	for range 10 {
+		h, _ := open(t, a, 0, here)
+		if _, ok := h.BeginRequest(0); !ok {
+			t.Fatal("refused")
+		}
+	}
+	caller, _ := open(t, a, time.Second, here)
+	if _, ok := caller.BeginRequest(time.Second); ok {
+		t.Error("a request of callers takes the reserve of hosts")
+	}
+	if _, ok := caller.BeginLocalRequest(time.Second); !ok {
+		t.Error("a request that is not sent on is refused")
+	}
+	for i, class := range []Class{Hosts, Hosts, Hosts, Operators} {
+		h, _ := a.Accept(time.Second, class, there)
+		if _, ok := h.BeginRequest(time.Second); ok != (i != 2) {
+			t.Errorf("request %d, of %s: %v", i, class, ok)
+		}
+	}
+	if caller.EndRequest(time.Second); a.requests != 12 {
+		t.Errorf("%d requests are counted", a.requests)
+	}
+}
+
 // Load: many bodies of one workspace beside few of another one at the same address.
 func TestWorkspaceKeepsToItself(t *testing.T) {
 	a := account(10<<20, 100)
@@ -242,7 +287,7 @@
 		if l.Account+l.Responses >= int64(CollectorFraction*float64(l.Memory)) {
 			t.Errorf("%+v: the collector's limit leaves no memory for the state: %+v", c, l)
 		}
-		if sum := l.Connections[Callers] + l.Connections[Hosts] + l.Connections[Operators] + l.Requests; sum > c.descriptors-reservedDescriptors {
+		if sum := l.Connections[Callers] + l.Connections[Hosts] + l.Connections[Operators] + l.Requests + l.HostRequests; sum > c.descriptors-reservedDescriptors {
 			t.Errorf("%+v: %d descriptors with one connection to a target for each request", c, sum)
 		}
 		control := LimitsFor(int64(c.memoryMB)<<20, c.descriptors, 0, ControlShares).Connections
@@ -256,3 +301,36 @@
 		}
 	}
 }
+
+// Load: connections and requests of callers that use up the account, beside connections of hosts
+// with calls in progress and kept connections of targets.
+func TestCallersTakeOnlyFromCallers(t *testing.T) {
+	a := NewAccount(Limits{Account: 10 << 20, Connections: [classes]int{1000, 8, 300}, Requests: 1000})
+	for range 250 {
+		a.Accept(0, Operators, there)
+	}
+	var peers []*Holder
+	for range 8 {
+		h, _ := a.Accept(0, Hosts, there)
+		h.raw = true
+		peers = append(peers, h)
+	}
+	for i := range 300 {
+		now := time.Duration(i) * time.Second
+		h, closed := a.Accept(now, Callers, netip.AddrFrom4([4]byte{127, 1, 0, byte(i)}))
+		if h != nil {
+			more, _ := h.BeginRequest(now)
+			closed = append(closed, more...)
+		}
+		if slices.ContainsFunc(closed, func(v *Holder) bool { return v.group.class != Callers }) {
+			t.Fatalf("caller %d closes a connection of hosts or targets", i)
+		}
+	}
+	now := 300 * time.Second
+	for _, h := range peers[1:] {
+		h.Received(now-rawIdleTime/2, 1)
+	}
+	if h, closed := a.Accept(now, Hosts, there); h == nil || !slices.Equal(closed, peers[:1]) {
+		t.Errorf("closed %v for another host, want the idle one", closed)
+	}
+}
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -24,6 +24,9 @@
 	usualHeadBytes = 8 << 10
 	headStepBytes  = 4 << 10
 	headCopies     = 3
+	// DiscardTime bounds the time in which the server reads on after a refusal, so that its
+	// response is not lost in a reset of the connection.
+	DiscardTime = time.Second
 )
 
 // errNoMemory ends a connection whose head finds no memory.
@@ -97,7 +100,9 @@
 		g.report(Decision{Class: class, Address: address, Needed: connectionBytes})
 		return nil
 	}
+	g.Account.mu.Lock()
 	h.raw = noPhases
+	g.Account.mu.Unlock()
 	h.attach(func() { abort(raw) }, func() bool {
 		c, ok := raw.(syscall.Conn)
 		return ok && sockets.Peek(c) == sockets.Data
@@ -228,14 +233,16 @@
 	return r
 }
 
-// Begin charges the request. It reports false if it must be refused, before anything of it is
-// sent on.
-func (r *Request) Begin() bool {
+// Begin charges a request that is sent on. It reports false if it must be refused, before
+// anything of it is sent.
+func (r *Request) Begin() bool { return r.begin((*Holder).BeginRequest) }
+
+func (r *Request) begin(charge func(*Holder, time.Duration) ([]*Holder, bool)) bool {
 	if r == nil {
 		return true
 	}
 	now := r.gate.now()
-	closed, ok := r.holder.BeginRequest(now)
+	closed, ok := charge(r.holder, now)
 	return r.done(now, closed, ok, requestBytes)
 }
 
@@ -265,19 +272,42 @@
 	}
 }
 
-// Body tells that the body begins to arrive. The function it returns tells that it has ended.
-func (r *Request) Body() (end func()) {
+// BeginBody tells that the body begins to arrive.
+func (r *Request) BeginBody() {
+	if r != nil {
+		r.holder.BeginBody(r.gate.now())
+	}
+}
+
+// EndBody tells that the body has ended, and whether it was read whole. It reports false if its
+// connection was closed meanwhile.
+func (r *Request) EndBody(whole bool) bool {
 	if r == nil {
-		return func() {}
+		return true
 	}
-	r.holder.BeginBody(r.gate.now())
-	return func() { r.holder.EndBody(r.gate.now()) }
+	r.holder.bodyRead.Store(whole)
+	return r.holder.EndBody(r.gate.now())
+}
+
+// DiscardBodies bounds the time for which the server reads on after a response to a request
+// whose body was not read, and lets its connection give way meanwhile.
+func DiscardBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(w, r)
+		a := FromContext(r.Context())
+		if r.ContentLength == 0 || a == nil || a.holder.bodyRead.Load() {
+			return
+		}
+		a.BeginBody()
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(DiscardTime)) // not supported by test recorders
+	})
 }
 
-// Handler refuses requests that find no memory with 503 before the handler gets them.
+// Handler refuses requests that find no memory with 503 before the handler gets them, which
+// answers them in this process.
 func Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !FromContext(r.Context()).Begin() {
+		if !FromContext(r.Context()).begin((*Holder).BeginLocalRequest) {
 			w.Header().Set("Connection", "close")
 			w.Header().Set("Retry-After", "1")
 			http.Error(w, errNoMemory.Error(), http.StatusServiceUnavailable)
