Review: three heartbeats of another writer end a service for good

Cause: a record marks all older targets at its address as left, also if its service is unknown. The departures are stored, and outrank the heartbeats of the targets.

Change: review/10, a script.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. With TROUBLE=0
+# it leaves out the disruption.
+set -uo pipefail
+cd "$(dirname "$0")"
+exec ../../target/review-2/standins-2 strangers ../../target/geraniumturn record.txt
