--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -18,6 +18,9 @@
 // maxLostRequests is how many requests the rule LOST allows.
 const maxLostRequests = 3
 
+// minDescriptors are those that the crowds of the trials need.
+const minDescriptors = 4096
+
 // trialLimit is below the 120 s that a script may take.
 const trialLimit = 110 * time.Second
 
@@ -54,6 +57,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil || files.Cur < minDescriptors {
+		r.say("cannot run: %d descriptors, %v", files.Cur, err)
+		return 2
+	}
 	d, err := newDeployment(r, program, t.entryMemoryMB)
 	if err != nil {
 		r.say("cannot run: %v", err)
