gateway: log lines say how the end of a response was found

The lines of requests, attempts and forwarded requests did not tell the hypotheses of docs/incidents/early-end.md apart: a stream that was served left neither its last event nor what showed its end, and on the host that read it for another one nothing at all.

Lines now have the events relayed and the last one, for unframed responses the state of the connection at the end, the time and error of the confirmation, and the error of a write of the request. The state comes from TCP_INFO, which takes no error from the socket. Decisions are unchanged.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -119,8 +119,12 @@
 	defer cancel()
 	defer context.AfterFunc(g.requestsCtx, cancel)()
 	err = g.sendForwarded(ctx, w, x, f)
-	g.Log.WithFields(logrus.Fields{"id": call.ID, "service": f.Service, "workspace": f.Workspace, "target": x.target, "software": x.software, "ran": string(x.ran), "unframed": x.unframed,
-		"total_ms": (sinceBoot() - started).Milliseconds(), "error": fmt.Sprint(err)}).Info("forwarded request")
+	fields := logrus.Fields{"id": call.ID, "service": f.Service, "workspace": f.Workspace, "target": x.target, "software": x.software, "ran": string(x.ran),
+		"total_ms": (sinceBoot() - started).Milliseconds(), "error": fmt.Sprint(err)}
+	if x.latest != nil {
+		x.latest.addEndFields(fields)
+	}
+	g.Log.WithFields(fields).Info("forwarded request")
 	switch {
 	case err == nil:
 	case x.responseStarted || errors.Is(err, errCallerGone):
@@ -157,7 +161,7 @@
 	if err != nil {
 		return err
 	}
-	s.connectTimeout = time.Duration(f.ConnectMS) * time.Millisecond
+	x.latest, s.connectTimeout = s, time.Duration(f.ConnectMS)*time.Millisecond
 	outcome := placement.Cancelled
 	defer func() { g.finishAttempt(x, s, outcome) }()
 	res, err := g.dispatch(ctx, x, s)
@@ -185,7 +189,7 @@
 	}
 	body := io.Reader(res)
 	if f.Streaming && class.Success {
-		body = streamBody(x, res)
+		body = streamBody(x, s, res)
 	}
 	if err := g.relayStream(w, x, s, body, res); err != nil {
 		if ctx.Err() == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -334,7 +334,7 @@
 	choice          placement.Choice // the latest one, also if the request was then refused
 	resumes         int
 	status          int
-	unframed        bool // the latest response from a target has neither a length nor chunks
+	latest          *sendAttempt // nil before the first one
 	responseStarted bool
 	// replacement is the next attempt of a request whose target is silent; nil if none.
 	replacement *sendAttempt
@@ -614,8 +614,8 @@
 	if x.forwardHost != "" {
 		fields["forward"] = x.forwardHost
 	}
-	if x.unframed {
-		fields["unframed"] = true
+	if x.latest != nil {
+		x.latest.addEndFields(fields)
 	}
 	if x.software != "" {
 		fields["software"] = x.software
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -42,18 +42,18 @@
 	case x.route.Resumable:
 		return g.relayEvents(w, x, s, res)
 	}
-	return g.relayStream(w, x, s, streamBody(x, res), res)
+	return g.relayStream(w, x, s, streamBody(x, s, res), res)
 }
 
 // streamBody returns the body of a successful response on a streaming route. The events
 // of a stream are checked unless the framing of a response with another content type
 // already shows where it ends.
-func streamBody(x *requestState, res *upstream.Response) io.Reader {
+func streamBody(x *requestState, s *sendAttempt, res *upstream.Response) io.Reader {
 	mediaType, _, _ := mime.ParseMediaType(res.Header.Get("Content-Type"))
 	if mediaType != "text/event-stream" && !res.Unframed {
 		return res
 	}
-	return &eventReader{Reader: res, needsEvent: res.Unframed && !x.resumesStream()}
+	return &eventReader{Reader: res, needsEvent: res.Unframed && !x.resumesStream(), trace: &s.events}
 }
 
 // resumesStream reports whether the caller has received events of the stream before. The
@@ -198,10 +198,12 @@
 	io.Reader
 	needsEvent bool   // a stream without an event returns errNoEvents
 	tail       []byte // the last maxBlankLineBytes bytes
+	trace      *eventTrace
 }
 
 func (r *eventReader) Read(b []byte) (int, error) {
 	n, err := r.Reader.Read(b)
+	r.trace.feed(b[:n])
 	r.tail = append(r.tail, b[max(0, n-maxBlankLineBytes):n]...)
 	r.tail = append(r.tail[:0], r.tail[max(0, len(r.tail)-maxBlankLineBytes):]...)
 	if err == io.EOF && len(r.tail) > 0 && !bytes.HasSuffix(r.tail, []byte("\n\n")) && !bytes.HasSuffix(r.tail, []byte("\n\r\n")) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -92,6 +92,9 @@
 	cancel      context.CancelFunc
 	// response is that of an attempt that was sent while the target before it was silent.
 	response *upstream.Response
+	// received is the response of the attempt, whose body may still arrive; nil before it.
+	received *upstream.Response
+	events   eventTrace // of a stream that is not relayed event by event
 	// beforeWrite is called before the request is written; nil if it is not needed.
 	beforeWrite func() error
 }
@@ -179,8 +182,10 @@
 }
 
 func (g *Gateway) logAttempt(x *requestState, s *sendAttempt, failed *attemptError) {
-	g.Log.WithFields(logrus.Fields{"id": x.call.ID, "target": s.target, "software": s.software, "forward": s.forwarded, "ran": string(failed.ran),
-		"unsent": failed.unsent, "unframed": x.unframed, "error": failed.Error(), "last_event": x.lastEvent}).Info("attempt failed")
+	fields := logrus.Fields{"id": x.call.ID, "target": s.target, "software": s.software, "forward": s.forwarded, "ran": string(failed.ran),
+		"unsent": failed.unsent, "error": failed.Error(), "last_event": x.lastEvent}
+	s.addEndFields(fields)
+	g.Log.WithFields(fields).Info("attempt failed")
 }
 
 // mayRetry reports whether a request may be retried. A retry of a request that
@@ -478,6 +483,7 @@
 
 // attempt sends the request to one destination and relays the response.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, x *requestState, s *sendAttempt) error {
+	x.latest = s
 	res, err := s.response, error(nil)
 	if res == nil {
 		s.begin(ctx)
@@ -654,7 +660,7 @@
 		}
 		return nil, &attemptError{ran: refusal.Unknown, err: err}
 	}
-	if x.unframed = res.Unframed; res.Unframed {
+	if s.received = res; res.Unframed {
 		g.requestMetrics.unframed.Inc(1)
 	}
 	return res, nil
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -10,9 +10,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"geraniumturn.example/geraniumturn/internal/recovery"
+	"geraniumturn.example/geraniumturn/internal/sockets"
 )
 
 const (
@@ -99,6 +101,29 @@
 	bodyRead   bool
 	// confirmEnd checks an unframed body that has ended; nil if there is nothing to check.
 	confirmEnd func() error
+	end        End
+	writeError atomic.Pointer[error]
+}
+
+// End is what showed the end of a body that has neither a length nor chunks.
+type End struct {
+	// State is that of the connection when nothing was left to read.
+	State sockets.State
+	// Confirmation is the error of the connection that confirms the end; nil if it is whole.
+	Confirmation error
+	// Took is how long the confirmation took.
+	Took time.Duration
+}
+
+// End returns how an unframed body ended, and false as long as it has not.
+func (o *Response) End() (End, bool) { return o.end, o.end.State != sockets.UnknownState }
+
+// WriteError returns the error of the write of the request, or nil.
+func (o *Response) WriteError() error {
+	if err := o.writeError.Load(); err != nil {
+		return *err
+	}
+	return nil
 }
 
 // Do sends the request and returns when the headers of the response have arrived.
@@ -139,6 +164,7 @@
 			r.AfterWrite()
 		}
 		if err != nil {
+			out.writeError.Store(&err)
 			writeFailed <- err
 			return
 		}
@@ -296,8 +322,12 @@
 func (o *Response) Read(b []byte) (int, error) {
 	n, err := o.body.Read(b)
 	if err == io.EOF && o.confirmEnd != nil {
-		if unconfirmed := o.confirmEnd(); unconfirmed != nil {
-			err = unconfirmed
+		began := time.Now()
+		o.end.State = sockets.StateOf(o.conn)
+		o.end.Confirmation = o.confirmEnd()
+		o.end.Took = time.Since(began)
+		if o.end.Confirmation != nil {
+			err = o.end.Confirmation
 		} else {
 			o.confirmEnd = nil
 		}
