--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -94,7 +94,7 @@
 		return document.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Resumable: resumable, MaxAttempts: attempts,
 			Timeout: 2 * time.Second, FirstByteObjective: 500 * time.Millisecond, Split: split}
 	}
-	d := &document.Document{Version: 1, Services: []document.Service{{Name: "s"}},
+	d := &document.Document{Version: 1, Services: []document.Service{{Name: "s", HealthPath: "/health"}},
 		Routes: []document.Route{route("safe", document.Idempotent, false, 2), route("once", document.NonIdempotent, false, 2),
 			route("stream", document.Streaming, false, 1), route("resume", document.Streaming, true, 3), route("open", document.Idempotent, false, 2),
 			route("bound", document.Idempotent, false, 2)},
@@ -129,6 +129,10 @@
 }
 
 func (s *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		w.Header().Set("Instance", r.Header.Get("Target"))
+		return
+	}
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
 	n := len(s.requests)
