upstream: a reset that another call has taken is not the end of a response

Linux reports a reset once, to the first call on the socket that asks: the write of the request, or a peek at a read deadline or for another exchange. A later read returns 0, as after an orderly end, and the new connection that confirms the end is accepted, because the target runs.

An unframed body now ends only if the peer has closed the connection in order: its TCP state is CLOSE-WAIT, which a reset ends whoever has seen its error. sockets.Peek asks poll and SIOCINQ in place of a receive, so that the reader gets the error itself.

--- a/internal/sockets/input.go
+++ b/internal/sockets/input.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"syscall"
 
@@ -25,7 +24,8 @@
 )
 
 // Peek tells what can be read from a connection, without reading it or waiting for a
-// goroutine that reads it.
+// goroutine that reads it. It does not take a pending error from the socket: the kernel
+// reports an error only once, and the reader would find an orderly end in its place.
 func Peek(conn syscall.Conn) Input {
 	raw, err := conn.SyscallConn()
 	if err != nil {
@@ -33,15 +33,20 @@
 	}
 	input := UnknownInput
 	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		switch {
-		case errors.Is(err, unix.EAGAIN):
+		ready := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
+		if _, err := unix.Poll(ready, 0); err != nil {
+			return
+		}
+		if ready[0].Revents == 0 {
 			input = NoInput
-		case errors.Is(err, unix.ECONNRESET), err == nil && n == 0:
-			input = End
-		case err == nil:
+			return
+		}
+		switch n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ); {
+		case err != nil:
+		case n > 0:
 			input = Data
+		default:
+			input = End
 		}
 	})
 	if err != nil {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -201,6 +201,9 @@
 	return out, nil
 }
 
+// errReset means that a connection did not end in order.
+var errReset = errors.New("the response ended with its connection, which was reset")
+
 // errRefused means that a target accepts no connection after the end of a response.
 var errRefused = errors.New("the response ended with its connection, and the target accepts no other")
 
@@ -323,8 +326,13 @@
 	n, err := o.body.Read(b)
 	if err == io.EOF && o.confirmEnd != nil {
 		began := time.Now()
-		o.end.State = sockets.StateOf(o.conn)
-		o.end.Confirmation = o.confirmEnd()
+		// The pending error of a socket goes to the first call that asks for it, which may have
+		// been a write, and a read then returns the end of the stream: only the state tells.
+		if o.end.State = sockets.StateOf(o.conn); o.end.State == sockets.PeerClosed {
+			o.end.Confirmation = o.confirmEnd()
+		} else {
+			o.end.Confirmation = errReset
+		}
 		o.end.Took = time.Since(began)
 		if o.end.Confirmation != nil {
 			err = o.end.Confirmation
