upstream: an end that was not confirmed stays so

A reader that asked again after the error of an unframed end had the end confirmed a second time, and got io.EOF when the target was back. No reader of today does so.

The outcome of the confirmation is kept.

--- a/internal/upstream/early_end_test.go
+++ b/internal/upstream/early_end_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -280,3 +281,26 @@
 		}
 	}
 }
+
+// Guards against a part that counts as whole at a second attempt to read its end: the target
+// may have started again meanwhile.
+func TestUnconfirmedEndIsFinal(t *testing.T) {
+	var answers atomic.Int64
+	address := handle(t, func(c net.Conn, reader *bufio.Reader) {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if r.URL.Path == "/health" {
+			if answers.Add(1) > 1 {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nInstance: t\r\nContent-Length: 0\r\n\r\n")
+			}
+			return
+		}
+		_, _ = io.WriteString(c, unframedHead+oneEvent)
+	})
+	res, _ := do(t, address, nil)
+	for range 3 {
+		expectBroken(t, res)
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -296,11 +296,10 @@
 	if err == io.EOF && o.confirm != nil {
 		began := time.Now()
 		o.end.Confirmation = o.confirm()
-		if o.end.Took = time.Since(began); o.end.Confirmation != nil {
-			err = o.end.Confirmation
-		} else {
-			o.confirm = nil
-		}
+		o.end.Took, o.confirm = time.Since(began), nil
+	}
+	if err == io.EOF && o.end.Confirmation != nil {
+		err = o.end.Confirmation
 	}
 	switch {
 	case err == io.EOF:
