gateway: events with different line ends are separate events

A resumed stream had an event twice (ORDER) when its target sent an event that ends in CRLF and one that ends in LF, and broke off: the first blank line of LF was sought before one of CRLF, so that both counted as one event with the id of the first, and the stream was resumed after that one.

The earlier blank line ends the event. Found by a review of the readers of streams, not seen by users.

--- a/internal/gateway/continue_test.go
+++ b/internal/gateway/continue_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"geraniumturn.example/geraniumturn/internal/clock"
@@ -230,3 +232,25 @@
 		}
 	}
 }
+
+// Guards against an event that a resumed stream has twice: the target breaks off after events
+// of which some end in CRLF and some in LF.
+func TestMixedLineEndsAreSeparateEvents(t *testing.T) {
+	var requests atomic.Int64
+	respond := typed(eventStream, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Signed", "sig")
+		if requests.Add(1) == 1 {
+			_, _ = io.WriteString(w, "id: 1\r\ndata: 1\r\n\r\nid: 2\ndata: 2\n\n")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		last, _ := strconv.Atoi(r.Header.Get("Last"))
+		for id := last + 1; id <= 3; id++ {
+			fmt.Fprintf(w, "id: %d\ndata: %d\n\n", id, id)
+		}
+	})
+	got := start(t, newTarget(t, respond), newTarget(t, respond)).call(t, "/resume/")
+	if want := "id: 1\r\ndata: 1\r\n\r\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n"; got.status != 200 || got.err != nil || got.body != want {
+		t.Errorf("status %d, error %v, stream %q", got.status, got.err, got.body)
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -375,13 +375,16 @@
 	}
 }
 
+// eventEnd returns the length of the first event of b, or 0 if it is incomplete.
 func eventEnd(b []byte) int {
+	end := 0
 	for _, blank := range []string{"\n\n", "\n\r\n"} {
 		if i := bytes.Index(b, []byte(blank)); i >= 0 {
-			return i + len(blank)
+			end = i + len(blank)
+			b = b[:end] // an earlier end is in it
 		}
 	}
-	return 0
+	return end
 }
 
 func eventID(e []byte) string {
