gateway: a caller that resumes a stream gets no event twice

Events up to the one that the caller names are left out too, and an event with the same id as the last one, whatever ids look like. Found by a review of the readers of streams, not seen by users.

--- a/internal/gateway/continue_test.go
+++ b/internal/gateway/continue_test.go
@@ -254,3 +254,17 @@
 		t.Errorf("status %d, error %v, stream %q", got.status, got.err, got.body)
 	}
 }
+
+// Guards against events that a caller has had before it resumes its stream, from a target that
+// ignores after which event it is to go on.
+func TestResumingCallerGetsNoEventTwice(t *testing.T) {
+	for last, want := range map[string]string{"2": "id: 3\ndata: 3\n\n", "3": ""} {
+		t.Run("after event "+last, func(t *testing.T) {
+			f := start(t, newTarget(t, typed(eventStream, events(false, 1, 2, 3))))
+			f.OriginClient = fixedAnswer{Complete: true, Versions: []string{""}, Regions: bothRegions}
+			if got := f.call(t, "/resume/", "Last", last); got.status != 200 || got.err != nil || got.body != want {
+				t.Errorf("status %d, error %v, stream %q", got.status, got.err, got.body)
+			}
+		})
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -334,7 +335,7 @@
 func (g *Gateway) writeEvents(w http.ResponseWriter, x *requestState, s *sendAttempt, res *upstream.Response, events [][]byte) (progress bool, err error) {
 	for _, e := range events {
 		id := eventID(e)
-		if id != "" && !follows(id, x.lastEvent) {
+		if id != "" && !follows(id, cmp.Or(x.lastEvent, x.call.LastEvent)) {
 			continue
 		}
 		if err := g.checkOrigin(x, s); err != nil {
@@ -411,8 +412,11 @@
 func (x *requestState) continuable() bool { return x.origin != nil && !x.unnumbered }
 
 // follows reports whether the event id comes after last. It reports true if one of the
-// ids is not a number.
+// ids is not a number and they differ.
 func follows(id, last string) bool {
+	if id == last {
+		return false
+	}
 	a, errA := strconv.ParseInt(id, 10, 64)
 	b, errB := strconv.ParseInt(last, 10, 64)
 	return errors.Join(errA, errB) != nil || a > b
