gateway: a comment is no event that shows a stream

A stream without a length or chunks that ended after a comment, a blank line or a reconnection time looked complete, although no event had come: any bytes, or any block, counted as an event.

Such a stream needs an event with an id or data. Found by a review of the readers of streams, not seen by users.

--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 
 	"github.com/sirupsen/logrus"
 )
@@ -33,11 +34,11 @@
 
 // eventTrace follows the events of a stream that is relayed as it arrives.
 type eventTrace struct {
-	count int    // of complete events
+	count int    // of complete events that have an id or data
 	last  string // id of the latest complete event that has one
 	id    string // of the incomplete event
 	line  []byte // the start of the incomplete line
-	open  bool   // the incomplete event has a line
+	open  bool   // the incomplete event has an id or data; others are comments or empty
 }
 
 // maxTracedLine bounds the part of a line that is kept: ids are shorter.
@@ -51,16 +52,14 @@
 			return
 		}
 		line := bytes.TrimRight(t.line, "\r")
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			t.id = string(bytes.TrimSpace(value))
+		if id := eventID(line); id != "" {
+			t.id = id
 		}
+		t.open = t.open || t.id != "" || hasData(line)
 		if len(line) == 0 && t.open {
 			t.count++
-			if t.id != "" {
-				t.last, t.id = t.id, ""
-			}
+			t.last, t.id, t.open = cmp.Or(t.id, t.last), "", false
 		}
-		t.open = len(line) > 0
 		t.line = t.line[:0]
 	}
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -210,7 +210,7 @@
 	if err == io.EOF && len(r.tail) > 0 && !bytes.HasSuffix(r.tail, []byte("\n\n")) && !bytes.HasSuffix(r.tail, []byte("\n\r\n")) {
 		err = io.ErrUnexpectedEOF
 	}
-	if err == io.EOF && len(r.tail) == 0 && r.needsEvent {
+	if err == io.EOF && r.trace.count == 0 && r.needsEvent {
 		err = errNoEvents
 	}
 	return n, err
@@ -259,7 +259,7 @@
 // relayEvents relays complete events only, so that another target can resume the stream
 // after the last one.
 func (g *Gateway) relayEvents(w http.ResponseWriter, x *requestState, s *sendAttempt, res *upstream.Response) error {
-	lastEventAt, logged := sinceBoot(), false
+	lastEventAt, logged, empty := sinceBoot(), false, true
 	checkAt := lastEventAt + streamStallTimeout
 	silent := func() (time.Duration, error) {
 		err := g.replaceSilent(x, s, sinceBoot()-lastEventAt, !logged)
@@ -290,13 +290,13 @@
 				return werr
 			}
 			if progress {
-				lastEventAt, logged = sinceBoot(), false
+				lastEventAt, logged, empty = sinceBoot(), false, false
 				checkAt = lastEventAt + streamStallTimeout
 			}
 		}
 		pending = incomplete
 		switch {
-		case err == io.EOF && res.Unframed && !x.responseStarted && !x.resumesStream():
+		case err == io.EOF && res.Unframed && empty && !x.resumesStream():
 			err = errNoEvents
 		case err == io.EOF && len(bytes.TrimSpace(pending)) == 0:
 			if err := g.checkOrigin(x, s); err != nil {
