gateway: no head is sent before the first event that a caller gets

A stream of which the caller had had all events got a head without the headers of the target, among them its signature: the events that were left out were followed by a flush, which sends a head of its own. It shows since events that the caller names are left out.

--- a/internal/gateway/continue_test.go
+++ b/internal/gateway/continue_test.go
@@ -262,8 +262,8 @@
 		t.Run("after event "+last, func(t *testing.T) {
 			f := start(t, newTarget(t, typed(eventStream, events(false, 1, 2, 3))))
 			f.OriginClient = fixedAnswer{Complete: true, Versions: []string{""}, Regions: bothRegions}
-			if got := f.call(t, "/resume/", "Last", last); got.status != 200 || got.err != nil || got.body != want {
-				t.Errorf("status %d, error %v, stream %q", got.status, got.err, got.body)
+			if got := f.call(t, "/resume/", "Last", last); got.status != 200 || got.err != nil || got.body != want || got.header.Get("Signed") != "sig" {
+				t.Errorf("status %d, error %v, stream %q, header %v", got.status, got.err, got.body, got.header)
 			}
 		})
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -358,6 +358,9 @@
 	if progress {
 		x.lastEventAt = sinceBoot()
 	}
+	if !x.responseStarted { // a flush would send a head without the target's headers
+		return progress, nil
+	}
 	return progress, wrapCallerError(http.NewResponseController(w).Flush())
 }
 
