dispatch: a forwarded response does not inherit the stream of a failed attempt

Cause: an attempt whose response was an event stream and that failed before its first byte left the sink in the state of a resumable stream. A response that another host then relayed was taken for that stream. If it broke off, it was resumed at a local target with the software of the failed attempt, so that pieces of two runs were joined. If it was whole, the part behind its last empty line was dropped, and the rest looked complete.

Change: the forward resets the state of the sink. A stream that another host has begun is resumed there, not here.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -74,6 +74,7 @@
 
 func (r *requestRun) relayResponse(stream dispatchpb.DRPCDispatch_ForwardClient) (Result, error) {
 	result := Result{ServedRemotely: true}
+	r.out.beginAttempt(false) // the other host resumes the stream itself
 	for {
 		down, err := stream.Recv()
 		if err != nil {
