client: a response that ends with its connection does not look complete

Cause: the body of a response with neither a length nor chunks ended with io.EOF, as a whole one does, although a lost connection ends in the same way. net/http also hides the length of a response that it decompresses, and takes an empty one for whole.

Change: such a body ends with io.ErrUnexpectedEOF, and the doc comment of Do says so. The client asks for no compression unless its caller does. A refusal whose JSON is whole counts as before, however its body ends.

--- a/client/client.go
+++ b/client/client.go
@@ -137,7 +137,9 @@
 }
 
 // Do sends the request and returns the response. The caller closes its body. A
-// read error on the body means that the response was cut off.
+// read error on the body means that the response was cut off. That includes
+// io.ErrUnexpectedEOF at the end of a body that has neither a length nor chunks: it ends
+// with its connection, which does not tell a complete response from a broken one.
 func (c *Client) Do(ctx context.Context, r Request) (*http.Response, error) {
 	if r.Timeout <= 0 {
 		r.Timeout = time.Minute
@@ -223,25 +225,44 @@
 	if r.IdempotencyKey != "" {
 		req.Header.Set("Idempotency-Key", r.IdempotencyKey)
 	}
+	if req.Header.Get("Accept-Encoding") == "" {
+		req.Header.Set("Accept-Encoding", "identity") // net/http hides the length of what it decompresses
+	}
 	req.Header.Set("Geraniumturn-Timeout-Ms", strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
 	response, err := c.http.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("client: %w", err)
 	}
+	if isUnframed(response) {
+		response.Body = unframedBody{response.Body}
+	}
 	if response.StatusCode < 400 {
 		return response, nil
 	}
 	return parseErrorResponse(response)
 }
 
+// isUnframed reports whether a response has a body that ends with its connection.
+func isUnframed(response *http.Response) bool {
+	return response.ProtoMajor == 1 && response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
+}
+
+// unframedBody returns io.ErrUnexpectedEOF at the end of a body.
+type unframedBody struct{ io.ReadCloser }
+
+func (b unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // parseErrorResponse returns a RefusalError for a refusal of the gateway. An error
 // response of a target is returned unchanged.
 func parseErrorResponse(response *http.Response) (*http.Response, error) {
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes))
 	response.Body.Close()
-	if err != nil {
-		return nil, fmt.Errorf("client: read refusal: %w", err)
-	}
 	var body struct {
 		Error struct {
 			Code         string   `json:"code"`
@@ -252,7 +273,10 @@
 			RequestID    string   `json:"request_id"`
 		} `json:"error"`
 	}
-	if json.Unmarshal(data, &body) != nil || body.Error.Ran == "" {
+	if json.Unmarshal(data, &body) != nil || body.Error.Ran == "" { // whole JSON shows its own end
+		if err != nil {
+			return nil, fmt.Errorf("client: read refusal: %w", err)
+		}
 		response.Body = io.NopCloser(bytes.NewReader(data))
 		return response, nil
 	}
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -163,3 +163,64 @@
 		t.Errorf("error = %v", err)
 	}
 }
+
+// startRaw starts a gateway whose other responses are written as they are, before the
+// connection is closed. It returns the address of the gateway.
+func startRaw(t *testing.T, response string) string {
+	return startGateway(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, response)
+	})
+}
+
+// Guards against a response that looks complete although it has neither a length nor chunks,
+// so that nothing tells its end from a lost connection.
+func TestResponseThatEndsWithItsConnection(t *testing.T) {
+	const refusal = `{"error":{"code":"draining","ran":"not_run"}}`
+	cases := []struct {
+		name, method, response, body string
+		cut, refused                 bool
+	}{
+		{"neither", "POST", "HTTP/1.1 200 OK\r\n\r\npart", "part", true, false},
+		{"neither, close", "POST", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart", "part", true, false},
+		{"neither, HTTP/1.0", "POST", "HTTP/1.0 200 OK\r\n\r\npart", "part", true, false},
+		{"neither, empty", "POST", "HTTP/1.1 200 OK\r\n\r\n", "", true, false},
+		{"neither, compressed", "POST", "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n\r\n", "", true, false},
+		{"neither, error of a target", "POST", "HTTP/1.1 404 No\r\n\r\npart", "part", true, false},
+		{"neither, refusal", "POST", "HTTP/1.1 503 No\r\n\r\n" + refusal, "", false, true},
+		{"length not reached", "POST", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\npart", "part", true, false},
+		{"chunks without an end", "POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", "part", true, false},
+		{"length", "POST", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfull", "full", false, false},
+		{"length, HTTP/1.0", "POST", "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nfull", "full", false, false},
+		{"length of 0", "POST", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "", false, false},
+		{"chunks", "POST", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n", "full", false, false},
+		{"no content", "POST", "HTTP/1.1 204 None\r\n\r\n", "", false, false},
+		{"head", "HEAD", "HTTP/1.1 200 OK\r\n\r\n", "", false, false},
+		{"head of an error", "HEAD", "HTTP/1.1 404 No\r\n\r\n", "", false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			response, err := New("", startRaw(t, c.response)).Do(t.Context(), Request{Method: c.method, Path: "/x", MaxAttempts: 1})
+			if refused, ok := errors.AsType[*RefusalError](err); ok != c.refused || ok && refused.Ran != "not_run" {
+				t.Fatalf("refusal %v, want %v: %v", ok, c.refused, err)
+			}
+			if c.refused {
+				return
+			}
+			body := []byte(c.body) // of an error response that Do has read
+			if err == nil {
+				defer response.Body.Close()
+				body, err = io.ReadAll(response.Body)
+			}
+			if string(body) != c.body || errors.Is(err, io.ErrUnexpectedEOF) != c.cut || !c.cut && err != nil {
+				t.Errorf("%q, cut %v: %v", body, c.cut, err)
+			}
+		})
+	}
+}
