client: a long error response of a target is passed on whole

Cause: an error response of 1 MiB or more was read up to that size, which bounds the refusals of the gateway, and returned with a body that ended there without an error.

Change: what was read is followed by the rest of the body. Such a response is not a refusal.

--- a/client/client.go
+++ b/client/client.go
@@ -258,10 +258,20 @@
 	return n, err
 }
 
+// partlyRead is a body of which a part was read before.
+type partlyRead struct {
+	io.Reader
+	io.Closer
+}
+
 // parseErrorResponse returns a RefusalError for a refusal of the gateway. An error
 // response of a target is returned unchanged.
 func parseErrorResponse(response *http.Response) (*http.Response, error) {
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes))
+	if err == nil && len(data) == maxRefusalBytes { // more may follow
+		response.Body = partlyRead{io.MultiReader(bytes.NewReader(data), response.Body), response.Body}
+		return response, nil
+	}
 	response.Body.Close()
 	var body struct {
 		Error struct {
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -224,3 +224,31 @@
 		})
 	}
 }
+
+// Guards against an error response of a target that is cut at the size of the largest
+// refusal and looks complete.
+func TestLongErrorResponse(t *testing.T) {
+	for _, bytes := range []int{maxRefusalBytes - 1, maxRefusalBytes, maxRefusalBytes + 1, 3 * maxRefusalBytes} {
+		for _, cut := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d bytes, cut %v", bytes, cut), func(t *testing.T) {
+				address := startGateway(t, func(w http.ResponseWriter, _ *http.Request) {
+					w.WriteHeader(http.StatusNotFound)
+					_, _ = io.WriteString(w, strings.Repeat("x", bytes))
+					if cut {
+						_ = http.NewResponseController(w).Flush()
+						panic(http.ErrAbortHandler)
+					}
+				})
+				response, err := New("", address).Do(t.Context(), Request{Method: http.MethodPost, Path: "/x"})
+				var body []byte
+				if err == nil {
+					defer response.Body.Close()
+					body, err = io.ReadAll(response.Body)
+				}
+				if cut && err == nil || !cut && (err != nil || len(body) != bytes) {
+					t.Errorf("%d bytes: %v", len(body), err)
+				}
+			})
+		}
+	}
+}
