entry hosts: an unfinished response to a caller with HTTP/1.0 ends with a reset

Cause: a response to HTTP/1.0 without a length ends with its connection. When it was aborted, or when its process ended, the connection was closed in order, and the part looked complete.

Change: while a handler works for such a caller, its connection is set to end with a reset (SO_LINGER of 0), which also holds when the process is killed; a handler that returns takes that back. A handler that panics does not.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -196,7 +196,7 @@
 // group interrupts its members in order, so the server finishes its graceful shutdown
 // while the loops still run.
 func (d *Daemon) addHTTP(g *run.Group, listener net.Listener) {
-	server := &http.Server{Handler: intake.DiscardBodies(d.echo), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+	server := &http.Server{Handler: sockets.ResetUnfinished(intake.DiscardBodies(d.echo)), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return d.keys.ConnContext(intake.WithConn(sockets.WithConn(ctx, c.(*intake.Conn).Conn), c), c)
 		}, ConnState: func(c net.Conn, state http.ConnState) {
--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -209,7 +209,7 @@
 		return nil, err
 	}
 	s := &server{listener: listener, groupStopped: make(chan struct{}),
-		Server: &http.Server{Handler: intake.DiscardBodies(handler), ReadHeaderTimeout: serverHeaderTimeout, IdleTimeout: serverIdleTimeout}}
+		Server: &http.Server{Handler: sockets.ResetUnfinished(intake.DiscardBodies(handler)), ReadHeaderTimeout: serverHeaderTimeout, IdleTimeout: serverIdleTimeout}}
 	s.ConnState = connState
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		counted := c.(*busyConn).Conn.(*intake.Conn)
