dispatch: a response to HEAD is whole with its head

Cause: a response to HEAD has no body, but one without a length or chunks was taken for a body that ends with its connection, so that the request failed as truncated. Others got a length of 0.

Change: the head is passed on as it is, and no body is read.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -220,12 +220,18 @@
 			return Result{}, err
 		}
 	}
-	body := &responseReader{reader: response.Body, framed: response.ContentLength >= 0 || slices.Contains(response.TransferEncoding, "chunked")}
 	result := Result{Status: response.StatusCode, Target: target.Name}
+	header := pickHeaders(response.Header, responseHeaders)
+	if req.Method == http.MethodHead { // there is no body, whatever the head says of one
+		if err := out.start(response.StatusCode, header); err != nil {
+			return Result{}, &attemptError{err: fmt.Errorf("%w: %v", errCallerWrite, err), ran: refusal.Complete, started: true}
+		}
+		return result, nil
+	}
+	body := &responseReader{reader: response.Body, framed: response.ContentLength >= 0 || slices.Contains(response.TransferEncoding, "chunked")}
 	scan := newScanner(req, response, buffers)
 	defer scan.part.Release()
 	out.beginAttempt(scan.isEventStream)
-	header := pickHeaders(response.Header, responseHeaders)
 	if err := copyResponse(body, scan, out, response.StatusCode, header, req.Stream, buffers); err != nil {
 		return Result{}, err
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -530,3 +530,43 @@
 		t.Errorf("caller that left: sent %d times, %v", count.Load(), err)
 	}
 }
+
+// Guards against a response to HEAD, which has no body, that is taken for a truncated one or
+// gets the length of a body.
+func TestHeadRequest(t *testing.T) {
+	for name, response := range map[string]string{
+		"neither length nor chunks": "HTTP/1.1 200 OK\r\n\r\n",
+		"a length":                  "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n",
+		"chunks":                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"an event stream":           "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n",
+	} {
+		for _, kind := range []rules.PoolKind{rules.Service, rules.Engine} {
+			t.Run(fmt.Sprintf("%s, %s", name, kind), func(t *testing.T) {
+				target := newTarget(t, "t1", nil, func(w http.ResponseWriter, _ *http.Request) {
+					if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+						defer conn.Close()
+						_, _ = io.WriteString(conn, response)
+					}
+				})
+				sink := &headSink{}
+				req := request(http.MethodHead, false)
+				req.Kind = kind
+				_, err := newDispatcher(target).Do(t.Context(), req, sink)
+				if length, has := sink.header["Content-Length"]; err != nil || sink.status != http.StatusOK || has {
+					t.Errorf("status %d, length %q: %v", sink.status, length, err)
+				}
+			})
+		}
+	}
+}
+
+// headSink also keeps the header of a response.
+type headSink struct {
+	memorySink
+	header map[string]string
+}
+
+func (s *headSink) Start(status int, header map[string]string) error {
+	s.header = header
+	return s.memorySink.Start(status, header)
+}
