upstream: a status that is none is no answer

Cause: net/http parsed the responses of targets. It takes a status below 200 for an interim response and skips it, so that what follows, bytes of a body too, could be read as the answer; it accepts 999, signs, HTTP/2.7, a second blank and control bytes in the status line; and its reader of chunks accepts sizes with blanks and control bytes in extensions.

Change: internal/responsehead parses heads without I/O and reads bodies by the framing that it found. A status line is HTTP/1.0 or HTTP/1.1, one blank and 100 to 599; 101 is refused. A body in chunks ends behind its trailer, whose fields are checked and dropped.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -94,7 +94,7 @@
 	pool       *Pool
 	address    string
 	conn       *conn
-	body       io.ReadCloser
+	body       io.Reader
 	reusable   bool
 	written    chan struct{} // closed when the whole request is written
 	stopCancel func() bool
@@ -277,47 +277,6 @@
 	return errors.Join(err, o.WatchSilence(time.Time{}, nil))
 }
 
-// readHead reads response headers until a response belongs to the request. It skips
-// interim responses and up to maxForeignResponses responses to other requests.
-func (o *Response) readHead(r *Request) error {
-	request := &http.Request{Method: r.Method}
-	source := &o.conn.source
-	source.limited, source.left = true, maxHeadBytes
-	defer func() { source.limited = false }()
-	for foreign := 0; ; {
-		res, err := http.ReadResponse(o.conn.reader, request)
-		if err != nil {
-			return err
-		}
-		if res.StatusCode < http.StatusOK {
-			continue
-		}
-		match := Own
-		if r.Match != nil {
-			match = r.Match(res.StatusCode, res.Header)
-		}
-		if match == Unidentified && (o.conn.used || foreign > 0) {
-			return fmt.Errorf("received a response with status %d that names no request, on a connection that has had others", res.StatusCode)
-		}
-		if match != Foreign {
-			o.Status, o.Header, o.Length, o.body = res.StatusCode, res.Header, res.ContentLength, res.Body
-			o.Unframed = res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Body != http.NoBody
-			o.reusable = !res.Close && !o.Unframed && foreign == 0
-			return nil
-		}
-		foreign++
-		delimited := res.ContentLength >= 0 || len(res.TransferEncoding) > 0
-		if foreign > maxForeignResponses || !delimited || res.Close {
-			return fmt.Errorf("received a response to another request")
-		}
-		source.limited = false
-		if n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxForeignBytes)); err != nil || n == maxForeignBytes {
-			return fmt.Errorf("response to another request not read to its end: %v", err)
-		}
-		source.limited, source.left = true, maxHeadBytes
-	}
-}
-
 // Read reads the body. An error other than io.EOF means that the body is incomplete.
 func (o *Response) Read(b []byte) (int, error) {
 	n, err := o.body.Read(b)
