upstream: a field line that is none makes a head malformed

Cause: a field whose name has a blank was kept as a header and passed on. "Content-Length : 2" and "Transfer-Encoding : chunked" are such names, so the body was read to the end of the connection, chunk sizes included. A line that begins with a blank continued the value before it, and a LF within a head with CRLF began another line, or the body.

Change: a name is one or more token characters directly followed by the colon; lines are not folded; values have no control byte other than a tab. All lines of a head end like its status line: RFC 9112 (2.2) lets a recipient take a bare LF as the end of a line, so a head with nothing else is still read, but next to CRLF it may be part of a name or value (TestBareLineFeed).

Names with a control byte were refused before too.

--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -10,11 +10,17 @@
 
 // malformedHeads are responses whose head is malformed; ID stands for that of the request.
 var malformedHeads = map[string]string{
-	"status 000":           "HTTP/1.1 000 Zero\r\nId: ID\r\nSigned: sig\r\nContent-Length: 2\r\n\r\nno",
-	"status 000, no body":  "HTTP/1.1 000 Zero\r\nId: ID\r\nSigned: sig\r\n\r\n",
-	"status 000, then 200": "HTTP/1.1 000 Zero\r\n\r\nHTTP/1.1 200 OK\r\nId: ID\r\nSigned: sig\r\nContent-Length: 2\r\n\r\nno",
-	"status 999":           "HTTP/1.1 999 High\r\nId: ID\r\nSigned: sig\r\nContent-Length: 2\r\n\r\nno",
-	"HTTP/2.7":             "HTTP/2.7 200 OK\r\nId: ID\r\nSigned: sig\r\nContent-Length: 2\r\n\r\nno",
+	"status 000":              "HTTP/1.1 000 Zero\r\nId: ID\r\nSigned: sig\r\nContent-Length: 2\r\n\r\nno",
+	"status 000, no body":     "HTTP/1.1 000 Zero\r\nId: ID\r\nSigned: sig\r\n\r\n",
+	"status 000, then 200":    "HTTP/1.1 000 Zero\r\n\r\nHTTP/1.1 200 OK\r\nId: ID\r\nSigned: sig\r\nContent-Length: 2\r\n\r\nno",
+	"status 999":              "HTTP/1.1 999 High\r\nId: ID\r\nSigned: sig\r\nContent-Length: 2\r\n\r\nno",
+	"HTTP/2.7":                "HTTP/2.7 200 OK\r\nId: ID\r\nSigned: sig\r\nContent-Length: 2\r\n\r\nno",
+	"name with blank":         "HTTP/1.1 200 OK\r\nId: ID\r\nSigned: sig\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\nno",
+	"name with control byte":  "HTTP/1.1 200 OK\r\nId: ID\r\nSigned: sig\r\nX\x01Odd: 1\r\nContent-Length: 2\r\n\r\nno",
+	"name with LF":            "HTTP/1.1 200 OK\r\nId: ID\r\nSigned: sig\r\n\nX-Odd: 1\r\nContent-Length: 2\r\n\r\nno",
+	"length behind a blank":   "HTTP/1.1 200 OK\r\nId: ID\r\nSigned: sig\r\nContent-Length : 2\r\n\r\nno",
+	"length with a blank":     "HTTP/1.1 200 OK\r\nId: ID\r\nSigned: sig\r\nContent Length: 2\r\n\r\nno",
+	"encoding behind a blank": "HTTP/1.1 200 OK\r\nId: ID\r\nSigned: sig\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
 }
 
 // answerRaw writes a response as it stands and ends the connection in order.
--- a/internal/responsehead/head.go
+++ b/internal/responsehead/head.go
@@ -50,6 +50,9 @@
 type Parser struct {
 	method string
 	head   *Head
+	// lineEnd is that of the status line. RFC 9112 (2.2) allows a bare LF as the end of a line,
+	// but in a head with CRLF it may be a part of a name or value.
+	lineEnd string
 }
 
 // NewParser returns a parser for the head of a response to a request with the method.
@@ -57,7 +60,16 @@
 
 // Line takes the next line, which ends with LF. It returns the head after its last line.
 func (p *Parser) Line(line []byte) (*Head, error) {
-	line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+	if p.head == nil {
+		p.lineEnd = "\n"
+		if bytes.HasSuffix(line, []byte("\r\n")) {
+			p.lineEnd = "\r\n"
+		}
+	}
+	line, ok := bytes.CutSuffix(line, []byte(p.lineEnd))
+	if !ok {
+		return nil, malformed("line that does not end like the status line")
+	}
 	if p.head == nil {
 		head, err := parseStatusLine(line)
 		p.head = head
@@ -119,7 +131,7 @@
 // parseField returns the canonical name and the value of a field line without its end.
 func parseField(line []byte) (name, value string, err error) {
 	rawName, rawValue, ok := bytes.Cut(line, []byte(":"))
-	if !ok || len(rawName) == 0 || hasControl(rawName) {
+	if !ok || !isToken(rawName) {
 		return "", "", malformed("field line %.40q", line)
 	}
 	if hasControl(rawValue) {
@@ -128,6 +140,22 @@
 	return textproto.CanonicalMIMEHeaderKey(string(rawName)), string(bytes.Trim(rawValue, " \t")), nil
 }
 
+func isToken(b []byte) bool {
+	for _, c := range b {
+		if !isTokenByte[c] {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+var isTokenByte = func() (is [256]bool) {
+	for c := range is {
+		is[c] = '0' <= c && c <= '9' || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || strings.IndexByte("!#$%&'*+-.^_`|~", byte(c)) >= 0
+	}
+	return is
+}()
+
 // hasControl reports whether a value has a control byte other than a tab.
 func hasControl(b []byte) bool {
 	for _, c := range b {
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -85,6 +85,23 @@
 	}
 }
 
+// Guards against a head whose field line has a name or value that is none, passed on with
+// that line, or with a body whose end another line was to tell.
+func TestMalformedFieldLineIsNoAnswer(t *testing.T) {
+	for _, line := range []string{
+		"X Y: 1", "Content Length: 2", "Content-Length : 2", "Transfer-Encoding : chunked", "Content-Length\t: 2", " Content-Length: 2", "\tX: 1", ": 1", "X", "X Y",
+		"X\x01Y: 1", "X\x00Y: 1", "X\x7fY: 1", "X\x80Y: 1", "X\rY: 1", "X\nY: 1", "\nX: 1", "\rX: 1", "X(Y): 1", "X\"Y: 1", "X/Y: 1",
+		"X: a\x00b", "X: a\x01b", "X: a\x7fb", "X: a\rb", "X: a\r", "X: a\nY: b", "X: a\r\n folded", "X: a\r\n\tfolded", "X: \x1b[0m",
+	} {
+		t.Run(line, func(t *testing.T) {
+			t.Parallel()
+			checkBroken(t, http.MethodGet, "HTTP/1.1 200 OK\r\nA: b\r\n"+line+"\r\nContent-Length: 2\r\n\r\nok")
+			checkBroken(t, http.MethodGet, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\nok")
+			checkBroken(t, http.MethodGet, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		})
+	}
+}
+
 // Guards against a body that ends as whole although its framing is broken or its end has not
 // arrived.
 func TestBodyWithoutItsEnd(t *testing.T) {
@@ -110,6 +127,7 @@
 		"chunk without CRLF":         head + "2\r\nok0\r\n\r\n",
 		"chunk with LF":              head + "2\r\nok\n0\r\n\r\n",
 		"trailer without colon":      head + "2\r\nok\r\n0\r\nA\r\n\r\n",
+		"trailer name with blank":    head + "2\r\nok\r\n0\r\nA : b\r\n\r\n",
 		"trailer with control byte":  head + "2\r\nok\r\n0\r\nA: b\x00\r\n\r\n",
 		"trailer with LF":            head + "2\r\nok\r\n0\r\nA: b\n\r\n",
 		"last chunk without CR":      head + "2\r\nok\r\n0\r\n\n",
@@ -166,6 +184,26 @@
 	}
 }
 
+// Guards against two readings of a bare LF. RFC 9112 (2.2) lets a recipient take it as the end
+// of a line, and a head that uses nothing else has one reading. In a head whose status line
+// ends with CRLF it can be a part of a name or value, and the rest of that another line, or
+// the body.
+func TestBareLineFeed(t *testing.T) {
+	res, body, err := rawAnswer(t, http.MethodGet, "HTTP/1.1 200 OK\nX-A: b\nContent-Length: 2\n\nok", true)
+	if err != nil || body != "ok" || res.Header.Get("X-A") != "b" {
+		t.Errorf("response %+v, body %q, error %v", res, body, err)
+	}
+	for _, response := range []string{
+		"HTTP/1.1 200 OK\r\nX-A: b\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 2\r\n\nok",
+		"HTTP/1.1 200 OK\r\nX-A: b\r\n\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\nX-A: b\r\nContent-Length: 2\n\nok",
+		"HTTP/1.1 200 OK\nX-A: b\nContent-Length: 2\n\r\nok",
+	} {
+		checkBroken(t, http.MethodGet, response)
+	}
+}
+
 // Guards against bytes behind a response without a body that are taken for the response to the
 // next request on its connection.
 func TestBytesBehindResponseWithoutBody(t *testing.T) {
