upstream: a response whose end depends on the reader is no answer

Cause: of a length and chunks together, and of chunks in HTTP/1.0, one was ignored; a 204 or an interim response with a body was read without it, so that its bytes were left for the next response.

Change: these heads are malformed. A 204 with length 0, and a 304 or the response to HEAD with the length of the body that it leaves out, are read as before.

--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -21,6 +21,8 @@
 	"length behind a blank":   "HTTP/1.1 200 OK\r\nId: ID\r\nSigned: sig\r\nContent-Length : 2\r\n\r\nno",
 	"length with a blank":     "HTTP/1.1 200 OK\r\nId: ID\r\nSigned: sig\r\nContent Length: 2\r\n\r\nno",
 	"encoding behind a blank": "HTTP/1.1 200 OK\r\nId: ID\r\nSigned: sig\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+	"length and chunks":       "HTTP/1.1 200 OK\r\nId: ID\r\nSigned: sig\r\nContent-Length: 12\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+	"204 with a body":         "HTTP/1.1 204 No Content\r\nId: ID\r\nSigned: sig\r\nContent-Length: 2\r\n\r\nno",
 }
 
 // answerRaw writes a response as it stands and ends the connection in order.
--- a/internal/responsehead/head.go
+++ b/internal/responsehead/head.go
@@ -175,14 +175,18 @@
 	if err := h.takeEncoding(); err != nil {
 		return err
 	}
+	if h.Chunked && length >= 0 {
+		return malformed("length and chunks")
+	}
 	if h.Chunked {
-		length = -1
-		delete(h.Header, "Content-Length")
 		if err := h.takeTrailer(); err != nil {
 			return err
 		}
 	}
 	neverHasBody := h.IsInterim() || h.Status == http.StatusNoContent
+	if neverHasBody && (h.Chunked || length > 0) {
+		return malformed("status %d with a body", h.Status)
+	}
 	h.HasBody = !neverHasBody && h.Status != http.StatusNotModified && method != http.MethodHead
 	if h.Length = length; !h.HasBody && method != http.MethodHead {
 		h.Length = 0
@@ -226,10 +230,10 @@
 	if len(values) == 0 {
 		return nil
 	}
-	if len(values) > 1 || !strings.EqualFold(values[0], "chunked") {
+	if len(values) > 1 || !strings.EqualFold(values[0], "chunked") || h.minorVersion == '0' {
 		return malformed("transfer encoding %.40q of HTTP/1.%c", values, h.minorVersion)
 	}
-	h.Chunked = h.minorVersion != '0'
+	h.Chunked = true
 	delete(h.Header, "Transfer-Encoding")
 	return nil
 }
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -102,6 +102,40 @@
 	}
 }
 
+// Guards against a response whose end depends on who reads it.
+func TestAmbiguousFramingIsNoAnswer(t *testing.T) {
+	const chunked = "Transfer-Encoding: chunked\r\n"
+	for name, response := range map[string]string{
+		"length and chunks":         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + chunked + "\r\n2\r\nok\r\n0\r\n\r\n",
+		"chunks in HTTP/1.0":        "HTTP/1.0 200 OK\r\n" + chunked + "\r\n2\r\nok\r\n0\r\n\r\n",
+		"unequal lengths":           "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+		"length with a sign":        "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nok",
+		"negative length":           "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nok",
+		"length of no digits":       "HTTP/1.1 200 OK\r\nContent-Length: \r\n\r\nok",
+		"hexadecimal length":        "HTTP/1.1 200 OK\r\nContent-Length: 0x2\r\n\r\nok",
+		"list of lengths":           "HTTP/1.1 200 OK\r\nContent-Length: 2, 2\r\n\r\nok",
+		"length that overflows":     "HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551618\r\n\r\nok",
+		"unknown encoding":          "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok",
+		"two encodings":             "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"chunked twice":             "HTTP/1.1 200 OK\r\n" + chunked + chunked + "\r\n2\r\nok\r\n0\r\n\r\n",
+		"identity":                  "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nok",
+		"204 with a length":         "HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\nok",
+		"204 with chunks":           "HTTP/1.1 204 No Content\r\n" + chunked + "\r\n2\r\nok\r\n0\r\n\r\n",
+		"interim with a length":     "HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"interim with chunks":       "HTTP/1.1 103 Early Hints\r\n" + chunked + "\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"length in the trailer":     "HTTP/1.1 200 OK\r\n" + chunked + "Trailer: Content-Length\r\n\r\n2\r\nok\r\n0\r\nContent-Length: 2\r\n\r\n",
+		"chunks and a wrong length": "HTTP/1.1 200 OK\r\n" + chunked + "Content-Length: x\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkBroken(t, http.MethodGet, response)
+		})
+	}
+	t.Run("204 to HEAD with a length", func(t *testing.T) {
+		checkBroken(t, http.MethodHead, "HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\n")
+	})
+}
+
 // Guards against a body that ends as whole although its framing is broken or its end has not
 // arrived.
 func TestBodyWithoutItsEnd(t *testing.T) {
