dispatch: malformed responses end the connection

Cause: targets' responses were read by http.Transport, which passes on a response with status 000, 999 or 101, HTTP/2.7, a field name with a blank, a length beside chunks, a 204 with a body, a malformed interim head, or a chunk size with a blank.

Change: the connections of the transport check what passes with the parser of internal/responsehead. A checker knows the end of each response, so that it finds the next head without the transport, and httptrace.GotConn tells it that a request is about to be sent; what arrives before is an error too. From the first malformed byte on nothing passes, so the attempt ends as a broken one and it is unknown whether the request ran.

TestReadingIsTheOnlyOne and FuzzReading compare with net/http: what the parser accepts net/http reads with the same status, length, header, body and rest, and a checker that gets it in pieces finds the same.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -71,7 +71,7 @@
 func newTransport(keepAlive bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dialChecked(dialer),
 		DisableKeepAlives:   !keepAlive,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 256,
@@ -137,7 +137,11 @@
 	}
 	var connected, reused atomic.Bool
 	trace := &httptrace.ClientTrace{
-		GotConn:              func(c httptrace.GotConnInfo) { connected.Store(true); reused.Store(c.Reused) },
+		GotConn: func(c httptrace.GotConnInfo) {
+			connected.Store(true)
+			reused.Store(c.Reused)
+			beginExchange(c.Conn, req.Method)
+		},
 		GotFirstResponseByte: func() { outcome.FirstByte = time.Since(start) },
 	}
 	response, err := c.send(httptrace.WithClientTrace(ctx, trace), req, target, out)
