--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -32,7 +32,11 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil || !first {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				if !first { // asked to confirm the end of an unframed response
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 					return
 				}
 				_, _ = io.WriteString(c, response) // the test checks what arrives
@@ -44,7 +48,7 @@
 	}()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	res, err := upstream.NewPool(time.Second).Do(ctx, &upstream.Request{Address: listener.Addr().String(), Method: method, RequestURI: "/", Host: "h"})
+	res, err := upstream.NewPool(time.Second).Do(ctx, &upstream.Request{Address: listener.Addr().String(), Method: method, RequestURI: "/", Host: "h", Confirm: confirm})
 	if err != nil {
 		return nil, "", err
 	}
