sockets: a peek sees a live connection as live

Poll is repeated, and the end is reported only if poll says so. A socket of unknown state keeps the watch of the reader.

--- a/internal/sockets/input.go
+++ b/internal/sockets/input.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 
@@ -34,19 +35,22 @@
 	input := UnknownInput
 	err = raw.Control(func(fd uintptr) {
 		ready := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
-		if _, err := unix.Poll(ready, 0); err != nil {
-			return
+		_, err := unix.Poll(ready, 0)
+		for errors.Is(err, unix.EINTR) {
+			_, err = unix.Poll(ready, 0)
 		}
-		if ready[0].Revents == 0 {
-			input = NoInput
+		if err != nil {
 			return
 		}
+		const ended = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
 		switch n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ); {
 		case err != nil:
 		case n > 0:
 			input = Data
-		default:
+		case ready[0].Revents&ended != 0:
 			input = End
+		default: // a reader may have taken what poll has seen
+			input = NoInput
 		}
 	})
 	if err != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -170,7 +170,8 @@
 		if err := c.SetReadDeadline(time.Time{}); err != nil {
 			return 0, err
 		}
-		if !c.socketEmpty() { // this process was paused, not the peer
+		switch sockets.Peek(c) {
+		case sockets.Data, sockets.End: // this process was paused, not the peer
 			continue
 		}
 		wait, err := c.onSilence()
@@ -188,11 +189,7 @@
 
 // noInput reports whether nothing has arrived on an idle connection, neither data nor
 // the end of the stream.
-func (c *conn) noInput() bool { return c.reader.Buffered() == 0 && c.socketEmpty() }
-
-// socketEmpty reports whether nothing can be read from the socket, neither data nor the
-// end of the stream.
-func (c *conn) socketEmpty() bool { return sockets.Peek(c) == sockets.NoInput }
+func (c *conn) noInput() bool { return c.reader.Buffered() == 0 && sockets.Peek(c) == sockets.NoInput }
 
 // Connect opens a connection to an address and keeps it for the next request. It returns an
 // error if the connection is closed at once: something on the path may accept connections
