upstream: only the process that sent a response confirms its end

The answer's body was read under the watch over silent targets, so that a stalled one held a whole response and could start a second run.

Other exchanges count if they were begun before the last data of the response arrived, by TCP_INFO.

--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -26,8 +26,8 @@
 	fields["unframed"] = true
 	if end, ended := res.End(); ended {
 		fields["end_state"], fields["end_ms"] = end.State.String(), end.Took.Milliseconds()
-		if end.Confirmation != nil {
-			fields["end_error"] = end.Confirmation.Error()
+		if end.Err != nil {
+			fields["end_error"] = end.Err.Error()
 		}
 	}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -88,15 +88,13 @@
 
 func (protocol) ResponseHeader(h http.Header) http.Header { return h.Clone() }
 
-func (protocol) Confirmation(target string, s *document.Service) (string, http.Header) {
-	return s.HealthPath, http.Header{"Target": {target}}
-}
-
-func (protocol) Confirms(target string, status int, h http.Header) error {
-	if status == http.StatusMisdirectedRequest || h.Get("Instance") != target {
-		return fmt.Errorf("%q answers with status %d", h.Get("Instance"), status)
-	}
-	return nil
+func (protocol) Confirmation(target string, _ int64, s *document.Service) *upstream.Confirmation {
+	return &upstream.Confirmation{RequestURI: s.HealthPath, Header: http.Header{"Target": {target}}, Check: func(status int, h http.Header, _ io.Reader) error {
+		if h.Get("Instance") != target {
+			return fmt.Errorf("%q answers with status %d", h.Get("Instance"), status)
+		}
+		return nil
+	}}
 }
 
 func (p protocol) testDocument() *document.Document {
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -88,11 +88,9 @@
 	// MatchRequest tells whether a response belongs to the request with the id.
 	MatchRequest(id string, status int, response http.Header) upstream.Match
 	Classify(status int, response http.Header) Classification
-	// Confirmation returns the request target and headers of a GET request that a target
-	// answers whatever its load is, and "" if its service has none. Confirms returns an error
-	// unless the response to it shows that the process of the target answers.
-	Confirmation(target string, service *document.Service) (requestURI string, header http.Header)
-	Confirms(target string, status int, response http.Header) error
+	// Confirmation returns a request whose answer shows that the process of a target runs; nil
+	// if its service has none. startMillis is the start of the process, 0 if it is unknown.
+	Confirmation(target string, startMillis int64, service *document.Service) *upstream.Confirmation
 	// ResponseHeader returns the response headers that may be sent to the caller.
 	ResponseHeader(response http.Header) http.Header
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -680,16 +681,18 @@
 	if service == nil {
 		return nil
 	}
-	uri, header := g.TargetProtocol.Confirmation(s.target, service)
-	if uri == "" {
+	c := g.TargetProtocol.Confirmation(s.target, s.startMillis, service)
+	if c == nil {
 		return nil
 	}
-	return &upstream.Confirmation{RequestURI: uri, Header: header, Check: func(status int, h http.Header) error {
+	check := c.Check
+	c.Check = func(status int, h http.Header, body io.Reader) error {
 		if now, ok := g.Table.Get(s.target); ok && now.StartMillis != s.startMillis {
 			return fmt.Errorf("target %s has started again", s.target)
 		}
-		return g.TargetProtocol.Confirms(s.target, status, h)
-	}}
+		return check(status, h, body)
+	}
+	return c
 }
 
 // forwardedRequest returns what the host to which a request is forwarded has to know of it.
--- a/internal/sockets/state.go
+++ b/internal/sockets/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -30,27 +31,45 @@
 // StateOf returns the state of a connection. It does not take a pending error from the socket,
 // which the kernel reports only once.
 func StateOf(conn syscall.Conn) State {
+	info := tcpInfo(conn)
+	if info == nil {
+		return UnknownState
+	}
+	switch info.State { // the kernel numbers TCP states alike for all that read them
+	case unix.BPF_TCP_ESTABLISHED:
+		return Open
+	case unix.BPF_TCP_CLOSE_WAIT:
+		return PeerClosed
+	case unix.BPF_TCP_CLOSE:
+		return Reset
+	}
+	return UnknownState
+}
+
+// SinceData returns how long ago data arrived on a connection, whenever it was or will be
+// read, to within some ticks of the kernel's clock. It reports false if the socket could not
+// be examined.
+func SinceData(conn syscall.Conn) (time.Duration, bool) {
+	info := tcpInfo(conn)
+	if info == nil {
+		return 0, false
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, true
+}
+
+// tcpInfo returns what the kernel knows of a connection; nil if this process has closed it.
+func tcpInfo(conn syscall.Conn) (info *unix.TCPInfo) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return UnknownState // closed by this process
+		return nil
 	}
-	state := UnknownState
 	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err != nil {
-			return
-		}
-		switch info.State {
-		case unix.BPF_TCP_ESTABLISHED:
-			state = Open
-		case unix.BPF_TCP_CLOSE_WAIT:
-			state = PeerClosed
-		case unix.BPF_TCP_CLOSE:
-			state = Reset
+		if i, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			info = i
 		}
 	})
 	if err != nil {
-		return UnknownState
+		return nil
 	}
-	return state
+	return info
 }
--- a/internal/upstream/early_end_test.go
+++ b/internal/upstream/early_end_test.go
@@ -100,7 +100,7 @@
 	t.Cleanup(cancel)
 	written := make(chan struct{})
 	res, err := upstream.NewPool(time.Second).Do(ctx, &upstream.Request{Address: address, Method: "POST", RequestURI: "/", Host: "h", Body: body,
-		AfterWrite: func() { close(written) }, Confirm: &upstream.Confirmation{RequestURI: "/health", Header: http.Header{"Target": {"t"}}, Check: func(_ int, h http.Header) error {
+		AfterWrite: func() { close(written) }, Confirm: &upstream.Confirmation{RequestURI: "/health", Header: http.Header{"Target": {"t"}}, Check: func(_ int, h http.Header, _ io.Reader) error {
 			if h.Get("Instance") != "t" {
 				return fmt.Errorf("%q answers", h.Get("Instance"))
 			}
@@ -304,3 +304,71 @@
 		expectBroken(t, res)
 	}
 }
+
+// Guards against a part that counts as whole because another exchange goes on that was begun
+// with the next process at the address, while the reader of the part was late.
+func TestProgressOfAnotherProcessIsNoProof(t *testing.T) {
+	s, p := newUnframedTarget(t), upstream.NewPool(time.Second)
+	res, conn := s.open(t, p)
+	address := s.listener.Addr().String()
+	_ = s.listener.Close()
+	_ = conn.Close()
+	time.Sleep(50 * time.Millisecond) // the kernel tells the arrival of data in ticks
+	back, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := serveListener(t, back)
+	other, otherConn := next.open(t, p)
+	stop := make(chan struct{})
+	defer close(stop)
+	keepWriting(t, other, otherConn, stop)
+	_ = back.Close()
+	expectBroken(t, res)
+}
+
+// Guards against a part that counts as whole because its end is confirmed so late that the
+// target may have started again.
+func TestLateConfirmationIsNone(t *testing.T) {
+	address := handle(t, func(c net.Conn, reader *bufio.Reader) {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if r.URL.Path == "/health" {
+			time.Sleep(2500 * time.Millisecond)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nInstance: t\r\nContent-Length: 0\r\n\r\n")
+			return
+		}
+		_, _ = io.WriteString(c, unframedHead+oneEvent)
+	})
+	res, _ := do(t, address, nil)
+	expectBroken(t, res)
+}
+
+// Guards against a whole response that is held back, or repeated, while the rest of the answer
+// that has confirmed its end does not come.
+func TestStalledRestOfConfirmation(t *testing.T) {
+	done := make(chan struct{})
+	defer close(done)
+	address := handle(t, func(c net.Conn, reader *bufio.Reader) {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if r.URL.Path == "/health" {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nInstance: t\r\nContent-Length: 5\r\n\r\n")
+			<-done
+			return
+		}
+		_, _ = io.WriteString(c, unframedHead+oneEvent)
+	})
+	res, _ := do(t, address, nil)
+	started := time.Now()
+	if body, err := io.ReadAll(res); err != nil || string(body) != oneEvent {
+		t.Errorf("body %q, %v", body, err)
+	}
+	if took := time.Since(started); took > time.Second {
+		t.Errorf("the end took %s", took)
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -111,9 +111,9 @@
 type End struct {
 	// State is that of the connection when nothing was left to read.
 	State sockets.State
-	// Confirmation is the error of the connection that confirms the end; nil if it is whole.
-	Confirmation error
-	// Took is how long the confirmation took.
+	// Err says why it is not taken for the end of the body; nil if it is.
+	Err error
+	// Took is how long it took to find out.
 	Took time.Duration
 }
 
@@ -254,11 +254,11 @@
 	n, err := o.body.Read(b)
 	if err == io.EOF && o.confirm != nil {
 		began := time.Now()
-		o.end.Confirmation = o.confirm()
+		o.end.Err = o.confirm()
 		o.end.Took, o.confirm = time.Since(began), nil
 	}
-	if err == io.EOF && o.end.Confirmation != nil {
-		err = o.end.Confirmation
+	if err == io.EOF && o.end.Err != nil {
+		err = o.end.Err
 	}
 	switch {
 	case err == io.EOF:
--- a/internal/upstream/progress.go
+++ b/internal/upstream/progress.go
@@ -33,16 +33,17 @@
 	}
 }
 
-// makesProgress reports whether the process of a target runs although it refuses connections:
-// one that shuts down in order closes its listener, and completes its responses. This is shown
-// by another exchange with it, on whose connection nothing was left to read, if data arrives
-// there and the connection stays open. Data alone may have been delayed on the way since
-// before the process ended, but then the end of the connection follows it.
-func (p *Pool) makesProgress(ctx context.Context, address string, ended *conn) bool {
+// makesProgress reports whether the process of which data arrived at ranAt runs although it
+// answers no new connection: one that shuts down in order closes its listener, and completes its
+// responses. This is shown by another exchange with it, on whose connection nothing was left to
+// read, if data arrives there and the connection stays open. Data alone may have been delayed on
+// the way since before the process ended, but then the end of the connection follows it. A
+// connection that was opened after ranAt may be that of another process.
+func (p *Pool) makesProgress(ctx context.Context, address string, ended *conn, ranAt time.Time) bool {
 	watched := map[*conn]int64{}
 	p.mu.Lock()
 	for c := range p.active[address] {
-		if c != ended && sockets.Peek(c) == sockets.NoInput {
+		if c != ended && c.openedAt.Before(ranAt) && sockets.Peek(c) == sockets.NoInput {
 			watched[c] = c.received.Load()
 		}
 	}
--- a/internal/upstream/progress_test.go
+++ b/internal/upstream/progress_test.go
@@ -27,6 +27,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return serveListener(t, listener)
+}
+
+func serveListener(t *testing.T, listener net.Listener) *unframedTarget {
+	t.Helper()
 	s := &unframedTarget{listener, make(chan net.Conn, 8)}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -82,7 +82,7 @@
 const confirmPath = "/confirm"
 
 // confirm is answered by a script while it serves.
-var confirm = &upstream.Confirmation{RequestURI: confirmPath, Check: func(status int, _ http.Header) error {
+var confirm = &upstream.Confirmation{RequestURI: confirmPath, Check: func(status int, _ http.Header, _ io.Reader) error {
 	if status != http.StatusOK {
 		return fmt.Errorf("status %d", status)
 	}
