proctest: a relay that passes resets on, and one whose process is gone

A reset behind a relay reached the other side as an orderly end, and a relay could not stand for an address that still accepts connections while its process is gone. Faults of that kind could not be injected.

PassResets keeps resets, also when a write of the relay has taken the error of the socket, and reads little ahead, so that a sender waits for its peer. Abort resets all connections, Lose and Replace end them in order and close, reset, hold or forward new ones elsewhere until Restore. Relays that don't use these behave as before.

--- a/internal/proctest/relay.go
+++ b/internal/proctest/relay.go
@@ -3,17 +3,20 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"geraniumturn.example/geraniumturn/internal/sockets"
 	"golang.org/x/sys/unix"
 )
 
 // Relay is a TCP proxy that injects network faults: it can cut, reset, blackhole or
-// delay the connections that pass through it, and refuse or hang new ones.
+// delay the connections that pass through it, and refuse or hang new ones. It can also stand
+// in front of a process that is gone: connections are accepted all the same.
 type Relay struct {
 	address     string
 	destination string
@@ -22,9 +25,20 @@
 	// dropLevel is 0 to forward all data, 1 to drop data towards the destination, and
 	// 2 to drop data in both directions.
 	dropLevel atomic.Int32
+	// passesResets is set before the first connection.
+	passesResets atomic.Bool
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
+	// epoch counts the calls that ended all connections. A connection that was accepted
+	// before such a call ends with the others.
+	epoch int
+	// aborted has the connections that are being reset.
+	aborted map[net.Conn]struct{}
+	// accepted is what happens to new connections; other replaces the destination, unless
+	// it is "".
+	accepted Accepted
+	other    string
 	// listener is nil while connections are refused. fillers occupy its queue while
 	// connections hang; accepting is closed when they no longer do.
 	listener  *net.TCPListener
@@ -32,13 +46,27 @@
 	accepting chan struct{}
 }
 
+// Accepted is what a relay does with the connections that it accepts.
+type Accepted int
+
+const (
+	// Forward forwards them.
+	Forward Accepted = iota
+	// CloseAccepted closes them at once, in order.
+	CloseAccepted
+	// ResetAccepted resets them at once.
+	ResetAccepted
+	// HoldAccepted neither reads from them nor answers.
+	HoldAccepted
+)
+
 // NewRelay listens on one address and forwards its connections to another.
 func NewRelay(listen, to string) (*Relay, error) {
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{address: listener.Addr().String(), destination: to, conns: map[net.Conn]struct{}{}}
+	r := &Relay{address: listener.Addr().String(), destination: to, conns: map[net.Conn]struct{}{}, aborted: map[net.Conn]struct{}{}}
 	r.listener = listener.(*net.TCPListener)
 	go r.accept(r.listener)
 	return r, nil
@@ -175,6 +203,53 @@
 	r.cut.Store(false)
 }
 
+// PassResets makes the relay pass on a reset of one side as a reset, and not as an orderly
+// end, and read little ahead of the other side. It is called before the first connection.
+func (r *Relay) PassResets() { r.passesResets.Store(true) }
+
+// smallBuffer is the size of the buffers of a relay that reads little ahead.
+const smallBuffer = 32 << 10
+
+// Lose closes all connections in order, as the end of the process behind the relay does.
+// Until Restore new ones are treated as given.
+func (r *Relay) Lose(accepted Accepted) { r.lose(accepted, "") }
+
+// Replace does the same, and forwards new connections to another process.
+func (r *Relay) Replace(destination string) { r.lose(Forward, destination) }
+
+func (r *Relay) lose(accepted Accepted, other string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.accepted, r.other = accepted, other
+	r.epoch++
+	for c := range r.conns {
+		_ = c.Close()
+	}
+}
+
+// Restore ends Lose and Replace, and the connections made meanwhile.
+func (r *Relay) Restore() { r.lose(Forward, "") }
+
+// Abort resets all connections on both sides; new ones are forwarded.
+func (r *Relay) Abort() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.epoch++
+	for c := range r.conns { // none may end in order because its other side has ended
+		r.aborted[c] = struct{}{}
+	}
+	for c := range r.conns {
+		abort(c)
+	}
+}
+
+func abort(c net.Conn) {
+	if c, ok := c.(*net.TCPConn); ok {
+		_ = c.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // Blackhole drops data without closing connections until Heal: only data towards the
 // destination of the relay, or in both directions.
 func (r *Relay) Blackhole(oneWay bool) {
@@ -207,7 +282,22 @@
 			_ = in.Close()
 			continue
 		}
-		go r.connect(in)
+		r.mu.Lock()
+		accepted, epoch, destination := r.accepted, r.epoch, r.destination
+		if r.other != "" {
+			destination = r.other
+		}
+		r.mu.Unlock()
+		switch accepted {
+		case Forward:
+			go r.connect(in, destination, epoch)
+		case CloseAccepted:
+			_ = in.Close()
+		case ResetAccepted:
+			abort(in)
+		case HoldAccepted:
+			r.track(epoch, in)
+		}
 	}
 }
 
@@ -220,13 +310,17 @@
 	}
 }
 
-func (r *Relay) connect(in net.Conn) {
-	out, err := net.Dial("tcp", r.destination)
+func (r *Relay) connect(in net.Conn, destination string, epoch int) {
+	out, err := net.Dial("tcp", destination)
 	if err != nil {
 		_ = in.Close()
 		return
 	}
-	r.track(in, out)
+	if r.passesResets.Load() {
+		_ = in.(*net.TCPConn).SetReadBuffer(smallBuffer)
+		_ = out.(*net.TCPConn).SetWriteBuffer(smallBuffer)
+	}
+	r.track(epoch, in, out)
 	var directions sync.WaitGroup
 	directions.Go(func() { r.copy(out, in, 1) })
 	directions.Go(func() { r.copy(in, out, 2) })
@@ -234,23 +328,32 @@
 	r.untrack(in, out)
 }
 
-func (r *Relay) track(conns ...net.Conn) {
+// track adds connections that were accepted in an epoch.
+func (r *Relay) track(epoch int, conns ...net.Conn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, c := range conns {
 		r.conns[c] = struct{}{}
-		if r.cut.Load() {
+		if r.cut.Load() || epoch != r.epoch {
 			_ = c.Close()
 		}
 	}
 }
 
+func (r *Relay) isAborted(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.aborted[c]
+	return ok
+}
+
 func (r *Relay) untrack(conns ...net.Conn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, c := range conns {
 		_ = c.Close()
 		delete(r.conns, c)
+		delete(r.aborted, c)
 	}
 }
 
@@ -265,7 +368,12 @@
 // minDropLevel, and from then on drops all data in this direction of the connection,
 // also after Heal.
 func (r *Relay) copy(to, from net.Conn, minDropLevel int32) {
-	chunks := make(chan chunk, 1024)
+	ahead := 1024
+	if r.passesResets.Load() {
+		ahead = 1 // whoever sends waits for the other side, as without a relay
+	}
+	chunks := make(chan chunk, ahead)
+	wasReset := false // set before chunks is closed
 	go func() {
 		defer close(chunks)
 		for {
@@ -275,6 +383,7 @@
 				chunks <- chunk{time.Now().Add(time.Duration(r.delay.Load())), buffer[:n]}
 			}
 			if err != nil {
+				wasReset = r.passesResets.Load() && endedByReset(from, err)
 				return
 			}
 		}
@@ -288,10 +397,22 @@
 		time.Sleep(time.Until(c.due))
 		if _, err := to.Write(c.data); err != nil {
 			failed = true
-			_ = from.Close()
+			if !r.passesResets.Load() { // otherwise the other direction ends both
+				_ = from.Close()
+			}
 		}
 	}
-	if c, ok := to.(*net.TCPConn); ok && !failed {
+	switch c, ok := to.(*net.TCPConn); {
+	case wasReset:
+		abort(to)
+	case ok && !failed && !r.isAborted(to):
 		_ = c.CloseWrite()
 	}
 }
+
+// endedByReset reports whether a connection whose read has failed, or returned its end, was
+// reset. A write may have taken the error.
+func endedByReset(c net.Conn, err error) bool {
+	tcp, ok := c.(*net.TCPConn)
+	return errors.Is(err, unix.ECONNRESET) || ok && errors.Is(err, io.EOF) && sockets.StateOf(tcp) == sockets.Reset
+}
