gateway: only a stream that can be resumed may have an empty rest

A stream without a length or chunks that ended without an event looked complete to every caller that sent Last-Event-Id, also on a route whose streams cannot be resumed, where the header means nothing.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -731,6 +731,7 @@
 		{"stream, resumable", "/resume/", eventStream, twoEvents, true, nil},
 		{"nothing left to resume", "/resume/", eventStream, "", true, []string{"Last", "2"}},
 		{"empty stream", "/stream/", eventStream, "", false, nil},
+		{"empty stream that cannot be resumed", "/stream/", eventStream, "", false, []string{"Last", "2"}},
 		{"empty stream, resumable", "/resume/", eventStream, "", false, nil},
 		{"only a comment", "/stream/", eventStream, ": ping\n\n", false, nil},
 		{"only a comment, resumable", "/resume/", eventStream, ": ping\n\n", false, nil},
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -59,7 +59,9 @@
 
 // resumesStream reports whether the caller has received events of the stream before. The
 // rest of such a stream may be empty.
-func (x *requestState) resumesStream() bool { return x.lastEvent != "" || x.call.LastEvent != "" }
+func (x *requestState) resumesStream() bool {
+	return x.lastEvent != "" || x.call.LastEvent != "" && x.route.Resumable
+}
 
 // errNoEvents means that a stream that ends with its connection has no event, so that
 // nothing shows that it is complete.
