gateway, entry: the path as sent selects the route

Cause: the route was looked up by URL.Path, the decoded path. A path with %2F, or another encoded character, could so take a route whose prefix it does not begin with: a request that is not idempotent took an idempotent route and ran twice when its response was lost. URL.EscapedPath would not do: it encodes a path with, for example, a quotation mark anew from the decoded one, and %2F becomes a slash.

Change: intake.SentPath gives the path of the request target as it was sent, in origin or absolute form; both lookups use it. An encoded character equals only itself: /%6Fnce/ no longer takes the route of /once/.

The packages entry, intake and rules pass with -race.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -188,7 +188,7 @@
 // authenticate determines the route and the workspace from path and headers.
 func (s *Server) authenticate(c echo.Context, k *call, view *fleet.View) error {
 	r := c.Request()
-	k.route = view.Rules.Route(r.URL.Path)
+	k.route = view.Rules.Route(intake.SentPath(r))
 	token := bearer(r)
 	if k.route != nil && k.route.Open && token == "" {
 		return nil
@@ -210,7 +210,7 @@
 		return refusal.New(refusal.Forbidden, refusal.NotRun, "workspace %s has no rule", key.Workspace)
 	}
 	if k.route == nil {
-		return refusal.New(refusal.Forbidden, refusal.NotRun, "no route matches %s", r.URL.Path)
+		return refusal.New(refusal.Forbidden, refusal.NotRun, "no route matches %s", intake.SentPath(r))
 	}
 	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -436,9 +436,10 @@
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
-	x.route = x.view.Config.Route(host, x.request.URL.Path)
+	path := intake.SentPath(x.request)
+	x.route = x.view.Config.Route(host, path)
 	if x.route == nil {
-		return g.deny(age, refusal.New(refusal.NoRoute, refusal.NotRun, "no route for %s%s", host, x.request.URL.Path))
+		return g.deny(age, refusal.New(refusal.NoRoute, refusal.NotRun, "no route for %s%s", host, path))
 	}
 	if err := g.authenticate(x, age); err != nil {
 		return err
