review: replicas of case 5 answer health checks with their name

The stand-in answered GET of its health path as it does other requests, without the X-Instance that the platform's replicas send.

--- a/review/standins/unframed.go
+++ b/review/standins/unframed.go
@@ -77,6 +77,10 @@
 		}
 		s.setIdle(conn, false)
 		_, _ = io.Copy(io.Discard, req.Body)
+		if req.URL.Path == "/health" {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Instance: %s\r\nContent-Length: 0\r\n\r\n", s.id)
+			continue
+		}
 		id := req.Header.Get("X-Attempt-Id")
 		if req.Header.Get("X-Target-Instance") != s.id {
 			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
