gateway, placement: what targets state about a rate limit is logged

Server-Limit is decoded, kept by process, and logged as "target limit"; "request to limited target" names each request to such a target with its attempt and the time since the choice. Of two statements whose order is unknown the stricter one holds, and an unreadable one changes nothing. No decision depends on it yet.

go test ./platform ./internal/placement ./internal/gateway for the tests of statements: passed.

--- a/internal/gateway/availability.go
+++ b/internal/gateway/availability.go
@@ -25,7 +25,10 @@
 	now := sinceBoot()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.logChanges(now, "", g.placer.Observe(now, s.attempt, placement.Statement{Leaving: c.Leaving, Pause: c.RetryAfter, Brittle: c.Brittle, Rejected: c.NotRun})...)
+	g.logChanges(now, "", g.placer.Observe(now, s.attempt, placement.Statement{Leaving: c.Leaving, Pause: c.RetryAfter, Brittle: c.Brittle, Limit: c.Limit, LimitUnreadable: c.LimitUnreadable, Rejected: c.NotRun})...)
+	if c.LimitUnreadable {
+		g.Log.WithField("target", s.target).Warn("unreadable target limit")
+	}
 }
 
 // logChanges logs targets that are left out or used again. host is the host that reported
@@ -38,6 +41,10 @@
 			g.Log.WithFields(fields).Info("brittle service")
 			continue
 		}
+		if c.Cause == placement.CauseLimit {
+			g.logLimit(fields, host, c)
+			continue
+		}
 		fields["target"], fields["cause"] = c.Target, string(c.Cause)
 		if c.Ended {
 			g.Log.WithFields(fields).Info("target used again")
@@ -121,6 +128,7 @@
 	defer g.mu.Unlock()
 	allowed := g.placer.BeginSend(now, s.attempt)
 	g.logColdSend(now, x, s, allowed)
+	g.logLimitedSend(now, x, s, allowed)
 	if !allowed {
 		return errNotAccepted
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -183,9 +183,9 @@
 }
 
 type requestMetrics struct {
-	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed, keptSilent, detached, displaced, yielded, hopeless, coldSends, coldWithheld metrics.Counter
-	firstByte, total                                                                                                                                                   metrics.Timer
-	leftOut                                                                                                                                                            map[placement.Cause]metrics.Counter
+	requests, served, refused, broken, retries, forwarded, resumed, quarantined, unframed, keptSilent, detached, displaced, yielded, hopeless, coldSends, coldWithheld, limitedSends, limitedWithheld metrics.Counter
+	firstByte, total                                                                                                                                                                                  metrics.Timer
+	leftOut                                                                                                                                                                                           map[placement.Cause]metrics.Counter
 }
 
 // Init prepares the gateway after its fields are set. prefillSpeed is the prefill speed
@@ -218,7 +218,7 @@
 		return metrics.GetOrRegisterCounter("gateway."+name, g.Metrics)
 	}
 	g.requestMetrics = requestMetrics{requests: counter("requests"), served: counter("served"), refused: counter("refused"),
-		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"), keptSilent: counter("silent_targets_kept"), detached: counter("detached"), displaced: counter("displaced"), yielded: counter("yielded"), hopeless: counter("refused_without_room"), coldSends: counter("cold_sends"), coldWithheld: counter("cold_withheld"),
+		broken: counter("broken"), retries: counter("retries"), forwarded: counter("forwarded"), resumed: counter("resumed"), quarantined: counter("quarantined"), unframed: counter("unframed_responses"), keptSilent: counter("silent_targets_kept"), detached: counter("detached"), displaced: counter("displaced"), yielded: counter("yielded"), hopeless: counter("refused_without_room"), coldSends: counter("cold_sends"), coldWithheld: counter("cold_withheld"), limitedSends: counter("limited_sends"), limitedWithheld: counter("limited_withheld"),
 		leftOut: map[placement.Cause]metrics.Counter{placement.CauseLeaving: counter("targets_leaving"), placement.CausePause: counter("targets_paused"),
 			placement.CauseRejection: counter("brittle_rejections")},
 		firstByte: metrics.GetOrRegisterTimer("gateway.first_byte", g.Metrics),
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -77,6 +77,10 @@
 	// Brittle is the number of rejections in a second that the target survives; 0 if it
 	// does not say that it is brittle.
 	Brittle int
+	// Limit is how many requests a second the target takes from all hosts together; 0 if it
+	// states no limit. LimitUnreadable means that it states one that cannot be read.
+	Limit           float64
+	LimitUnreadable bool
 }
 
 // TargetProtocol encodes requests for targets and interprets their responses.
--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -28,6 +28,10 @@
 	// Brittle is the number of rejections in a second that the process survives; 0 if it
 	// does not say that it is brittle.
 	Brittle int
+	// Limit is how many requests a second the process takes from all hosts together; 0 if it
+	// states no limit. LimitUnreadable means that it states one that cannot be read.
+	Limit           float64
+	LimitUnreadable bool
 	// Rejected means that the process did not take the request.
 	Rejected bool
 }
@@ -41,6 +45,8 @@
 	// Limit is the number of rejections in a second that the targets of a brittle service
 	// survive.
 	Limit int
+	// PerSecond is the rate limit that a target states; 0 if it states none any more.
+	PerSecond float64
 	// Ended means that the cause no longer holds.
 	Ended bool
 }
@@ -56,6 +62,8 @@
 	CauseRejection Cause = "rejection"
 	// CauseBrittle means that the targets of a service get no requests that may wait.
 	CauseBrittle Cause = "brittle"
+	// CauseLimit is a change of the rate limit that a target states.
+	CauseLimit Cause = "limit"
 )
 
 // availability is what one process of a target has stated. It is kept apart from the
@@ -69,6 +77,7 @@
 	pausedUntil time.Duration
 	pauseLogged bool // the end of the pause is still to be logged
 	rejections  rejections
+	limit       statedLimit
 	ended       endedProcess
 }
 
@@ -109,7 +118,7 @@
 	}
 	state.statedAt = now
 	a.target.observeEnded(now, a)
-	out := p.observeBrittle(now, a, s)
+	out := append(p.observeBrittle(now, a, s), p.observeLimit(now, a, s)...)
 	if s.Leaving && !state.leaving {
 		state.leaving, state.reportUntil = true, now+leavingReportTime
 		out = append(out, Change{Target: a.target.ID, Service: a.target.Service, Cause: CauseLeaving})
