gateway, placement, shares: requests to targets with a rate limit need permits

Callers saw nothing; a target that stated that it takes 2.4 requests a second from all hosts together got 39 to 51 within 4 s, 19 allowed.

Cause: no host acted on the statement. It passed through to the caller like any other field; one host and first attempts alone exceeded the limit.

Each request to such a target now needs a permit. The host of the region that holds the partition of the target by lease grants them from one bucket at the stated rate; the others ask it (Usage.Permit). A permit is for one request and 0.5 s, and is checked right before the write. Without one the target is left out until the time that the grantor named, and the request goes to another target, or is refused at once with that time. Statements of responses that overtake each other are ordered by when they can have been made. Why this holds over all hosts: a partition has at most one holder, which begins with an empty bucket, so what a host may send does not follow from which hosts it knows.

The relays of usage reports copy field by field; they pass the limits on, and a test checks every field.

--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -54,7 +54,7 @@
 			RateSlack: p.Bounds.RateSlack, ColdOverrun: p.Bounds.ColdOverrun, ColdSlack: p.Bounds.ColdSlack,
 		},
 		CallerProtocol: platform.CallerProtocol{}, HonouredShare: platform.HonouredShare, TargetProtocol: platform.TargetProtocol{}, Views: gateway.NewViewStore(platform.ConfigurationDecoder{}),
-		Table: registry.NewTable(), Log: d.log, Metrics: d.metrics, Front: p.Front, Forward: p.ForwardAddress(), Peer: p.PeerAddress(), RateClient: rateClient{d.transport.Dial},
+		Table: registry.NewTable(), Log: d.log, Metrics: d.metrics, Front: p.Front, Forward: p.ForwardAddress(), Peer: p.PeerAddress(), RateClient: usageClient{d.transport.Dial}, PermitClient: usageClient{d.transport.Dial},
 		Started: time.Now().UnixMilli(), MaxBodyMemory: d.gate.Account.Limits().Account, MaxResponseMemory: d.gate.Account.Limits().Responses,
 	}
 	g.Init(p.PrefillTokensPerMS * float64(time.Second/time.Millisecond))
@@ -98,15 +98,20 @@
 	}, nil
 }
 
-// rateClient takes tokens of a workspace's rate from the hosts that manage it.
-type rateClient struct {
+// usageClient takes tokens of a workspace's rate, and permits for targets, from the hosts that
+// hold them.
+type usageClient struct {
 	dial func(address string) drpc.Conn
 }
 
-func (c rateClient) Take(ctx context.Context, peer string, in *syncpb.TakeRequest) (*syncpb.TakeResponse, error) {
+func (c usageClient) Take(ctx context.Context, peer string, in *syncpb.TakeRequest) (*syncpb.TakeResponse, error) {
 	return syncpb.NewDRPCUsageClient(c.dial(peer)).Take(ctx, in)
 }
 
+func (c usageClient) Permit(ctx context.Context, peer string, in *syncpb.PermitRequest) (*syncpb.PermitResponse, error) {
+	return syncpb.NewDRPCUsageClient(c.dial(peer)).Permit(ctx, in)
+}
+
 // stopEntry drains the host: it tells callers to use other hosts, continues to accept
 // requests while callers may still send them, and then waits for the requests in
 // progress, and for those of which a part has arrived.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -157,7 +157,7 @@
 func (g *Gateway) sendForwarded(ctx context.Context, w http.ResponseWriter, x *requestState, f forwardedRequest) error {
 	x.workspace, x.urgency = &document.Workspace{Name: f.Workspace}, f.Urgency
 	x.suspectKeys = suspectKeys(x)
-	s, err := g.chooseLocalTarget(x, time.Duration(f.WaitMS)*time.Millisecond)
+	s, err := g.choosePermitted(ctx, x, time.Duration(f.WaitMS)*time.Millisecond)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,8 +100,10 @@
 	LocalOnly bool
 	// EqualUrgency means that no request gives way to a more urgent one.
 	EqualUrgency bool
-	// RateClient takes tokens from the rate holders on other hosts.
-	RateClient RateClient
+	// RateClient takes tokens from the rate holders on other hosts, PermitClient permits from
+	// those that grant them.
+	RateClient   RateClient
+	PermitClient PermitClient
 	// OriginClient asks the control hosts which software began a stream.
 	OriginClient OriginClient
 	// Front, Forward and Peer are the addresses of this host for callers, for
@@ -153,7 +155,7 @@
 	// are those among which the slots of brittle targets were last divided.
 	peerSet      *shares.PeerSet
 	sharingHosts []string
-	paceLease    shares.PartitionLease // of the pace of cold targets
+	paceLease    shares.PartitionLease // of the pace of cold targets, and of the permits of limited ones
 	buffers      bytebudget.Budget     // of the parts of responses that are kept
 	bodies       bytebudget.Budget     // of the bodies of requests
 	origins      *origins.Store        // of the streams that began at this host
@@ -174,6 +176,9 @@
 	*syncpb.EntryHost
 	lastHeard  time.Duration
 	detachment detachment
+	// partitions are those that the host said at partitionsAt that it holds.
+	partitions   shares.PartitionSet
+	partitionsAt time.Duration
 }
 
 // endedEvacuation records the end of an evacuation of a data centre.
@@ -213,6 +218,7 @@
 	g.placer.PaceShare = func(now time.Duration, target string, limit int) int {
 		return g.paceLease.Held(now).Permits(target, limit)
 	}
+	g.placer.HeldPartitions = g.paceLease.Held
 	g.placer.Reachable = func(now time.Duration, region string) bool { return now-g.regionLastHeard[region] < regionTimeout }
 	counter := func(name string) metrics.Counter {
 		return metrics.GetOrRegisterCounter("gateway."+name, g.Metrics)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -82,8 +82,9 @@
 func (protocol) Classify(status int, h http.Header) gateway.Classification {
 	pause, _ := time.ParseDuration(h.Get("Pause"))
 	brittle, _ := strconv.Atoi(h.Get("Brittle"))
+	limit, limitErr := strconv.ParseFloat(h.Get("Limit"), 64)
 	return gateway.Classification{NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Signed: h.Get("Signed") != "", Success: h.Get("Signed") != "" && status >= http.StatusOK && status < http.StatusMultipleChoices,
-		Leaving: h.Get("Leaving") != "", RetryAfter: pause, Brittle: brittle}
+		Leaving: h.Get("Leaving") != "", RetryAfter: pause, Brittle: brittle, Limit: limit, LimitUnreadable: h.Get("Limit") != "" && limitErr != nil}
 }
 
 func (protocol) ResponseHeader(h http.Header) http.Header { return h.Clone() }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -585,7 +585,7 @@
 // says nothing about its destination.
 func withheld(err error) bool {
 	_, refused := errors.AsType[*refusal.Error](err)
-	return refused || errors.Is(err, errNotAccepted) || errors.Is(err, errOutOfStep) || errors.Is(err, errNoRetry) || errors.Is(err, errCallerGone)
+	return refused || errors.Is(err, errNotAccepted) || errors.Is(err, errNoPermit) || errors.Is(err, errOutOfStep) || errors.Is(err, errNoRetry) || errors.Is(err, errCallerGone)
 }
 
 func (g *Gateway) finishAttempt(x *requestState, s *sendAttempt, o placement.Outcome) {
@@ -607,6 +607,9 @@
 
 // dispatch sends the request and waits for the headers of the response.
 func (g *Gateway) dispatch(ctx context.Context, x *requestState, s *sendAttempt) (*upstream.Response, error) {
+	if err := g.takePermit(ctx, x, s); err != nil {
+		return nil, err
+	}
 	now := sinceBoot()
 	remaining := x.deadline - now - targetDeadlineMargin
 	if remaining <= 0 {
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -183,7 +183,9 @@
 func (g *Gateway) applyGrants(now time.Duration, u fleetsync.Update) {
 	asOf := u.SentAt - time.Duration(u.GetGrantsAgeMs())*time.Millisecond
 	if u.GetGranted() {
+		held := g.paceLease.Held(now)
 		g.paceLease.Grant(shares.PartitionSet(u.GetPartitions()), asOf)
+		g.placer.ForgetPermits(g.paceLease.Held(now) &^ held)
 	}
 	for _, grant := range u.GetGrants() {
 		if b := g.buckets[grant.GetWorkspace()]; b != nil && g.rateHolder(now, grant.GetWorkspace()) == nil {
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -73,6 +73,7 @@
 	g.addSuspects(sinceBoot(), out)
 	if scope == placement.SameRegion {
 		g.addAvailability(sinceBoot(), out)
+		g.addLimits(sinceBoot(), out)
 		out.Shortages = encodeShortages(g.shortages.Report(sinceBoot()))
 		for id, u := range g.placer.OwnUsage() {
 			arriving, pace := g.placer.EngineUsage(sinceBoot(), id)
@@ -186,6 +187,7 @@
 	g.mergeEngines(at, in)
 	g.mergeSuspects(at, in)
 	g.mergeAvailability(at, in)
+	g.mergeLimits(at, in)
 	g.shortages.Merge(in.GetHost(), at, decodeShortages(in.GetShortages()))
 	if h := g.hosts[in.GetHost()]; h != nil {
 		g.recordDetached(h, at, in.GetDetached())
--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -202,7 +202,7 @@
 		if t.availability.leaving || !r.Allows(t) {
 			continue
 		}
-		if w := max(t.availability.pausedUntil-now, p.roomIn(now, t, r)); !ok || w < wait {
+		if w := max(t.availability.pausedUntil-now, p.roomIn(now, t, r), t.permitIn(now)); !ok || w < wait {
 			wait, ok = w, true
 		}
 	}
--- a/internal/placement/coldpace_test.go
+++ b/internal/placement/coldpace_test.go
@@ -30,6 +30,7 @@
 	nextReport  time.Duration
 	placer      *placement.Placer
 	lease       shares.PartitionLease
+	held        shares.PartitionSet // at the last step
 	unsent      []*paceSend
 }
 
--- a/internal/placement/pace.go
+++ b/internal/placement/pace.go
@@ -133,7 +133,7 @@
 // choice, and the target may have become cold or left.
 func (p *Placer) BeginSend(now time.Duration, a *Attempt) bool {
 	t := p.targets[a.target.ID]
-	if t == nil || t.Address != a.target.Address || !a.availability.accepts(now) {
+	if t == nil || t.Address != a.target.Address || !a.availability.accepts(now) || !a.permitted(now) {
 		return false
 	}
 	if !t.paced(now) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -183,6 +183,10 @@
 	// host is the only one.
 	PaceShare func(now time.Duration, target string, limit int) int
 
+	// HeldPartitions returns the partitions that this host holds. It grants the permits of the
+	// targets in them. Nil means that this host is the only one.
+	HeldPartitions func(now time.Duration) shares.PartitionSet
+
 	engine          Engine
 	calibrations    map[string]*engine.Calibration // by service
 	lastUsed        map[uint64]time.Duration       // last use of each shared segment at any target
@@ -366,7 +370,7 @@
 			p.drawnPair = map[int]bool{p.rand.IntN(n): true, p.rand.IntN(n): true}
 		}
 		for _, t := range p.byService[r.Service] {
-			if excluded != nil && excluded(t.ID) || !r.Allows(t) || !t.usable(now, pass > 0) || !p.allowsPace(now, t) || !p.hasRoom(now, t, r, brittle) {
+			if excluded != nil && excluded(t.ID) || !r.Allows(t) || !t.usable(now, pass > 0) || !p.allowsPace(now, t) || t.permitIn(now) > 0 || !p.hasRoom(now, t, r, brittle) {
 				continue
 			}
 			c := p.evaluate(now, t, r, sources, view)
@@ -436,6 +440,7 @@
 	counted      bool          // its start was counted for a brittle target
 	chosenCold   bool          // the target was cold at the choice
 	pace         paceState
+	permitUntil  time.Duration // end of the permit, if the target states a rate limit
 	started      time.Duration
 	usage        Usage
 	observed     observation
--- a/internal/placement/region.go
+++ b/internal/placement/region.go
@@ -88,12 +88,16 @@
 		}
 		u, _ := p.estimatedUsage(now, t, view)
 		free := 1 - float64(u.Running)/float64(t.Slots)
-		rate := float64(t.Slots) * float64(time.Second) / p.expectedDuration(now, t, u)
+		rate, perRequest := float64(t.Slots)*float64(time.Second)/p.expectedDuration(now, t, u), 1.0
 		if t.cache != nil {
-			rate = t.readRate(now, u)
+			rate, perRequest = t.readRate(now, u), typicalPromptTokens
 			free = min(free, 1-u.PrefillTokens/(rate*roomBacklog.Seconds()), 1-float64(u.MemoryTokens)/(memoryFraction*float64(t.CacheTokens)))
 		}
-		room += rate * max(0, free)
+		rate *= max(0, free)
+		if l := t.availability.limit.PerSecond; l > 0 {
+			rate = min(rate, l*perRequest)
+		}
+		room += rate
 	}
 	return room
 }
--- a/internal/usagerelay/hub.go
+++ b/internal/usagerelay/hub.go
@@ -181,7 +181,8 @@
 		}
 		in := r.GetReport()
 		report := &syncpb.UsageReport{Host: in.GetHost(), Relay: in.GetRelay(), Crashes: in.GetCrashes(), Served: in.GetServed(), Quarantined: in.GetQuarantined(),
-			Availability: in.GetAvailability(), Detached: in.GetDetached(), Shortages: in.GetShortages(), Engines: in.GetEngines(), Targets: make([]*syncpb.TargetUsage, 0, n)}
+			Availability: in.GetAvailability(), Detached: in.GetDetached(), Shortages: in.GetShortages(), Engines: in.GetEngines(),
+			Limits: in.GetLimits(), Partitions: in.GetPartitions(), Targets: make([]*syncpb.TargetUsage, 0, n)}
 		for i, target := range r.GetTargets() {
 			usage := &syncpb.TargetUsage{Target: batch.GetTargets()[target], Running: int32(r.GetRunning()[i]),
 				Memory: int64(r.GetMemory()[i]), Unread: int64(r.GetUnread()[i])}
--- a/internal/usagerelay/usagerelay_test.go
+++ b/internal/usagerelay/usagerelay_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
 )
@@ -412,3 +413,29 @@
 		t.Errorf("from an earlier build: %v, %v", reports, err)
 	}
 }
+
+// Guards against a field of a report that the hosts behind a relay do not get.
+func TestRelayedReportHasAllFields(t *testing.T) {
+	report := &syncpb.UsageReport{Host: "a", Targets: []*syncpb.TargetUsage{{Target: "t"}}}
+	fields := report.ProtoReflect().Descriptor().Fields()
+	for i := range fields.Len() {
+		switch f := fields.Get(i); {
+		case report.ProtoReflect().Has(f) || f.Name() == "prompts": // prompts are relayed apart
+		case f.IsList():
+			l := report.ProtoReflect().Mutable(f).List()
+			l.Append(l.NewElement())
+		case f.Kind() == protoreflect.BoolKind:
+			report.ProtoReflect().Set(f, protoreflect.ValueOfBool(true))
+		case f.Kind() == protoreflect.Fixed64Kind:
+			report.ProtoReflect().Set(f, protoreflect.ValueOfUint64(1))
+		default:
+			t.Fatalf("field %s: no value for this kind", f.Name())
+		}
+	}
+	hub, want := NewHub(1), proto.CloneOf(report)
+	hub.Record(time.Second, time.Second, report, true)
+	reports, _, err := Decode(time.Second, hub.Collected(time.Second, 0))
+	if err != nil || len(reports) != 1 || !proto.Equal(reports[0].UsageReport, want) {
+		t.Errorf("%v, %v, want %v", reports, err, want)
+	}
+}
