placement: a request turned away with a pause is no failure of its target

Callers got later answers than they could: a target that turned three requests away at once with Retry-After was not used after the pause that it had named, since each of them counted in its failure rate, which halves in 4 s, while the other targets were all but idle. It was left alone for longer than it wanted.

A response that names a pause no longer counts as a failure; until the end of the pause the target gets nothing from this host, as before.

--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -123,6 +123,7 @@
 		state.leaving, state.reportUntil = true, now+leavingReportTime
 		out = append(out, Change{Target: a.target.ID, Service: a.target.Service, Cause: CauseLeaving})
 	}
+	a.pauseNamed = s.Pause > 0
 	if until := now + min(s.Pause, maxPause); s.Pause > 0 && until > state.pausedUntil {
 		state.pausedUntil, state.pauseLogged = until, true
 		out = append(out, Change{Target: a.target.ID, Service: a.target.Service, Cause: CausePause, Until: until})
--- a/internal/placement/availability_test.go
+++ b/internal/placement/availability_test.go
@@ -232,3 +232,40 @@
 		t.Errorf("%d of 5 requests to a process whose record says that it is warm", n)
 	}
 }
+
+// Guards against a target that stays unused after the end of a pause that it asked for, because
+// the requests that it turned away count as its failures.
+func TestTargetIsUsedAgainAfterPause(t *testing.T) {
+	p := newPlacer([]placement.Spec{{ID: "busy", Address: "10.0.0.1", Service: "s", Slots: 8}, {ID: "other", Address: "10.0.0.2", Service: "s", Slots: 8}})
+	send := func(now time.Duration) (string, *placement.Attempt) {
+		r := &placement.Request{Service: "s", Objective: second}
+		c, ok := p.Choose(now, r, nil)
+		if !ok {
+			t.Fatalf("no target at %s", now)
+		}
+		return c.Target.ID, p.Start(now, c.Target, r)
+	}
+	var busy []*placement.Attempt
+	for len(busy) < 3 { // several are under way when the first one is turned away
+		if id, a := send(second); id == "busy" {
+			busy = append(busy, a)
+		} else {
+			p.Done(second, a, placement.Served)
+		}
+	}
+	for _, a := range busy {
+		p.Observe(second, a, placement.Statement{Pause: second, Rejected: true})
+		p.Done(second, a, placement.Rejected)
+	}
+	used := map[string]int{}
+	for now := second; now < 6*second; now += 50 * ms {
+		id, a := send(now)
+		if used[id]++; id == "busy" && now < 2*second {
+			t.Fatalf("used at %s, within its pause", now)
+		}
+		p.Done(now+40*ms, a, placement.Served)
+	}
+	if used["busy"] < 20 {
+		t.Errorf("used %d times in the 4 s after its pause, the other target %d times in 5 s", used["busy"], used["other"])
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -441,6 +441,7 @@
 	chosenCold   bool          // the target was cold at the choice
 	pace         paceState
 	permitUntil  time.Duration // end of the permit, if the target states a rate limit
+	pauseNamed   bool          // the response asked for a pause
 	started      time.Duration
 	usage        Usage
 	observed     observation
@@ -534,7 +535,10 @@
 		p.recordDuration(now, t, float64(now-a.started))
 		t.durationAt = now
 	case Rejected, Failed:
-		t.recordOutcome(now, 1)
+		// A target that says until when it wants nothing is sound again then.
+		if !a.pauseNamed {
+			t.recordOutcome(now, 1)
+		}
 	case Unreachable, Broken:
 		if o == Broken {
 			t.recordOutcome(now, 1)
