--- a/internal/gateway/targetlimit.go
+++ b/internal/gateway/targetlimit.go
@@ -44,7 +44,7 @@
 		"stated_ms": send.SinceStated.Milliseconds(), "chosen_ms": send.SinceChoice.Milliseconds()}).Info("request to limited target")
 }
 
-// PermitClient takes permits for targets from the hosts that grant them.
+// PermitClient takes permits for targets from the host that grants them, the grantor.
 type PermitClient interface {
 	Permit(ctx context.Context, peer string, in *syncpb.PermitRequest) (*syncpb.PermitResponse, error)
 }
@@ -52,7 +52,8 @@
 const (
 	// permitTimeout bounds a call to the host that grants the permits, which is in this region.
 	permitTimeout = 100 * time.Millisecond
-	// silentGrantorPause is how long a host does not ask another one again that did not answer.
+	// silentGrantorPause is how long a host asks no permit again for a target whose grantor did
+	// not answer.
 	silentGrantorPause = 500 * time.Millisecond
 	// maxPermitTargets bounds the targets for which a forwarded request asks for a permit.
 	maxPermitTargets = 3
@@ -71,7 +72,8 @@
 	if !needed {
 		return nil
 	}
-	granted, wait := false, silentGrantorPause
+	var granted bool
+	var wait time.Duration
 	if grantor != nil {
 		granted, wait = g.askPermit(ctx, grantor, asked, limit)
 	} else {
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -6,13 +6,18 @@
 	"geraniumturn.example/geraniumturn/internal/shares"
 )
 
-// limitReportTime is how long the other hosts are told that a rate limit has ended. One that is
-// in force they are told until then: the host that grants its permits may know nothing of it.
-const limitReportTime = 5 * time.Second
+const (
+	// limitReportTime is how long the other hosts are told that a rate limit has ended. One that
+	// is in force they are told until then: the host that grants its permits may not know of it.
+	limitReportTime = 5 * time.Second
+	// unknownPermitWait is the time after which a host asks again that does not know which host
+	// grants the permits, or was wrong about it.
+	unknownPermitWait = 200 * time.Millisecond
+)
 
 // A target may limit the requests that it takes from all hosts together. Each of them needs a
 // permit, which one host of the region grants: the holder of the partition of the target. What
-// a host may send so depends neither on which hosts it knows nor on what these do.
+// a host may send therefore depends neither on which hosts it knows nor on what these do.
 
 // RateLimit is the statement of a process of a target on how many requests a second it takes
 // from all hosts together.
@@ -190,10 +195,6 @@
 	return LimitedTarget{target, startMillis, a.limit.RateLimit}, true
 }
 
-// unknownPermitWait is the time after which a host asks again that does not know which host
-// grants the permits, or was wrong about it.
-const unknownPermitWait = 200 * time.Millisecond
-
 // ForgetPermits empties the permits of the targets in a set of partitions, which this host has
 // just got: another one may have granted permits until just before.
 func (p *Placer) ForgetPermits(partitions shares.PartitionSet) {
