registry, daemon: conflicts between records of targets are logged

Change: "target conflict" names both records and the cause, on control and entry hosts; heartbeats that do not count at most once in 10 s for a target. No decision changes.

--- a/internal/daemon/deployment.go
+++ b/internal/daemon/deployment.go
@@ -24,6 +24,7 @@
 	"geraniumturn.example/geraniumturn/internal/intake"
 	"geraniumturn.example/geraniumturn/internal/peer"
 	"geraniumturn.example/geraniumturn/internal/processors"
+	"geraniumturn.example/geraniumturn/internal/registry"
 	"geraniumturn.example/geraniumturn/internal/settings"
 	"geraniumturn.example/geraniumturn/internal/sockets"
 )
@@ -294,6 +295,17 @@
 	d.log.WithError(err).WithField("control", control).Warn("invalid target records")
 }
 
+// newTargetTable returns an empty table of targets that logs conflicts.
+func (d *deploymentDaemon) newTargetTable() *registry.Table {
+	t := registry.NewTable()
+	t.OnConflict = func(c registry.Conflict) {
+		d.log.WithFields(logrus.Fields{"target": c.Displaced.ID, "service": c.Displaced.Service, "address": c.Displaced.Address, "born": c.Displaced.StartMillis,
+			"sequence": c.Displaced.Sequence, "cause": string(c.Cause), "by": c.Record.ID, "by_service": c.Record.Service, "by_address": c.Record.Address,
+			"by_born": c.Record.StartMillis, "by_sequence": c.Record.Sequence, "by_state": c.Record.State.String()}).Info("target conflict")
+	}
+	return t
+}
+
 // logPanic returns a function that logs and counts an unexpected error, which ended only
 // what is named.
 func (d *deploymentDaemon) logPanic(what string) func(error) {
--- a/internal/daemon/deployment_control.go
+++ b/internal/daemon/deployment_control.go
@@ -53,7 +53,7 @@
 	}
 	machine := document.NewMachine()
 	node.Register(document.MachineName, machine)
-	table := registry.NewTable()
+	table := d.newTargetTable()
 	store, err := d.loadDepartures(table)
 	if err != nil {
 		return nil, err
--- a/internal/daemon/deployment_entry.go
+++ b/internal/daemon/deployment_entry.go
@@ -13,7 +13,6 @@
 	"geraniumturn.example/geraniumturn/internal/gateway"
 	"geraniumturn.example/geraniumturn/internal/intake"
 	"geraniumturn.example/geraniumturn/internal/placement"
-	"geraniumturn.example/geraniumturn/internal/registry"
 	"geraniumturn.example/geraniumturn/internal/usagerelay"
 	"geraniumturn.example/geraniumturn/platform"
 )
@@ -54,7 +53,7 @@
 			RateSlack: p.Bounds.RateSlack, ColdOverrun: p.Bounds.ColdOverrun, ColdSlack: p.Bounds.ColdSlack,
 		},
 		CallerProtocol: platform.CallerProtocol{}, HonouredShare: platform.HonouredShare, TargetProtocol: platform.TargetProtocol{}, Views: gateway.NewViewStore(platform.ConfigurationDecoder{}),
-		Table: registry.NewTable(), Log: d.log, Metrics: d.metrics, Front: p.Front, Forward: p.ForwardAddress(), Peer: p.PeerAddress(), RateClient: usageClient{d.transport.Dial}, PermitClient: usageClient{d.transport.Dial},
+		Table: d.newTargetTable(), Log: d.log, Metrics: d.metrics, Front: p.Front, Forward: p.ForwardAddress(), Peer: p.PeerAddress(), RateClient: usageClient{d.transport.Dial}, PermitClient: usageClient{d.transport.Dial},
 		Started: time.Now().UnixMilli(), MaxBodyMemory: d.gate.Account.Limits().Account, MaxResponseMemory: d.gate.Account.Limits().Responses,
 	}
 	g.Init(p.PrefillTokensPerMS * float64(time.Second/time.Millisecond))
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -109,6 +109,8 @@
 	isDirect bool
 	// digest is that of the record as counted in Table.digests.
 	digest uint64
+	// conflictAt is when a heartbeat that does not count was last reported; 0 if none was.
+	conflictAt time.Duration
 }
 
 // Table holds the records of the targets. Invariant: a record is only replaced by a
@@ -127,6 +129,49 @@
 	// pastSoftware has when a target of a service was last registered with a version of the
 	// software that it no longer has.
 	pastSoftware map[serviceSoftware]time.Duration
+	// OnConflict is called, if set, when a record displaces another one, or a target's
+	// heartbeat does not count because of another record. It must not call the table.
+	OnConflict func(Conflict)
+}
+
+// Conflict says that of two records only one counts.
+type Conflict struct {
+	// Record counts, Displaced does not.
+	Record, Displaced Record
+	Cause             ConflictCause
+}
+
+// ConflictCause is why a record does not count.
+type ConflictCause string
+
+// The causes of conflicts.
+const (
+	// SameAddress: a target that started later is at its address.
+	SameAddress ConflictCause = "address"
+	// SameID: another record of the same target ranks higher.
+	SameID ConflictCause = "id"
+)
+
+// conflictInterval is the minimum time between two reports of heartbeats of one target that
+// do not count.
+const conflictInterval = 10 * time.Second
+
+func (t *Table) reportConflict(c Conflict) {
+	if t.OnConflict != nil {
+		t.OnConflict(c)
+	}
+}
+
+// reportOutranked reports that a heartbeat does not count. Late copies of what the table has
+// are no conflict. t.mu must be held.
+func (t *Table) reportOutranked(now time.Duration, r Record) {
+	current := t.rows[r.ID]
+	late := r.StartMillis == current.StartMillis && r.Sequence <= current.Sequence && r.Service == current.Service && r.Address == current.Address
+	if late || current.conflictAt > 0 && now-current.conflictAt < conflictInterval {
+		return
+	}
+	current.conflictAt = now
+	t.reportConflict(Conflict{Record: current.Record, Displaced: r, Cause: SameID})
 }
 
 type serviceSoftware struct{ service, software string }
@@ -143,6 +188,9 @@
 	defer t.mu.Unlock()
 	changed = t.merge(now, r)
 	t.rows[r.ID].isDirect = t.rows[r.ID].Sequence == r.Sequence && t.rows[r.ID].StartMillis == r.StartMillis
+	if current := t.rows[r.ID].Record; current.StartMillis != r.StartMillis || current.State == Left || r.Sequence < current.Sequence {
+		t.reportOutranked(now, r)
+	}
 	t.heartbeatIDs[r.ID] = true
 	return changed
 }
@@ -229,6 +277,7 @@
 	for _, other := range t.byAddress[r.Address] {
 		if other.ID != r.ID && other.State != Left && other.StartMillis < r.StartMillis {
 			t.recordPastSoftware(now, other.Record)
+			t.reportConflict(Conflict{Record: r, Displaced: other.Record, Cause: SameAddress})
 			other.State, other.lastHeard = Left, now
 			t.markChanged(now, other)
 		}
