registry: a record says nothing of other processes than its own

Cause: a merged record changed two rows, its own and every older one at its address, which it marked as left for good; and under one ID the later start or the higher sequence replaced what the running process says. So one message of anyone outranked a process that goes on. The departure was told to all hosts and stored.

Evidence: "target conflict" on control and entry hosts. Cause `address` when the false record arrives, on both; then cause `id` for each heartbeat of the target, by a record with state left; after the start 3 departures loaded and again `id`, no new `address`. No heartbeat refused, no target silent or left out.

Change: a row for each process (ID, start, service, address, data centre) and each departure; no record changes another row. Which process counts follows from the rows when the table is read: one whose heartbeats go on before one with a single message, then the later start. The first heartbeat after a silence does not count while another process is at the address. Entry hosts leave out services that the configuration does not have first. A departure that a target states is final as before. Relays refer to records by their key.

--- a/internal/fleetsync/relay.go
+++ b/internal/fleetsync/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"slices"
 	"time"
@@ -26,8 +27,8 @@
 
 // relayState is what control hosts tell each other by reference.
 type relayState struct {
-	beats       *references.Sender[registry.Record]
-	reports     *references.Sender[*syncpb.EntryHost]
+	beats       *references.Sender[registry.Key, registry.Record]
+	reports     *references.Sender[string, *syncpb.EntryHost]
 	toldBeats   *references.Receiver[registry.Record]
 	toldReports *references.Receiver[*syncpb.EntryHost]
 	// again has the targets and entry hosts that other control hosts, by address, did not
@@ -35,12 +36,15 @@
 	again map[string]*toldAgain
 }
 
-type toldAgain struct{ targets, hosts []string }
+type toldAgain struct {
+	targets []registry.Key
+	hosts   []string
+}
 
 func newRelayState() relayState {
 	return relayState{
-		beats: references.NewSender(func(r, earlier registry.Record, now time.Duration) bool { return r.Repeats(earlier, now) }),
-		reports: references.NewSender(func(h, earlier *syncpb.EntryHost, _ time.Duration) bool {
+		beats: references.NewSender[registry.Key](func(r, earlier registry.Record, now time.Duration) bool { return r.Repeats(earlier, now) }),
+		reports: references.NewSender[string](func(h, earlier *syncpb.EntryHost, _ time.Duration) bool {
 			return sameEntry(h, earlier)
 		}),
 		toldBeats: references.NewReceiver[registry.Record](), toldReports: references.NewReceiver[*syncpb.EntryHost](),
@@ -121,10 +125,10 @@
 	return *again
 }
 
-func (s *Server) recordsOf(ids []string) []registry.Record {
+func (s *Server) recordsOf(keys []registry.Key) []registry.Record {
 	var out []registry.Record
-	for _, id := range ids {
-		if r, ok := s.Targets.Get(id); ok {
+	for _, k := range keys {
+		if r, ok := s.Targets.Lookup(k); ok {
 			out = append(out, r)
 		}
 	}
@@ -139,7 +143,7 @@
 			m.request.Targets = append(m.request.Targets, encodeRecords(now, []registry.Record{r})...)
 			continue
 		}
-		ref, told := s.refs.beats.Ref(now, r.ID, r)
+		ref, told := s.refs.beats.Ref(now, r.Key(), r)
 		if !s.refs.beats.Knows(m.address, ref) {
 			encoded := encodeRecords(now, []registry.Record{told})
 			if len(encoded) == 0 {
@@ -178,22 +182,23 @@
 // ledger waits for.
 func (s *Server) mergeBeats(now time.Duration, in *syncpb.RelayRequest) (unknown []uint32) {
 	peer, process := in.GetFrom().GetPeer(), in.GetProcess()
-	records, err := decodeRecords(now, in.GetTargets())
-	if err != nil {
-		s.InvalidRecords(peer, err)
-	}
-	refs := map[string]uint32{}
+	var invalid error
 	for _, t := range in.GetTargets() {
-		refs[t.GetId()] = t.GetRef()
-	}
-	for _, r := range records {
+		r, err := decodeRecord(now, t)
+		if err != nil {
+			invalid = errors.Join(invalid, err)
+			continue
+		}
 		if s.Targets.Merge(now, r) && r.State != registry.Ready {
 			s.OnDeparture(r, peer)
 		}
 		if r.State == registry.Ready && !r.Silent {
-			s.refs.toldBeats.Put(now, peer, process, refs[r.ID], r)
+			s.refs.toldBeats.Put(now, peer, process, t.GetRef(), r)
 		}
 	}
+	if invalid != nil {
+		s.InvalidRecords(peer, invalid)
+	}
 	if len(in.GetBeats()) != len(in.GetSteps()) {
 		return in.GetBeats()
 	}
--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -394,7 +394,7 @@
 		}
 		out = append(out, &syncpb.Target{Id: r.ID, Born: r.StartMillis, Sequence: r.Sequence, Service: r.Service, Address: r.Address,
 			DataCentre: r.DataCentre, Software: r.Software, Slots: int32(r.Slots), State: uint32(r.State),
-			ColdMs: max(0, r.ColdUntil-now).Milliseconds(), Silent: r.Silent})
+			ColdMs: max(0, r.ColdUntil-now).Milliseconds(), Silent: r.Silent, Established: r.Established})
 	}
 	return out
 }
@@ -404,21 +404,28 @@
 	out := make([]registry.Record, 0, len(targets))
 	var invalid error
 	for _, t := range targets {
-		r := registry.Record{ID: t.GetId(), StartMillis: t.GetBorn(), Sequence: t.GetSequence(), Service: t.GetService(),
-			Address: t.GetAddress(), DataCentre: t.GetDataCentre(), Software: t.GetSoftware(), Slots: int(t.GetSlots()),
-			State: registry.State(min(t.GetState(), math.MaxUint8)), Silent: t.GetSilent()}
-		err := r.Validate()
-		if err == nil && t.GetColdMs() > registry.MaxWarmup.Milliseconds() {
-			err = fmt.Errorf("%w: target %q: cold for %d ms", registry.ErrInvalid, r.ID, t.GetColdMs())
-		}
+		r, err := decodeRecord(now, t)
 		if err != nil {
 			invalid = errors.Join(invalid, err)
 			continue
 		}
-		if t.GetColdMs() > 0 {
-			r.ColdUntil = now + time.Duration(t.GetColdMs())*time.Millisecond
-		}
 		out = append(out, r)
 	}
 	return out, invalid
 }
+
+func decodeRecord(now time.Duration, t *syncpb.Target) (registry.Record, error) {
+	r := registry.Record{ID: t.GetId(), StartMillis: t.GetBorn(), Sequence: t.GetSequence(), Service: t.GetService(),
+		Address: t.GetAddress(), DataCentre: t.GetDataCentre(), Software: t.GetSoftware(), Slots: int(t.GetSlots()),
+		State: registry.State(min(t.GetState(), math.MaxUint8)), Silent: t.GetSilent(), Established: t.GetEstablished()}
+	if err := r.Validate(); err != nil {
+		return r, err
+	}
+	if t.GetColdMs() > registry.MaxWarmup.Milliseconds() {
+		return r, fmt.Errorf("%w: target %q: cold for %d ms", registry.ErrInvalid, r.ID, t.GetColdMs())
+	}
+	if t.GetColdMs() > 0 {
+		r.ColdUntil = now + time.Duration(t.GetColdMs())*time.Millisecond
+	}
+	return r, nil
+}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -122,7 +122,7 @@
 	err := g.localPool.Connect(ctx, address)
 	refused := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 	crashed := refused && g.targetsAnswer(address)
-	record, _ := g.Table.Get(target)
+	record, _ := g.Table.Find(target, g.Views.Current().hasService)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.crashChecks, target)
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -133,6 +133,6 @@
 	if s.forwarded {
 		return true // the other host has checked it
 	}
-	record, ok := g.Table.Get(s.target)
+	record, ok := g.Table.Find(s.target, g.Views.Current().hasService)
 	return ok && record.Software == s.software && record.StartMillis == s.startMillis
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -355,7 +355,7 @@
 		return refusal.New(refusal.NoTarget, refusal.NotRun, "no target of service %s is available", x.service).WithRetry(stateRetryAfter)
 	}
 	refused := refusal.New(refusal.NoTarget, refusal.NotRun, "no target of service %s with software %s, which began the stream, is available", x.service, x.origin.Software)
-	for _, r := range g.Table.Registered() {
+	for _, r := range g.Table.InUse(g.Views.Current().hasService) {
 		if r.Service == x.origin.Service && r.Software == x.origin.Software && r.State == registry.Ready &&
 			document.AllowsRegion(x.route, x.workspace, g.RegionByDataCentre[r.DataCentre]) {
 			return refused.WithRetry(targetRestartTime)
@@ -690,7 +690,7 @@
 	}
 	check := c.Check
 	c.Check = func(status int, h http.Header, body io.Reader) error {
-		if now, ok := g.Table.Get(s.target); ok && now.StartMillis != s.startMillis {
+		if now, ok := g.Table.Find(s.target, g.Views.Current().hasService); ok && now.StartMillis != s.startMillis {
 			return fmt.Errorf("target %s has started again", s.target)
 		}
 		return check(status, h, body)
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -206,18 +206,14 @@
 		return nil
 	}
 	var out []placement.Spec
-	for _, r := range g.Table.Registered() {
+	for _, r := range g.Table.InUse(v.hasService) {
 		if r.State != registry.Ready {
 			continue
 		}
 		if _, evacuated := v.Evacuated[r.DataCentre]; evacuated {
 			continue
 		}
-		s := v.Config.Service(r.Service)
-		if s == nil {
-			continue
-		}
-		spec := g.targetSpec(r, s)
+		spec := g.targetSpec(r, v.Config.Service(r.Service))
 		spec.Region = g.RegionByDataCentre[r.DataCentre]
 		spec.Remote = spec.Region != g.Region
 		out = append(out, spec)
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -9,6 +9,7 @@
 	"geraniumturn.example/geraniumturn/internal/document"
 	"geraniumturn.example/geraniumturn/internal/fleetsync"
 	"geraniumturn.example/geraniumturn/internal/fleetsync/syncpb"
+	"geraniumturn.example/geraniumturn/internal/registry"
 )
 
 // View is an immutable snapshot of the configuration and of the evacuations. Index is
@@ -21,6 +22,12 @@
 	Restored  map[string]uint64
 }
 
+// hasService reports whether the configuration has the service of a target. What is said of
+// targets of other services decides nothing.
+func (v *View) hasService(r registry.Record) bool {
+	return v != nil && v.Config != nil && v.Config.Service(r.Service) != nil
+}
+
 // ViewStore holds the newest view. Invariant: neither version nor index ever decreases.
 type ViewStore struct {
 	decoder ConfigurationDecoder
--- a/internal/references/references_test.go
+++ b/internal/references/references_test.go
@@ -11,7 +11,7 @@
 // messages, receivers that start anew and builds that keep no values: a ref never stands for
 // another value than the one that was told with it.
 func TestRefStandsForItsValue(t *testing.T) {
-	s, r := NewSender(equal), NewReceiver[string]()
+	s, r := NewSender[string](equal), NewReceiver[string]()
 	first, _ := s.Ref(0, "a", "1")
 	if again, told := s.Ref(0, "a", "1"); again != first || told != "1" {
 		t.Errorf("the same value has ref %d and %d", first, again)
@@ -42,7 +42,7 @@
 
 // Answers receivers that start anew or go back to an earlier build while they are told by refs.
 func TestReceiverThatStartsAnewIsToldAgain(t *testing.T) {
-	s := NewSender(equal)
+	s := NewSender[string](equal)
 	ref, _ := s.Ref(0, "a", "1")
 	s.Confirm("peer", 7, true, []uint32{ref}, nil)
 	if again := s.Confirm("peer", 8, true, nil, []uint32{ref}); len(again) != 1 || again[0] != "a" || s.Knows("peer", ref) {
@@ -55,7 +55,7 @@
 
 // Answers targets and hosts that come and go for days.
 func TestUnusedValuesAreForgotten(t *testing.T) {
-	s, r := NewSender(equal), NewReceiver[string]()
+	s, r := NewSender[string](equal), NewReceiver[string]()
 	ref, _ := s.Ref(0, "a", "1")
 	s.Confirm("peer", 7, true, []uint32{ref}, nil)
 	r.Put(0, "sender", 1, ref, "1")
--- a/internal/references/sender.go
+++ b/internal/references/sender.go
@@ -10,14 +10,14 @@
 const retention = 2 * time.Minute
 
 // Sender numbers the values that a host tells others. It is safe for concurrent use.
-type Sender[V any] struct {
+type Sender[K comparable, V any] struct {
 	// same reports whether a value stands for the one that was told as earlier.
 	same func(value, earlier V, now time.Duration) bool
 
 	mu        sync.Mutex
 	last      uint32
-	told      map[string]*toldValue[V] // by key
-	keys      map[uint32]string        // by ref
+	told      map[K]*toldValue[V] // by key
+	keys      map[uint32]K        // by ref
 	receivers map[string]*receiverState
 	prunedAt  time.Duration
 }
@@ -36,13 +36,13 @@
 
 // NewSender returns a sender that has told nothing. same reports whether a ref of an earlier
 // value may stand for a value.
-func NewSender[V any](same func(value, earlier V, now time.Duration) bool) *Sender[V] {
-	return &Sender[V]{same: same, told: map[string]*toldValue[V]{}, keys: map[uint32]string{}, receivers: map[string]*receiverState{}}
+func NewSender[K comparable, V any](same func(value, earlier V, now time.Duration) bool) *Sender[K, V] {
+	return &Sender[K, V]{same: same, told: map[K]*toldValue[V]{}, keys: map[uint32]K{}, receivers: map[string]*receiverState{}}
 }
 
 // Ref returns the ref that stands for the value of a key, and the value that was told first
 // under it.
-func (s *Sender[V]) Ref(now time.Duration, key string, value V) (ref uint32, told V) {
+func (s *Sender[K, V]) Ref(now time.Duration, key K, value V) (ref uint32, told V) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.told[key]
@@ -59,7 +59,7 @@
 }
 
 // forget removes a ref. s.mu must be held.
-func (s *Sender[V]) forget(ref uint32) {
+func (s *Sender[K, V]) forget(ref uint32) {
 	delete(s.keys, ref)
 	for _, r := range s.receivers {
 		delete(r.confirmed, ref)
@@ -67,7 +67,7 @@
 }
 
 // Knows reports whether a receiver has confirmed a ref.
-func (s *Sender[V]) Knows(receiver string, ref uint32) bool {
+func (s *Sender[K, V]) Knows(receiver string, ref uint32) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.receivers[receiver]
@@ -79,7 +79,7 @@
 }
 
 // TakesRefs reports whether the last response of a receiver said that it keeps values.
-func (s *Sender[V]) TakesRefs(receiver string) bool {
+func (s *Sender[K, V]) TakesRefs(receiver string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.receivers[receiver]
@@ -89,7 +89,7 @@
 // Confirm records the response of a receiver to a message that told the values of refs in
 // full. unknown are refs of the message that the receiver did not know; Confirm returns their
 // keys, whose values must be told again. takesRefs is false for builds that keep no values.
-func (s *Sender[V]) Confirm(receiver string, process uint64, takesRefs bool, told, unknown []uint32) (again []string) {
+func (s *Sender[K, V]) Confirm(receiver string, process uint64, takesRefs bool, told, unknown []uint32) (again []K) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.receivers[receiver]
@@ -114,7 +114,7 @@
 
 // Prune forgets values that were not used for the retention, and receivers that are not
 // listed.
-func (s *Sender[V]) Prune(now time.Duration, receivers map[string]bool) {
+func (s *Sender[K, V]) Prune(now time.Duration, receivers map[string]bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if now-s.prunedAt < retention/4 {
--- a/internal/registry/buckets.go
+++ b/internal/registry/buckets.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,8 +16,13 @@
 func bucketOf(id string) int { return int(xxhash.Sum64String(id) % Buckets) }
 
 // digest returns a hash of what a host must know of the target. The sequence is left out, as
-// it differs between hosts without effect, and the warm-up, as each host has its own clock.
-func (r Record) digest() uint64 {
+// it differs between hosts without effect, and the warm-up, as each host has its own clock. Of
+// a process that has left only its start counts. Whether a process is established matters
+// beside others only.
+func (r Record) digest(disputed bool) uint64 {
+	if r.State == Left {
+		r, disputed = Record{ID: r.ID, StartMillis: r.StartMillis, State: Left, Established: r.Established}, true
+	}
 	d := xxhash.New()
 	for _, s := range []string{r.ID, r.Service, r.Address, r.DataCentre, r.Software} {
 		_, _ = d.WriteString(s)      // never fails
@@ -28,6 +34,9 @@
 	if r.Silent {
 		numbers = append(numbers, 1)
 	}
+	if r.Established && disputed {
+		numbers = append(numbers, 2)
+	}
 	_, _ = d.Write(numbers)
 	return d.Sum64()
 }
@@ -36,15 +45,28 @@
 func (t *Table) updateDigest(r *row) {
 	b := bucketOf(r.ID)
 	t.digests[b] -= r.digest
-	r.digest = r.Record.digest()
+	r.digest = r.Record.digest(t.disputed(r))
 	t.digests[b] += r.digest
 }
 
 // deleteRow removes a record. t.mu must be held.
 func (t *Table) deleteRow(r *row) {
 	t.digests[bucketOf(r.ID)] -= r.digest
-	t.clearAddress(r)
-	delete(t.rows, r.ID)
+	removeRow(t.byID, r.ID, r)
+	removeRow(t.byAddress, r.Address, r)
+	delete(t.rows, r.Key())
+	for _, o := range t.neighbours(r) {
+		t.updateDigest(o)
+	}
+}
+
+func removeRow(index map[string][]*row, name string, r *row) {
+	rest := slices.DeleteFunc(index[name], func(o *row) bool { return o == r })
+	if len(rest) == 0 {
+		delete(index, name)
+		return
+	}
+	index[name] = rest
 }
 
 // Digests returns the digest of each bucket. Tables with equal digests have the same
--- /dev/null
+++ b/internal/registry/foreign_test.go
@@ -0,0 +1,254 @@
+package registry_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"geraniumturn.example/geraniumturn/internal/registry"
+)
+
+const interval = 1200 * time.Millisecond
+
+// beats sends heartbeats of a process from a time on, one each interval, and returns the time
+// after them.
+func beats(table *registry.Table, from time.Duration, n int, r registry.Record) (registry.Record, time.Duration) {
+	for range n {
+		r.Sequence++
+		table.Heartbeat(from, r)
+		from += interval
+		table.Expire(from)
+	}
+	return r, from
+}
+
+// copyTable returns a table that has been told all that another one has.
+func copyTable(t *testing.T, now time.Duration, from *registry.Table) *registry.Table {
+	t.Helper()
+	to := registry.NewTable()
+	records, _ := from.ChangedSince(0)
+	for _, r := range records {
+		to.Merge(now, r)
+	}
+	if !slices.Equal(to.Digests(), from.Digests()) {
+		t.Error("the copy differs")
+	}
+	return to
+}
+
+func inUse(table *registry.Table, id string, usable func(registry.Record) bool) (registry.Record, bool) {
+	for _, r := range table.InUse(usable) {
+		if r.ID == id {
+			return r, true
+		}
+	}
+	return registry.Record{}, false
+}
+
+// Guards against a target that goes on sending heartbeats and is no longer used, or is taken
+// for another one, because of a message of another sender that names its ID or its address.
+func TestHeartbeatOfAnotherSender(t *testing.T) {
+	sound := record("sound", 1000, 0, registry.Ready)
+	for name, change := range map[string]func(*registry.Record){
+		"its address, an unknown service":         func(r *registry.Record) { r.ID, r.Service, r.StartMillis = "other", "unknown", 2000 },
+		"its address, its service":                func(r *registry.Record) { r.ID, r.StartMillis = "other", 2000 },
+		"its address, no start":                   func(r *registry.Record) { r.ID, r.StartMillis = "other", 0 },
+		"its ID, a later start":                   func(r *registry.Record) { r.StartMillis = 2000 },
+		"its ID, the latest start":                func(r *registry.Record) { r.StartMillis = 1<<53 - 1 },
+		"its ID, an unknown service":              func(r *registry.Record) { r.Service, r.StartMillis = "unknown", 2000 },
+		"its ID, another address":                 func(r *registry.Record) { r.Address, r.StartMillis = "10.0.0.2:80", 2000 },
+		"its ID and start, another service":       func(r *registry.Record) { r.Service, r.Sequence = "unknown", 1<<53-1 },
+		"its ID and start, another address":       func(r *registry.Record) { r.Address, r.Sequence = "10.0.0.2:80", 1<<53-1 },
+		"its ID and start, another data centre":   func(r *registry.Record) { r.DataCentre, r.Sequence = "elsewhere", 1<<53-1 },
+		"its ID and start, draining elsewhere":    func(r *registry.Record) { r.DataCentre, r.State, r.Sequence = "elsewhere", registry.Draining, 1<<53-1 },
+		"its ID, a later start, draining":         func(r *registry.Record) { r.StartMillis, r.State = 2000, registry.Draining },
+		"its ID, no start":                        func(r *registry.Record) { r.StartMillis = 0 },
+		"its ID, a process that started and left": func(r *registry.Record) { r.StartMillis, r.State = 2000, registry.Left },
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := registry.NewTable()
+			r, now := beats(table, second, 3, sound)
+			false_ := sound
+			false_.Sequence = 1
+			change(&false_)
+			table.Heartbeat(now, false_)
+			if false_.State == registry.Left {
+				table.Deregister(now, false_.ID, false_.StartMillis)
+			}
+			for i := range 300 {
+				for _, host := range []*registry.Table{table, copyTable(t, now, table)} {
+					got, used := inUse(host, "sound", nil)
+					if !used || got.StartMillis != sound.StartMillis || got.Service != sound.Service || got.Address != sound.Address || got.DataCentre != sound.DataCentre || got.State != registry.Ready || got.Silent {
+						t.Fatalf("after %d heartbeats: used %v, %+v", i, used, got)
+					}
+				}
+				if got, used := inUse(table, false_.ID, nil); used && got.Address == sound.Address && false_.ID != sound.ID {
+					t.Fatalf("after %d heartbeats the other sender's target is used: %+v", i, got)
+				}
+				r, now = beats(table, now, 1, r)
+			}
+			if n := table.Len(); n > 2 {
+				t.Errorf("%d records are kept", n)
+			}
+		})
+	}
+}
+
+// Guards against a target that is silent, so that it is used as a last resort only, and that
+// another sender's single message removes for good.
+func TestHeartbeatOfAnotherSenderForSilentTarget(t *testing.T) {
+	known := func(r registry.Record) bool { return r.Service == "s" }
+	for name, change := range map[string]func(*registry.Record){
+		"its address":                func(r *registry.Record) { r.ID = "other" },
+		"its ID, an unknown service": func(r *registry.Record) { r.Service = "unknown" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := registry.NewTable()
+			r, now := beats(table, second, 3, record("sound", 1000, 0, registry.Ready))
+			now += 10 * second
+			table.Expire(now)
+			other := record("sound", 2000, 1, registry.Ready)
+			change(&other)
+			table.Heartbeat(now, other)
+			for range 30 {
+				if got, used := inUse(table, "sound", known); !used || !got.Silent || got.StartMillis != 1000 {
+					t.Fatalf("used %v, %+v", used, got)
+				}
+				now += second
+				table.Expire(now)
+			}
+			beats(table, now, 2, r)
+			if got, used := inUse(table, "sound", known); !used || got.Silent {
+				t.Errorf("after its heartbeats have gone on: used %v, %+v", used, got)
+			}
+		})
+	}
+}
+
+// Guards against a crashed target that stays in use when its address belongs to a target of
+// another service, also after heartbeats that were held back and arrive late.
+func TestAddressOfCrashedTarget(t *testing.T) {
+	table := registry.NewTable()
+	old, now := beats(table, second, 5, record("old", 1000, 0, registry.Ready))
+	now += 2 * second
+	next := record("next", 2000, 0, registry.Ready)
+	next.Service = "other"
+	next, now = beats(table, now, 1, next)
+	if _, used := inUse(table, "next", nil); !used {
+		t.Error("the new target is not used after its first heartbeat")
+	}
+	next, now = beats(table, now, 1, next)
+	for range 3 {
+		old.Sequence++
+		table.Heartbeat(now, old) // held back, they arrive together
+	}
+	for range 5 {
+		for _, host := range []*registry.Table{table, copyTable(t, now, table)} {
+			if got, used := inUse(host, "old", nil); used {
+				t.Errorf("the crashed target is used: %+v", got)
+			}
+			if got, used := inUse(host, "next", nil); !used || got.Silent {
+				t.Errorf("the new target: used %v, %+v", used, got)
+			}
+		}
+		next, now = beats(table, now, 1, next)
+	}
+	if table.Expire(now + 15*second); table.Len() != 1 {
+		t.Errorf("%d records are kept", table.Len())
+	}
+}
+
+// Guards against a target that starts again under its ID and is taken for the process before
+// for longer than its second heartbeat, or that is not cold from its first one on.
+func TestStartUnderSameID(t *testing.T) {
+	for _, pause := range []time.Duration{0, 5 * second} {
+		t.Run(fmt.Sprint(pause), func(t *testing.T) {
+			table := registry.NewTable()
+			_, now := beats(table, second, 5, record("a", 1000, 0, registry.Ready))
+			now += pause
+			table.Expire(now)
+			again := record("a", 2000, 0, registry.Ready)
+			again.ColdUntil = now + 20*second
+			again, next := beats(table, now, 1, again)
+			if got, _ := inUse(table, "a", nil); got.ColdUntil != again.ColdUntil || pause > 0 && got.StartMillis != 2000 {
+				t.Errorf("after the first heartbeat: %+v", got)
+			}
+			again, next = beats(table, next, 1, again)
+			for _, host := range []*registry.Table{table, copyTable(t, next, table)} {
+				if got, _ := inUse(host, "a", nil); got.StartMillis != 2000 || got.Silent {
+					t.Errorf("after the second heartbeat: %+v", got)
+				}
+			}
+			table.Deregister(next, "a", 0)
+			if _, used := inUse(table, "a", nil); used {
+				t.Error("used after the departure of its last process")
+			}
+			late := again
+			late.Sequence++
+			if table.Heartbeat(next, late); stateOf(table, "a") != registry.Left {
+				t.Error("a heartbeat after the departure registers the target again")
+			}
+			third := record("a", 3000, 1, registry.Ready)
+			if table.Heartbeat(next, third); stateOf(table, "a") != registry.Ready {
+				t.Error("not registered after another start")
+			}
+		})
+	}
+}
+
+// Guards against hosts that disagree on which of several records of an ID or an address counts,
+// as they were told them in another order or more than once.
+func TestTablesWithConflictsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var records []registry.Record
+		for range rapid.IntRange(1, 14).Draw(t, "records") {
+			r := record(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id"), rapid.Int64Range(1, 3).Draw(t, "born"),
+				rapid.Uint64Range(1, 4).Draw(t, "sequence"), registry.Ready)
+			r.Service = rapid.SampledFrom([]string{"s", "unknown"}).Draw(t, "service")
+			r.Address = rapid.SampledFrom([]string{"10.0.0.1:80", "10.0.0.2:80"}).Draw(t, "address")
+			if r.Sequence > 2 {
+				r.State = registry.Draining
+			}
+			r.Established, r.Silent = rapid.Bool().Draw(t, "established"), rapid.Bool().Draw(t, "silent")
+			if rapid.IntRange(0, 5).Draw(t, "left") == 0 {
+				r.State, r.Silent = registry.Left, false
+			}
+			records = append(records, r)
+		}
+		one, two := registry.NewTable(), registry.NewTable()
+		for _, r := range records {
+			one.Merge(second, r)
+		}
+		for _, r := range rapid.Permutation(records).Draw(t, "order") {
+			two.Merge(second, r)
+			two.Merge(second, r)
+		}
+		if !slices.Equal(one.Digests(), two.Digests()) {
+			t.Fatal("the digests differ")
+		}
+		for _, usable := range []func(registry.Record) bool{nil, func(r registry.Record) bool { return r.Service == "s" }} {
+			if a, b := one.InUse(usable), two.InUse(usable); !slices.Equal(a, b) {
+				t.Fatalf("%+v and %+v", a, b)
+			}
+		}
+	})
+}
+
+// Guards against a table that grows with each message that names another start of a target.
+func TestProcessesOfOneIDAreBounded(t *testing.T) {
+	table := registry.NewTable()
+	r, now := beats(table, second, 3, record("a", 1000, 0, registry.Ready))
+	for i := range int64(1000) {
+		table.Heartbeat(now, record("a", 2000+i, 1, registry.Ready))
+	}
+	if n := table.Len(); n > 8 {
+		t.Errorf("%d records are kept", n)
+	}
+	beats(table, now, 1, r)
+	if got, used := inUse(table, "a", nil); !used || got.StartMillis != 1000 {
+		t.Errorf("used %v, %+v", used, got)
+	}
+}
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -19,6 +19,14 @@
 	// maxTombstones bounds the records of targets that left to about 4 MB. Beyond it the
 	// oldest ones are forgotten.
 	maxTombstones = 1 << 14
+	// establishTime is how long heartbeats must go on before a process counts as established.
+	// It is below the interval of heartbeats; those that a partition held back arrive together.
+	establishTime = 500 * time.Millisecond
+	// replacedTTL is how long the record of a silent process is kept after another one has
+	// replaced it.
+	replacedTTL = 10 * time.Second
+	// maxProcesses bounds the records of processes under one ID.
+	maxProcesses = 8
 	// minColdChange is the change of ColdUntil above which a record counts as changed.
 	minColdChange = 300 * time.Millisecond
 )
@@ -31,8 +39,7 @@
 	Ready State = iota + 1
 	// Draining targets take no new requests.
 	Draining
-	// Left targets have deregistered, or were replaced by a newer target at their
-	// address.
+	// Left targets have deregistered.
 	Left
 )
 
@@ -48,7 +55,7 @@
 	return "unknown"
 }
 
-// Record describes one target.
+// Record describes one process of a target, or its departure.
 type Record struct {
 	ID string
 	// StartMillis is the Unix time of the target's start in milliseconds; 0 if the
@@ -66,17 +73,35 @@
 	ColdUntil time.Duration
 	// Silent means that no heartbeat has arrived within the silence timeout.
 	Silent bool
+	// Established means that the heartbeats of the process have gone on for a while, so that
+	// more than one message of an unknown sender speaks for it.
+	Established bool
 }
 
-// Newer reports whether r is a later record of its target than other. The departure of a
-// process is its last record, whatever sequence number the host knew that recorded it.
-func (r Record) Newer(other Record) bool {
-	if c := cmp.Compare(r.StartMillis, other.StartMillis); c != 0 {
-		return c > 0
-	}
-	if (r.State == Left) != (other.State == Left) {
-		return r.State == Left
+// Key identifies what a record speaks of: a process of a target, by what stays the same while
+// it runs, or the departure of a process. A record replaces none with another key, so nothing
+// that another sender says of a target can end or outrank what the target says of itself.
+type Key struct {
+	id                           string
+	startMillis                  int64
+	left                         bool
+	service, address, dataCentre string
+}
+
+// Key returns what the record speaks of.
+func (r Record) Key() Key {
+	if r.State == Left {
+		return departureKey(r.ID, r.StartMillis)
 	}
+	return Key{id: r.ID, startMillis: r.StartMillis, service: r.Service, address: r.Address, dataCentre: r.DataCentre}
+}
+
+func departureKey(id string, startMillis int64) Key {
+	return Key{id: id, startMillis: startMillis, left: true}
+}
+
+// newer reports whether r is a later record with its key than other.
+func (r Record) newer(other Record) bool {
 	if c := cmp.Compare(r.Sequence, other.Sequence); c != 0 {
 		return c > 0
 	}
@@ -97,8 +122,11 @@
 
 type row struct {
 	Record
-	revision  uint64
-	lastHeard time.Duration
+	revision uint64
+	// firstHeard and lastHeard are the times of the first and the last record.
+	firstHeard, lastHeard time.Duration
+	// runningSince is the time of the first record after the last silence.
+	runningSince time.Duration
 	// toldColdUntil is the ColdUntil of the last change.
 	toldColdUntil time.Duration
 	// changedAt is the time of the last change.
@@ -113,72 +141,33 @@
 	conflictAt time.Duration
 }
 
-// Table holds the records of the targets. Invariant: a record is only replaced by a
-// newer one. It is safe for concurrent use.
+// Table holds the records of the targets. Invariants: a record is only replaced by a newer
+// one with its key, and the departure of a process is its last record. It is safe for
+// concurrent use.
 type Table struct {
 	mu   sync.Mutex
-	rows map[string]*row
-	// byAddress has the rows with each address, by ID.
-	byAddress map[string]map[string]*row
-	revision  uint64
+	rows map[Key]*row
+	// byID has the rows of each target, byAddress those of the processes at each address.
+	byID, byAddress map[string][]*row
+	revision        uint64
 	// digests has the sum of the digests of the rows of each bucket.
 	digests [Buckets]uint64
-	// heartbeatIDs are the targets that sent a heartbeat to this host, or stopped doing so,
-	// since the last call of TakeHeartbeats.
-	heartbeatIDs map[string]bool
+	// heard are the keys of the targets that sent a heartbeat to this host, or stopped doing
+	// so, since the last call of TakeHeartbeats.
+	heard map[Key]bool
 	// pastSoftware has when a target of a service was last registered with a version of the
 	// software that it no longer has.
 	pastSoftware map[serviceSoftware]time.Duration
-	// OnConflict is called, if set, when a record displaces another one, or a target's
-	// heartbeat does not count because of another record. It must not call the table.
+	// OnConflict is called, if set, when a record that the table gets does not count beside
+	// another one, or makes another one not count. It must not call the table.
 	OnConflict func(Conflict)
 }
 
-// Conflict says that of two records only one counts.
-type Conflict struct {
-	// Record counts, Displaced does not.
-	Record, Displaced Record
-	Cause             ConflictCause
-}
-
-// ConflictCause is why a record does not count.
-type ConflictCause string
-
-// The causes of conflicts.
-const (
-	// SameAddress: a target that started later is at its address.
-	SameAddress ConflictCause = "address"
-	// SameID: another record of the same target ranks higher.
-	SameID ConflictCause = "id"
-)
-
-// conflictInterval is the minimum time between two reports of heartbeats of one target that
-// do not count.
-const conflictInterval = 10 * time.Second
-
-func (t *Table) reportConflict(c Conflict) {
-	if t.OnConflict != nil {
-		t.OnConflict(c)
-	}
-}
-
-// reportOutranked reports that a heartbeat does not count. Late copies of what the table has
-// are no conflict. t.mu must be held.
-func (t *Table) reportOutranked(now time.Duration, r Record) {
-	current := t.rows[r.ID]
-	late := r.StartMillis == current.StartMillis && r.Sequence <= current.Sequence && r.Service == current.Service && r.Address == current.Address
-	if late || current.conflictAt > 0 && now-current.conflictAt < conflictInterval {
-		return
-	}
-	current.conflictAt = now
-	t.reportConflict(Conflict{Record: current.Record, Displaced: r, Cause: SameID})
-}
-
 type serviceSoftware struct{ service, software string }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{rows: map[string]*row{}, byAddress: map[string]map[string]*row{}, heartbeatIDs: map[string]bool{}, pastSoftware: map[serviceSoftware]time.Duration{}}
+	return &Table{rows: map[Key]*row{}, byID: map[string][]*row{}, byAddress: map[string][]*row{}, heard: map[Key]bool{}, pastSoftware: map[serviceSoftware]time.Duration{}}
 }
 
 // Heartbeat merges a heartbeat that a target sent to this host. It reports whether the
@@ -186,12 +175,15 @@
 func (t *Table) Heartbeat(now time.Duration, r Record) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changed = t.merge(now, r)
-	t.rows[r.ID].isDirect = t.rows[r.ID].Sequence == r.Sequence && t.rows[r.ID].StartMillis == r.StartMillis
-	if current := t.rows[r.ID].Record; current.StartMillis != r.StartMillis || current.State == Left || r.Sequence < current.Sequence {
-		t.reportOutranked(now, r)
+	if d := t.rows[departureKey(r.ID, r.StartMillis)]; d != nil && r.State != Left {
+		t.heard[d.Key()] = true // others may not know that it has left
+		t.reportIgnored(now, d, r)
+		return false
 	}
-	t.heartbeatIDs[r.ID] = true
+	changed = t.merge(now, r, true)
+	current := t.rows[r.Key()]
+	current.isDirect = current.Sequence == r.Sequence
+	t.heard[r.Key()] = true
 	return changed
 }
 
@@ -199,108 +191,211 @@
 func (t *Table) Merge(now time.Duration, r Record) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.merge(now, r)
+	return t.merge(now, r, false)
 }
 
-func (t *Table) merge(now time.Duration, r Record) bool {
-	current := t.rows[r.ID]
+func (t *Table) merge(now time.Duration, r Record, direct bool) bool {
+	if r.State == Left {
+		return t.mergeDeparture(now, r)
+	}
+	if d := t.rows[departureKey(r.ID, r.StartMillis)]; d != nil {
+		return r.Established && t.establish(now, d)
+	}
+	current := t.rows[r.Key()]
+	changed := current == nil
 	switch {
 	case current == nil:
-		current = &row{}
-		t.rows[r.ID] = current
-	case r.Newer(current.Record):
-	case r.Silent && !current.Silent && r.StartMillis == current.StartMillis && r.Sequence == current.Sequence && r.State == current.State:
+		t.limitProcesses(r.ID)
+		current = t.insert(now, r)
+	case r.newer(current.Record):
+		t.recordRun(now, current, &r, direct)
+		earlier := current.Record
+		if !t.disputed(current) {
+			earlier.Established = r.Established // matters to no host
+		}
+		changed = !r.sameContent(earlier) || coldDiffers(r.ColdUntil, current.toldColdUntil, now)
+		t.recordPastSoftware(now, current.Record)
+		current.Record, current.lastHeard, current.isDirect = r, now, false
 	default:
-		return false
+		return t.mergeOther(now, current, r)
 	}
-	changed := !r.sameContent(current.Record) || coldDiffers(r.ColdUntil, current.toldColdUntil, now)
-	t.recordPastSoftware(now, current.Record)
-	t.setAddress(current, r)
-	current.Record, current.lastHeard, current.isDirect = r, now, false
 	if changed {
 		current.toldColdUntil, current.latestCold = r.ColdUntil, max(current.latestCold, r.ColdUntil)
 		t.markChanged(now, current)
-		t.deregisterOlder(now, r)
+		t.reportConflicts(current)
 	}
 	return changed
 }
 
-// coldDiffers reports whether the end of a warm-up differs from the one that was last told,
-// so that small changes do not add up.
-func coldDiffers(coldUntil, told, now time.Duration) bool {
-	if coldUntil <= now && told <= now {
+// mergeOther merges what another host has found out about a process, in a record that is not
+// newer: that it has fallen silent since, or that its heartbeats have gone on.
+func (t *Table) mergeOther(now time.Duration, current *row, r Record) (changed bool) {
+	if r.Silent && !current.Silent && r.Sequence == current.Sequence && r.State == current.State {
+		current.Silent, current.lastHeard, current.isDirect, changed = true, now, false, true
+	}
+	if r.Established && !current.Established {
+		current.Established, changed = true, changed || t.disputed(current)
+	}
+	if changed {
+		t.markChanged(now, current)
+		t.reportConflicts(current)
+	}
+	return changed
+}
+
+// establish records that the heartbeats of a process that has left had gone on. t.mu must be
+// held.
+func (t *Table) establish(now time.Duration, departure *row) (changed bool) {
+	if departure.Established {
 		return false
 	}
-	difference := coldUntil - told
-	return difference > minColdChange || difference < -minColdChange
+	departure.Established = true
+	t.markChanged(now, departure)
+	return true
 }
 
-// markChanged must follow each change of a row. t.mu must be held.
-func (t *Table) markChanged(now time.Duration, r *row) {
-	r.changedAt = now
-	t.revision++
-	r.revision = t.revision
-	t.updateDigest(r)
+// recordRun completes a newer record of a process by whether its heartbeats go on. The first
+// heartbeat after a silence does not count yet while another process may have taken the place
+// of this one: it may have been sent long before.
+func (t *Table) recordRun(now time.Duration, current *row, r *Record, direct bool) {
+	contested, contestedAt := t.contested(current)
+	if now-current.lastHeard > silenceTimeout || contested && !current.Established && current.runningSince < contestedAt {
+		current.runningSince = now
+	}
+	goesOn := now-current.runningSince >= establishTime
+	r.Established = r.Established || current.Established || goesOn
+	if direct && current.Silent && contested && !goesOn {
+		r.Silent = true
+	}
 }
 
-// setAddress follows the change of a row's record to r. t.mu must be held.
-func (t *Table) setAddress(current *row, r Record) {
-	if current.Address == r.Address && current.ID == r.ID {
-		return
+// contested reports whether a process that started later names the ID or the address of a
+// process, and since when.
+func (t *Table) contested(r *row) (contested bool, at time.Duration) {
+	for _, o := range t.byID[r.ID] {
+		if o.StartMillis > r.StartMillis && (!contested || o.firstHeard < at) {
+			contested, at = true, o.firstHeard
+		}
 	}
-	t.clearAddress(current)
-	if r.Address == "" {
-		return
+	for _, o := range t.byAddress[r.Address] {
+		if o.ID != r.ID && o.StartMillis > r.StartMillis && (!contested || o.firstHeard < at) {
+			contested, at = true, o.firstHeard
+		}
 	}
-	rows := t.byAddress[r.Address]
-	if rows == nil {
-		rows = map[string]*row{}
-		t.byAddress[r.Address] = rows
+	return contested, at
+}
+
+// insert adds a row. Other hosts are told anew of established processes with which it may be in
+// conflict: until now it did not matter to them.
+func (t *Table) insert(now time.Duration, r Record) *row {
+	current := &row{Record: r, firstHeard: now, lastHeard: now, runningSince: now}
+	neighbours := t.neighbours(current)
+	t.rows[r.Key()] = current
+	t.byID[r.ID] = append(t.byID[r.ID], current)
+	if r.State != Left && r.Address != "" {
+		t.byAddress[r.Address] = append(t.byAddress[r.Address], current)
+	}
+	for _, o := range neighbours {
+		if o.State != Left && o.Established {
+			t.markChanged(now, o)
+		}
 	}
-	rows[r.ID] = current
+	return current
 }
 
-// clearAddress removes a row from byAddress. t.mu must be held.
-func (t *Table) clearAddress(r *row) {
-	rows := t.byAddress[r.Address]
-	delete(rows, r.ID)
-	if len(rows) == 0 {
-		delete(t.byAddress, r.Address)
+// neighbours returns the other rows with the ID of a row or, if it is one of a process, with
+// its address. t.mu must be held.
+func (t *Table) neighbours(r *row) (out []*row) {
+	for _, o := range t.byID[r.ID] {
+		if o != r {
+			out = append(out, o)
+		}
+	}
+	if r.State == Left {
+		return out
+	}
+	for _, o := range t.byAddress[r.Address] {
+		if o != r && o.ID != r.ID {
+			out = append(out, o)
+		}
 	}
+	return out
 }
 
-// deregisterOlder marks older targets at the address of a new one as left.
-func (t *Table) deregisterOlder(now time.Duration, r Record) {
-	if r.State == Left || r.Address == "" {
-		return
+// disputed reports whether a row has neighbours. t.mu must be held.
+func (t *Table) disputed(r *row) bool {
+	return len(t.byID[r.ID]) > 1 || r.State != Left && len(t.byAddress[r.Address]) > 1
+}
+
+// limitProcesses makes room for another process under an ID.
+func (t *Table) limitProcesses(id string) {
+	var worst *row
+	n := 0
+	for _, r := range t.byID[id] {
+		if r.State == Left {
+			continue
+		}
+		if n++; worst == nil || worst.outranks(r) {
+			worst = r
+		}
+	}
+	if n >= maxProcesses {
+		t.deleteRow(worst)
 	}
-	for _, other := range t.byAddress[r.Address] {
-		if other.ID != r.ID && other.State != Left && other.StartMillis < r.StartMillis {
-			t.recordPastSoftware(now, other.Record)
-			t.reportConflict(Conflict{Record: r, Displaced: other.Record, Cause: SameAddress})
-			other.State, other.lastHeard = Left, now
-			t.markChanged(now, other)
+}
+
+// mergeDeparture records that a process has left, and drops what it said before.
+func (t *Table) mergeDeparture(now time.Duration, r Record) bool {
+	r.Silent, r.ColdUntil = false, 0
+	if current := t.rows[r.Key()]; current != nil {
+		return r.Established && t.establish(now, current)
+	}
+	for _, o := range slices.Clone(t.byID[r.ID]) {
+		if o.State == Left || o.StartMillis != r.StartMillis {
+			continue
 		}
+		r.Established = r.Established || o.Established
+		t.recordPastSoftware(now, o.Record)
+		t.deleteRow(o)
 	}
+	t.markChanged(now, t.insert(now, r))
+	return true
 }
 
-// Deregister marks a target as left. startMillis is 0 if the target did not report its
-// start time.
+// Deregister marks a process of a target as left. startMillis is 0 if the target did not
+// report its start time.
 func (t *Table) Deregister(now time.Duration, id string, startMillis int64) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	current := t.rows[id]
-	if current == nil {
-		current = &row{Record: Record{ID: id, StartMillis: startMillis}}
-		t.rows[id] = current
+	r := Record{ID: id, StartMillis: startMillis}
+	for _, o := range t.byID[id] {
+		if startMillis == 0 && o.StartMillis > r.StartMillis && o.State == Left {
+			r = o.Record
+		}
 	}
-	if startMillis != 0 && startMillis < current.StartMillis || current.State == Left && startMillis <= current.StartMillis {
+	if current := t.chooseProcess(id, nil); current != nil && (startMillis == 0 || startMillis == current.StartMillis) {
+		r = current.Record
+	}
+	r.State = Left
+	return t.merge(now, r, true)
+}
+
+// coldDiffers reports whether the end of a warm-up differs from the one that was last told,
+// so that small changes do not add up.
+func coldDiffers(coldUntil, told, now time.Duration) bool {
+	if coldUntil <= now && told <= now {
 		return false
 	}
-	t.recordPastSoftware(now, current.Record)
-	current.State, current.StartMillis, current.lastHeard = Left, max(startMillis, current.StartMillis), now
-	t.markChanged(now, current)
-	return true
+	difference := coldUntil - told
+	return difference > minColdChange || difference < -minColdChange
+}
+
+// markChanged must follow each change of a row. t.mu must be held.
+func (t *Table) markChanged(now time.Duration, r *row) {
+	r.changedAt = now
+	t.revision++
+	r.revision = t.revision
+	t.updateDigest(r)
 }
 
 // Departures returns the records of the targets that are draining or have left and that
@@ -320,15 +415,17 @@
 	return records, t.revision
 }
 
-// DepartureRevision returns the revision at which a target began to drain or left; 0 if it
-// is ready or unknown.
-func (t *Table) DepartureRevision(id string) uint64 {
+// DepartureRevision returns the last revision at which a process of a target began to drain
+// or left; 0 if none has.
+func (t *Table) DepartureRevision(id string) (revision uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.rows[id]; r != nil && r.State != Ready {
-		return r.revision
+	for _, r := range t.byID[id] {
+		if r.State != Ready {
+			revision = max(revision, r.revision)
+		}
 	}
-	return 0
+	return revision
 }
 
 // recordPastSoftware records the software of a target that changes or leaves. t.mu must
@@ -346,7 +443,7 @@
 	defer t.mu.Unlock()
 	versions := map[string]bool{}
 	for _, r := range t.rows {
-		if r.Service == service && r.State != Left {
+		if r.Service == service && r.State != Left && (t.chosen(r.ID, nil) == r || now-r.lastHeard <= window+replacedTTL) {
 			versions[r.Software] = true
 		}
 	}
@@ -369,7 +466,7 @@
 		if r.State != Left && !r.Silent && now-r.lastHeard > silenceTimeout {
 			r.Silent = true
 			if r.isDirect {
-				t.heartbeatIDs[r.ID] = true // others may lack the record, and then its silence too
+				t.heard[r.Key()] = true // others may lack the record, and then its silence too
 			}
 			t.markChanged(now, r)
 		}
@@ -377,17 +474,22 @@
 }
 
 // ForgetDepartures deletes the records of targets that left, or were draining when they fell
-// silent: those that are older than tombstoneTTL, and the oldest beyond maxTombstones.
+// silent: those that are older than tombstoneTTL, and the oldest beyond maxTombstones. It also
+// deletes silent processes that others have replaced, and those that were never established.
 func (t *Table) ForgetDepartures(now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var left []*row
 	for _, r := range t.rows {
+		age := now - r.lastHeard
 		switch {
-		case r.State != Ready && now-r.lastHeard > tombstoneTTL:
+		case r.State != Ready && age > tombstoneTTL:
 			t.deleteRow(r)
 		case r.State == Left:
 			left = append(left, r)
+		case r.State == Ready && r.Silent && (age > tombstoneTTL && !r.Established || age > replacedTTL && t.replaced(r)):
+			t.recordPastSoftware(now, r.Record)
+			t.deleteRow(r)
 		}
 	}
 	if len(left) <= maxTombstones {
@@ -405,12 +507,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var records []Record
-	for id := range t.heartbeatIDs {
-		if r := t.rows[id]; r != nil {
+	for key := range t.heard {
+		if r := t.rows[key]; r != nil {
 			records = append(records, r.Record)
 		}
 	}
-	clear(t.heartbeatIDs)
+	clear(t.heard)
 	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.ID, b.ID) })
 	return records
 }
@@ -431,30 +533,6 @@
 	return records, t.revision
 }
 
-// Registered returns the records of all targets that have not left, sorted by ID.
-func (t *Table) Registered() []Record {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var records []Record
-	for _, r := range t.rows {
-		if r.State != Left {
-			records = append(records, r.Record)
-		}
-	}
-	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.ID, b.ID) })
-	return records
-}
-
-// Get returns the record of a target.
-func (t *Table) Get(id string) (Record, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if r := t.rows[id]; r != nil {
-		return r.Record, true
-	}
-	return Record{}, false
-}
-
 // Len returns the number of records, with those of targets that have left.
 func (t *Table) Len() int {
 	t.mu.Lock()
