bytebudget: a buffer that is refused counts at no time

Cause: Resize added what a buffer needs, and took it back if that was too much. In between other buffers saw the sum. 5,160,960 is five times 1 MiB less 16 KiB, four bodies that fit and one that is being refused; so memory was not exceeded, but a buffer that fits could be refused meanwhile.

Change: the bytes are added only if they fit.

--- a/internal/bytebudget/budget.go
+++ b/internal/bytebudget/budget.go
@@ -66,8 +66,7 @@
 		b.held = wanted
 		return true
 	}
-	if used := b.budget.used.Add(added); added > 0 && used > b.budget.limit() {
-		b.budget.used.Add(-added)
+	if !b.budget.add(added) {
 		if b.owner != nil {
 			b.owner.Resize(b.held) // less than before
 		}
@@ -77,6 +76,20 @@
 	return true
 }
 
+// add changes the bytes in use. It reports false, and changes nothing, if more would be in use
+// than the limit.
+func (b *Budget) add(bytes int64) bool {
+	for {
+		used := b.used.Load()
+		if bytes > 0 && used+bytes > b.limit() {
+			return false
+		}
+		if b.used.CompareAndSwap(used, used+bytes) {
+			return true
+		}
+	}
+}
+
 // Copy makes an owner account for a second buffer of a size until the next Resize. It reports
 // false, and changes nothing, if there is no memory for it.
 func (b *Buffer) Copy(size int) bool {
--- a/internal/bytebudget/budget_test.go
+++ b/internal/bytebudget/budget_test.go
@@ -1,6 +1,8 @@
 package bytebudget_test
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"geraniumturn.example/geraniumturn/internal/bytebudget"
@@ -54,3 +56,39 @@
 		t.Errorf("%d bytes are left", b.Used())
 	}
 }
+
+// Guards against a buffer that is refused and counts until it has been: the bytes in use then
+// exceed the limit, and another buffer that fits is refused.
+func TestRefusedBufferDoesNotCount(t *testing.T) {
+	const large, small = 1 << 20, bytebudget.Free + 1<<10
+	budget := bytebudget.Budget{Limit: large}
+	held := budget.Buffer()
+	held.Resize(large)
+	var exceeded, refused atomic.Int64
+	var work sync.WaitGroup
+	for range 4 {
+		work.Go(func() {
+			for range 50_000 {
+				b := budget.Buffer()
+				b.Resize(large) // does not fit
+				b.Release()
+			}
+		})
+	}
+	work.Go(func() {
+		for range 200_000 {
+			b := budget.Buffer()
+			if !b.Resize(small) { // fits
+				refused.Add(1)
+			}
+			if budget.Used() > budget.Limit {
+				exceeded.Add(1)
+			}
+			b.Release()
+		}
+	})
+	work.Wait()
+	if exceeded.Load() > 0 || refused.Load() > 0 {
+		t.Errorf("%d times more than the limit in use, %d buffers that fit refused", exceeded.Load(), refused.Load())
+	}
+}
