gateway: a process that has just started counts at once where streams go on

Cause: since a target counts as the process whose heartbeats go on, one that starts again under its ID within 3 s of its last heartbeat counts from its second heartbeat on. Until then its software and its start were those of the process before: a stream could continue on other software, and the end of an unframed response could be confirmed by another process.

Change: both ask for a later process too, which counts there with its first heartbeat; where its software is the same, streams go on. A single message of another sender with a target's ID and another version therefore keeps streams from being continued there until it is silent, 3 s: a refusal rather than a stream of two versions.

The end of an unframed response has no test of its own.

--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -133,6 +133,11 @@
 	if s.forwarded {
 		return true // the other host has checked it
 	}
-	record, ok := g.Table.Find(s.target, g.Views.Current().hasService)
-	return ok && record.Software == s.software && record.StartMillis == s.startMillis
+	usable := g.Views.Current().hasService
+	record, ok := g.Table.Find(s.target, usable)
+	if !ok || record.Software != s.software || record.StartMillis != s.startMillis {
+		return false
+	}
+	later, started := g.Table.LaterProcess(s.target, s.startMillis, usable)
+	return !started || later.Software == s.software
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -690,7 +690,9 @@
 	}
 	check := c.Check
 	c.Check = func(status int, h http.Header, body io.Reader) error {
-		if now, ok := g.Table.Find(s.target, g.Views.Current().hasService); ok && now.StartMillis != s.startMillis {
+		usable := g.Views.Current().hasService
+		record, known := g.Table.Find(s.target, usable)
+		if _, later := g.Table.LaterProcess(s.target, s.startMillis, usable); later || known && record.StartMillis != s.startMillis {
 			return fmt.Errorf("target %s has started again", s.target)
 		}
 		return check(status, h, body)
--- a/internal/registry/conflict.go
+++ b/internal/registry/conflict.go
@@ -169,6 +169,25 @@
 	return latest.Record, true
 }
 
+// LaterProcess returns the latest process of a target that has started after startMillis, also
+// if it does not count yet: what must not be sent to another process than the one that was
+// chosen needs to know of it with its first heartbeat. A process of which there was a single
+// message is forgotten when it is silent.
+func (t *Table) LaterProcess(id string, startMillis int64, usable func(Record) bool) (Record, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var latest *row
+	for _, r := range t.byID[id] {
+		if r.State != Left && r.StartMillis > startMillis && r.rank() != single && usable(r.Record) && (latest == nil || r.StartMillis > latest.StartMillis) {
+			latest = r
+		}
+	}
+	if latest == nil {
+		return Record{}, false
+	}
+	return latest.Record, true
+}
+
 // Lookup returns the record with a key.
 func (t *Table) Lookup(k Key) (Record, bool) {
 	t.mu.Lock()
--- a/internal/registry/foreign_test.go
+++ b/internal/registry/foreign_test.go
@@ -252,3 +252,30 @@
 		t.Errorf("used %v, %+v", used, got)
 	}
 }
+
+// Guards against a later process of a target that is not known to those who must not send to
+// it, until it counts, and against a single message of another sender that stays in force.
+func TestLaterProcess(t *testing.T) {
+	table := registry.NewTable()
+	known := func(r registry.Record) bool { return r.Service == "s" }
+	r, now := beats(table, second, 3, record("a", 1000, 0, registry.Ready))
+	unknown := record("a", 3000, 1, registry.Ready)
+	unknown.Service = "unknown"
+	table.Heartbeat(now, unknown)
+	if later, started := table.LaterProcess("a", 1000, known); started {
+		t.Errorf("a process of an unknown service counts: %+v", later)
+	}
+	table.Heartbeat(now, record("a", 2000, 1, registry.Ready))
+	for _, host := range []*registry.Table{table, copyTable(t, now, table)} {
+		if later, started := host.LaterProcess("a", 1000, known); !started || later.StartMillis != 2000 {
+			t.Errorf("started %v, %+v", started, later)
+		}
+	}
+	if _, started := table.LaterProcess("a", 2000, known); started {
+		t.Error("the process counts as later than itself")
+	}
+	beats(table, now, 5, r)
+	if later, started := table.LaterProcess("a", 1000, known); started {
+		t.Errorf("a single message still counts: %+v", later)
+	}
+}
