--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -4,7 +4,7 @@
 # targets.
 # Usage: soak.sh [SEEDS [FIRST [PARALLEL [KINDS [COMMIT]]]]]. Without FIRST the first seed is
 # random. PARALLEL deployments of six processes run at a time. KINDS names kinds of faults
-# or sets of them: hosts (default), signals, stranded, orders, targets, ends, upgrade. The set ends
+# or sets of them: hosts (default), signals, stranded, orders, targets, foreign, ends, upgrade. The set ends
 # has faults after which a response that has ended early can look complete; its kinds are "ends:
 # accepted", "ends: another", "ends: reset", "ends: forwarded", "ends: late", "ends: late reset",
 # "ends: stop", "ends: kill", "ends: upload" and "ends: heads". With upgrade, the hosts begin on the build
