placement: a process that the registry no longer names replaces none

Cause: the state of a target's process (leaving, paused, ended) is that of the latest start that was ever registered. A false later start that the registry took for the target's, and then no longer, kept that place: what the running process had said before was lost, and the next one under its ID, with a start below the false one, inherited `leaving` and got no requests.

Change: when the registry names an earlier process again, the state of that one is used again. A later process that another host has told of, and that is not registered yet, counts as before.

Measured: TestProcessThatWasNoneIsForgotten failed before in two ways (a pause forgotten; the next process not used) and passes; the package's tests pass.

--- a/internal/placement/availability.go
+++ b/internal/placement/availability.go
@@ -70,8 +70,12 @@
 // Target, because it must outlive the target's absence from the registry.
 type availability struct {
 	startMillis int64
-	statedAt    time.Duration // time of the last statement
-	leaving     bool
+	// registered means that the registry has named the process. previous is the state of the
+	// process that it replaced then.
+	registered bool
+	previous   *availability
+	statedAt   time.Duration // time of the last statement
+	leaving    bool
 	// reportUntil is until when the other hosts are told that the process is leaving.
 	reportUntil time.Duration
 	pausedUntil time.Duration
@@ -102,12 +106,29 @@
 }
 
 // registerProcess returns the state that applies to a target as it is registered: that of
-// the newest known process, which may not be registered yet.
+// the newest known process, which may not be registered yet. One that was registered and is
+// no longer was none of the target's.
 func (p *Placer) registerProcess(s Spec) *availability {
-	if a := p.process(s.ID, s.StartMillis); a != nil {
-		return a
+	known := p.availability[s.ID]
+	if known != nil && known.registered && known.startMillis > s.StartMillis {
+		delete(p.availability, s.ID)
+		if known.previous != nil && known.previous.startMillis == s.StartMillis {
+			p.availability[s.ID] = known.previous
+		}
+		known = p.availability[s.ID]
+	}
+	a := p.process(s.ID, s.StartMillis)
+	if a == nil {
+		return p.availability[s.ID]
 	}
-	return p.availability[s.ID]
+	if a != known {
+		a.previous = known
+		if known != nil {
+			known.previous = nil
+		}
+	}
+	a.registered = true
+	return a
 }
 
 // Observe records the statement of a response and returns what it changed.
--- a/internal/placement/availability_test.go
+++ b/internal/placement/availability_test.go
@@ -269,3 +269,35 @@
 		t.Errorf("used %d times in the 4 s after its pause, the other target %d times in 5 s", used["busy"], used["other"])
 	}
 }
+
+// Guards against a target that is left out for good because the registry took another
+// sender's message for its latest process for a while: what the running process says, and the
+// next one under its ID, must count again.
+func TestProcessThatWasNoneIsForgotten(t *testing.T) {
+	specs := engines(1)
+	register := func(p *placement.Placer, start int64) {
+		specs[0].StartMillis = start
+		p.SetTargets(specs)
+	}
+	specs[0].StartMillis = 1000
+	p := newPlacer(specs)
+	p.Observe(second, start(t, p, second, "e0"), placement.Statement{Pause: 8 * second})
+	register(p, 1<<53-1)
+	register(p, 1000)
+	if len(chosen(p, 2*second)) > 0 {
+		t.Error("the target gets requests in the pause that it asked for")
+	}
+	p.Observe(10*second, start(t, p, 10*second, "e0"), placement.Statement{Leaving: true})
+	if len(chosen(p, 10*second)) > 0 {
+		t.Error("a leaving target gets requests")
+	}
+	register(p, 2000)
+	if !chosen(p, 11*second)["e0"] {
+		t.Error("the next process of the target gets no requests")
+	}
+	p.RecordLeaving(12*second, placement.LeavingTarget{Target: "e0", StartMillis: 3000})
+	register(p, 2000)
+	if len(chosen(p, 12*second)) > 0 {
+		t.Error("a process that another host knows to be leaving gets requests before it is registered here")
+	}
+}
