fleetsync, controlplane: a warm-up that is told does not end early

Cause: each host tells the rest of a warm-up in whole milliseconds, rounded down, so it ends up to a millisecond early at the next one; a target may round it down too. Requests that wait for the end of the warm-up are sent at that very moment.

Change: rounded up when it is told, and a millisecond is added to what a target states. A value out of range is told as it is, and refused as before.

--- a/internal/controlplane/controlplane.go
+++ b/internal/controlplane/controlplane.go
@@ -212,12 +212,15 @@
 	return state.Content, nil
 }
 
+// coldRounding is the most by which a target may have rounded the rest of its warm-up down.
+const coldRounding = time.Millisecond
+
 // Heartbeat records a heartbeat of a target. cold is the remaining time of its warm-up. A
 // target that drains gets an acknowledgement that outlives this host: others rely on it.
 func (s *Service) Heartbeat(ctx context.Context, r registry.Record, cold time.Duration) error {
 	now := clock.SinceBoot()
 	if cold > 0 {
-		r.ColdUntil = now + cold
+		r.ColdUntil = now + cold + coldRounding
 	}
 	if s.Targets.Heartbeat(now, r) {
 		s.Logger.WithFields(logrus.Fields{"target": r.ID, "service": r.Service, "address": r.Address, "state": r.State.String(),
--- a/internal/fleetsync/server.go
+++ b/internal/fleetsync/server.go
@@ -394,11 +394,20 @@
 		}
 		out = append(out, &syncpb.Target{Id: r.ID, Born: r.StartMillis, Sequence: r.Sequence, Service: r.Service, Address: r.Address,
 			DataCentre: r.DataCentre, Software: r.Software, Slots: int32(r.Slots), State: uint32(r.State),
-			ColdMs: max(0, r.ColdUntil-now).Milliseconds(), Silent: r.Silent, Established: r.Established})
+			ColdMs: warmupMillis(r.ColdUntil - now), Silent: r.Silent, Established: r.Established})
 	}
 	return out
 }
 
+// warmupMillis returns the rest of a warm-up, rounded up: if it ends early at another host, too
+// many requests reach a target that is still cold.
+func warmupMillis(rest time.Duration) int64 {
+	if rest > registry.MaxWarmup {
+		return rest.Milliseconds()
+	}
+	return int64((max(0, rest) + time.Millisecond - 1) / time.Millisecond)
+}
+
 // decodeRecords returns the valid records and an error that names the others.
 func decodeRecords(now time.Duration, targets []*syncpb.Target) ([]registry.Record, error) {
 	out := make([]registry.Record, 0, len(targets))
