--- a/internal/departures/sim_test.go
+++ b/internal/departures/sim_test.go
@@ -600,6 +600,16 @@
 	t.Logf("%d schedules from seed %d: %d departures acknowledged", *simSchedules, *simSeed, acked)
 }
 
+// Guards against a departure that an earlier process of its target outranks, because that one
+// counts as established at a host which has not been told that it fell silent: seeds that failed.
+func TestDepartureOutranksEarlierDrainingProcess(t *testing.T) {
+	for _, seed := range []uint64{2922, 5375, 9590, 9904} {
+		if s, forgotten := runSchedule(t, seed, stored); forgotten != "" {
+			s.fail("%s", forgotten)
+		}
+	}
+}
+
 // Guards against schedules that would not show a lost departure.
 func TestSchedulesFindLostDepartures(t *testing.T) {
 	for name, handling := range map[string]acknowledgement{"acknowledged at once": atOnce, "held in memory": inMemory, "not told again": noResync} {
