registry, gateway: an entry host does not hold a target back for good

Cause: control hosts tell which processes are established only where they know of rivals. After they have all started again they may not know of a process that an entry host still has, as established and not silent: one that crashed meanwhile. The entry host then held back, for good, the next process under its ID or the next target at its address.

Change: an entry host establishes a process beside others that control hosts, in contact with it for 5 s, have not told to be silent. They tell that of a single message after 3 s.

Measured: TestProcessBesideOneThatNobodyKnows fails without the call, for the same ID and for the same address, and passes; registry passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -150,7 +150,8 @@
 	// departuresForgottenAt is when old departures were last removed from the table.
 	departuresForgottenAt time.Duration
 	totalHosts            int
-	placedRevision        uint64 // revision of Table that the placer uses
+	appliedAt             time.Duration // time of the last response of a control host
+	placedRevision        uint64        // revision of Table that the placer uses
 	// peerSet has the entry hosts of this region, which send to the same targets. sharingHosts
 	// are those among which the slots of brittle targets were last divided.
 	peerSet      *shares.PeerSet
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -90,6 +90,8 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.Table.Confirm(now, min(now-g.appliedAt, hostsInterval))
+	g.appliedAt = now
 	if now-g.departuresForgottenAt > forgetInterval {
 		g.departuresForgottenAt = now
 		g.Table.ForgetDepartures(now)
--- a/internal/registry/foreign_test.go
+++ b/internal/registry/foreign_test.go
@@ -302,3 +302,31 @@
 		})
 	}
 }
+
+// Guards against a target that an entry host leaves out for good: the process before it, under
+// its ID or at its address, crashed while all control hosts started again, so that none of them
+// tells that it is silent or that the new one is established.
+func TestProcessBesideOneThatNobodyKnows(t *testing.T) {
+	for _, id := range []string{"a", "b"} {
+		entry, control := registry.NewTable(), registry.NewTable()
+		stale := record("a", 1000, 9, registry.Ready)
+		stale.Established = true
+		entry.Merge(second, stale)
+		next, now := beats(control, 5*second, 1, record(id, 2000, 0, registry.Ready))
+		records, cursor := control.ChangedSince(0)
+		for _, r := range records {
+			entry.Merge(now, r)
+		}
+		for range 8 {
+			next, now = beats(control, now, 1, next)
+			records, cursor = control.ChangedSince(cursor)
+			for _, r := range records {
+				entry.Merge(now, r)
+			}
+			entry.Confirm(now, interval)
+		}
+		if got, used := inUse(entry, id, nil); !used || got.StartMillis != 2000 {
+			t.Errorf("%s: used %v, %+v", id, used, got)
+		}
+	}
+}
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -127,6 +127,8 @@
 	firstHeard, lastHeard time.Duration
 	// runningSince is the time of the first record after the last silence.
 	runningSince time.Duration
+	// confirmed is how long control hosts that are in contact have not told of a silence.
+	confirmed time.Duration
 	// toldColdUntil is the ColdUntil of the last change.
 	toldColdUntil time.Duration
 	// changedAt is the time of the last change.
@@ -269,6 +271,30 @@
 	}
 }
 
+// confirmTime is how long hosts that are in contact may take to tell that a process of which
+// there was a single message has fallen silent.
+const confirmTime = silenceTimeout + 2*time.Second
+
+// Confirm records that control hosts have been in contact with this host for some time, and
+// establishes processes beside others that they have not told to be silent since. Control
+// hosts tell which processes are established only where they know of rivals themselves; after
+// a start they may not know of those that this host has.
+func (t *Table) Confirm(now, contact time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.rows {
+		if r.State == Left || r.Silent || r.Established || !t.disputed(r) {
+			r.confirmed = 0
+			continue
+		}
+		if r.confirmed += contact; r.confirmed >= confirmTime {
+			r.Established = true
+			t.markChanged(now, r)
+			t.reportConflicts(r)
+		}
+	}
+}
+
 // contested reports whether a process that started later names the ID or the address of a
 // process, and since when.
 func (t *Table) contested(r *row) (contested bool, at time.Duration) {
