registry: a departure ends the earlier processes of its target

Cause: since an earlier process whose heartbeats seem to go on was kept after the departure of a later one that is not established. A host that has not been told that the earlier one is gone, because all control hosts have just started again, then uses the target after an acknowledged departure.

Change: a departure ends what started before it, as before; whether a departure is established is no longer kept or told. A single deregistration of another sender, with a later start, so ends a target that goes on; one without a start does the same and cannot be told from the target's own word, so nothing is lost by it.

--- a/internal/registry/buckets.go
+++ b/internal/registry/buckets.go
@@ -21,7 +21,7 @@
 // beside others only.
 func (r Record) digest(disputed bool) uint64 {
 	if r.State == Left {
-		r, disputed = Record{ID: r.ID, StartMillis: r.StartMillis, State: Left, Established: r.Established}, true
+		r = Record{ID: r.ID, StartMillis: r.StartMillis, State: Left}
 	}
 	d := xxhash.New()
 	for _, s := range []string{r.ID, r.Service, r.Address, r.DataCentre, r.Software} {
--- a/internal/registry/conflict.go
+++ b/internal/registry/conflict.go
@@ -70,13 +70,10 @@
 	return r.StartMillis > other.StartMillis && r.rank() >= other.rank() && (r.Established || !other.Established)
 }
 
-// ended reports whether a later process of the target has left. A ready process that goes on
-// sending heartbeats has not ended if there is no more than that message of the later one.
-// t.mu must be held.
+// ended reports whether a later process of the target has left: an acknowledged departure holds
+// for what was before it, whatever a host has not been told of that. t.mu must be held.
 func (t *Table) ended(r *row) bool {
-	return slices.ContainsFunc(t.byID[r.ID], func(o *row) bool {
-		return o.State == Left && o.StartMillis >= r.StartMillis && (o.Established || r.State != Ready || r.rank() != lasting)
-	})
+	return slices.ContainsFunc(t.byID[r.ID], func(o *row) bool { return o.State == Left && o.StartMillis >= r.StartMillis })
 }
 
 // chooseProcess returns the process that is taken for the running one of a target among those
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -200,8 +200,8 @@
 	if r.State == Left {
 		return t.mergeDeparture(now, r)
 	}
-	if d := t.rows[departureKey(r.ID, r.StartMillis)]; d != nil {
-		return r.Established && t.establish(now, d)
+	if t.rows[departureKey(r.ID, r.StartMillis)] != nil {
+		return false
 	}
 	current := t.rows[r.Key()]
 	changed := current == nil
@@ -245,17 +245,6 @@
 	return changed
 }
 
-// establish records that the heartbeats of a process that has left had gone on. t.mu must be
-// held.
-func (t *Table) establish(now time.Duration, departure *row) (changed bool) {
-	if departure.Established {
-		return false
-	}
-	departure.Established = true
-	t.markChanged(now, departure)
-	return true
-}
-
 // recordRun completes a newer record of a process by whether its heartbeats go on. The first
 // heartbeat after a silence does not count yet while another process may have taken the place
 // of this one: it may have been sent long before.
@@ -372,15 +361,14 @@
 
 // mergeDeparture records that a process has left, and drops what it said before.
 func (t *Table) mergeDeparture(now time.Duration, r Record) bool {
-	r.Silent, r.ColdUntil = false, 0
-	if current := t.rows[r.Key()]; current != nil {
-		return r.Established && t.establish(now, current)
+	r.Silent, r.Established, r.ColdUntil = false, false, 0
+	if t.rows[r.Key()] != nil {
+		return false
 	}
 	for _, o := range slices.Clone(t.byID[r.ID]) {
 		if o.State == Left || o.StartMillis != r.StartMillis {
 			continue
 		}
-		r.Established = r.Established || o.Established
 		t.recordPastSoftware(now, o.Record)
 		t.deleteRow(o)
 	}
