gateway: contact with control hosts is counted once a second

Cause: each response of a control host went through all targets, several times a second. Change: once for each second of contact; gaps of over 0.5 s between responses count as 0.5 s. The wiring has a test now.

Measured: TestTargetBesideForgottenProcess fails without the call and passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -151,6 +151,7 @@
 	departuresForgottenAt time.Duration
 	totalHosts            int
 	appliedAt             time.Duration // time of the last response of a control host
+	contact               time.Duration // time in contact since targets were last confirmed
 	placedRevision        uint64        // revision of Table that the placer uses
 	// peerSet has the entry hosts of this region, which send to the same targets. sharingHosts
 	// are those among which the slots of brittle targets were last divided.
--- a/internal/gateway/laterprocess_test.go
+++ b/internal/gateway/laterprocess_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"geraniumturn.example/geraniumturn/internal/clock"
 	"geraniumturn.example/geraniumturn/internal/fleetsync"
@@ -33,3 +34,33 @@
 		})
 	}
 }
+
+// Guards against a target that gets no requests for good, as the host still has the process that
+// crashed at its address and control hosts, which have started again, do not know that one.
+func TestTargetBesideForgottenProcess(t *testing.T) {
+	s := newTarget(t)
+	f := newFixture(t)
+	r := records([]*target{s})[0]
+	r.ID, r.StartMillis, r.Sequence, r.Established = "crashed", 1000, 9, true
+	next := r
+	next.ID, next.StartMillis, next.Sequence, next.Established = "next", 2000, 1, false
+	apply := func(records ...registry.Record) {
+		now := clock.SinceBoot()
+		f.Apply(now, fleetsync.Update{SentAt: now, ControlAddress: "c", ExchangeResponse: &syncpb.ExchangeResponse{Known: true, Index: 1, Version: 1, TotalHosts: 1}, Records: records})
+	}
+	apply(r, next)
+	used := func() bool {
+		for _, r := range f.Table.Registered() {
+			if r.ID == "next" {
+				return true
+			}
+		}
+		return false
+	}
+	for end := time.Now().Add(7 * time.Second); !used() && time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		apply()
+	}
+	if !used() {
+		t.Error("the target is not used although control hosts have told of no silence")
+	}
+}
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -62,6 +62,14 @@
 // is the largest part of an exchange.
 const hostsInterval = 500 * time.Millisecond
 
+const (
+	// confirmInterval is the time in contact with control hosts between confirmations of the
+	// targets that they have not told to be silent.
+	confirmInterval = time.Second
+	// maxContactGap is the time between two responses of control hosts that counts as contact.
+	maxContactGap = 500 * time.Millisecond
+)
+
 // forgetInterval is the time between removals of old departures from the table.
 const forgetInterval = 10 * time.Second
 
@@ -90,8 +98,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.Table.Confirm(now, min(now-g.appliedAt, hostsInterval))
-	g.appliedAt = now
+	g.confirmTargets(now)
 	if now-g.departuresForgottenAt > forgetInterval {
 		g.departuresForgottenAt = now
 		g.Table.ForgetDepartures(now)
@@ -115,6 +122,17 @@
 	}
 }
 
+// confirmTargets adds the time since the last response of a control host to the time in contact.
+// g.mu must be held.
+func (g *Gateway) confirmTargets(now time.Duration) {
+	g.contact += min(now-g.appliedAt, maxContactGap)
+	g.appliedAt = now
+	if g.contact >= confirmInterval {
+		g.Table.Confirm(now, g.contact)
+		g.contact = 0
+	}
+}
+
 // applyView applies the rate limits and ended evacuations of a new view. g.mu must be held.
 func (g *Gateway) applyView(now time.Duration, control string) {
 	v := g.Views.Current()
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -79,8 +79,8 @@
 }
 
 // Key identifies what a record speaks of: a process of a target, by what stays the same while
-// it runs, or the departure of a process. A record replaces none with another key, so nothing
-// that another sender says of a target can end or outrank what the target says of itself.
+// it runs, or the departure of a process. A heartbeat replaces no record with another key, so
+// what another sender says of a target does not outrank what the target says of itself.
 type Key struct {
 	id                           string
 	startMillis                  int64
