targets: a lease is exclusive once the other hosts know it

Two hosts of a data centre can lease a target at the same moment, as both see the silence of a crashed one; each found no other request on the target and none of the other's leases, which had not arrived, and used it.

A lease is now exclusive only once each other live host of the data centre has confirmed it; the confirmation carries the leases that this host holds itself. Of two hosts that leased at the same time at least one knows of both, and the one with the lower name gets the target.

--- a/internal/targets/candidates.go
+++ b/internal/targets/candidates.go
@@ -230,15 +230,17 @@
 	}
 	until := now.Add(min(length, MaxLease))
 	leastLoaded.leases[t.host] = until
+	leastLoaded.leaseKnownBy = map[string]bool{}
 	t.notify()
 	return &Lease{table: t, Target: leastLoaded.copy(), until: until}, nil
 }
 
-// Exclusive reports whether the lease is valid and no other request is known to
-// run on the target. If two hosts leased the target at the same time, the host with
-// the lower name gets it.
+// Exclusive reports whether the lease is valid, the other hosts of the data centre know
+// it, and no other request is known to run on the target. If two hosts leased the target
+// at the same time, the host with the lower name gets it.
 func (l *Lease) Exclusive(now time.Time) bool {
 	t := l.table
+	peers := t.localPeers()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.targets[l.Target.Name]
@@ -250,6 +252,11 @@
 			return false
 		}
 	}
+	for _, host := range peers {
+		if !r.leaseKnownBy[host] {
+			return false // it may have leased the target too
+		}
+	}
 	return r.load(now) == 0
 }
 
--- a/internal/targets/relay.go
+++ b/internal/targets/relay.go
@@ -42,8 +42,10 @@
 	// reports maps the target names in Request.Reports to the versions sent.
 	reports  map[string]version
 	inFlight map[uint32]int
-	builtAt  time.Time
-	batch    bool
+	// leases holds the expiry of each lease in Request.Leases.
+	leases  map[uint32]time.Time
+	builtAt time.Time
+	batch   bool
 }
 
 type version struct{ incarnation, sequence uint64 }
@@ -84,8 +86,10 @@
 	inFlight       map[uint32]int
 }
 
-// NewRelay returns a relay for the table.
+// NewRelay returns a relay for the table, which is not in use yet. A lease of the table is
+// then exclusive only once the other hosts of the data centre have confirmed it.
 func NewRelay(table *Table, peers Peers) *Relay {
+	table.localPeers = peers.Local
 	return &Relay{table: table, peers: peers, hosts: map[string]*outbox{}}
 }
 
@@ -159,7 +163,11 @@
 	t := r.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	m := Message{Host: host, Request: &targetspb.RelayRequest{}, reports: map[string]version{}, builtAt: now, batch: batch}
+	m := Message{Host: host, Request: &targetspb.RelayRequest{Leases: t.ownLeases(now)}, reports: map[string]version{}, builtAt: now, batch: batch}
+	m.leases = make(map[uint32]time.Time, len(m.Request.Leases))
+	for _, l := range m.Request.Leases {
+		m.leases[l.Id] = t.byID[l.Id].leases[t.host]
+	}
 	for name := range box.urgent {
 		rec, ok := t.targets[name]
 		if !ok || now.Sub(rec.lastHeard) >= SilenceLimit {
@@ -170,11 +178,6 @@
 			m.addReport(now, rec)
 		}
 	}
-	for id, rec := range t.byID {
-		if until, ok := rec.leases[t.host]; ok && now.Before(until) {
-			m.Request.Leases = append(m.Request.Leases, &targetspb.Lease{Id: id, RemainingMs: milliseconds(until.Sub(now))})
-		}
-	}
 	if !batch {
 		return m
 	}
@@ -188,6 +191,17 @@
 	return m
 }
 
+// ownLeases lists the leases of this host. The caller holds t.mu.
+func (t *Table) ownLeases(now time.Time) []*targetspb.Lease {
+	var out []*targetspb.Lease
+	for id, rec := range t.byID {
+		if until, ok := rec.leases[t.host]; ok && now.Before(until) {
+			out = append(out, &targetspb.Lease{Id: id, RemainingMs: milliseconds(until.Sub(now))})
+		}
+	}
+	return out
+}
+
 func (m *Message) addReport(now time.Time, rec *record) {
 	data, err := json.Marshal(&rec.Announcement)
 	if err != nil {
@@ -256,11 +270,28 @@
 			box.lastFullCounts = m.builtAt
 		}
 	}
+	r.table.confirmLeases(now, m, response)
 	if response.Differs {
 		r.repair(now, box, response.Known)
 	}
 }
 
+// confirmLeases records that the receiver of a message knows the leases in it, and which
+// leases it held itself at that time.
+func (t *Table) confirmLeases(now time.Time, m Message, response *targetspb.RelayResponse) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(response.Leases) <= maxRelayItems {
+		// A lease that is missing may be newer than the response.
+		t.addLeases(now, m.Host, response.Leases)
+	}
+	for id, until := range m.leases {
+		if rec, ok := t.byID[id]; ok && rec.leases[t.host].Equal(until) {
+			rec.leaseKnownBy[m.Host] = true
+		}
+	}
+}
+
 // repair queues the announcements of the targets of which the other host has no or an
 // older version.
 func (r *Relay) repair(now time.Time, box *outbox, known []*targetspb.Known) {
@@ -330,10 +361,11 @@
 	if reportErr != nil {
 		return nil, reportErr
 	}
-	if m.Digest == 0 || m.Digest == t.digest(now) {
-		return &targetspb.RelayResponse{}, nil
+	response := &targetspb.RelayResponse{Leases: t.ownLeases(now)}
+	if m.Digest != 0 && m.Digest != t.digest(now) {
+		response.Differs, response.Known = true, t.knownTargets(now)
 	}
-	return &targetspb.RelayResponse{Differs: true, Known: t.knownTargets(now)}, nil
+	return response, nil
 }
 
 func (t *Table) receiveReport(now time.Time, report *targetspb.Report) error {
@@ -388,10 +420,15 @@
 	}
 }
 
+// receiveLeases replaces the leases of the sender.
 func (t *Table) receiveLeases(now time.Time, sender string, leases []*targetspb.Lease) {
 	for _, rec := range t.byID {
 		delete(rec.leases, sender)
 	}
+	t.addLeases(now, sender, leases)
+}
+
+func (t *Table) addLeases(now time.Time, sender string, leases []*targetspb.Lease) {
 	for _, l := range leases {
 		rec, ok := t.byID[l.Id]
 		if !ok {
--- a/internal/targets/table.go
+++ b/internal/targets/table.go
@@ -72,6 +72,8 @@
 	tokensSinceReport int64
 	peers             map[string]peerCount
 	leases            map[string]time.Time // from host to expiry
+	// leaseKnownBy holds the hosts that have confirmed the lease of this host.
+	leaseKnownBy map[string]bool
 	// leavingSince is when this host was informed that the target is leaving.
 	leavingSince time.Time
 	// slowStartAt is when the slow start began.
@@ -91,6 +93,8 @@
 type Table struct {
 	host       string
 	dataCentre string
+	// localPeers lists the hosts that must know a lease before it is exclusive.
+	localPeers func() []string
 
 	mu      sync.Mutex
 	targets map[string]*record
@@ -110,7 +114,7 @@
 // NewTable returns an empty table for the host in the data centre.
 func NewTable(host, dataCentre string) *Table {
 	return &Table{host: host, dataCentre: dataCentre, targets: map[string]*record{}, byID: map[uint32]*record{},
-		pools: map[string][]*record{}, changed: make(chan struct{})}
+		pools: map[string][]*record{}, changed: make(chan struct{}), localPeers: func() []string { return nil }}
 }
 
 // Announce applies an announcement that the target sent to this host. It reports
--- a/internal/targets/table_test.go
+++ b/internal/targets/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -113,6 +114,106 @@
 	}
 }
 
+// Guards against two hosts that lease a target at the same time and use it before they
+// hear of each other: in each order of messages that are lost, overtake each other or have
+// not arrived, at most one lease is exclusive, and one is in the end.
+func TestConcurrentLeasesBeforeTheyAreKnown(t *testing.T) {
+	for seed := range uint64(500) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		now := time.Unix(1000, 0)
+		hosts := []*leaseHost{newLeaseHost("a", "b"), newLeaseHost("b", "a")}
+		for _, h := range hosts {
+			if _, err := h.table.Announce(now, announcement("t1", fields{"seq": "100"})); err != nil {
+				t.Fatal(err)
+			}
+			h.send(now) // knows its peer from then on
+		}
+		hosts[0].peer, hosts[1].peer = hosts[1], hosts[0]
+		for range 40 {
+			now = now.Add(time.Duration(random.IntN(50)) * time.Millisecond)
+			h := hosts[random.IntN(2)]
+			if h.lease == nil {
+				h.lease, _ = h.table.Lease(now, &Query{Pool: "pool", Model: "model"}, time.Minute)
+				h.relay.ForceBatch()
+			}
+			h.step(t, now, random)
+			if hosts[0].exclusive(now) && hosts[1].exclusive(now) {
+				t.Fatalf("seed %d: both hosts have the target for themselves", seed)
+			}
+		}
+		for _, h := range []*leaseHost{hosts[0], hosts[1], hosts[0], hosts[1]} {
+			for h.deliver(t, now, false) || h.send(now.Add(2*BatchInterval)) {
+				continue
+			}
+		}
+		if !hosts[0].exclusive(now) && !hosts[1].exclusive(now) {
+			t.Fatalf("seed %d: no host has the target after all messages have arrived", seed)
+		}
+	}
+}
+
+// leaseHost is a host that wants a lease, with its messages on their way to its peer.
+type leaseHost struct {
+	name  string
+	table *Table
+	relay *Relay
+	lease *Lease
+	peer  *leaseHost
+	sent  []Message
+	// answers are the responses that have not arrived yet, by index those of answered.
+	answered []Message
+	answers  []*targetspb.RelayResponse
+}
+
+func newLeaseHost(name, peer string) *leaseHost {
+	table := NewTable(name, "here")
+	return &leaseHost{name: name, table: table, relay: NewRelay(table, singlePeer{peer})}
+}
+
+func (h *leaseHost) exclusive(now time.Time) bool { return h.lease != nil && h.lease.Exclusive(now) }
+
+// step moves one message of the host forward.
+func (h *leaseHost) step(t *testing.T, now time.Time, random *rand.Rand) {
+	if random.IntN(2) == 0 && h.send(now) {
+		return
+	}
+	h.deliver(t, now, random.IntN(5) == 0)
+}
+
+func (h *leaseHost) send(now time.Time) bool {
+	messages := h.relay.Tick(now)
+	h.sent = append(h.sent, messages...)
+	return len(messages) > 0
+}
+
+// deliver lets the oldest response or request arrive, or be lost.
+func (h *leaseHost) deliver(t *testing.T, now time.Time, lost bool) bool {
+	if len(h.answers) > 0 {
+		m, answer := h.answered[0], h.answers[0]
+		h.answered, h.answers = h.answered[1:], h.answers[1:]
+		if lost {
+			answer = nil
+		}
+		h.relay.Done(now, m, answer)
+		return true
+	}
+	if len(h.sent) == 0 {
+		return false
+	}
+	m := h.sent[0]
+	h.sent = h.sent[1:]
+	if lost {
+		h.relay.Done(now, m, nil)
+		return true
+	}
+	answer, err := h.peer.table.Receive(now, h.name, m.Request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.answered, h.answers = append(h.answered, m), append(h.answers, answer)
+	return true
+}
+
 // Guards against waiters that are not woken when a request ends.
 func TestChangedAfterEnd(t *testing.T) {
 	table, now := NewTable("host", "here"), time.Unix(1000, 0)
