registry: contact establishes no process that control hosts may have forgotten

Hypotheses: the control hosts still count the other sender; the last heartbeats of the test displace the targets; the entry host keeps what the control hosts have lost. The log lines (target conflict) show the third: all control hosts were killed while the other sender's message was less than 3 s old, so none of them tells that it is silent. The entry host does not know the target's process as established, as that had mattered to nobody, and Confirm then established both after 5 s of contact: the later start won for good.

Confirm no longer establishes a process if another running one with its ID or address was heard of after it: after their start the control hosts tell the entry host of the target again, not of the other sender.

TestMessageThatNobodyKnows failed before in the two cases of the ID (the case of the address passed) and passes. For up to 5 s of contact after such a start of all control hosts the entry host still refuses.

--- a/internal/registry/foreign_test.go
+++ b/internal/registry/foreign_test.go
@@ -349,3 +349,33 @@
 		}
 	}
 }
+
+// Guards against a target that an entry host gives up for the message of another sender that
+// no control host knows any more, as all have started again right after it: nobody tells that
+// the other sender is silent, while the heartbeats of the target go on.
+func TestMessageThatNobodyKnows(t *testing.T) {
+	sound := record("a", 1000, 1, registry.Ready)
+	for name, foreign := range map[string]registry.Record{
+		"ID":               {ID: "a", Service: "chat", Address: "127.0.0.1:9", DataCentre: "x", StartMillis: 2000, Sequence: 1, State: registry.Ready},
+		"ID, same address": {ID: "a", Service: "chat", Address: sound.Address, DataCentre: sound.DataCentre, StartMillis: 2000, Sequence: 1, State: registry.Ready},
+		"address":          {ID: "b", Service: "chat", Address: sound.Address, DataCentre: sound.DataCentre, StartMillis: 2000, Sequence: 1, State: registry.Ready},
+	} {
+		entry, control := registry.NewTable(), registry.NewTable()
+		entry.Merge(second, sound)
+		entry.Merge(second, foreign)
+		next, now := beats(control, 2*second, 1, record("a", 1000, 20, registry.Ready)) // started again
+		var cursor uint64
+		for range 20 {
+			next, now = beats(control, now, 1, next)
+			var records []registry.Record
+			records, cursor = control.ChangedSince(cursor)
+			for _, r := range records {
+				entry.Merge(now, r)
+			}
+			entry.Confirm(now, interval)
+		}
+		if got, used := inUse(entry, "a", nil); !used || got.StartMillis != sound.StartMillis {
+			t.Errorf("%s: used %v, %+v", name, used, got)
+		}
+	}
+}
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -267,12 +267,13 @@
 // Confirm records that control hosts have been in contact with this host for some time, and
 // establishes processes beside others that they have not told to be silent since. Control
 // hosts tell which processes are established only where they know of rivals themselves; after
-// a start they may not know of those that this host has.
+// a start they may not know of those that this host has. Of several processes that is one of
+// which they have told last: they may have forgotten the others.
 func (t *Table) Confirm(now, contact time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range t.rows {
-		if r.State == Left || r.Silent || r.Established || !t.disputed(r) {
+		if r.State == Left || r.Silent || r.Established || !t.disputed(r) || t.rivalHeardLater(r) {
 			r.confirmed = 0
 			continue
 		}
@@ -284,6 +285,12 @@
 	}
 }
 
+// rivalHeardLater reports whether another running process with the ID or at the address of a
+// process was heard of after it. t.mu must be held.
+func (t *Table) rivalHeardLater(r *row) bool {
+	return slices.ContainsFunc(t.neighbours(r), func(o *row) bool { return o.State != Left && !o.Silent && o.lastHeard > r.lastHeard })
+}
+
 // contested reports whether a process that started later names the ID or the address of a
 // process, and since when.
 func (t *Table) contested(r *row) (contested bool, at time.Duration) {
