--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -267,8 +267,8 @@
 // Confirm records that control hosts have been in contact with this host for some time, and
 // establishes processes beside others that they have not told to be silent since. Control
 // hosts tell which processes are established only where they know of rivals themselves; after
-// a start they may not know of those that this host has. Of several processes that is one of
-// which they have told last: they may have forgotten the others.
+// a start they may not know of those that this host has. Only the process that was heard of
+// last is established, as they may have lost the others.
 func (t *Table) Confirm(now, contact time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
